--- /dev/null
+++ b/Source/Base/base.h
@@ -0,0 +1,13 @@
+#ifndef RHUBARBHAVEN_BASE_BASE_H_
+#define RHUBARBHAVEN_BASE_BASE_H_
+
+// What every other package builds on: time, rings, metrics, logs, settings.
+
+#include "Base/bounded_ring.h"
+#include "Base/hashing.h"
+#include "Base/json_file.h"
+#include "Base/logging.h"
+#include "Base/metrics.h"
+#include "Base/time.h"
+
+#endif  // RHUBARBHAVEN_BASE_BASE_H_
--- /dev/null
+++ b/Source/Base/hashing.h
@@ -0,0 +1,18 @@
+#ifndef RHUBARBHAVEN_BASE_HASHING_H_
+#define RHUBARBHAVEN_BASE_HASHING_H_
+
+#include <cstdint>
+#include <string_view>
+
+namespace rhubarbhaven {
+
+// A 64-bit hash that is the same in every process and build (FNV-1a with a
+// final mix). Not for adversarial input.
+auto StableHash(std::string_view text, uint64_t seed = 0) -> uint64_t;
+
+// A number that is unique to this process start with overwhelming likelihood.
+auto RandomIncarnation() -> uint64_t;
+
+}  // namespace rhubarbhaven
+
+#endif  // RHUBARBHAVEN_BASE_HASHING_H_
--- /dev/null
+++ b/Source/Journal/journal.h
@@ -0,0 +1,15 @@
+#ifndef RHUBARBHAVEN_JOURNAL_JOURNAL_H_
+#define RHUBARBHAVEN_JOURNAL_JOURNAL_H_
+
+// The platform's append-only log: client, writers, followers, snapshots, and
+// the fold of the configuration.
+
+#include "Journal/append_queue.h"
+#include "Journal/config_fold.h"
+#include "Journal/log_client.h"
+#include "Journal/register_check.h"
+#include "Journal/snapshot.h"
+#include "Journal/stream_follower.h"
+#include "Journal/stream_writer.h"
+
+#endif  // RHUBARBHAVEN_JOURNAL_JOURNAL_H_
--- /dev/null
+++ b/Source/Placement/interference.h
@@ -0,0 +1,73 @@
+#ifndef RHUBARBHAVEN_PLACEMENT_INTERFERENCE_H_
+#define RHUBARBHAVEN_PLACEMENT_INTERFERENCE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Base/base.h"
+
+namespace rhubarbhaven {
+
+// What ran together on an instance, as far as the past is kept.
+enum class InterferenceStep { kNone, kThrottle, kUnthrottle, kMove };
+
+struct InterferenceAction {
+  InterferenceStep step = InterferenceStep::kNone;
+  schema::TaskId task;
+  std::string why;
+};
+
+struct InterferenceOptions {
+  std::chrono::seconds history{180};
+  std::chrono::seconds half_life{1800};
+  // Slowdown of a service's p99 over its target, at which steps begin and
+  // below which they are taken back.
+  double act_above = 1.10;
+  double relax_below = 0.95;
+  std::chrono::seconds hold{30};
+};
+
+// Learns from late reports how badly a job hurts a service, per pair, and
+// acts in steps.
+class InterferenceModel {
+ public:
+  explicit InterferenceModel(InterferenceOptions options);
+  InterferenceModel(const InterferenceModel&) = delete;
+  auto operator=(const InterferenceModel&) -> InterferenceModel& = delete;
+  ~InterferenceModel();
+
+  auto SetRules(const std::string& partner, const schema::PartnerRules& rules)
+      -> void;
+  auto SetService(const std::string& instance,
+                  const std::string& partner,
+                  const schema::Service& service) -> void;
+  auto OnStarted(TimePoint now,
+                 const std::string& instance,
+                 const schema::TaskId& task,
+                 bool costly_to_evict) -> void;
+  auto OnStopped(TimePoint now,
+                 const std::string& instance,
+                 const schema::TaskId& task) -> void;
+  // A report that was measured at `measured` and came in at `now`.
+  auto OnReport(TimePoint now,
+                TimePoint measured,
+                const std::string& instance,
+                const schema::UsageReport& report)
+      -> std::vector<InterferenceAction>;
+  // Expected slowdown of the service on the instance if the job ran there;
+  // 1 means none.
+  auto ExpectedSlowdown(TimePoint now,
+                        const std::string& instance,
+                        const std::string& partner,
+                        const std::string& job) const -> double;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace rhubarbhaven
+
+#endif  // RHUBARBHAVEN_PLACEMENT_INTERFERENCE_H_
