Schema: Add the messages of the operators' interface

Cause: the entry's JSON answers to operators are written by one package and read by another; written twice by hand they would drift apart.

Ruled out: JSON built from strings on both sides.

--- a/Source/Schema/schema.h
+++ b/Source/Schema/schema.h
@@ -4,6 +4,7 @@
 // Messages and settings, generated from the .proto files in this folder.
 
 #include "journal.pb.h"
+#include "operator.pb.h"
 #include "options.pb.h"
 #include "reasons.pb.h"
 #include "register.pb.h"
