--- a/Source/Journal/append_queue.h
+++ b/Source/Journal/append_queue.h
@@ -30,11 +30,16 @@
  public:
   explicit AppendQueue(AppendQueueOptions options);
 
-  // False if the queue is full: nothing was taken.
-  auto Enqueue(schema::LogEntry entry) -> bool;
+  // False if the queue is full: nothing was taken. `now` is the time from
+  // which `TakeUnsentBefore` counts.
+  auto Enqueue(schema::LogEntry entry, TimePoint now = TimePoint()) -> bool;
   // Entries that are not in a record under way are taken out and returned,
   // for instance because their makers would rather refuse than wait.
   auto TakeUnsent() -> std::vector<schema::LogEntry>;
+  // The same for those that were enqueued at `limit` or before.
+  auto TakeUnsentBefore(TimePoint limit) -> std::vector<schema::LogEntry>;
+  // When the oldest entry that is not under way was enqueued.
+  auto oldest_unsent() const -> std::optional<TimePoint>;
 
   // The record to send now, if any. The caller reports its fate by one of the
   // three calls below.
@@ -48,6 +53,7 @@
   // record of unknown fate that was sent before and not read is sent again.
   auto OnCaughtUp(TimePoint now, TimePoint asked) -> void;
 
+  // `TimePoint::max()` if nothing is to be sent.
   auto next_wake() const -> TimePoint;
   auto size() const -> std::size_t;
   // True while a record's fate is unknown.
@@ -55,10 +61,24 @@
 
  private:
   enum class Flight { kNone, kSent, kUnknown };
+  struct Waiting {
+    schema::LogEntry entry;
+    TimePoint since;
+  };
+
+  auto FillRecord() -> void;
+  auto Settle() -> void;
+  auto BackOff(TimePoint now) -> void;
+
   AppendQueueOptions options_;
-  std::deque<schema::LogEntry> waiting_;
+  std::deque<Waiting> waiting_;
   std::optional<schema::LogRecord> record_;
+  // When each entry of `record_` was enqueued.
+  std::vector<TimePoint> record_since_;
   Flight flight_ = Flight::kNone;
+  // True once a try of `record_` may have reached the log.
+  bool maybe_appended_ = false;
+  // Number of the latest settled record.
   uint64_t sequence_ = 0;
   TimePoint sent_at_;
   TimePoint not_before_;
--- a/Source/Journal/config_fold.h
+++ b/Source/Journal/config_fold.h
@@ -1,13 +1,18 @@
 #ifndef RHUBARBHAVEN_JOURNAL_CONFIG_FOLD_H_
 #define RHUBARBHAVEN_JOURNAL_CONFIG_FOLD_H_
 
+#include <absl/status/status.h>
+
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "Base/base.h"
+#include "Journal/writer_marks.h"
 
 namespace rhubarbhaven {
 
@@ -36,10 +41,30 @@
       -> std::optional<schema::ChangeOutcome>;
 
  private:
+  // Outcomes that are remembered; the oldest are forgotten first.
+  static constexpr std::size_t kMaxOutcomes = 1024;
+
+  auto Decide(uint64_t offset, const schema::ConfigChange& change)
+      -> schema::ChangeOutcome;
+  // The object as it will be stored, with its schema fallbacks filled in.
+  auto CheckOne(const schema::ConfigChange& change,
+                schema::ObjectChange* item) const -> absl::Status;
+  auto CheckVersion(const schema::ObjectChange& item) const -> absl::Status;
+  // References between objects, as they would be after the change.
+  auto CheckReferences(const std::vector<schema::ObjectChange>& items) const
+      -> absl::Status;
+  auto CheckTeamsInUse(const std::set<std::string>& removed,
+                       const std::set<std::string>& put) const -> absl::Status;
+  auto Put(uint64_t offset, schema::ObjectChange item) -> void;
+  auto Remember(const schema::ChangeOutcome& outcome) -> void;
+
   uint64_t applied_ = 0;
   std::map<std::string, schema::VersionedObject> objects_;
-  std::map<std::string, schema::WriterMark> writers_;
-  std::vector<schema::ChangeOutcome> recent_;
+  // Partner that owns each instance name, see `CheckReferences`.
+  std::map<std::string, std::string> instance_partner_;
+  WriterMarks writers_;
+  std::deque<std::string> recent_;
+  std::map<std::string, schema::ChangeOutcome> outcomes_;
 };
 
 }  // namespace rhubarbhaven
--- a/Source/Journal/journal.h
+++ b/Source/Journal/journal.h
@@ -9,7 +9,9 @@
 #include "Journal/log_client.h"
 #include "Journal/register_check.h"
 #include "Journal/snapshot.h"
+#include "Journal/snapshot_policy.h"
 #include "Journal/stream_follower.h"
 #include "Journal/stream_writer.h"
+#include "Journal/writer_marks.h"
 
 #endif  // RHUBARBHAVEN_JOURNAL_JOURNAL_H_
--- a/Source/Journal/log_client.h
+++ b/Source/Journal/log_client.h
@@ -33,6 +33,7 @@
 // Blocking calls of the platform's log, over HTTP:
 //   POST /v1/streams/NAME/records            body: the record's bytes
 //        -> 200 {"offset":"17"}   offsets start at 1
+//        -> 4xx (but 408) or 503: certainly not taken; anything else: unknown
 //   GET  /v1/streams/NAME/records?from=N&limit=K&wait_ms=W
 //        -> 200 LogBatch (protobuf); `from` below the first kept offset gives
 //           the batch from the first kept one, see LogBatch.first_kept
@@ -50,8 +51,11 @@
             std::chrono::milliseconds wait) -> absl::StatusOr<schema::LogBatch>;
 
  private:
+  auto Call(HttpClientRequest request) -> HttpClientAnswer;
+
   std::string base_url_;
   HttpClient http_;
+  bool last_failed_ = false;
 };
 
 }  // namespace rhubarbhaven
--- a/Source/Journal/register_check.h
+++ b/Source/Journal/register_check.h
@@ -11,6 +11,15 @@
 
 namespace rhubarbhaven {
 
+// Kinds of objects, as they stand in `ObjectKey.kind`.
+inline constexpr char kServiceKind[] = "service";
+inline constexpr char kJobKind[] = "job";
+inline constexpr char kInstanceKind[] = "instance";
+inline constexpr char kTeamKind[] = "team";
+inline constexpr char kRulesKind[] = "rules";
+// Name of a partner's one rules object.
+inline constexpr char kRulesName[] = "rules";
+
 // Checks one object by itself; part of the fold, so it must never depend on
 // anything but its arguments.
 auto CheckObject(const schema::ObjectKey& key,
--- a/Source/Journal/snapshot.h
+++ b/Source/Journal/snapshot.h
@@ -25,10 +25,15 @@
 // Puts chunks together again, whatever their order and repetitions.
 class SnapshotAssembler {
  public:
-  // The whole state, once its last missing chunk has come.
+  // The whole state, once its last missing chunk has come. Malformed chunks
+  // and a state that does not match its checksum are dropped.
   auto Add(const schema::SnapshotChunk& chunk) -> std::optional<WholeSnapshot>;
 
  private:
+  // Snapshots that never became whole (their writer died) are forgotten, the
+  // ones that cover least first.
+  static constexpr std::size_t kMaxPartials = 8;
+
   struct Partial {
     uint32_t count = 0;
     std::map<uint32_t, std::string> chunks;
@@ -58,11 +63,20 @@
   auto applied() const -> uint64_t;
 
  private:
+  using Held = std::vector<std::pair<uint64_t, schema::LogRecord>>;
+
+  auto OnItem(const schema::LogItem& item) -> void;
+  auto Release(Step* step) -> void;
+  // Offset of the first record that can be applied when the gap closes.
+  auto first_held() const -> uint64_t;
+
   uint64_t applied_;
   uint64_t next_;
   bool gap_ = false;
-  std::vector<std::pair<uint64_t, schema::LogRecord>> held_;
+  Held held_;
   SnapshotAssembler assembler_;
+  // The newest whole snapshot that was read in the gap.
+  std::optional<WholeSnapshot> snapshot_;
 };
 
 }  // namespace rhubarbhaven
