--- /dev/null
+++ b/Source/Transport/http_client.cc
@@ -0,0 +1,325 @@
+#include "Transport/http_client.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/string_view.h>
+#include <absl/strings/strip.h>
+#include <curl/curl.h>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+namespace rhubarbhaven {
+namespace {
+
+constexpr std::size_t kCallRingCapacity = 4096;
+constexpr std::chrono::milliseconds kPollLimit{1000};
+
+auto InitCurlOnce() -> void {
+  static const CURLcode code = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static_cast<void>(code);
+}
+
+// One call: owns the request's bytes while curl reads them, and collects the
+// answer.
+class Transfer {
+ public:
+  Transfer(CURL* handle, HttpClientRequest request)
+      : handle_(handle), request_(std::move(request)) {
+    curl_easy_reset(handle_);
+    SetOptions();
+  }
+  Transfer(const Transfer&) = delete;
+  auto operator=(const Transfer&) -> Transfer& = delete;
+  ~Transfer() { curl_slist_free_all(headers_); }
+
+  auto Finish(CURLcode code) -> HttpClientAnswer {
+    long connects = 0;
+    curl_easy_getinfo(handle_, CURLINFO_NUM_CONNECTS, &connects);
+    answer_.connections_opened = static_cast<int>(connects);
+    long status = 0;
+    curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
+    answer_.http.set_status(static_cast<uint32_t>(status));
+    if (code != CURLE_OK) {
+      Fail(code);
+    } else if (!length_known_ && HasBody(status)) {
+      // Without a length the end of the connection may be the end of the
+      // answer or a cut; an answer cut short must not pass as whole.
+      answer_.reason = schema::ENDPOINT_ANSWER_TRUNCATED;
+      answer_.error = "the answer has neither length nor chunks";
+    } else {
+      answer_.complete = true;
+    }
+    return std::move(answer_);
+  }
+
+  auto handle() const -> CURL* { return handle_; }
+
+ private:
+  auto SetOptions() -> void {
+    curl_easy_setopt(handle_, CURLOPT_URL, request_.url.c_str());
+    curl_easy_setopt(handle_, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle_, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(handle_, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle_, CURLOPT_TIMEOUT_MS,
+                     static_cast<long>(request_.timeout.count()));
+    curl_easy_setopt(handle_, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(request_.connect_timeout.count()));
+    curl_easy_setopt(handle_, CURLOPT_FRESH_CONNECT,
+                     request_.fresh_connection ? 1L : 0L);
+    curl_easy_setopt(handle_, CURLOPT_PRIVATE, this);
+    curl_easy_setopt(handle_, CURLOPT_WRITEFUNCTION, &Transfer::OnBody);
+    curl_easy_setopt(handle_, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(handle_, CURLOPT_HEADERFUNCTION, &Transfer::OnHeader);
+    curl_easy_setopt(handle_, CURLOPT_HEADERDATA, this);
+    SetMethod();
+    for (const auto& header : request_.headers) {
+      AddHeader(absl::StrCat(header.name(), ": ", header.value()));
+    }
+    AddHeader("Expect:");
+    curl_easy_setopt(handle_, CURLOPT_HTTPHEADER, headers_);
+  }
+
+  auto SetMethod() -> void {
+    if (request_.method == "HEAD") {
+      curl_easy_setopt(handle_, CURLOPT_NOBODY, 1L);
+    } else if (request_.method != "GET" || !request_.body.empty()) {
+      curl_easy_setopt(handle_, CURLOPT_POST, 1L);
+      curl_easy_setopt(handle_, CURLOPT_POSTFIELDS, request_.body.data());
+      curl_easy_setopt(handle_, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(request_.body.size()));
+      curl_easy_setopt(handle_, CURLOPT_CUSTOMREQUEST, request_.method.c_str());
+    }
+  }
+
+  auto AddHeader(const std::string& line) -> void {
+    headers_ = curl_slist_append(headers_, line.c_str());
+  }
+
+  auto HasBody(long status) const -> bool {
+    constexpr long kNoContent = 204;
+    constexpr long kNotModified = 304;
+    return request_.method != "HEAD" && status != kNoContent &&
+           status != kNotModified;
+  }
+
+  auto Fail(CURLcode code) -> void {
+    answer_.error = curl_easy_strerror(code);
+    answer_.handed_over = SentAnything(code);
+    answer_.reason = ReasonOf(code);
+  }
+
+  auto SentAnything(CURLcode code) const -> bool {
+    if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
+        code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL) {
+      return false;
+    }
+    curl_off_t before_transfer_us = 0;
+    curl_easy_getinfo(handle_, CURLINFO_PRETRANSFER_TIME_T,
+                      &before_transfer_us);
+    return before_transfer_us != 0;
+  }
+
+  auto ReasonOf(CURLcode code) const -> schema::Reason {
+    if (too_large_) {
+      return schema::ENDPOINT_ANSWER_TOO_LARGE;
+    }
+    if (!answer_.handed_over) {
+      return schema::ENDPOINT_CONNECT_FAILED;
+    }
+    switch (code) {
+      case CURLE_OPERATION_TIMEDOUT:
+        return schema::ENDPOINT_TIMEOUT;
+      case CURLE_PARTIAL_FILE:
+        return schema::ENDPOINT_ANSWER_TRUNCATED;
+      default:
+        return schema::ENDPOINT_CONNECTION_LOST;
+    }
+  }
+
+  static auto OnBody(char* data, std::size_t, std::size_t size, void* cls)
+      -> std::size_t {
+    auto* self = static_cast<Transfer*>(cls);
+    auto* body = self->answer_.http.mutable_body();
+    if (body->size() + size > self->request_.max_answer_bytes) {
+      self->too_large_ = true;
+      return 0;
+    }
+    body->append(data, size);
+    return size;
+  }
+
+  static auto OnHeader(char* data, std::size_t, std::size_t size, void* cls)
+      -> std::size_t {
+    auto* self = static_cast<Transfer*>(cls);
+    const absl::string_view line(data, size);
+    const auto colon = line.find(':');
+    if (colon == absl::string_view::npos) {
+      // A status line: what came before belonged to an interim answer.
+      if (absl::StartsWith(line, "HTTP/")) {
+        self->answer_.http.clear_headers();
+        self->length_known_ = false;
+      }
+      return size;
+    }
+    auto* header = self->answer_.http.add_headers();
+    header->set_name(absl::AsciiStrToLower(line.substr(0, colon)));
+    header->set_value(
+        std::string(absl::StripAsciiWhitespace(line.substr(colon + 1))));
+    if (header->name() == "content-length" ||
+        header->name() == "transfer-encoding") {
+      self->length_known_ = true;
+    }
+    return size;
+  }
+
+  CURL* handle_;
+  HttpClientRequest request_;
+  HttpClientAnswer answer_;
+  curl_slist* headers_ = nullptr;
+  bool length_known_ = false;
+  bool too_large_ = false;
+};
+
+}  // namespace
+
+class HttpClient::Impl {
+ public:
+  Impl() : handle_((InitCurlOnce(), curl_easy_init())) {}
+  Impl(const Impl&) = delete;
+  auto operator=(const Impl&) -> Impl& = delete;
+  ~Impl() { curl_easy_cleanup(handle_); }
+
+  auto Call(const HttpClientRequest& request) -> HttpClientAnswer {
+    Transfer transfer(handle_, request);
+    return transfer.Finish(curl_easy_perform(handle_));
+  }
+
+ private:
+  CURL* handle_;
+};
+
+HttpClient::HttpClient() : impl_(std::make_unique<Impl>()) {}
+HttpClient::~HttpClient() = default;
+auto HttpClient::Call(const HttpClientRequest& request) -> HttpClientAnswer {
+  return impl_->Call(request);
+}
+
+class HttpCaller::Impl {
+ public:
+  explicit Impl(int connections) : ring_(kCallRingCapacity) {
+    InitCurlOnce();
+    multi_ = curl_multi_init();
+    curl_multi_setopt(multi_, CURLMOPT_MAX_TOTAL_CONNECTIONS,
+                      static_cast<long>(connections));
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS,
+                      static_cast<long>(connections));
+    thread_ = std::thread([this]() -> void { Run(); });
+  }
+  Impl(const Impl&) = delete;
+  auto operator=(const Impl&) -> Impl& = delete;
+  ~Impl() {
+    stop_ = true;
+    curl_multi_wakeup(multi_);
+    thread_.join();
+    curl_multi_cleanup(multi_);
+  }
+
+  auto Start(HttpClientRequest request, Done done) -> bool {
+    if (!ring_.Push({std::move(request), std::move(done)})) {
+      return false;
+    }
+    curl_multi_wakeup(multi_);
+    return true;
+  }
+
+ private:
+  struct Call {
+    HttpClientRequest request;
+    Done done;
+  };
+  struct Active {
+    std::unique_ptr<Transfer> transfer;
+    Done done;
+  };
+
+  auto Run() -> void {
+    while (!stop_) {
+      Begin();
+      int running = 0;
+      curl_multi_perform(multi_, &running);
+      Collect();
+      curl_multi_poll(multi_, nullptr, 0, static_cast<int>(kPollLimit.count()),
+                      nullptr);
+    }
+    AbandonAll();
+  }
+
+  auto Begin() -> void {
+    ring_.ClearWake();
+    while (auto call = ring_.Pop()) {
+      CURL* handle = TakeHandle();
+      active_[handle] = {
+          std::make_unique<Transfer>(handle, std::move(call->request)),
+          std::move(call->done)};
+      curl_multi_add_handle(multi_, handle);
+    }
+  }
+
+  auto Collect() -> void {
+    int left = 0;
+    while (const CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+      if (message->msg == CURLMSG_DONE) {
+        End(message->easy_handle, message->data.result);
+      }
+    }
+  }
+
+  auto End(CURL* handle, CURLcode code) -> void {
+    auto node = active_.extract(handle);
+    curl_multi_remove_handle(multi_, handle);
+    auto answer = node.mapped().transfer->Finish(code);
+    node.mapped().transfer.reset();
+    idle_handles_.push_back(handle);
+    node.mapped().done(std::move(answer));
+  }
+
+  auto TakeHandle() -> CURL* {
+    if (idle_handles_.empty()) {
+      return curl_easy_init();
+    }
+    CURL* handle = idle_handles_.back();
+    idle_handles_.pop_back();
+    return handle;
+  }
+
+  auto AbandonAll() -> void {
+    Begin();
+    while (!active_.empty()) {
+      End(active_.begin()->first, CURLE_ABORTED_BY_CALLBACK);
+    }
+    for (CURL* handle : idle_handles_) {
+      curl_easy_cleanup(handle);
+    }
+  }
+
+  BoundedRing<Call> ring_;
+  CURLM* multi_ = nullptr;
+  std::map<CURL*, Active> active_;
+  std::vector<CURL*> idle_handles_;
+  std::atomic<bool> stop_ = false;
+  std::thread thread_;
+};
+
+HttpCaller::HttpCaller(int connections)
+    : impl_(std::make_unique<Impl>(connections)) {}
+HttpCaller::~HttpCaller() = default;
+auto HttpCaller::Start(HttpClientRequest request, Done done) -> bool {
+  return impl_->Start(std::move(request), std::move(done));
+}
+
+}  // namespace rhubarbhaven
