--- /dev/null
+++ b/Source/Daemon/duty_thread.cc
@@ -0,0 +1,72 @@
+#include "Daemon/duty_thread.h"
+
+#include <poll.h>
+
+#include <algorithm>
+
+namespace rhubarbhaven {
+namespace {
+
+constexpr std::chrono::milliseconds kLongestWait{500};
+constexpr std::chrono::microseconds kRingFullWait{200};
+
+}  // namespace
+
+DutyThread::DutyThread(DutyOptions options)
+    : options_(std::move(options)), ring_(options_.ring_capacity) {}
+
+DutyThread::~DutyThread() {
+  Stop();
+}
+
+auto DutyThread::Start() -> void {
+  thread_ = std::thread([this]() -> void { Run(); });
+}
+
+auto DutyThread::Post(Job job) -> bool {
+  return !stop_ && ring_.Push(std::move(job));
+}
+
+auto DutyThread::PostOrWait(Job job) -> void {
+  while (!stop_ && !ring_.Push(job)) {
+    std::this_thread::sleep_for(kRingFullWait);
+  }
+}
+
+auto DutyThread::Stop() -> void {
+  stop_ = true;
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+auto DutyThread::Run() -> void {
+  while (!stop_) {
+    Wait();
+    RunJobs();
+    const TimePoint now = Clock::now();
+    if (options_.next_wake() <= now) {
+      options_.on_tick(now);
+    }
+  }
+}
+
+auto DutyThread::Wait() -> void {
+  const Duration left = options_.next_wake() - Clock::now();
+  const auto wait = std::clamp(std::chrono::ceil<std::chrono::milliseconds>(left),
+                               std::chrono::milliseconds(0), kLongestWait);
+  pollfd wake{ring_.wake_fd(), POLLIN, 0};
+  poll(&wake, 1, static_cast<int>(wait.count()));
+}
+
+auto DutyThread::RunJobs() -> void {
+  ring_.ClearWake();
+  while (auto job = ring_.Pop()) {
+    (*job)(Clock::now());
+    if (stop_) {
+      return;
+    }
+  }
+}
+
+}  // namespace rhubarbhaven
--- /dev/null
+++ b/Tests/StandIns/Endpoint/endpoint_stand_in.cc
@@ -0,0 +1,157 @@
+// Stands in for the service beside an agent. Runs `slots` requests at once,
+// each for the time that the request's query `ms` says, and writes a line for
+// each run, so that a test can count them:
+//   event=run key=KEY attempt=ATTEMPT
+// POST /faults?slow_ms=N&fail=1 makes it slow or failing.
+
+#include <gflags/gflags.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <mutex>
+#include <thread>
+
+#include "Transport/transport.h"
+
+DEFINE_int32(port, 0, "Port to listen on; 0 takes any.");
+DEFINE_int32(slots, 8, "Requests run at once.");
+DEFINE_string(name, "endpoint", "Name given in answers.");
+
+namespace rhubarbhaven {
+namespace {
+
+constexpr std::size_t kQueueCapacity = 4096;
+
+struct Work {
+  HttpServerRequest request;
+  HttpResponder respond;
+};
+
+class EndpointStandIn {
+ public:
+  EndpointStandIn() : queue_(kQueueCapacity) {
+    for (int i = 0; i < FLAGS_slots; ++i) {
+      workers_.emplace_back([this]() -> void { RunWorker(); });
+    }
+  }
+  EndpointStandIn(const EndpointStandIn&) = delete;
+  auto operator=(const EndpointStandIn&) -> EndpointStandIn& = delete;
+  ~EndpointStandIn() {
+    stop_ = true;
+    for (auto& worker : workers_) {
+      worker.join();
+    }
+  }
+
+  auto Handle(HttpServerRequest request, HttpResponder respond) -> void {
+    if (request.path == "/health") {
+      respond({200, {}, "ok\n"});
+    } else if (request.path == "/faults") {
+      SetFaults(request);
+      respond({200, {}, "ok\n"});
+    } else if (fail_) {
+      respond({500, {}, "failing\n"});
+    } else if (!queue_.Push({std::move(request), respond})) {
+      respond({503, {}, "full\n"});
+    }
+  }
+
+ private:
+  static auto Number(const HttpServerRequest& request,
+                     const std::string& name,
+                     int fallback) -> int {
+    const auto found = request.query.find(name);
+    return found == request.query.end() ? fallback : atoi(found->second.c_str());
+  }
+
+  auto SetFaults(const HttpServerRequest& request) -> void {
+    slow_ms_ = Number(request, "slow_ms", slow_ms_);
+    fail_ = Number(request, "fail", fail_ ? 1 : 0) != 0;
+  }
+
+  auto RunWorker() -> void {
+    while (!stop_) {
+      auto work = queue_.Pop();
+      if (work) {
+        Run(*work);
+      } else {
+        std::this_thread::sleep_for(std::chrono::microseconds(500));
+      }
+    }
+  }
+
+  static auto Header(const HttpServerRequest& request, const char* name)
+      -> std::string {
+    const auto found = request.headers.find(name);
+    return found == request.headers.end() ? "" : found->second;
+  }
+
+  auto Run(const Work& work) -> void {
+    const std::string attempt =
+        Header(work.request, "rhubarbhaven-attempt-id");
+    const std::string key = Header(work.request, "idempotency-key");
+    {
+      const std::lock_guard lock(output_);
+      std::printf("event=run key=%s attempt=%s path=%s\n", key.c_str(),
+                  attempt.c_str(), work.request.path.c_str());
+      std::fflush(stdout);
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(
+        Number(work.request, "ms", 0) + slow_ms_));
+    HttpServerAnswer answer;
+    answer.headers["Rhubarbhaven-Attempt-Id"] = attempt;
+    answer.headers["Content-Type"] = "text/plain";
+    answer.body = FLAGS_name + " answers " + work.request.path + " id=" +
+                  Header(work.request, "rhubarbhaven-request-id") + " " +
+                  work.request.body + "\n";
+    work.respond(std::move(answer));
+  }
+
+  BoundedRing<Work> queue_;
+  std::vector<std::thread> workers_;
+  std::mutex output_;
+  std::atomic<bool> stop_ = false;
+  std::atomic<bool> fail_ = false;
+  std::atomic<int> slow_ms_ = 0;
+};
+
+auto Serve() -> int {
+  EndpointStandIn stand_in;
+  HttpServerOptions options;
+  options.port = static_cast<uint16_t>(FLAGS_port);
+  options.handler = [&stand_in](HttpServerRequest request,
+                                HttpResponder respond) -> void {
+    stand_in.Handle(std::move(request), std::move(respond));
+  };
+  HttpServer server(options);
+  const auto status = server.Start();
+  if (!status.ok()) {
+    std::fprintf(stderr, "endpoint_stand_in: %s\n",
+                 std::string(status.message()).c_str());
+    return 1;
+  }
+  std::printf("event=listening port=%d\n", server.port());
+  std::fflush(stdout);
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  int signal = 0;
+  sigwait(&signals, &signal);
+  return 0;
+}
+
+}  // namespace
+}  // namespace rhubarbhaven
+
+auto main(int argc, char** argv) -> int {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return rhubarbhaven::Serve();
+}
