Daemon: Wire entry and agent roles

Cause: the decisions need threads, sockets and the log around them.

Ruled out: locks around the decisions (each belongs to one thread and takes events through its ring); one thread for log and routing.

Change: duties for routing, control, cells, streams, admission, tasks and the worker, the callers' and the operators' HTTP side, planned stops.

Conclusion: adapters stay thin: they post events and carry out actions.

--- /dev/null
+++ b/Source/Daemon/agent_roster.cc
@@ -0,0 +1,59 @@
+#include "Daemon/agent_roster.h"
+
+namespace rhubarbhaven {
+namespace {
+
+constexpr std::chrono::seconds kSilent{2};
+constexpr std::chrono::seconds kForgotten{60};
+
+}  // namespace
+
+auto AgentRoster::OnAnnounce(TimePoint now, const schema::Envelope& message)
+    -> const AgentView& {
+  const auto& announce = message.announce();
+  AgentView& view = agents_[message.sender()];
+  view.agent = message.sender();
+  view.incarnation = message.sender_incarnation();
+  view.instance = announce.instance();
+  view.partner = announce.partner();
+  view.service = announce.service();
+  view.config_applied = announce.config_applied();
+  view.leaving = announce.leaving();
+  view.heard = now;
+  return view;
+}
+
+auto AgentRoster::ForgetSilent(TimePoint now) -> void {
+  std::erase_if(agents_, [now](const auto& item) -> bool {
+    return now - item.second.heard > kForgotten;
+  });
+}
+
+auto AgentRoster::Find(const std::string& agent) const -> const AgentView* {
+  const auto found = agents_.find(agent);
+  return found == agents_.end() ? nullptr : &found->second;
+}
+
+auto AgentRoster::ForEach(
+    const std::function<auto(const AgentView&)->void>& visit) const -> void {
+  for (const auto& [name, view] : agents_) {
+    visit(view);
+  }
+}
+
+auto AgentRoster::Statuses(TimePoint now) const
+    -> std::vector<schema::AgentStatus> {
+  std::vector<schema::AgentStatus> statuses;
+  for (const auto& [name, view] : agents_) {
+    schema::AgentStatus status;
+    status.set_agent(view.agent);
+    status.set_instance(view.instance);
+    status.set_config_applied(view.config_applied);
+    const bool silent = now - view.heard > kSilent;
+    status.set_state(silent ? "silent" : view.leaving ? "leaving" : "ready");
+    statuses.push_back(status);
+  }
+  return statuses;
+}
+
+}  // namespace rhubarbhaven
--- /dev/null
+++ b/Source/Daemon/control_duty.h
@@ -0,0 +1,94 @@
+#ifndef RHUBARBHAVEN_DAEMON_CONTROL_DUTY_H_
+#define RHUBARBHAVEN_DAEMON_CONTROL_DUTY_H_
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Daemon/agent_roster.h"
+#include "Daemon/cell_duty.h"
+#include "Daemon/duty_thread.h"
+#include "Daemon/stream_duty.h"
+
+namespace rhubarbhaven {
+
+struct ControlHooks {
+  // To an agent by its id, or to a peer by its link endpoint.
+  std::function<auto(const std::string& peer, schema::Envelope)->bool> send;
+  // The configuration changed.
+  std::function<auto(std::vector<schema::VersionedObject>)->void> on_config;
+};
+
+// The thread that holds the configuration and the cells of an entry.
+class ControlDuty {
+ public:
+  ControlDuty(const schema::DaemonSettings& settings,
+              uint64_t incarnation,
+              ControlHooks hooks,
+              Metrics* metrics);
+  ControlDuty(const ControlDuty&) = delete;
+  auto operator=(const ControlDuty&) -> ControlDuty& = delete;
+
+  auto Start() -> void;
+  // A planned stop: frees the cells that this entry owns.
+  auto Stop() -> void;
+
+  // Announce, LeaseRequest, TaskReport, StateRequest and StateReply.
+  auto OnMessage(std::string peer, schema::Envelope message) -> void;
+
+  // Operators' questions; the answer is given on the control thread.
+  auto Status(std::function<auto(schema::OperatorStatus)->void> answer) -> void;
+  auto Tasks(std::function<auto(schema::OperatorTasks)->void> answer) -> void;
+  auto Explain(schema::TaskId task,
+               std::function<auto(schema::OperatorExplanation)->void> answer)
+      -> void;
+  auto Evict(schema::TaskId task,
+             std::function<auto(schema::OperatorReply)->void> answer) -> void;
+
+  // True once a configuration was read from the log or from a peer.
+  auto ready() const -> bool { return ready_; }
+
+ private:
+  auto ConfigHooks() -> StreamHooks;
+  auto MakeCells(const schema::DaemonSettings& settings) -> void;
+  auto AdoptConfig(TimePoint now, const std::string& bytes) -> bool;
+  auto ConfigChanged(TimePoint now) -> void;
+  auto Dispatch(TimePoint now,
+                const std::string& peer,
+                const schema::Envelope& message) -> void;
+  auto OnAnnounce(TimePoint now, const schema::Envelope& message) -> void;
+  auto SendNotice(const AgentView& agent) -> void;
+  auto OnStateRequest(const std::string& peer,
+                      const schema::StateRequest& request) -> void;
+  auto OnStateReply(TimePoint now, const schema::StateReply& reply) -> void;
+  auto AskPeers(TimePoint now) -> void;
+  auto OnTick(TimePoint now) -> void;
+  auto FillInstances(TimePoint now, schema::OperatorStatus& status) -> void;
+  auto FindOwnerOf(TimePoint now, const schema::TaskId& task) -> CellDuty*;
+  auto WithTask(
+      schema::TaskId task,
+      std::function<auto(TimePoint, const schema::TaskId&, CellDuty*)->void>
+          use) -> void;
+  auto Post(DutyThread::Job job) -> void;
+
+  schema::DaemonSettings settings_;
+  uint64_t incarnation_;
+  ControlHooks hooks_;
+  Metrics* metrics_;
+  ConfigFold config_;
+  AgentRoster agents_;
+  std::atomic<bool> ready_ = false;
+  bool log_reachable_ = false;
+  TimePoint next_wake_;
+  TimePoint next_ask_;
+  DutyThread thread_;
+  StreamDuty config_stream_;
+  std::map<std::string, std::unique_ptr<CellDuty>> cells_;
+};
+
+}  // namespace rhubarbhaven
+
+#endif  // RHUBARBHAVEN_DAEMON_CONTROL_DUTY_H_
--- a/Source/Daemon/duty_thread.cc
+++ b/Source/Daemon/duty_thread.cc
@@ -53,8 +53,9 @@
 
 auto DutyThread::Wait() -> void {
   const Duration left = options_.next_wake() - Clock::now();
-  const auto wait = std::clamp(std::chrono::ceil<std::chrono::milliseconds>(left),
-                               std::chrono::milliseconds(0), kLongestWait);
+  const auto wait =
+      std::clamp(std::chrono::ceil<std::chrono::milliseconds>(left),
+                 std::chrono::milliseconds(0), kLongestWait);
   pollfd wake{ring_.wake_fd(), POLLIN, 0};
   poll(&wake, 1, static_cast<int>(wait.count()));
 }
--- /dev/null
+++ b/Source/Daemon/health_probe.cc
@@ -0,0 +1,46 @@
+#include "Daemon/health_probe.h"
+
+#include <utility>
+
+namespace rhubarbhaven {
+namespace {
+
+constexpr std::chrono::milliseconds kInterval{500};
+constexpr std::chrono::milliseconds kTimeout{1000};
+// One lost probe says little; an endpoint that is gone fails every one.
+constexpr int kFailuresToGiveUp = 2;
+constexpr uint32_t kFirstServerError = 500;
+
+}  // namespace
+
+HealthProbe::HealthProbe(std::string url,
+                         std::function<auto(bool healthy)->void> on_change)
+    : url_(std::move(url)),
+      on_change_(std::move(on_change)),
+      thread_({.on_tick = [this](TimePoint now) -> void { Probe(now); },
+               .next_wake = [this]() -> TimePoint { return next_; }}) {}
+
+auto HealthProbe::Probe(TimePoint now) -> void {
+  next_ = now + kInterval;
+  HttpClientRequest request;
+  request.url = url_;
+  request.timeout = kTimeout;
+  const HttpClientAnswer answer = http_.Call(request);
+  if (answer.complete && answer.http.status() < kFirstServerError) {
+    failures_ = 0;
+    Report(true);
+  } else if (++failures_ >= kFailuresToGiveUp) {
+    Report(false);
+  }
+}
+
+auto HealthProbe::Report(bool healthy) -> void {
+  if (reported_ && healthy == healthy_) {
+    return;
+  }
+  reported_ = true;
+  healthy_ = healthy;
+  on_change_(healthy);
+}
+
+}  // namespace rhubarbhaven
--- /dev/null
+++ b/Source/Daemon/keeper_duty.cc
@@ -0,0 +1,114 @@
+#include "Daemon/keeper_duty.h"
+
+#include <utility>
+#include <variant>
+
+namespace rhubarbhaven {
+namespace {
+
+auto OptionsOf(const schema::DaemonSettings& settings, uint64_t incarnation)
+    -> KeeperOptions {
+  const auto& agent = settings.agent();
+  KeeperOptions options;
+  options.agent_id = settings.id();
+  options.agent_incarnation = incarnation;
+  options.instance = agent.instance();
+  options.cell = agent.cell();
+  options.lease_ttl = std::chrono::milliseconds(agent.lease_ttl_ms());
+  options.worker_lease = std::chrono::milliseconds(agent.worker_lease_ms());
+  return options;
+}
+
+}  // namespace
+
+KeeperDuty::KeeperDuty(const schema::DaemonSettings& settings,
+                       uint64_t incarnation,
+                       KeeperHooks hooks,
+                       Metrics* metrics)
+    : entries_(settings.agent().entries().begin(),
+               settings.agent().entries().end()),
+      keeper_(OptionsOf(settings, incarnation)),
+      worker_(settings.agent().worker_url()),
+      hooks_(std::move(hooks)),
+      metrics_(metrics),
+      thread_(
+          {.on_tick = [this](TimePoint now) -> void {
+             Carry(keeper_.OnTick(now));
+           },
+           .next_wake = [this]() -> TimePoint { return keeper_.next_wake(); }}),
+      worker_thread_(
+          {.on_tick = [](TimePoint) -> void {},
+           .next_wake = []() -> TimePoint { return TimePoint::max(); }}) {}
+
+auto KeeperDuty::Start() -> void {
+  worker_thread_.Start();
+  thread_.Start();
+}
+
+auto KeeperDuty::Stop() -> void {
+  thread_.Stop();
+  worker_thread_.Stop();
+}
+
+auto KeeperDuty::OnMessage(std::string entry, schema::Envelope message)
+    -> void {
+  const bool taken =
+      thread_.Post([this, entry = std::move(entry),
+                    message = std::move(message)](TimePoint now) -> void {
+        Carry(keeper_.OnMessage(now, entry, message));
+      });
+  if (!taken) {
+    metrics_->AddReason("dropped_messages", schema::RING_FULL);
+  }
+}
+
+auto KeeperDuty::Leave() -> void {
+  thread_.PostOrWait(
+      [this](TimePoint now) -> void { Carry(keeper_.Leave(now)); });
+}
+
+auto KeeperDuty::Carry(const KeeperActions& actions) -> void {
+  for (const auto& action : actions) {
+    std::visit([this](const auto& one) -> void { CarryOne(one); }, action);
+  }
+  idle_ = keeper_.idle();
+  metrics_->SetGauge("rhubarbhaven_tasks_running",
+                     static_cast<double>(keeper_.running().size()));
+}
+
+auto KeeperDuty::CarryOne(const CallWorker& call) -> void {
+  const bool taken = worker_thread_.Post([this, call](TimePoint) -> void {
+    const WorkerOutcome outcome = worker_.Call(call);
+    if (!outcome.known) {
+      metrics_->Add("rhubarbhaven_worker_calls_unanswered_total");
+    }
+    Finish(outcome);
+  });
+  if (!taken) {
+    WorkerOutcome outcome;
+    outcome.call_id = call.call_id;
+    outcome.not_sent = true;
+    Finish(outcome);
+  }
+}
+
+auto KeeperDuty::Finish(const WorkerOutcome& outcome) -> void {
+  thread_.PostOrWait([this, outcome](TimePoint now) -> void {
+    Carry(keeper_.OnWorkerReply(now, outcome));
+  });
+}
+
+auto KeeperDuty::CarryOne(const SendToOwner& send) -> void {
+  for (const auto& entry : entries_) {
+    if (send.entry.empty() || send.entry == entry) {
+      hooks_.send(entry, send.message);
+    }
+  }
+}
+
+auto KeeperDuty::CarryOne(const CountKeeper& count) -> void {
+  metrics_->Add("rhubarbhaven_keeper_events_total{event=\"" + count.counter +
+                "\"}");
+}
+
+}  // namespace rhubarbhaven
--- a/Source/Daemon/settings_check.cc
+++ b/Source/Daemon/settings_check.cc
@@ -19,9 +19,9 @@
                        const std::string& field,
                        const std::string& value) -> absl::Status {
   if (!absl::StartsWith(value, "tcp://")) {
-    return Problem(path, field,
-                   absl::StrCat("found \"", value,
-                                "\", allowed is \"tcp://IP:PORT\""));
+    return Problem(
+        path, field,
+        absl::StrCat("found \"", value, "\", allowed is \"tcp://IP:PORT\""));
   }
   return absl::OkStatus();
 }
--- /dev/null
+++ b/Source/Daemon/stream_duty.cc
@@ -0,0 +1,130 @@
+#include "Daemon/stream_duty.h"
+
+#include <utility>
+
+namespace rhubarbhaven {
+namespace {
+
+// Small enough for one record, with room for its framing.
+constexpr std::size_t kSnapshotChunkBytes = 256 << 10;
+
+}  // namespace
+
+StreamDuty::StreamDuty(StreamDutyOptions options,
+                       StreamHooks hooks,
+                       Metrics* metrics)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      metrics_(metrics),
+      policy_({.writer = options_.writer}),
+      writer_(WriterHooks()),
+      follower_(FollowerHooks()) {}
+
+auto StreamDuty::Start() -> void {
+  writer_.Start();
+  follower_.Start();
+}
+
+auto StreamDuty::Stop(std::chrono::milliseconds limit) -> void {
+  writer_.Stop(limit);
+  follower_.Stop();
+}
+
+auto StreamDuty::Append(schema::LogEntry entry) -> bool {
+  metrics_->Add("rhubarbhaven_log_entries_total{stream=\"" + options_.stream +
+                "\"}");
+  return writer_.Append(std::move(entry));
+}
+
+auto StreamDuty::FollowerHooks() -> FollowerOptions {
+  FollowerOptions follower;
+  follower.log_url = options_.log_url;
+  follower.stream = options_.stream;
+  follower.on_snapshot = [this](const WholeSnapshot& snapshot) -> void {
+    hooks_.post([this, snapshot](TimePoint now) -> void {
+      hooks_.on_snapshot(now, snapshot.state);
+    });
+  };
+  follower.on_record = [this](uint64_t offset,
+                              const schema::LogRecord& record) -> void {
+    OnRecord(offset, record);
+  };
+  follower.on_caught_up = [this](TimePoint asked) -> void {
+    writer_.OnCaughtUp(asked);
+    hooks_.post([this, asked](TimePoint now) -> void {
+      hooks_.on_caught_up(now, asked);
+    });
+    SetReachable(true);
+  };
+  follower.on_unreachable = [this](const absl::Status&) -> void {
+    metrics_->Add("rhubarbhaven_log_read_failures_total{stream=\"" +
+                  options_.stream + "\"}");
+    SetReachable(false);
+  };
+  follower.on_extent = [this](uint64_t first_kept, uint64_t next) -> void {
+    hooks_.post([this, first_kept, next](TimePoint now) -> void {
+      OnExtent(now, first_kept, next);
+    });
+  };
+  return follower;
+}
+
+auto StreamDuty::WriterHooks() -> WriterOptions {
+  WriterOptions writer;
+  writer.log_url = options_.log_url;
+  writer.stream = options_.stream;
+  writer.queue.writer = options_.writer;
+  writer.queue.incarnation = options_.incarnation;
+  writer.queue.interval = options_.append_interval;
+  writer.give_back_after = options_.give_back_after;
+  writer.on_failed = [this](const schema::LogEntry& entry) -> void {
+    hooks_.post([this, entry](TimePoint now) -> void {
+      hooks_.on_append_failed(now, entry);
+    });
+  };
+  return writer;
+}
+
+auto StreamDuty::OnRecord(uint64_t offset, const schema::LogRecord& record)
+    -> void {
+  writer_.OnRead(record);
+  hooks_.post([this, offset, record](TimePoint now) -> void {
+    policy_.OnRecord(now, offset, record);
+    hooks_.on_record(now, offset, record);
+  });
+}
+
+auto StreamDuty::OnExtent(TimePoint now, uint64_t first_kept, uint64_t next)
+    -> void {
+  policy_.OnExtent(now, first_kept, next);
+  if (hooks_.export_state && policy_.Due(now)) {
+    WriteSnapshot(now);
+  }
+}
+
+// The log keeps records for a limited time. Without a snapshot a process that
+// starts later would find a gap and no state; see docs/design/journal.md.
+auto StreamDuty::WriteSnapshot(TimePoint now) -> void {
+  const WholeSnapshot whole = hooks_.export_state();
+  for (auto& entry :
+       CutSnapshot(whole.covers, whole.state, kSnapshotChunkBytes)) {
+    if (!writer_.Append(std::move(entry))) {
+      metrics_->Add("rhubarbhaven_snapshots_refused_total");
+      return;
+    }
+  }
+  policy_.OnWritten(now);
+  metrics_->Add("rhubarbhaven_snapshots_written_total{stream=\"" +
+                options_.stream + "\"}");
+}
+
+auto StreamDuty::SetReachable(bool reachable) -> void {
+  metrics_->SetGauge(
+      "rhubarbhaven_log_reachable{stream=\"" + options_.stream + "\"}",
+      reachable ? 1 : 0);
+  hooks_.post([this, reachable](TimePoint now) -> void {
+    hooks_.on_reachable(now, reachable);
+  });
+}
+
+}  // namespace rhubarbhaven
