Tasks: Add the cell's fold and the agent's task keeper

Cause: the daemon needs the agent's part in running tasks and the order that the cell's stream gives to owners and placements. Change: CellFold applies claims by compare-and-set on the latest claim or renewal, so that a claim never overtakes a renewal that its author had not read. TaskKeeper counts its lease from its own request, resolves lost answers by the worker's status and refuses what comes late. The worker's start and renewal name its incarnation and a point on its own clock, which closes the gap between the agent's check and the worker's act. Ruled out: claims that name only the fence, since a renewal could land between decision and claim.

--- a/Source/Tasks/cell_fold.h
+++ b/Source/Tasks/cell_fold.h
@@ -35,18 +35,30 @@
 
   auto applied() const -> uint64_t;
   auto fence() const -> uint64_t;
+  // Offset of the latest claim or renewal; zero for a free cell.
+  auto claim_offset() const -> uint64_t;
+  // An owner was replaced without a release and may still renew unverified.
+  auto unsettled() const -> bool;
   auto owner() const -> const std::string&;
   auto owner_incarnation() const -> uint64_t;
   // By task name (see TaskName).
   auto tasks() const -> const std::map<std::string, schema::TaskState>&;
 
  private:
+  auto IsRepeat(const schema::LogRecord& record) -> bool;
+  auto ApplyClaim(uint64_t offset, const schema::LogEntry& entry) -> CellEffect;
+  auto ApplyPlacement(uint64_t offset, const schema::LogEntry& entry)
+      -> CellEffect;
+  auto ApplyEnd(const schema::LogEntry& entry) -> CellEffect;
+  auto ApplyInstance(const schema::LogEntry& entry) -> CellEffect;
+
   std::string cell_;
   uint64_t applied_ = 0;
   uint64_t fence_ = 0;
   uint64_t claim_offset_ = 0;
   std::string owner_;
   uint64_t owner_incarnation_ = 0;
+  bool unsettled_ = false;
   std::map<std::string, schema::TaskState> tasks_;
   std::map<std::string, schema::WriterMark> writers_;
   std::map<std::string, schema::InstanceSeen> instances_;
--- /dev/null
+++ b/Source/Tasks/worker_calls.cc
@@ -0,0 +1,65 @@
+#include "Tasks/worker_calls.h"
+
+#include <algorithm>
+
+namespace rhubarbhaven::tasks {
+
+auto WorkerCalls::Begin(TimePoint now,
+                        CallWorker::Kind kind,
+                        const std::string& key) -> CallWorker {
+  CallWorker call;
+  call.call_id = next_id_++;
+  call.kind = kind;
+  pending_[call.call_id] = {
+      .kind = kind, .call_id = call.call_id, .key = key, .asked = now};
+  return call;
+}
+
+auto WorkerCalls::Finish(uint64_t call_id) -> std::optional<PendingCall> {
+  const auto found = pending_.find(call_id);
+  if (found == pending_.end()) {
+    return std::nullopt;
+  }
+  PendingCall call = found->second;
+  pending_.erase(found);
+  return call;
+}
+
+auto WorkerCalls::TakeOverdue(TimePoint asked_before)
+    -> std::vector<PendingCall> {
+  std::vector<PendingCall> overdue;
+  for (const auto& [id, call] : pending_) {
+    if (call.asked < asked_before) {
+      overdue.push_back(call);
+    }
+  }
+  for (const PendingCall& call : overdue) {
+    pending_.erase(call.call_id);
+  }
+  return overdue;
+}
+
+auto WorkerCalls::IsPending(CallWorker::Kind kind) const -> bool {
+  return std::any_of(
+      pending_.begin(), pending_.end(),
+      [&](const auto& pending) { return pending.second.kind == kind; });
+}
+
+auto WorkerClock::OnStatus(TimePoint replied, uint64_t clock_ms) -> void {
+  replied_ = replied;
+  clock_ms_ = clock_ms;
+}
+
+auto WorkerClock::ToWorkerMs(TimePoint point) const -> uint64_t {
+  if (clock_ms_ == 0) {
+    return 0;
+  }
+  // The clock was read before the reply came, so at `replied` it shows
+  // `clock_ms_` or more; adding to it gives a point that is not too late.
+  const auto since =
+      std::chrono::floor<std::chrono::milliseconds>(point - replied_).count();
+  const int64_t worker = static_cast<int64_t>(clock_ms_) + since;
+  return static_cast<uint64_t>(std::max<int64_t>(worker, 1));
+}
+
+}  // namespace rhubarbhaven::tasks
