--- a/Source/Tasks/cell_fold.cc
+++ b/Source/Tasks/cell_fold.cc
@@ -78,21 +78,7 @@
     return Void(entry, "another cell's claim");
   }
   if (claim.renewal() || claim.release()) {
-    const bool own = claim.owner() == owner_ &&
-                     claim.owner_incarnation() == owner_incarnation_;
-    if (fence_ == 0 || claim.replaces() != fence_ || !own) {
-      return Void(entry, "not the owner in force");
-    }
-    if (claim.renewal()) {
-      claim_offset_ = offset;
-      return Taken(entry);
-    }
-    unsettled_ = unsettled_ && !claim.settled();
-    fence_ = 0;
-    claim_offset_ = 0;
-    owner_.clear();
-    owner_incarnation_ = 0;
-    return Taken(entry);
+    return ApplyOwnClaim(offset, entry);
   }
   if (claim.replaces() != claim_offset_) {
     return Void(entry, "replaces a claim that is not the latest");
@@ -105,6 +91,32 @@
   return Taken(entry);
 }
 
+auto CellFold::ApplyOwnClaim(uint64_t offset, const schema::LogEntry& entry)
+    -> CellEffect {
+  const schema::OwnerClaim& claim = entry.claim();
+  const bool own = fence_ != 0 && claim.owner() == owner_ &&
+                   claim.owner_incarnation() == owner_incarnation_;
+  if (!own) {
+    return Void(entry, "not the owner in force");
+  }
+  if (claim.renewal()) {
+    if (claim.replaces() != claim_offset_) {
+      return Void(entry, "renews a claim that is not the latest");
+    }
+    claim_offset_ = offset;
+    return Taken(entry);
+  }
+  if (claim.replaces() != fence_) {
+    return Void(entry, "releases another claim");
+  }
+  unsettled_ = unsettled_ && !claim.settled();
+  fence_ = 0;
+  claim_offset_ = 0;
+  owner_.clear();
+  owner_incarnation_ = 0;
+  return Taken(entry);
+}
+
 auto CellFold::ApplyPlacement(uint64_t offset, const schema::LogEntry& entry)
     -> CellEffect {
   const schema::Placement& placement = entry.placement();
--- a/Source/Tasks/cell_fold.h
+++ b/Source/Tasks/cell_fold.h
@@ -47,6 +47,8 @@
  private:
   auto IsRepeat(const schema::LogRecord& record) -> bool;
   auto ApplyClaim(uint64_t offset, const schema::LogEntry& entry) -> CellEffect;
+  auto ApplyOwnClaim(uint64_t offset, const schema::LogEntry& entry)
+      -> CellEffect;
   auto ApplyPlacement(uint64_t offset, const schema::LogEntry& entry)
       -> CellEffect;
   auto ApplyEnd(const schema::LogEntry& entry) -> CellEffect;
