--- /dev/null
+++ b/Tests/Process/configuration_test.cc
@@ -0,0 +1,86 @@
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+
+#include "Tests/Support/deployment.h"
+
+namespace rhubarbhaven::test {
+namespace {
+
+constexpr char kSmallJob[] = R"({"name":"small","tasks":1,"command":"run 100",)"
+                             R"("need":{"millicores":100,"memory_mb":10}})";
+
+// Lowest configuration that any entry or agent says to have in force.
+auto LowestApplied(Deployment& deployment) -> uint64_t {
+  uint64_t lowest = UINT64_MAX;
+  for (int i = 0; i < deployment.options().entries; ++i) {
+    const auto status = deployment.Status(i);
+    lowest = std::min(lowest, status.config_applied());
+    for (const auto& agent : status.agents()) {
+      lowest = std::min(lowest, agent.config_applied());
+    }
+  }
+  return lowest;
+}
+
+// Symptom: an operator cannot tell when a change is in force. Sequence: apply
+// with --wait. Cause: a change that is accepted but not yet everywhere.
+TEST(Configuration, InForceEverywhereWithinFiveSeconds) {
+  Deployment deployment({.workers = false});
+  ASSERT_TRUE(deployment.StartAll());
+  const uint64_t before = LowestApplied(deployment);
+  EXPECT_EQ(deployment.Apply({kSmallJob}, {"--wait", "--timeout=5"}), 0);
+  EXPECT_GT(LowestApplied(deployment), before);
+}
+
+// Symptom: a version goes down. Sequence: every daemon is killed and started
+// while the log is down or has dropped old records. Cause: a process that
+// starts with an older state than it had.
+TEST(Configuration, NeverRevertsThroughRestartsAndExpiry) {
+  DeploymentOptions options;
+  options.workers = false;
+  options.retention_records = 60;
+  Deployment deployment(options);
+  ASSERT_TRUE(deployment.StartAll());
+  std::string output;
+  for (int i = 0; i < 100; ++i) {
+    const std::string job = absl::StrCat(
+        R"({"name":"small","tasks":)", i + 1, R"(,"command":"run 100",)",
+        R"("need":{"millicores":100000,"memory_mb":10}})");
+    ASSERT_EQ(deployment.Apply({job}), 0) << i;
+  }
+  const uint64_t before = deployment.Status(0).config_applied();
+  for (const char* name : {"entry-0", "entry-1", "agent-0"}) {
+    deployment.process(name).Kill();
+  }
+  for (const char* name : {"entry-0", "entry-1", "agent-0"}) {
+    deployment.Start(name);
+  }
+  ASSERT_TRUE(deployment.WaitReady(0, 3));
+  EXPECT_GE(deployment.Status(0).config_applied(), before);
+  EXPECT_EQ(deployment.Client({"get", "--partner=rufisque", "--json"}, &output),
+            0);
+  EXPECT_TRUE(absl::StrContains(output, "100")) << output;
+  // In an outage, from its peer.
+  deployment.process("log").Kill();
+  deployment.process("entry-0").Kill();
+  deployment.Start("entry-0");
+  EXPECT_TRUE(WaitFor(
+      [&deployment, before]() -> bool {
+        return deployment.Status(0).config_applied() >= before;
+      },
+      kPatience));
+}
+
+// Symptom: a refused change and an unreachable platform look the same.
+// Sequence: apply with the log down. Cause: one error for all.
+TEST(Configuration, OutageIsToldApartFromRefusal) {
+  Deployment deployment({.workers = false});
+  ASSERT_TRUE(deployment.StartAll());
+  EXPECT_EQ(deployment.Apply({R"({"name":"bad","tasks":0})"}), 2);
+  deployment.process("log").Kill();
+  EXPECT_EQ(deployment.Apply({kSmallJob}), 5);
+}
+
+}  // namespace
+}  // namespace rhubarbhaven::test
