Tasks: Add the owner of a cell

Cause: the daemon needs the owner's part: claim, leases, placements, ends. Change: Owner joins CellClaim, AgentTable, Register, PlacedAttempts, OwnerOrders and OwnerScheduler. A first lease to an agent that does not know the fence stays within the claim timeout of the latest renewal, so that an owner that was replaced cannot lease to an agent that restarted and forgot.

--- a/Source/Tasks/owner_claim.cc
+++ b/Source/Tasks/owner_claim.cc
@@ -159,8 +159,8 @@
   // replaced when it was not renewed for `claim_timeout`, so a first lease
   // that ends before that, counted from the latest renewal, cannot overlap.
   const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - renewed_);
-  const auto left = options_.claim_timeout -
-                    options_.claim_timeout / kFirstLeaseMargin - age;
+  const auto left =
+      options_.claim_timeout - options_.claim_timeout / kFirstLeaseMargin - age;
   return std::min(options_.lease_ttl, left);
 }
 
--- /dev/null
+++ b/Source/Tasks/owner_impl.cc
@@ -0,0 +1,348 @@
+#include "Tasks/owner_impl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbhaven {
+namespace {
+
+constexpr std::chrono::milliseconds kCheckInterval{500};
+constexpr std::chrono::milliseconds kRoundInterval{50};
+// Tasks of one draining instance that are moved at the same time.
+constexpr int kDrainingAtOnce = 2;
+
+}  // namespace
+
+Owner::Impl::Impl(OwnerOptions options)
+    : options_(std::move(options)),
+      fold_(options_.cell),
+      register_(options_.cell),
+      claim_(options_, &fold_),
+      orders_(options_) {}
+
+auto Owner::Impl::TakeActions() -> OwnerActions {
+  return std::exchange(actions_, {});
+}
+
+auto Owner::Impl::Count(const std::string& counter) -> void {
+  actions_.push_back(CountOwner{counter});
+}
+
+auto Owner::Impl::Append(schema::LogEntry entry) -> void {
+  actions_.push_back(AppendCell{std::move(entry)});
+}
+
+auto Owner::Impl::OnConfig(TimePoint now,
+                           const std::vector<schema::VersionedObject>& objects)
+    -> void {
+  configured_ = true;
+  for (const schema::VersionedObject& object : objects) {
+    config_version_ = std::max(config_version_, object.version());
+  }
+  const std::set<std::string> changed = register_.Load(objects);
+  if (scheduler_ != nullptr) {
+    scheduler_->OnConfig(now, changed);
+  } else if (claim_.owns()) {
+    Begin(now);
+  }
+  StopUnwanted();
+}
+
+auto Owner::Impl::OnRecord(TimePoint now,
+                           uint64_t offset,
+                           const schema::LogRecord& record) -> void {
+  const std::vector<CellEffect> effects = fold_.Apply(offset, record);
+  ObserveClaim(now);
+  for (const CellEffect& effect : effects) {
+    OnEffect(now, effect);
+  }
+}
+
+auto Owner::Impl::OnSnapshot(TimePoint now, const schema::CellState& state)
+    -> void {
+  if (!fold_.Adopt(state)) {
+    return;
+  }
+  // Records were skipped: what was built from them is built anew.
+  scheduler_.reset();
+  placed_.Clear();
+  ObserveClaim(now);
+  if (claim_.owns() && scheduler_ == nullptr) {
+    Begin(now);
+  }
+}
+
+auto Owner::Impl::ObserveClaim(TimePoint now) -> void {
+  if (!claim_.Observe(now)) {
+    return;
+  }
+  scheduler_.reset();
+  placed_.Clear();
+  agents_.Clear();
+  if (claim_.fence() == 0) {
+    Count("owner_lost_cell");
+    return;
+  }
+  Count("owner_took_cell");
+  Begin(now);
+}
+
+auto Owner::Impl::Begin(TimePoint now) -> void {
+  // Without the register every task would look unwanted.
+  if (!configured_) {
+    return;
+  }
+  scheduler_ = std::make_unique<tasks::OwnerScheduler>(options_, &fold_,
+                                                       &register_, &agents_);
+  scheduler_->Begin(now);
+  for (const auto& [name, state] : fold_.tasks()) {
+    if (state.placed()) {
+      placed_.Add(state);
+    }
+  }
+  StopUnwanted();
+}
+
+auto Owner::Impl::OnCaughtUp(TimePoint now, TimePoint asked) -> void {
+  claim_.OnCaughtUp(now, asked);
+}
+
+auto Owner::Impl::OnEffect(TimePoint now, const CellEffect& effect) -> void {
+  if (scheduler_ == nullptr) {
+    return;
+  }
+  const schema::LogEntry& entry = effect.entry;
+  if (entry.has_placement()) {
+    const schema::TaskId& task = entry.placement().task();
+    if (!effect.accepted) {
+      Count("placement_void");
+      scheduler_->OnPlacementVoid(now, task);
+      return;
+    }
+    OnPlaced(now, fold_.tasks().at(TaskName(task)));
+    return;
+  }
+  if (entry.has_task_end() && effect.accepted) {
+    OnEnded(now, entry.task_end());
+  }
+}
+
+auto Owner::Impl::OnPlaced(TimePoint now, const schema::TaskState& state)
+    -> void {
+  scheduler_->OnPlaced(now, state);
+  tasks::PlacedAttempt& attempt = placed_.Add(state);
+  if (IsUnwanted(state.task())) {
+    SetStop(&attempt, Stop::kCancel, "the job was cancelled");
+    return;
+  }
+  Direct(attempt);
+}
+
+auto Owner::Impl::OnEnded(TimePoint now, const schema::TaskEnd& end) -> void {
+  const std::string name = TaskName(end.task());
+  const tasks::PlacedAttempt* attempt = placed_.Find(name);
+  const std::string instance = attempt == nullptr ? "" : attempt->instance;
+  placed_.Remove(name);
+  scheduler_->OnEnded(now, instance, end.task(), end.outcome());
+}
+
+auto Owner::Impl::OnAppendFailed(TimePoint now, const schema::LogEntry& entry)
+    -> void {
+  Count("append_failed");
+  if (entry.has_claim()) {
+    claim_.OnAppendFailed();
+    return;
+  }
+  if (scheduler_ == nullptr) {
+    return;
+  }
+  if (entry.has_placement() && entry.placement().fence() == claim_.fence()) {
+    scheduler_->OnPlacementVoid(now, entry.placement().task());
+  }
+  if (entry.has_task_end()) {
+    tasks::PlacedAttempt* attempt =
+        placed_.Find(TaskName(entry.task_end().task()));
+    if (attempt != nullptr && attempt->attempt == entry.task_end().attempt()) {
+      attempt->end_issued = false;
+    }
+  }
+}
+
+auto Owner::Impl::Evict(TimePoint /*now*/, const schema::TaskId& task) -> void {
+  tasks::PlacedAttempt* attempt = placed_.Find(TaskName(task));
+  if (attempt == nullptr) {
+    Count("evict_not_placed");
+    return;
+  }
+  SetStop(attempt, Stop::kEvict, "an operator asked");
+}
+
+auto Owner::Impl::Release(TimePoint now) -> void {
+  auto entry = claim_.Release(now);
+  if (entry.has_value()) {
+    Append(*std::move(entry));
+  }
+}
+
+auto Owner::Impl::SetStop(tasks::PlacedAttempt* attempt,
+                          Stop stop,
+                          const std::string& why) -> void {
+  if (attempt->stop == stop || attempt->stop == Stop::kCancel) {
+    return;
+  }
+  attempt->stop = stop;
+  attempt->why = why;
+  scheduler_->OnStopping(attempt->task);
+  Count(stop == Stop::kCancel ? "task_cancel" : "task_evict");
+  Direct(*attempt);
+}
+
+auto Owner::Impl::IsUnwanted(const schema::TaskId& task) const -> bool {
+  const tasks::RegisterJob* job = register_.FindJob(task);
+  if (job != nullptr) {
+    return job->job.cancelled() || task.index() >= job->job.tasks();
+  }
+  // What goes wrong: this process has not read the configuration that made
+  // the job yet, and takes it for removed. A job is known to be removed only
+  // by a configuration that is newer than its creation.
+  return task.job_version() <= config_version_;
+}
+
+auto Owner::Impl::StopUnwanted() -> void {
+  if (scheduler_ == nullptr) {
+    return;
+  }
+  for (auto& [name, attempt] : placed_.all()) {
+    if (IsUnwanted(attempt.task)) {
+      SetStop(&attempt, Stop::kCancel, "the job was cancelled");
+    }
+  }
+}
+
+auto Owner::Impl::Advance(TimePoint now) -> void {
+  auto claim = claim_.Step(now);
+  if (claim.has_value()) {
+    Append(*std::move(claim));
+  }
+  if (scheduler_ == nullptr || !claim_.owns()) {
+    return;
+  }
+  if (now >= next_check_) {
+    next_check_ = now + kCheckInterval;
+    Check(now);
+  }
+  if (now >= next_round_ && claim_.may_append(now)) {
+    next_round_ = now + kRoundInterval;
+    PlaceTasks(now);
+  }
+}
+
+auto Owner::Impl::Check(TimePoint now) -> void {
+  scheduler_->SyncWorkers(now);
+  CheckLost(now);
+  Drain();
+}
+
+auto Owner::Impl::CheckLost(TimePoint now) -> void {
+  if (!claim_.may_append(now)) {
+    return;
+  }
+  for (auto& [name, attempt] : placed_.all()) {
+    if (attempt.end_issued) {
+      continue;
+    }
+    const std::string why = WhyLost(now, attempt);
+    if (!why.empty()) {
+      Count("task_lost");
+      IssueEnd(&attempt, schema::LOST, why);
+    }
+  }
+}
+
+auto Owner::Impl::WhyLost(TimePoint now,
+                          const tasks::PlacedAttempt& attempt) const
+    -> std::string {
+  const tasks::RegisterInstance* entry =
+      register_.FindInstance(attempt.instance);
+  if (entry != nullptr && entry->instance.lost_incarnation() != 0 &&
+      entry->instance.lost_incarnation() == attempt.instance_incarnation) {
+    return "an operator said that the instance is lost";
+  }
+  const tasks::AgentState* agent = agents_.Find(attempt.instance);
+  if (agent != nullptr && agent->confirmed() &&
+      agent->instance_incarnation != attempt.instance_incarnation) {
+    return "the instance started anew";
+  }
+  // What goes wrong: an instance that is only out of reach is taken for dead,
+  // and its task runs twice. Silence counts only once every lease that this
+  // owner, or one before it, may have given is over, and a later look at the
+  // log has shown that nobody else has owned the cell in between.
+  TimePoint over = TimePoint::min();
+  if (agent != nullptr && agent->last_grant.has_value()) {
+    over = *agent->last_grant + options_.lease_ttl + options_.worker_lease +
+           options_.drift_margin;
+  }
+  if (agent == nullptr || !agent->confirmed()) {
+    over = std::max(over, claim_.inherited_until());
+  }
+  if (claim_.verified() >= over && now >= over) {
+    return "the instance is silent and its leases are over";
+  }
+  return "";
+}
+
+auto Owner::Impl::Drain() -> void {
+  for (const auto& [name, entry] : register_.instances()) {
+    if (!entry.instance.draining()) {
+      continue;
+    }
+    int moving = 0;
+    for (const std::string& task : placed_.On(name)) {
+      tasks::PlacedAttempt* attempt = placed_.Find(task);
+      if (attempt->stop == Stop::kNone && moving < kDrainingAtOnce) {
+        SetStop(attempt, Stop::kEvict, "the instance is draining");
+      }
+      moving += attempt->stop != Stop::kNone ? 1 : 0;
+    }
+  }
+}
+
+auto Owner::Impl::PlaceTasks(TimePoint now) -> void {
+  if (scheduler_->in_flight() >= options_.placements_per_round) {
+    return;
+  }
+  const PlacerRound round = scheduler_->Round(now);
+  for (const EvictDecision& eviction : round.evictions) {
+    tasks::PlacedAttempt* attempt = placed_.Find(TaskName(eviction.task));
+    if (attempt != nullptr) {
+      SetStop(attempt, Stop::kEvict, eviction.why);
+    }
+  }
+  for (const PlaceDecision& decision : round.placements) {
+    const tasks::AgentState* agent = agents_.Find(decision.instance);
+    const auto known = fold_.tasks().find(TaskName(decision.task));
+    schema::LogEntry entry;
+    schema::Placement* placement = entry.mutable_placement();
+    placement->set_cell(options_.cell);
+    placement->set_fence(claim_.fence());
+    *placement->mutable_task() = decision.task;
+    placement->set_attempt(
+        known == fold_.tasks().end() ? 1 : known->second.attempt() + 1);
+    placement->set_instance(decision.instance);
+    placement->set_instance_incarnation(agent->instance_incarnation);
+    *placement->mutable_admitted() = scheduler_->Admitted(decision.task);
+    Append(std::move(entry));
+  }
+}
+
+auto Owner::Impl::next_wake() const -> TimePoint {
+  if (scheduler_ == nullptr) {
+    return claim_.next_wake();
+  }
+  const TimePoint next = scheduler_->pending() > 0
+                             ? std::min(next_check_, next_round_)
+                             : next_check_;
+  return std::min(next, claim_.next_wake());
+}
+
+}  // namespace rhubarbhaven
--- /dev/null
+++ b/Source/Tasks/owner_orders.h
@@ -0,0 +1,42 @@
+#ifndef RHUBARBHAVEN_TASKS_OWNER_ORDERS_H_
+#define RHUBARBHAVEN_TASKS_OWNER_ORDERS_H_
+
+#include <string>
+
+#include "Tasks/owner.h"
+#include "Tasks/owner_agents.h"
+#include "Tasks/owner_register.h"
+#include "Tasks/owner_tasks.h"
+
+namespace rhubarbhaven::tasks {
+
+// Builds what an owner sends to agents. Each order quotes the agent's latest
+// request, which dates it on the agent's clock, and names the incarnations of
+// agent and worker for which it is meant.
+class OwnerOrders {
+ public:
+  explicit OwnerOrders(const OwnerOptions& options) : options_(options) {}
+
+  auto Grant(uint64_t fence,
+             const std::string& agent,
+             uint64_t number,
+             std::chrono::milliseconds ttl,
+             std::chrono::milliseconds verified_ago) const -> OrderAgent;
+  auto Order(uint64_t fence,
+             const AgentState& agent,
+             schema::OrderKind kind,
+             const PlacedAttempt& attempt) const -> OrderAgent;
+  auto Start(uint64_t fence,
+             const AgentState& agent,
+             const PlacedAttempt& attempt,
+             const RegisterJob& job) const -> OrderAgent;
+
+ private:
+  auto Message(const std::string& agent) const -> OrderAgent;
+
+  OwnerOptions options_;
+};
+
+}  // namespace rhubarbhaven::tasks
+
+#endif  // RHUBARBHAVEN_TASKS_OWNER_ORDERS_H_
