--- /dev/null
+++ b/Source/Client/file_check.h
@@ -0,0 +1,27 @@
+#ifndef RHUBARBHAVEN_CLIENT_FILE_CHECK_H_
+#define RHUBARBHAVEN_CLIENT_FILE_CHECK_H_
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <vector>
+
+#include "Journal/journal.h"
+
+namespace rhubarbhaven {
+
+enum class FileKind { kSettings, kRegister };
+
+// Tells a daemon's settings file from a register by its fields, and checks
+// it. An error is one line: file, field, found, allowed.
+auto CheckFile(const std::string& path) -> absl::StatusOr<FileKind>;
+
+struct Register {
+  std::string partner;
+  std::vector<RegisterObject> objects;
+};
+auto LoadRegister(const std::string& path) -> absl::StatusOr<Register>;
+
+}  // namespace rhubarbhaven
+
+#endif  // RHUBARBHAVEN_CLIENT_FILE_CHECK_H_
--- a/Source/Journal/config_fold.cc
+++ b/Source/Journal/config_fold.cc
@@ -132,7 +132,7 @@
     return absl::OkStatus();
   }
   return absl::AbortedError(absl::StrCat(
-      KeyText(item.key()), ": conflict: the change expects version ",
+      KeyText(item.key()), ": the change expects version ",
       item.expected_version(), ", the current version is ", version,
       version == 0 ? " (there is no such object)" : "",
       "; look at the object as it is now and apply again"));
