Routing: Add the decisions about requests

Entry and agent had headers only. The entry router and the agent's admission now decide on their own: credits on the agent's clock, windows by demand, choice of endpoint, retries, recalls, and at-most-once runs by intents in the log.

--- /dev/null
+++ b/Source/Routing/endpoint_table.cc
@@ -0,0 +1,450 @@
+#include "Routing/endpoint_table.h"
+
+#include <algorithm>
+
+#include "Routing/credit_ledger.h"
+
+namespace rhubarbhaven {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kMostEndpoints = 20000;
+constexpr std::size_t kFormerIncarnations = 16;
+// A silent endpoint with nothing outstanding is forgotten after this.
+constexpr std::chrono::seconds kForgetAfter{60};
+// An endpoint slower than this multiple of the median gets one request at a
+// time, and one now and then to see whether it has recovered.
+constexpr double kSlowFactor = 3;
+constexpr std::size_t kFewestToCompare = 3;
+constexpr milliseconds kSlowProbeInterval{1000};
+constexpr milliseconds kMedianInterval{100};
+// Endpoints whose expected times differ by less than this are equal, and the
+// own failure domain decides.
+constexpr double kEqualShare = 0.1;
+constexpr double kAttemptTimeGain = 0.05;
+// An endpoint is looked at no more often than this.
+constexpr milliseconds kShortestTimer{10};
+// Random picks before every ready endpoint is looked at.
+constexpr int kPicks = 4;
+
+auto Contains(const std::vector<std::string>& tried, const Endpoint& endpoint)
+    -> bool {
+  return std::find(tried.begin(), tried.end(), endpoint.agent) != tried.end();
+}
+
+auto IsSlow(const Endpoint& endpoint) -> bool {
+  const EndpointPool& pool = *endpoint.pool;
+  return pool.members.size() >= kFewestToCompare &&
+         pool.median_service_us > 0 &&
+         static_cast<double>(endpoint.grant.service_time_us()) >
+             kSlowFactor * pool.median_service_us;
+}
+
+// Attempts that may be unanswered at a time.
+auto Window(const Endpoint& endpoint) -> uint32_t {
+  switch (endpoint.breaker.state()) {
+    case CircuitBreaker::State::kOpen:
+      return 0;
+    case CircuitBreaker::State::kProbing:
+      return std::min(1U, endpoint.grant.credits());
+    case CircuitBreaker::State::kClosed:
+      break;
+  }
+  return IsSlow(endpoint) ? std::min(1U, endpoint.grant.credits())
+                          : endpoint.grant.credits();
+}
+
+// Expected time of a request there, in microseconds.
+auto ExpectedUs(const Endpoint& endpoint) -> double {
+  const auto& grant = endpoint.grant;
+  const uint64_t reported =
+      uint64_t{grant.running()} + grant.queued() + endpoint.sent_since_report;
+  const auto load =
+      static_cast<double>(std::max<uint64_t>(reported, endpoint.unanswered));
+  const auto service =
+      static_cast<double>(std::max<uint64_t>(1, grant.service_time_us()));
+  return service * (1 + load / endpoint.slots);
+}
+
+}  // namespace
+
+EndpointTable::EndpointTable(std::string failure_domain,
+                             milliseconds announce_timeout,
+                             uint64_t seed)
+    : failure_domain_(std::move(failure_domain)),
+      announce_timeout_(announce_timeout),
+      random_(seed) {}
+
+auto EndpointTable::OnAnnounce(TimePoint now,
+                               const std::string& agent,
+                               uint64_t incarnation,
+                               const schema::Announce& announce)
+    -> AnnounceResult {
+  if (announce.sequence() == 0) {
+    return AnnounceResult::kStale;
+  }
+  AnnounceResult result = AnnounceResult::kKnown;
+  auto found = endpoints_.find(agent);
+  if (found == endpoints_.end()) {
+    if (endpoints_.size() >= kMostEndpoints) {
+      return AnnounceResult::kFull;
+    }
+    found = endpoints_.emplace(agent, std::make_unique<Endpoint>()).first;
+    found->second->agent = agent;
+    found->second->incarnation = incarnation;
+    result = AnnounceResult::kAdded;
+  }
+  Endpoint& endpoint = *found->second;
+  if (endpoint.incarnation != incarnation) {
+    const auto& former = endpoint.former;
+    const bool late =
+        std::any_of(former.begin(), former.end(), [&](const auto& earlier) {
+          return earlier.first == incarnation &&
+                 announce.sequence() <= earlier.second;
+        });
+    if (late) {
+      return AnnounceResult::kStale;
+    }
+    Restart(endpoint, incarnation);
+    result = AnnounceResult::kRestarted;
+  }
+  if (announce.sequence() <= endpoint.announce_sequence) {
+    return AnnounceResult::kStale;
+  }
+  endpoint.announce_sequence = announce.sequence();
+  endpoint.heard = now;
+  endpoint.failure_domain = announce.failure_domain();
+  endpoint.slots = std::max(1U, announce.slots());
+  endpoint.leaving = announce.leaving();
+  endpoint.healthy = announce.endpoint_healthy();
+  endpoint.silent = false;
+  endpoint.unreachable = false;
+  Join(endpoint, {announce.partner(), announce.service()});
+  OnGrant(now, endpoint, announce.grant());
+  SetTimer(now, endpoint);
+  return result;
+}
+
+auto EndpointTable::OnGrant(TimePoint now,
+                            Endpoint& endpoint,
+                            const schema::Grant& grant) -> void {
+  // Messages may overtake each other; an older grant never replaces a newer.
+  if (grant.id() == 0 || grant.id() >= endpoint.grant.id()) {
+    if (grant.id() != endpoint.grant.id()) {
+      endpoint.next_credit = 0;
+    }
+    endpoint.grant = grant;
+    endpoint.sent_since_report = 0;
+  }
+  UpdateMedian(now, *endpoint.pool);
+  Refresh(now, endpoint);
+}
+
+auto EndpointTable::OnSent(TimePoint now, Endpoint& endpoint)
+    -> schema::Credit {
+  schema::Credit credit;
+  credit.set_grant_id(endpoint.grant.id());
+  credit.set_number(endpoint.next_credit);
+  ++endpoint.next_credit;
+  ++endpoint.unanswered;
+  ++endpoint.sent_since_report;
+  Refresh(now, endpoint);
+  return credit;
+}
+
+auto EndpointTable::OnClosed(TimePoint now, Endpoint& endpoint) -> void {
+  endpoint.unanswered -= std::min(endpoint.unanswered, 1U);
+  Refresh(now, endpoint);
+}
+
+auto EndpointTable::OnSuccess(TimePoint now, Endpoint& endpoint, Duration took)
+    -> void {
+  endpoint.breaker.OnSuccess();
+  const double took_us =
+      std::chrono::duration<double, std::micro>(took).count();
+  double& smoothed = endpoint.pool->attempt_us;
+  smoothed = smoothed == 0 ? took_us
+                           : smoothed + kAttemptTimeGain * (took_us - smoothed);
+  Refresh(now, endpoint);
+}
+
+auto EndpointTable::OnFailure(TimePoint now, Endpoint& endpoint) -> void {
+  if (endpoint.breaker.OnFailure(now)) {
+    OpenCircuit(now, endpoint);
+  }
+  SetTimer(now, endpoint);
+  Refresh(now, endpoint);
+}
+
+auto EndpointTable::OnPathLost(TimePoint now, Endpoint& endpoint) -> void {
+  if (endpoint.breaker.state() == CircuitBreaker::State::kClosed) {
+    OpenCircuit(now, endpoint);
+  }
+  SetTimer(now, endpoint);
+  Refresh(now, endpoint);
+}
+
+// A service that fails everywhere is no reason to cut off all its endpoints;
+// at most half of a pool is set aside.
+auto EndpointTable::OpenCircuit(TimePoint now, Endpoint& endpoint) -> void {
+  const auto& members = endpoint.pool->members;
+  const auto set_aside =
+      std::count_if(members.begin(), members.end(), [](const Endpoint* member) {
+        return IsLive(*member) &&
+               member->breaker.state() != CircuitBreaker::State::kClosed;
+      });
+  if (2 * (static_cast<std::size_t>(set_aside) + 1) > endpoint.pool->live) {
+    endpoint.breaker.Forgive();
+    return;
+  }
+  endpoint.breaker.Open(now);
+}
+
+auto EndpointTable::OnUnsent(TimePoint now, Endpoint& endpoint) -> void {
+  endpoint.unreachable = true;
+  Refresh(now, endpoint);
+}
+
+auto EndpointTable::OnTick(TimePoint now) -> std::vector<std::string> {
+  std::vector<std::string> fell_silent;
+  while (const auto agent = timers_.PopDue(now)) {
+    const auto found = endpoints_.find(*agent);
+    Endpoint& endpoint = *found->second;
+    endpoint.breaker.Update(now);
+    if (!endpoint.silent && now - endpoint.heard >= announce_timeout_) {
+      endpoint.silent = true;
+      fell_silent.push_back(*agent);
+    }
+    Refresh(now, endpoint);
+    if (endpoint.silent && endpoint.unanswered == 0 &&
+        now - endpoint.heard >= kForgetAfter) {
+      LeavePool(endpoint);
+      endpoints_.erase(found);
+      continue;
+    }
+    SetTimer(now, endpoint);
+  }
+  return fell_silent;
+}
+
+auto EndpointTable::Find(const std::string& agent) -> Endpoint* {
+  const auto found = endpoints_.find(agent);
+  return found == endpoints_.end() ? nullptr : found->second.get();
+}
+
+auto EndpointTable::FindPool(const PoolKey& key) -> EndpointPool* {
+  const auto found = pools_.find(key);
+  return found == pools_.end() ? nullptr : found->second.get();
+}
+
+auto EndpointTable::FindPool(const PoolKey& key) const -> const EndpointPool* {
+  const auto found = pools_.find(key);
+  return found == pools_.end() ? nullptr : found->second.get();
+}
+
+auto EndpointTable::Choose(TimePoint now,
+                           EndpointPool& pool,
+                           const std::vector<std::string>& tried) -> Endpoint* {
+  if (Endpoint* probe = ChooseSlowProbe(now, pool, tried)) {
+    return probe;
+  }
+  Endpoint* best = nullptr;
+  int found = 0;
+  for (int pick = 0; pick < kPicks && found < 2 && !pool.ready.empty();
+       ++pick) {
+    Endpoint* one = pool.ready[random_() % pool.ready.size()];
+    if (one == best || Contains(tried, *one)) {
+      continue;
+    }
+    ++found;
+    if (best == nullptr || IsBetter(*one, *best)) {
+      best = one;
+    }
+  }
+  if (best != nullptr) {
+    return best;
+  }
+  for (Endpoint* one : pool.ready) {
+    const bool better = best == nullptr || IsBetter(*one, *best);
+    if (better && !Contains(tried, *one)) {
+      best = one;
+    }
+  }
+  return best;
+}
+
+auto EndpointTable::ExpectedTime(const EndpointPool& pool, std::size_t ahead)
+    -> microseconds {
+  const double rounds =
+      pool.window_total == 0
+          ? 0
+          : static_cast<double>(ahead) / static_cast<double>(pool.window_total);
+  return microseconds(static_cast<int64_t>(pool.attempt_us * (1 + rounds)));
+}
+
+auto EndpointTable::StateName(const Endpoint& endpoint) -> std::string {
+  if (endpoint.silent) {
+    return "silent";
+  }
+  if (endpoint.leaving) {
+    return "leaving";
+  }
+  if (!endpoint.healthy) {
+    return "unhealthy";
+  }
+  if (endpoint.unreachable) {
+    return "unreachable";
+  }
+  switch (endpoint.breaker.state()) {
+    case CircuitBreaker::State::kOpen:
+      return "failing";
+    case CircuitBreaker::State::kProbing:
+      return "probing";
+    case CircuitBreaker::State::kClosed:
+      break;
+  }
+  return IsSlow(endpoint) ? "slow" : "ready";
+}
+
+auto EndpointTable::IsLive(const Endpoint& endpoint) -> bool {
+  return !endpoint.silent && !endpoint.leaving && endpoint.healthy &&
+         !endpoint.unreachable;
+}
+
+auto EndpointTable::Restart(Endpoint& endpoint, uint64_t incarnation) -> void {
+  endpoint.former.emplace_back(endpoint.incarnation,
+                               endpoint.announce_sequence);
+  if (endpoint.former.size() > kFormerIncarnations) {
+    endpoint.former.pop_front();
+  }
+  endpoint.incarnation = incarnation;
+  endpoint.announce_sequence = 0;
+  endpoint.grant.Clear();
+  endpoint.next_credit = 0;
+  endpoint.unanswered = 0;
+  endpoint.breaker = CircuitBreaker();
+}
+
+auto EndpointTable::Join(Endpoint& endpoint, const PoolKey& key) -> void {
+  auto& pool = pools_[key];
+  if (pool == nullptr) {
+    pool = std::make_unique<EndpointPool>();
+    pool->partner = key.first;
+    pool->service = key.second;
+  }
+  EndpointPool* joined = pool.get();
+  if (endpoint.pool == joined) {
+    return;
+  }
+  if (endpoint.pool != nullptr) {
+    LeavePool(endpoint);
+  }
+  endpoint.pool = joined;
+  joined->members.push_back(&endpoint);
+}
+
+auto EndpointTable::LeavePool(Endpoint& endpoint) -> void {
+  EndpointPool& pool = *endpoint.pool;
+  SetReady(endpoint, false);
+  pool.live -= endpoint.counted_live ? 1 : 0;
+  pool.window_total -= endpoint.counted_window;
+  endpoint.counted_live = false;
+  endpoint.counted_window = 0;
+  std::erase(pool.members, &endpoint);
+  endpoint.pool = nullptr;
+  if (pool.members.empty()) {
+    pools_.erase({pool.partner, pool.service});
+  }
+}
+
+auto EndpointTable::Refresh(TimePoint now, Endpoint& endpoint) -> void {
+  endpoint.breaker.Update(now);
+  EndpointPool& pool = *endpoint.pool;
+  const bool live = IsLive(endpoint);
+  const uint32_t window = live ? Window(endpoint) : 0;
+  pool.live += live ? 1 : 0;
+  pool.live -= endpoint.counted_live ? 1 : 0;
+  pool.window_total += window;
+  pool.window_total -= endpoint.counted_window;
+  endpoint.counted_live = live;
+  endpoint.counted_window = window;
+  SetReady(endpoint, endpoint.unanswered < window && endpoint.grant.id() != 0 &&
+                         endpoint.next_credit < kCreditNumbersPerGrant);
+}
+
+auto EndpointTable::SetReady(Endpoint& endpoint, bool ready) -> void {
+  auto& all = endpoint.pool->ready;
+  if (ready == (endpoint.ready_position >= 0)) {
+    return;
+  }
+  if (ready) {
+    endpoint.ready_position = static_cast<std::ptrdiff_t>(all.size());
+    all.push_back(&endpoint);
+    return;
+  }
+  Endpoint* last = all.back();
+  all[static_cast<std::size_t>(endpoint.ready_position)] = last;
+  last->ready_position = endpoint.ready_position;
+  all.pop_back();
+  endpoint.ready_position = -1;
+}
+
+auto EndpointTable::UpdateMedian(TimePoint now, EndpointPool& pool) -> void {
+  if (now - pool.median_at < kMedianInterval) {
+    return;
+  }
+  pool.median_at = now;
+  std::vector<uint64_t> times;
+  times.reserve(pool.members.size());
+  for (const Endpoint* member : pool.members) {
+    if (IsLive(*member) && member->grant.service_time_us() > 0) {
+      times.push_back(member->grant.service_time_us());
+    }
+  }
+  if (times.empty()) {
+    return;
+  }
+  const auto middle =
+      times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  pool.median_service_us = static_cast<double>(*middle);
+}
+
+auto EndpointTable::IsBetter(const Endpoint& left, const Endpoint& right) const
+    -> bool {
+  const double left_us = ExpectedUs(left);
+  const double right_us = ExpectedUs(right);
+  const bool equal =
+      std::abs(left_us - right_us) <= kEqualShare * std::max(left_us, right_us);
+  if (equal && left.failure_domain != right.failure_domain) {
+    return left.failure_domain == failure_domain_;
+  }
+  return left_us < right_us;
+}
+
+auto EndpointTable::ChooseSlowProbe(TimePoint now,
+                                    EndpointPool& pool,
+                                    const std::vector<std::string>& tried)
+    -> Endpoint* {
+  if (now < pool.slow_probe_at) {
+    return nullptr;
+  }
+  pool.slow_probe_at = now + kSlowProbeInterval;
+  const auto found = std::find_if(
+      pool.ready.begin(), pool.ready.end(),
+      [&](Endpoint* one) { return IsSlow(*one) && !Contains(tried, *one); });
+  return found == pool.ready.end() ? nullptr : *found;
+}
+
+auto EndpointTable::SetTimer(TimePoint now, const Endpoint& endpoint) -> void {
+  TimePoint at = endpoint.heard +
+                 (endpoint.silent ? Duration(kForgetAfter) : announce_timeout_);
+  if (endpoint.breaker.state() == CircuitBreaker::State::kOpen) {
+    at = std::min(at, endpoint.breaker.probe_at());
+  }
+  timers_.Set(endpoint.agent, std::max(at, now + kShortestTimer));
+}
+
+}  // namespace rhubarbhaven
--- a/Source/Routing/entry_router.h
+++ b/Source/Routing/entry_router.h
@@ -77,6 +77,10 @@
   std::chrono::seconds once_retention{3600};
   // Largest answer that is kept for a repeated key.
   std::size_t once_answer_bytes = 16 << 10;
+  // Keys that are remembered at most, and the memory for their answers. When
+  // the keys are full, new non-repeatable requests are refused.
+  std::size_t once_max_keys = 50000;
+  std::size_t once_max_answer_bytes = 16 << 20;
 };
 
 // What an operator sees of one endpoint.
--- /dev/null
+++ b/Source/Routing/once_runs.cc
@@ -0,0 +1,335 @@
+#include "Routing/once_runs.h"
+
+#include <utility>
+
+#include "Routing/ascii.h"
+
+namespace rhubarbhaven {
+namespace {
+
+constexpr char kContentType[] = "Content-Type";
+
+auto MakeOutcome(schema::Verdict verdict, schema::Reason reason) -> Outcome {
+  return {.verdict = verdict, .reason = reason, .http = {}};
+}
+
+auto Store(const schema::HttpAnswer& http) -> schema::StoredAnswer {
+  schema::StoredAnswer stored;
+  stored.set_status(http.status());
+  stored.set_body(http.body());
+  for (const schema::HttpHeader& header : http.headers()) {
+    if (header.name() == kContentType && IsAscii(header.value())) {
+      stored.set_content_type(header.value());
+    }
+  }
+  return stored;
+}
+
+auto Restore(const schema::StoredAnswer& stored) -> schema::HttpAnswer {
+  schema::HttpAnswer http;
+  http.set_status(stored.status());
+  http.set_body(stored.body());
+  if (!stored.content_type().empty()) {
+    schema::HttpHeader& header = *http.add_headers();
+    header.set_name(kContentType);
+    header.set_value(stored.content_type());
+  }
+  return http;
+}
+
+}  // namespace
+
+OnceRuns::OnceRuns(OnceRunsOptions options)
+    : options_(std::move(options)), table_(options_.table) {}
+
+auto OnceRuns::Start(TimePoint now,
+                     uint64_t id,
+                     const std::string& key,
+                     uint64_t request_hash) -> void {
+  if (const OnceKey* known = table_.Find(key)) {
+    Outcome outcome;
+    if (KnownOutcome(*known, request_hash, outcome)) {
+      options_.finish(now, id, std::move(outcome));
+      return;
+    }
+    locals_[key].waiters.emplace(id, request_hash);
+    return;
+  }
+  const auto local = locals_.find(key);
+  if (local != locals_.end()) {
+    local->second.waiters.emplace(id, request_hash);
+    return;
+  }
+  if (!available_) {
+    options_.finish(now, id,
+                    MakeOutcome(schema::NOT_RUN, schema::LOG_UNAVAILABLE));
+    return;
+  }
+  if (table_.full()) {
+    options_.finish(now, id, MakeOutcome(schema::NOT_RUN, schema::OVERLOADED));
+    return;
+  }
+  AppendIntent(key, id, request_hash);
+}
+
+auto OnceRuns::OnRan(const std::string& key, const Outcome& outcome) -> void {
+  const OnceKey* known = table_.Find(key);
+  if (known == nullptr || !IsOwn(*known)) {
+    return;
+  }
+  schema::OnceDone done;
+  done.set_key(key);
+  done.set_intent_offset(known->intent_offset);
+  done.set_not_run(outcome.verdict == schema::NOT_RUN);
+  if (outcome.verdict == schema::ANSWERED &&
+      outcome.http.body().size() <= options_.max_answer_bytes) {
+    *done.mutable_answer() = Store(outcome.http);
+  } else {
+    done.set_unknown(!done.not_run());
+  }
+  Local& local = locals_[key];
+  local.owner = 0;
+  local.running = false;
+  AppendDone(std::move(done));
+}
+
+auto OnceRuns::GiveUp(uint64_t id, const std::string& key) -> Outcome {
+  const auto found = locals_.find(key);
+  if (found != locals_.end()) {
+    Local& local = found->second;
+    local.waiters.erase(id);
+    // The intent may still come back first; then the key is freed again.
+    local.owner = local.owner == id ? 0 : local.owner;
+    Forget(key);
+  }
+  if (table_.Find(key) != nullptr) {
+    return MakeOutcome(schema::MAY_HAVE_RUN, schema::KEY_IN_PROGRESS);
+  }
+  return MakeOutcome(schema::NOT_RUN, schema::LOG_UNAVAILABLE);
+}
+
+auto OnceRuns::OnRecord(TimePoint now,
+                        uint64_t offset,
+                        const schema::LogRecord& record) -> void {
+  for (const OnceEvent& event : table_.Apply(now, offset, record)) {
+    switch (event.kind) {
+      case OnceEvent::Kind::kIntent:
+        OnIntent(now, event.name);
+        break;
+      case OnceEvent::Kind::kDone:
+        OnDone(now, event.name);
+        break;
+      case OnceEvent::Kind::kFreed:
+        OnFreed(now, event.name);
+        break;
+      case OnceEvent::Kind::kEntryRestarted:
+        OnEntryRestarted(now);
+        break;
+    }
+  }
+}
+
+auto OnceRuns::OnStream(TimePoint now, bool available) -> void {
+  available_ = available;
+  OnTick(now);
+}
+
+auto OnceRuns::OnAppendFailed(TimePoint now, const schema::LogEntry& entry)
+    -> void {
+  if (entry.has_once_done()) {
+    const std::string& key = entry.once_done().key();
+    if (unseen_.contains(key)) {
+      to_append_.insert(key);
+    }
+    return;
+  }
+  const std::string key = entry.once_intent().key();
+  const auto found = locals_.find(key);
+  if (found == locals_.end() || found->second.running ||
+      table_.Find(key) != nullptr) {
+    return;
+  }
+  const uint64_t owner = std::exchange(found->second.owner, 0);
+  const auto waiters = std::exchange(found->second.waiters, {});
+  locals_.erase(found);
+  const Outcome refused = MakeOutcome(schema::NOT_RUN, schema::LOG_UNAVAILABLE);
+  if (owner != 0) {
+    options_.finish(now, owner, refused);
+  }
+  for (const auto& [id, hash] : waiters) {
+    options_.finish(now, id, refused);
+  }
+}
+
+auto OnceRuns::OnTick(TimePoint now) -> void {
+  table_.DropOld(now);
+  if (!available_) {
+    return;
+  }
+  for (const std::string& key : std::exchange(to_append_, {})) {
+    schema::LogEntry entry;
+    *entry.mutable_once_done() = unseen_[key];
+    options_.append(std::move(entry));
+  }
+}
+
+auto OnceRuns::AppendIntent(const std::string& key, uint64_t id, uint64_t hash)
+    -> void {
+  Local& local = locals_[key];
+  local.owner = id;
+  local.request_hash = hash;
+  schema::LogEntry entry;
+  schema::OnceIntent& intent = *entry.mutable_once_intent();
+  intent.set_key(key);
+  intent.set_entry(options_.entry_id);
+  intent.set_entry_incarnation(options_.entry_incarnation);
+  intent.set_request_hash(hash);
+  options_.append(std::move(entry));
+}
+
+auto OnceRuns::AppendDone(schema::OnceDone done) -> void {
+  unseen_[done.key()] = done;
+  schema::LogEntry entry;
+  *entry.mutable_once_done() = std::move(done);
+  options_.append(std::move(entry));
+}
+
+auto OnceRuns::OnIntent(TimePoint now, const std::string& key) -> void {
+  const OnceKey& known = *table_.Find(key);
+  const auto found = locals_.find(key);
+  if (!IsOwn(known)) {
+    if (found == locals_.end()) {
+      return;
+    }
+    // Another entry was first: the request that wanted to run now waits.
+    Local& local = found->second;
+    if (local.owner != 0) {
+      local.waiters.emplace(local.owner, local.request_hash);
+      local.owner = 0;
+    }
+    FinishWaiters(now, key);
+    return;
+  }
+  const bool wanted = found != locals_.end() && found->second.owner != 0 &&
+                      found->second.request_hash == known.request_hash;
+  if (!wanted) {
+    // Its caller was told `not_run` meanwhile, so it must never run.
+    schema::OnceDone done;
+    done.set_key(key);
+    done.set_intent_offset(known.intent_offset);
+    done.set_not_run(true);
+    AppendDone(std::move(done));
+    return;
+  }
+  found->second.running = true;
+  const uint64_t owner = found->second.owner;
+  FinishWaiters(now, key);
+  options_.run(now, owner);
+}
+
+auto OnceRuns::OnDone(TimePoint now, const std::string& key) -> void {
+  unseen_.erase(key);
+  to_append_.erase(key);
+  FinishWaiters(now, key);
+  Forget(key);
+}
+
+auto OnceRuns::OnFreed(TimePoint now, const std::string& key) -> void {
+  unseen_.erase(key);
+  to_append_.erase(key);
+  const auto found = locals_.find(key);
+  if (found == locals_.end()) {
+    return;
+  }
+  Local& local = found->second;
+  if (local.owner == 0 && local.waiters.empty()) {
+    locals_.erase(found);
+    return;
+  }
+  if (!available_) {
+    schema::LogEntry entry;
+    entry.mutable_once_intent()->set_key(key);
+    OnAppendFailed(now, entry);
+    return;
+  }
+  // An intent that was appended meanwhile was void; a new one is needed.
+  if (local.owner == 0) {
+    const auto first = local.waiters.begin();
+    local.owner = first->first;
+    local.request_hash = first->second;
+    local.waiters.erase(first);
+  }
+  AppendIntent(key, local.owner, local.request_hash);
+}
+
+auto OnceRuns::OnEntryRestarted(TimePoint now) -> void {
+  std::set<std::string> keys;
+  for (const auto& [key, local] : locals_) {
+    if (!local.waiters.empty() && table_.Find(key) != nullptr) {
+      keys.insert(key);
+    }
+  }
+  for (const std::string& key : keys) {
+    FinishWaiters(now, key);
+    Forget(key);
+  }
+}
+
+auto OnceRuns::IsOwn(const OnceKey& key) const -> bool {
+  return key.entry == options_.entry_id &&
+         key.entry_incarnation == options_.entry_incarnation;
+}
+
+auto OnceRuns::KnownOutcome(const OnceKey& key,
+                            uint64_t hash,
+                            Outcome& outcome) const -> bool {
+  if (key.request_hash != hash) {
+    outcome =
+        MakeOutcome(schema::NOT_RUN, schema::KEY_REUSED_FOR_OTHER_REQUEST);
+    return true;
+  }
+  if (key.answered) {
+    outcome = {.verdict = schema::ANSWERED,
+               .reason = schema::REASON_NONE,
+               .http = Restore(key.answer)};
+    return true;
+  }
+  const bool of_earlier_self = key.entry == options_.entry_id && !IsOwn(key);
+  if (key.unknown || of_earlier_self || table_.IsOrphan(key)) {
+    // This repeat did not run, but the key may have: `not_run` would invite
+    // a second run under another key.
+    outcome = MakeOutcome(schema::MAY_HAVE_RUN, schema::KEY_OUTCOME_UNKNOWN);
+    return true;
+  }
+  return false;
+}
+
+auto OnceRuns::FinishWaiters(TimePoint now, const std::string& key) -> void {
+  const OnceKey* known = table_.Find(key);
+  const auto found = locals_.find(key);
+  if (known == nullptr || found == locals_.end()) {
+    return;
+  }
+  std::map<uint64_t, Outcome> finished;
+  for (const auto& [id, hash] : found->second.waiters) {
+    Outcome outcome;
+    if (KnownOutcome(*known, hash, outcome)) {
+      finished.emplace(id, std::move(outcome));
+    }
+  }
+  for (auto& [id, outcome] : finished) {
+    found->second.waiters.erase(id);
+    options_.finish(now, id, std::move(outcome));
+  }
+}
+
+// Drops this entry's part when nothing waits on the key any more.
+auto OnceRuns::Forget(const std::string& key) -> void {
+  const auto found = locals_.find(key);
+  if (found != locals_.end() && found->second.owner == 0 &&
+      !found->second.running && found->second.waiters.empty()) {
+    locals_.erase(found);
+  }
+}
+
+}  // namespace rhubarbhaven
--- /dev/null
+++ b/Source/Routing/timer_queue.h
@@ -0,0 +1,55 @@
+#ifndef RHUBARBHAVEN_ROUTING_TIMER_QUEUE_H_
+#define RHUBARBHAVEN_ROUTING_TIMER_QUEUE_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "Base/base.h"
+
+namespace rhubarbhaven {
+
+// One timer for each key, fired in order of time and, at the same time, of
+// key, so that a run with the same events takes the same course.
+template <typename Key>
+class TimerQueue {
+ public:
+  // Replaces the key's timer if there is one.
+  auto Set(const Key& key, TimePoint at) -> void {
+    Cancel(key);
+    due_.emplace(at, key);
+    times_.emplace(key, at);
+  }
+
+  auto Cancel(const Key& key) -> void {
+    const auto found = times_.find(key);
+    if (found == times_.end()) {
+      return;
+    }
+    due_.erase({found->second, key});
+    times_.erase(found);
+  }
+
+  // Takes out the first timer that is due at `now`.
+  auto PopDue(TimePoint now) -> std::optional<Key> {
+    if (due_.empty() || due_.begin()->first > now) {
+      return std::nullopt;
+    }
+    const Key key = due_.begin()->second;
+    Cancel(key);
+    return key;
+  }
+
+  auto next() const -> TimePoint {
+    return due_.empty() ? TimePoint::max() : due_.begin()->first;
+  }
+
+ private:
+  std::set<std::pair<TimePoint, Key>> due_;
+  std::map<Key, TimePoint> times_;
+};
+
+}  // namespace rhubarbhaven
+
+#endif  // RHUBARBHAVEN_ROUTING_TIMER_QUEUE_H_
