Placement: Add the placer, the interference model and the worker health

The daemon needs decisions behind the public headers: where waiting tasks run, which give way, what is throttled or moved, and which workers are set aside.

Change: small files behind Placer (amounts, quotas, worker rows, jobs as groups, order with ageing, place search, preemption, claims, explanation), InterferenceModel (run history, effect estimates, step control) and WorkerHealth. Added to the headers, compatibly: PlacementCost, RemoveInstance, throttled_share, FailedHere; AddPending and AddPlaced take const references.

InterferenceModel and WorkerHealth have no tests yet; they follow.

--- /dev/null
+++ b/Source/Placement/amounts.h
@@ -0,0 +1,45 @@
+#ifndef RHUBARBHAVEN_PLACEMENT_AMOUNTS_H_
+#define RHUBARBHAVEN_PLACEMENT_AMOUNTS_H_
+
+#include <cstdint>
+#include <string>
+
+#include "Base/base.h"
+
+namespace rhubarbhaven {
+
+// Resources as signed 64-bit numbers, so that sums over a whole cell and
+// differences never overflow. Every amount read from a message is clamped to
+// `kLargestAmount`.
+struct Amounts {
+  int64_t millicores = 0;
+  int64_t memory_mb = 0;
+  int64_t accelerators = 0;
+
+  auto operator+=(const Amounts& other) -> Amounts&;
+  auto operator-=(const Amounts& other) -> Amounts&;
+  auto operator==(const Amounts& other) const -> bool = default;
+};
+
+inline constexpr int64_t kLargestAmount = int64_t{1} << 40;
+
+auto operator+(Amounts left, const Amounts& right) -> Amounts;
+auto operator-(Amounts left, const Amounts& right) -> Amounts;
+
+auto FromMessage(const schema::Resources& message) -> Amounts;
+// Negative amounts become zero.
+auto ToMessage(const Amounts& amounts) -> schema::Resources;
+
+// True if `need` is no larger than `free` in any dimension.
+auto Fits(const Amounts& need, const Amounts& free) -> bool;
+// The larger (smaller) of both in each dimension.
+auto Larger(const Amounts& left, const Amounts& right) -> Amounts;
+auto Smaller(const Amounts& left, const Amounts& right) -> Amounts;
+
+// "processors 4000 of 2000 millicores" for each dimension in which `need` is
+// larger than `free`, joined by commas; empty if it fits.
+auto DescribeShortage(const Amounts& need, const Amounts& free) -> std::string;
+
+}  // namespace rhubarbhaven
+
+#endif  // RHUBARBHAVEN_PLACEMENT_AMOUNTS_H_
--- a/Source/Placement/interference.h
+++ b/Source/Placement/interference.h
@@ -10,7 +10,7 @@
 
 namespace rhubarbhaven {
 
-// What ran together on an instance, as far as the past is kept.
+// What is done about a task that hurts the service beside it.
 enum class InterferenceStep { kNone, kThrottle, kUnthrottle, kMove };
 
 struct InterferenceAction {
@@ -20,13 +20,19 @@
 };
 
 struct InterferenceOptions {
+  // How long it is remembered what ran together; older reports are dropped.
   std::chrono::seconds history{180};
+  // Without news, what was learned of a pair halves in this time.
   std::chrono::seconds half_life{1800};
   // Slowdown of a service's p99 over its target, at which steps begin and
   // below which they are taken back.
   double act_above = 1.10;
   double relax_below = 0.95;
+  // Shortest time between a step and the one that takes it back; also the
+  // unit of the wait before a task is moved.
   std::chrono::seconds hold{30};
+  // What is left of a task's effect while it is throttled.
+  double throttled_share = 0.3;
 };
 
 // Learns from late reports how badly a job hurts a service, per pair, and
@@ -62,6 +68,16 @@
                         const std::string& instance,
                         const std::string& partner,
                         const std::string& job) const -> double;
+  // What placing the job there costs, for `PlacerOptions::extra_cost`: zero
+  // where the service bears it, more by the weights of the service's partner
+  // where it would be slowed down beyond `act_above`, infinite where that
+  // partner weighs tail latency above all and the job is known to hurt.
+  auto PlacementCost(TimePoint now,
+                     const std::string& instance,
+                     const std::string& partner,
+                     const std::string& job) const -> double;
+  // The instance has left the register.
+  auto RemoveInstance(const std::string& instance) -> void;
 
  private:
   class Impl;
--- /dev/null
+++ b/Source/Placement/job_table.cc
@@ -0,0 +1,175 @@
+#include "Placement/job_table.h"
+
+#include <algorithm>
+
+namespace rhubarbhaven {
+namespace {
+
+// A job's order is compacted when this many dead entries lead it.
+constexpr std::size_t kCompactAfter = 64;
+
+auto FullName(const std::string& partner, const std::string& job)
+    -> std::string {
+  return partner + "/" + job;
+}
+
+auto Decrement(absl::flat_hash_map<uint32_t, uint32_t>& counts, uint32_t key)
+    -> void {
+  const auto entry = counts.find(key);
+  if (entry == counts.end()) {
+    return;
+  }
+  if (--entry->second == 0) {
+    counts.erase(entry);
+  }
+}
+
+}  // namespace
+
+auto JobTable::Find(const schema::TaskId& task) const
+    -> std::optional<TaskKey> {
+  const auto entry = by_name_.find(FullName(task.partner(), task.job()));
+  if (entry == by_name_.end()) {
+    return std::nullopt;
+  }
+  for (const JobId id : entry->second) {
+    if (jobs_[id].version == task.job_version()) {
+      return TaskKey{id, task.index()};
+    }
+  }
+  return std::nullopt;
+}
+
+auto JobTable::Update(const PendingTask& spec, NameTable& names) -> TaskKey {
+  const std::optional<TaskKey> known = Find(spec.task);
+  const TaskKey key =
+      known.has_value() ? *known : TaskKey{Make(spec.task), spec.task.index()};
+  JobGroup& group = jobs_[key.job];
+  group.partner = names.Intern(spec.task.partner());
+  group.team = spec.team.empty()
+                   ? kNoName
+                   : names.Intern(FullName(spec.task.partner(), spec.team));
+  group.failure_domain =
+      spec.failure_domain.empty() ? kNoName : names.Intern(spec.failure_domain);
+  group.urgency = spec.urgency;
+  group.priority = spec.priority;
+  group.max_per_rack = spec.max_per_rack;
+  group.costly_to_evict = spec.costly_to_evict;
+  return key;
+}
+
+auto JobTable::Versions(const std::string& partner,
+                        const std::string& job) const -> std::vector<JobId> {
+  const auto entry = by_name_.find(FullName(partner, job));
+  if (entry == by_name_.end()) {
+    return {};
+  }
+  return entry->second;
+}
+
+auto JobTable::Id(TaskKey key) const -> schema::TaskId {
+  const JobGroup& group = jobs_[key.job];
+  schema::TaskId task;
+  task.set_partner(group.partner_name);
+  task.set_job(group.name);
+  task.set_index(key.index);
+  task.set_job_version(group.version);
+  return task;
+}
+
+auto JobTable::AddWaiting(TaskKey key, const WaitingTask& task) -> void {
+  JobGroup& group = jobs_[key.job];
+  const auto [entry, added] = group.waiting.try_emplace(key.index, task);
+  if (added) {
+    group.order.push_back(key.index);
+    ++waiting_;
+    return;
+  }
+  entry->second = task;
+}
+
+auto JobTable::RemoveWaiting(TaskKey key) -> bool {
+  if (jobs_[key.job].waiting.erase(key.index) == 0) {
+    return false;
+  }
+  --waiting_;
+  return true;
+}
+
+auto JobTable::ClearWaiting(JobId id) -> void {
+  JobGroup& group = jobs_[id];
+  waiting_ -= group.waiting.size();
+  group.waiting = {};
+  group.order = {};
+  group.head = 0;
+}
+
+auto JobTable::NextWaiting(JobId id, std::size_t& from)
+    -> std::optional<uint32_t> {
+  JobGroup& group = jobs_[id];
+  if (group.head >= kCompactAfter && group.head * 2 >= group.order.size()) {
+    const std::size_t dead = group.head;
+    group.order.erase(group.order.begin(),
+                      group.order.begin() + static_cast<ptrdiff_t>(dead));
+    group.head = 0;
+    from -= std::min(from, dead);
+  }
+  from = std::max(from, group.head);
+  while (from < group.order.size()) {
+    const uint32_t index = group.order[from];
+    if (group.waiting.contains(index)) {
+      return index;
+    }
+    if (from == group.head) {
+      ++group.head;
+    }
+    ++from;
+  }
+  return std::nullopt;
+}
+
+auto JobTable::CountPlaced(JobId id, uint32_t rack, uint32_t domain) -> void {
+  JobGroup& group = jobs_[id];
+  ++group.placed;
+  ++group.placed_per_rack[rack];
+  ++group.placed_per_domain[domain];
+}
+
+auto JobTable::UncountPlaced(JobId id, uint32_t rack, uint32_t domain) -> void {
+  JobGroup& group = jobs_[id];
+  --group.placed;
+  Decrement(group.placed_per_rack, rack);
+  Decrement(group.placed_per_domain, domain);
+}
+
+auto JobTable::ReleaseIfEmpty(JobId id) -> void {
+  JobGroup& group = jobs_[id];
+  if (!group.in_use || group.placed > 0 || !group.waiting.empty()) {
+    return;
+  }
+  const auto entry = by_name_.find(FullName(group.partner_name, group.name));
+  std::erase(entry->second, id);
+  if (entry->second.empty()) {
+    by_name_.erase(entry);
+  }
+  group = JobGroup{};
+  unused_.push_back(id);
+}
+
+auto JobTable::Make(const schema::TaskId& task) -> JobId {
+  if (unused_.empty()) {
+    unused_.push_back(static_cast<JobId>(jobs_.size()));
+    jobs_.emplace_back();
+  }
+  const JobId id = unused_.back();
+  unused_.pop_back();
+  JobGroup& group = jobs_[id];
+  group.in_use = true;
+  group.partner_name = task.partner();
+  group.name = task.job();
+  group.version = task.job_version();
+  by_name_[FullName(task.partner(), task.job())].push_back(id);
+  return id;
+}
+
+}  // namespace rhubarbhaven
--- /dev/null
+++ b/Source/Placement/job_table.h
@@ -0,0 +1,91 @@
+#ifndef RHUBARBHAVEN_PLACEMENT_JOB_TABLE_H_
+#define RHUBARBHAVEN_PLACEMENT_JOB_TABLE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Placement/amounts.h"
+#include "Placement/name_table.h"
+#include "Placement/placer.h"
+#include "Placement/task_key.h"
+#include "absl/container/flat_hash_map.h"
+
+namespace rhubarbhaven {
+
+// What is kept of a waiting task beyond its job's record.
+struct WaitingTask {
+  uint32_t attempt = 1;
+  Amounts need;
+  TimePoint since;
+};
+
+// A job with its waiting tasks and a count of its placed ones. Trivially
+// destructible records in flat containers: dropping all the waiting tasks of
+// a job frees two blocks, whatever their number.
+struct JobGroup {
+  std::string partner_name;
+  std::string name;
+  uint64_t version = 0;
+  uint32_t partner = 0;
+  uint32_t team = kNoName;
+  uint32_t failure_domain = kNoName;
+  schema::Urgency urgency = schema::NORMAL;
+  uint32_t priority = 0;
+  uint32_t max_per_rack = 0;
+  bool costly_to_evict = false;
+  bool in_use = false;
+
+  absl::flat_hash_map<uint32_t, WaitingTask> waiting;
+  // Indices in order of arrival; those no longer in `waiting` are skipped.
+  std::vector<uint32_t> order;
+  std::size_t head = 0;
+
+  uint32_t placed = 0;
+  absl::flat_hash_map<uint32_t, uint32_t> placed_per_rack;
+  absl::flat_hash_map<uint32_t, uint32_t> placed_per_domain;
+};
+
+// All jobs that have waiting or placed tasks.
+class JobTable {
+ public:
+  auto Find(const schema::TaskId& task) const -> std::optional<TaskKey>;
+  // Finds or makes the task's job and takes over what `spec` says of it.
+  auto Update(const PendingTask& spec, NameTable& names) -> TaskKey;
+  // Every version of a job that is known.
+  auto Versions(const std::string& partner, const std::string& job) const
+      -> std::vector<JobId>;
+  auto Id(TaskKey key) const -> schema::TaskId;
+
+  auto job(JobId id) -> JobGroup& { return jobs_[id]; }
+  auto job(JobId id) const -> const JobGroup& { return jobs_[id]; }
+  auto jobs() const -> const std::vector<JobGroup>& { return jobs_; }
+  auto waiting() const -> std::size_t { return waiting_; }
+
+  auto AddWaiting(TaskKey key, const WaitingTask& task) -> void;
+  // False if the task did not wait.
+  auto RemoveWaiting(TaskKey key) -> bool;
+  auto ClearWaiting(JobId id) -> void;
+  // Index of the first waiting task at or behind position `from` of the
+  // job's order; moves `from` to it.
+  auto NextWaiting(JobId id, std::size_t& from) -> std::optional<uint32_t>;
+
+  auto CountPlaced(JobId id, uint32_t rack, uint32_t domain) -> void;
+  auto UncountPlaced(JobId id, uint32_t rack, uint32_t domain) -> void;
+  // Forgets the job if it has no task left.
+  auto ReleaseIfEmpty(JobId id) -> void;
+
+ private:
+  auto Make(const schema::TaskId& task) -> JobId;
+
+  std::vector<JobGroup> jobs_;
+  std::vector<JobId> unused_;
+  // Versions by "partner/job".
+  absl::flat_hash_map<std::string, std::vector<JobId>> by_name_;
+  std::size_t waiting_ = 0;
+};
+
+}  // namespace rhubarbhaven
+
+#endif  // RHUBARBHAVEN_PLACEMENT_JOB_TABLE_H_
--- /dev/null
+++ b/Source/Placement/placement_round.cc
@@ -0,0 +1,193 @@
+#include "Placement/placement_round.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbhaven {
+namespace {
+
+// Tasks of one job that are tried before the job counts as stuck; they may
+// have different needs, since what was seen of earlier attempts differs.
+constexpr int kTriesPerJob = 4;
+// Needs without room that are remembered within a round.
+constexpr std::size_t kFailedNeeds = 32;
+// Room is kept for a task at most this long.
+constexpr std::chrono::seconds kPreemptionClaim{120};
+// One worker in this many may be kept for a task that has waited long.
+constexpr std::size_t kWorkersPerReservation = 8;
+
+}  // namespace
+
+PlacementRound::PlacementRound(CellState* cell,
+                               PlaceFinder* finder,
+                               const PlacerOptions* options,
+                               TimePoint now)
+    : cell_(cell), finder_(finder), options_(options), now_(now) {}
+
+auto PlacementRound::Run(std::size_t limit, uint64_t& turn) -> PlacerRound {
+  cell_->DropStaleClaims(now_);
+  EvictFromOvercommitted();
+  PendingOrder order(&cell_->jobs(), now_, options_->ageing);
+  while (round_.placements.size() < limit) {
+    const std::optional<JobId> job = order.Next(turn);
+    if (!job.has_value()) {
+      break;
+    }
+    if (PlaceOneOf(*job)) {
+      ++turn;
+    } else {
+      order.Drop();
+    }
+  }
+  return std::move(round_);
+}
+
+auto PlacementRound::EvictFromOvercommitted() -> void {
+  const std::size_t count = cell_->workers().slots().size();
+  for (std::size_t worker = 0; worker < count; ++worker) {
+    const auto id = static_cast<WorkerId>(worker);
+    const std::optional<TaskKey> victim = ChooseOvercommitVictim(*cell_, id);
+    if (victim.has_value()) {
+      Evict(*victim, "tasks use more memory than the instance " +
+                         cell_->workers().slot(id).instance + " has");
+    }
+  }
+}
+
+auto PlacementRound::PlaceOneOf(JobId id) -> bool {
+  std::size_t position = 0;
+  int tries = 0;
+  while (tries < kTriesPerJob) {
+    const std::optional<uint32_t> index =
+        cell_->jobs().NextWaiting(id, position);
+    if (!index.has_value()) {
+      return false;
+    }
+    const Attempt attempt = TryTask({id, *index});
+    if (attempt == Attempt::kPlaced) {
+      return true;
+    }
+    if (attempt == Attempt::kNoPlace) {
+      ++tries;
+    }
+    ++position;
+  }
+  return false;
+}
+
+auto PlacementRound::TryTask(TaskKey task) -> Attempt {
+  const JobGroup& job = cell_->jobs().job(task.job);
+  const WaitingTask waiting = job.waiting.find(task.index)->second;
+  if (!Fits(waiting.need, cell_->quotas().Room(job.team))) {
+    cell_->DropClaim(task);
+    return Attempt::kNoPlace;
+  }
+  const PlaceClaim* claim = cell_->FindClaim(task);
+  if (claim != nullptr) {
+    return TryClaim(*claim, waiting);
+  }
+  if (KnownToFail(job, waiting.need)) {
+    return Attempt::kNoPlace;
+  }
+  const PlaceSearch search = finder_->Find(task, waiting);
+  if (search.worker.has_value()) {
+    Commit(task, waiting, *search.worker);
+    return Attempt::kPlaced;
+  }
+  if (search.why_not != NoPlace::kCapacity) {
+    return Attempt::kNoPlace;
+  }
+  if (MakeRoom(task, waiting)) {
+    return Attempt::kClaimed;
+  }
+  if (failed_.size() < kFailedNeeds) {
+    failed_.push_back({job.partner, job.failure_domain, waiting.need});
+  }
+  return Attempt::kNoPlace;
+}
+
+auto PlacementRound::TryClaim(PlaceClaim claim, const WaitingTask& waiting)
+    -> Attempt {
+  const WorkerSlot& slot = cell_->workers().slot(claim.worker);
+  // Other claims on the worker are kept; the task's own ends by placing it.
+  const Amounts free =
+      cell_->workers().Unheld(claim.worker) - (slot.claimed - claim.need);
+  if (!Fits(waiting.need, free) ||
+      !RackHasRoom(cell_->jobs().job(claim.task.job), slot.rack)) {
+    return Attempt::kClaimed;
+  }
+  Commit(claim.task, waiting, claim.worker);
+  return Attempt::kPlaced;
+}
+
+auto PlacementRound::Commit(TaskKey task,
+                            const WaitingTask& waiting,
+                            WorkerId worker) -> void {
+  cell_->DropClaim(task);
+  PlacedRecord record;
+  record.worker = worker;
+  record.held = waiting.need;
+  cell_->Place(task, record);
+  cell_->jobs().RemoveWaiting(task);
+  round_.placements.push_back(
+      {cell_->jobs().Id(task), cell_->workers().slot(worker).instance});
+}
+
+auto PlacementRound::KnownToFail(const JobGroup& job, const Amounts& need) const
+    -> bool {
+  return std::ranges::any_of(failed_, [&](const FailedNeed& failed) -> bool {
+    return failed.partner == job.partner &&
+           failed.failure_domain == job.failure_domain &&
+           Fits(failed.need, need);
+  });
+}
+
+auto PlacementRound::MakeRoom(TaskKey task, const WaitingTask& waiting)
+    -> bool {
+  return Preempt(task, waiting) || Reserve(task, waiting);
+}
+
+auto PlacementRound::Preempt(TaskKey task, const WaitingTask& waiting) -> bool {
+  const auto most = static_cast<std::size_t>(options_->max_evictions_per_round);
+  const JobGroup& job = cell_->jobs().job(task.job);
+  if (cell_->Rules(job.partner).preemption().empty() || preempted_ >= most) {
+    return false;
+  }
+  const std::optional<Preemption> preemption = ChoosePreemption(
+      *cell_, job, waiting.need, most - preempted_, finder_->start());
+  if (!preemption.has_value()) {
+    return false;
+  }
+  const std::string why = "makes room for " + TaskName(cell_->jobs().Id(task));
+  for (const TaskKey victim : preemption->victims) {
+    Evict(victim, why);
+  }
+  preempted_ += preemption->victims.size();
+  cell_->AddClaim(
+      {task, preemption->worker, waiting.need, now_ + kPreemptionClaim});
+  return true;
+}
+
+auto PlacementRound::Reserve(TaskKey task, const WaitingTask& waiting) -> bool {
+  const std::size_t workers = cell_->workers().slots().size();
+  const std::size_t most =
+      std::max<std::size_t>(1, workers / kWorkersPerReservation);
+  if (now_ - waiting.since < options_->ageing ||
+      cell_->claims().size() >= most) {
+    return false;
+  }
+  const std::optional<WorkerId> worker =
+      ChooseReservation(*cell_, cell_->jobs().job(task.job), waiting.need);
+  if (!worker.has_value()) {
+    return false;
+  }
+  cell_->AddClaim({task, *worker, waiting.need, now_ + options_->ageing});
+  return true;
+}
+
+auto PlacementRound::Evict(TaskKey victim, const std::string& why) -> void {
+  cell_->SetStopping(victim);
+  round_.evictions.push_back({cell_->jobs().Id(victim), why});
+}
+
+}  // namespace rhubarbhaven
--- a/Source/Placement/placer.h
+++ b/Source/Placement/placer.h
@@ -12,7 +12,7 @@
 
 namespace rhubarbhaven {
 
-// "partner/job#index" with the job's version: one task of one job.
+// "partner/job#index@version": one task of one job.
 auto TaskName(const schema::TaskId& task) -> std::string;
 
 // A worker as the placer sees it.
@@ -83,7 +83,9 @@
   // A task that waits this long counts as one urgency class higher.
   std::chrono::seconds ageing{600};
   int max_evictions_per_round = 4;
-  // Cost of running a task on an instance, beyond fit; for interference.
+  // Cost of running a task on an instance, beyond fit; for interference. The
+  // cost of fit and spread is about 0 to 2. Infinite forbids the instance for
+  // now.
   std::function<auto(const PendingTask&, const std::string& instance)->double>
       extra_cost;
 };
@@ -103,11 +105,12 @@
       -> void;
   auto SetTeam(const std::string& partner, const schema::Team& team) -> void;
 
-  auto AddPending(PendingTask task) -> void;
+  // Ignored while the task holds a place.
+  auto AddPending(const PendingTask& task) -> void;
   auto RemovePending(const schema::TaskId& task) -> void;
   // All waiting tasks of a job.
   auto RemoveJob(const std::string& partner, const std::string& job) -> void;
-  auto AddPlaced(PlacedTask task) -> void;
+  auto AddPlaced(const PlacedTask& task) -> void;
   auto SetStopping(const schema::TaskId& task) -> void;
   // Usage seen of a placed task; only ever raises what is held.
   auto RaiseHeld(const schema::TaskId& task, const schema::Resources& seen)
@@ -116,7 +119,9 @@
   auto RemovePlaced(const schema::TaskId& task) -> void;
 
   // Decides at most `limit` placements. A decided placement is taken as held
-  // at once (the caller confirms by AddPlaced or undoes by RemovePlaced).
+  // at once (the caller confirms by AddPlaced or undoes by RemovePlaced, then
+  // AddPending). A task to be evicted counts as stopping from then on, and is
+  // not named again; the caller sees its stop through.
   auto Decide(TimePoint now, std::size_t limit) -> PlacerRound;
   auto Explain(TimePoint now, const schema::TaskId& task) const -> Explanation;
 
--- /dev/null
+++ b/Source/Placement/task_key.h
@@ -0,0 +1,27 @@
+#ifndef RHUBARBHAVEN_PLACEMENT_TASK_KEY_H_
+#define RHUBARBHAVEN_PLACEMENT_TASK_KEY_H_
+
+#include <cstdint>
+#include <utility>
+
+namespace rhubarbhaven {
+
+// Number of a job in a `JobTable`.
+using JobId = uint32_t;
+
+// A task within one placer: its job's number and its index in the job.
+struct TaskKey {
+  JobId job = 0;
+  uint32_t index = 0;
+
+  auto operator==(const TaskKey& other) const -> bool = default;
+
+  template <typename H>
+  friend auto AbslHashValue(H state, const TaskKey& key) -> H {
+    return H::combine(std::move(state), key.job, key.index);
+  }
+};
+
+}  // namespace rhubarbhaven
+
+#endif  // RHUBARBHAVEN_PLACEMENT_TASK_KEY_H_
--- a/Source/Placement/worker_health.h
+++ b/Source/Placement/worker_health.h
@@ -32,7 +32,14 @@
   enum class Verdict { kHealthy, kSetAside, kProbe };
   auto Check(TimePoint now, const std::string& instance) const -> Verdict;
   auto OnProbeStarted(TimePoint now, const std::string& instance) -> void;
+  // Why the worker was set aside; empty if it was not.
   auto Why(const std::string& instance) const -> std::string;
+  // Whether the job failed on the worker and has not finished there since; a
+  // reason to try elsewhere first, or a worker that fails fast, and so has
+  // room, would attract all the attempts of a task.
+  auto FailedHere(const std::string& instance,
+                  const std::string& partner,
+                  const std::string& job) const -> bool;
 
  private:
   class Impl;
