--- a/Tests/Support/deployment.h
+++ b/Tests/Support/deployment.h
@@ -20,9 +20,9 @@
   bool workers = true;
   int endpoint_slots = 8;
   int retention_records = 100000;
-  std::vector<std::string> worker_flags;
+  std::vector<std::string> worker_flags = {};
   // Changes to a process's settings before it starts.
-  std::function<auto(schema::DaemonSettings&)->void> adjust;
+  std::function<auto(schema::DaemonSettings&)->void> adjust = {};
 };
 
 // The processes of a small deployment with stand-ins for the platform, on
