--- a/Source/Tasks/keeper_worker.cc
+++ b/Source/Tasks/keeper_worker.cc
@@ -440,10 +440,13 @@
 }
 
 auto KeeperWorker::PollStatus(TimePoint now, KeeperActions* actions) -> void {
-  if (now < next_status_ || calls_.IsPending(CallWorker::Kind::kStatus)) {
+  if (now < next_status_) {
     return;
   }
   next_status_ = now + options_.status_interval;
+  if (calls_.IsPending(CallWorker::Kind::kStatus)) {
+    return;
+  }
   actions->push_back(calls_.Begin(now, CallWorker::Kind::kStatus, ""));
 }
 
--- a/Source/Tasks/owner.cc
+++ b/Source/Tasks/owner.cc
@@ -55,13 +55,14 @@
   return impl_->TakeActions();
 }
 
-auto Owner::Evict(TimePoint now, const schema::TaskId& task) -> OwnerActions {
-  impl_->Evict(now, task);
+auto Owner::Evict(TimePoint /*now*/, const schema::TaskId& task)
+    -> OwnerActions {
+  impl_->Evict(task);
   return impl_->TakeActions();
 }
 
-auto Owner::Release(TimePoint now) -> OwnerActions {
-  impl_->Release(now);
+auto Owner::Release(TimePoint /*now*/) -> OwnerActions {
+  impl_->Release();
   return impl_->TakeActions();
 }
 
@@ -82,8 +83,8 @@
   return impl_->fold();
 }
 
-auto Owner::Tasks(TimePoint now) const -> std::vector<TaskView> {
-  return impl_->Tasks(now);
+auto Owner::Tasks(TimePoint /*now*/) const -> std::vector<TaskView> {
+  return impl_->Tasks();
 }
 
 auto Owner::Instances(TimePoint now) const -> std::vector<InstanceView> {
--- a/Source/Tasks/owner_claim.cc
+++ b/Source/Tasks/owner_claim.cc
@@ -77,7 +77,7 @@
 }
 
 auto CellClaim::Step(TimePoint now) -> std::optional<schema::LogEntry> {
-  if (!MayIssue(now)) {
+  if (now < next_issue()) {
     return std::nullopt;
   }
   if (fence_ != 0) {
@@ -98,13 +98,12 @@
   return Issue(now, false);
 }
 
-auto CellClaim::MayIssue(TimePoint now) const -> bool {
+auto CellClaim::next_issue() const -> TimePoint {
   if (last_issue_ == TimePoint::min()) {
-    return true;
+    return TimePoint::min();
   }
-  const auto spacing =
-      in_flight_ ? options_.claim_timeout : renewal() / kRenewalsPerTimeout;
-  return now - last_issue_ >= spacing;
+  return last_issue_ + (in_flight_ ? options_.claim_timeout
+                                   : renewal() / kRenewalsPerTimeout);
 }
 
 auto CellClaim::Issue(TimePoint now, bool renewal) -> schema::LogEntry {
@@ -117,12 +116,11 @@
   return entry;
 }
 
-auto CellClaim::Release(TimePoint now) -> std::optional<schema::LogEntry> {
+auto CellClaim::Release() -> std::optional<schema::LogEntry> {
   if (!owns()) {
     return std::nullopt;
   }
   releasing_ = true;
-  next_renewal_ = now + options_.claim_timeout;
   schema::LogEntry entry = NewClaim();
   entry.mutable_claim()->set_replaces(fence_);
   entry.mutable_claim()->set_release(true);
@@ -165,7 +163,10 @@
 }
 
 auto CellClaim::next_wake() const -> TimePoint {
-  return fence_ != 0 ? next_renewal_ : TimePoint::max();
+  if (fence_ == 0 || releasing_) {
+    return TimePoint::max();
+  }
+  return std::max(next_renewal_, next_issue());
 }
 
 }  // namespace rhubarbhaven::tasks
--- a/Source/Tasks/owner_claim.h
+++ b/Source/Tasks/owner_claim.h
@@ -22,7 +22,7 @@
   // The record that is due, if any: a claim or a renewal.
   auto Step(TimePoint now) -> std::optional<schema::LogEntry>;
   // Stops granting at once; the record frees the cell.
-  auto Release(TimePoint now) -> std::optional<schema::LogEntry>;
+  auto Release() -> std::optional<schema::LogEntry>;
 
   auto owns() const -> bool { return fence_ != 0 && !releasing_; }
   auto fence() const -> uint64_t { return fence_; }
@@ -41,7 +41,8 @@
   auto next_wake() const -> TimePoint;
 
  private:
-  auto MayIssue(TimePoint now) const -> bool;
+  // The next record may be made from here on.
+  auto next_issue() const -> TimePoint;
   auto IsMine() const -> bool;
   auto TakeOver(TimePoint now) -> void;
   auto NewClaim() const -> schema::LogEntry;
--- a/Source/Tasks/owner_impl.cc
+++ b/Source/Tasks/owner_impl.cc
@@ -11,10 +11,17 @@
 // Tasks of one draining instance that are moved at the same time.
 constexpr int kDrainingAtOnce = 2;
 
+auto WithCell(OwnerOptions options) -> OwnerOptions {
+  if (options.cell.empty()) {
+    options.cell = tasks::kDefaultCell;
+  }
+  return options;
+}
+
 }  // namespace
 
 Owner::Impl::Impl(OwnerOptions options)
-    : options_(std::move(options)),
+    : options_(WithCell(std::move(options))),
       fold_(options_.cell),
       register_(options_.cell),
       claim_(options_, &fold_),
@@ -168,7 +175,7 @@
   }
 }
 
-auto Owner::Impl::Evict(TimePoint /*now*/, const schema::TaskId& task) -> void {
+auto Owner::Impl::Evict(const schema::TaskId& task) -> void {
   tasks::PlacedAttempt* attempt = placed_.Find(TaskName(task));
   if (attempt == nullptr) {
     Count("evict_not_placed");
@@ -177,8 +184,8 @@
   SetStop(attempt, Stop::kEvict, "an operator asked");
 }
 
-auto Owner::Impl::Release(TimePoint now) -> void {
-  auto entry = claim_.Release(now);
+auto Owner::Impl::Release() -> void {
+  auto entry = claim_.Release();
   if (entry.has_value()) {
     Append(*std::move(entry));
   }
@@ -231,7 +238,7 @@
     next_check_ = now + kCheckInterval;
     Check(now);
   }
-  if (now >= next_round_ && claim_.may_append(now)) {
+  if (now >= next_round_) {
     next_round_ = now + kRoundInterval;
     PlaceTasks(now);
   }
@@ -308,7 +315,8 @@
 }
 
 auto Owner::Impl::PlaceTasks(TimePoint now) -> void {
-  if (scheduler_->in_flight() >= options_.placements_per_round) {
+  if (!claim_.may_append(now) ||
+      scheduler_->in_flight() >= options_.placements_per_round) {
     return;
   }
   const PlacerRound round = scheduler_->Round(now);
--- a/Source/Tasks/owner_impl.h
+++ b/Source/Tasks/owner_impl.h
@@ -30,8 +30,8 @@
                  const std::string& agent,
                  const schema::Envelope& message) -> void;
   auto OnAppendFailed(TimePoint now, const schema::LogEntry& entry) -> void;
-  auto Evict(TimePoint now, const schema::TaskId& task) -> void;
-  auto Release(TimePoint now) -> void;
+  auto Evict(const schema::TaskId& task) -> void;
+  auto Release() -> void;
   // What is due by time; runs after each event.
   auto Advance(TimePoint now) -> void;
   auto TakeActions() -> OwnerActions;
@@ -39,7 +39,7 @@
   auto next_wake() const -> TimePoint;
   auto owns() const -> bool { return claim_.owns(); }
   auto fold() const -> const CellFold& { return fold_; }
-  auto Tasks(TimePoint now) const -> std::vector<TaskView>;
+  auto Tasks() const -> std::vector<TaskView>;
   auto Instances(TimePoint now) const -> std::vector<InstanceView>;
   auto Explain(TimePoint now, const schema::TaskId& task) const -> std::string;
 
--- a/Source/Tasks/owner_views.cc
+++ b/Source/Tasks/owner_views.cc
@@ -23,7 +23,7 @@
   return state != nullptr && tasks::IsOver(job, *state) ? "failed" : "waiting";
 }
 
-auto Owner::Impl::Tasks(TimePoint /*now*/) const -> std::vector<TaskView> {
+auto Owner::Impl::Tasks() const -> std::vector<TaskView> {
   std::vector<TaskView> views;
   for (const auto& [key, job] : register_.jobs()) {
     for (uint32_t index = 0; index < job.job.tasks(); ++index) {
--- a/Source/Tasks/task_keeper.cc
+++ b/Source/Tasks/task_keeper.cc
@@ -7,6 +7,7 @@
 #include "Tasks/keeper_lease.h"
 #include "Tasks/keeper_table.h"
 #include "Tasks/keeper_worker.h"
+#include "Tasks/owner_register.h"
 #include "Tasks/resource_math.h"
 
 namespace rhubarbhaven {
@@ -20,12 +21,19 @@
 // agent while an old one still grants leases.
 constexpr uint64_t kRequestsPerBroadcast = 4;
 
+auto WithCell(KeeperOptions options) -> KeeperOptions {
+  if (options.cell.empty()) {
+    options.cell = tasks::kDefaultCell;
+  }
+  return options;
+}
+
 }  // namespace
 
 class TaskKeeper::Impl {
  public:
   explicit Impl(KeeperOptions options)
-      : options_(std::move(options)),
+      : options_(WithCell(std::move(options))),
         lease_(options_.agent_incarnation, options_.lease_ttl),
         worker_(options_, &table_, &lease_) {}
 
@@ -116,7 +124,10 @@
   }
 
   auto next_wake() const -> TimePoint {
-    return std::min(next_request_, worker_.next_wake());
+    // Until the worker was heard there is nothing to ask for.
+    return worker_.incarnation() == 0
+               ? worker_.next_wake()
+               : std::min(next_request_, worker_.next_wake());
   }
 
   auto idle() const -> bool {
