Daemon: Read a cell's stream often enough to see a silent owner

A candidate starts its watch anew after a gap of half a claim timeout (1 s there) between reads, and one long poll waited just that long, so that every read was a gap.

Ruled out: a lost append (none was made), two claims voiding each other (the stream was empty), a missing configuration (both had offset 1).

Change: one read of a cell's stream waits a quarter of the claim timeout.

Conclusion: the wait belongs to the timeout that it serves, not to the log client.

--- a/Source/Daemon/cell_duty.cc
+++ b/Source/Daemon/cell_duty.cc
@@ -13,6 +13,11 @@
   stream.writer = options.owner.entry_id;
   stream.incarnation = options.owner.entry_incarnation;
   stream.append_interval = options.append_interval;
+  // An owner counts as silent only over reads that follow each other closely
+  // (half of the claim timeout); a read that waited longer would look like a
+  // gap each time, and nobody would ever claim the cell.
+  constexpr int kReadsPerClaimTimeout = 4;
+  stream.read_wait = options.owner.claim_timeout / kReadsPerClaimTimeout;
   return stream;
 }
 
--- a/Source/Daemon/stream_duty.cc
+++ b/Source/Daemon/stream_duty.cc
@@ -40,6 +40,7 @@
   FollowerOptions follower;
   follower.log_url = options_.log_url;
   follower.stream = options_.stream;
+  follower.wait = options_.read_wait;
   follower.on_snapshot = [this](const WholeSnapshot& snapshot) -> void {
     hooks_.post([this, snapshot](TimePoint now) -> void {
       hooks_.on_snapshot(now, snapshot.state);
--- a/Source/Daemon/stream_duty.h
+++ b/Source/Daemon/stream_duty.h
@@ -14,6 +14,8 @@
   std::string writer;
   uint64_t incarnation = 0;
   std::chrono::milliseconds append_interval{100};
+  // How long one read waits for a record.
+  std::chrono::milliseconds read_wait{1000};
   // See WriterOptions::give_back_after.
   std::chrono::milliseconds give_back_after{0};
 };
