--- a/Source/Routing/entry_attempts.cc
+++ b/Source/Routing/entry_attempts.cc
@@ -12,8 +12,10 @@
 constexpr milliseconds kShortestOverdue{250};
 constexpr milliseconds kFirstRecallPause{100};
 constexpr milliseconds kLongestRecallPause{1000};
-// An agent that announces itself but leaves this many recalls of an attempt
-// unanswered does not get what is sent to it.
+// With this many recalls sent and none answered before the last, a repeatable
+// request is tried elsewhere, and an agent that announces itself all the same
+// is taken not to get what is sent to it.
+constexpr int kRecallsForElsewhere = 2;
 constexpr int kRecallsForLostPath = 3;
 // After its deadline, how long an attempt's answer is waited for so that it
 // can be told from an unknown one and its place at the agent is known free.
@@ -202,13 +204,14 @@
       std::min(kLongestRecallPause, 2 * attempt.recall_pause);
   SendRecall(attempt_id, attempt);
   ++attempt.unanswered_recalls;
-  if (attempt.unanswered_recalls < kRecallsForLostPath) {
-    return;
-  }
-  if (Endpoint* endpoint = EndpointOf(attempt)) {
+  Endpoint* endpoint = EndpointOf(attempt);
+  if (attempt.unanswered_recalls >= kRecallsForLostPath &&
+      endpoint != nullptr) {
     table_.OnPathLost(now, *endpoint);
   }
-  TryElsewhere(now, attempt, schema::ATTEMPT_TIMEOUT);
+  if (attempt.unanswered_recalls >= kRecallsForElsewhere) {
+    TryElsewhere(now, attempt, schema::ATTEMPT_TIMEOUT);
+  }
 }
 
 auto EntryRouter::Impl::EndAttempt(TimePoint now,
