--- a/Source/Placement/cell_state.h
+++ b/Source/Placement/cell_state.h
@@ -27,6 +27,9 @@
   uint32_t unsaved_s = 0;
   uint32_t evictions = 0;
   bool stopping = false;
+  // The caller has said that it holds the place. Before that it is only
+  // decided, and not a victim: a round would displace what it has just placed.
+  bool confirmed = false;
 };
 
 // Room kept free on a worker for one waiting task, while tasks that were
--- a/Source/Placement/placer.cc
+++ b/Source/Placement/placer.cc
@@ -68,6 +68,7 @@
     record.unsaved_s = UnsavedSeconds(task.unsaved_progress);
     record.evictions = task.evictions;
     record.stopping = task.stopping;
+    record.confirmed = true;
     const PlacedRecord* known = cell_.FindPlaced(key);
     if (known != nullptr) {
       KeepWhatIsKnown(*known, record);
--- a/Source/Placement/placer.h
+++ b/Source/Placement/placer.h
@@ -120,8 +120,9 @@
 
   // Decides at most `limit` placements. A decided placement is taken as held
   // at once (the caller confirms by AddPlaced or undoes by RemovePlaced, then
-  // AddPending). A task to be evicted counts as stopping from then on, and is
-  // not named again; the caller sees its stop through.
+  // AddPending); only a confirmed one may be evicted for another. A task to be
+  // evicted counts as stopping from then on, and is not named again; the caller
+  // sees its stop through.
   auto Decide(TimePoint now, std::size_t limit) -> PlacerRound;
   auto Explain(TimePoint now, const schema::TaskId& task) const -> Explanation;
 
--- a/Source/Placement/preemption.cc
+++ b/Source/Placement/preemption.cc
@@ -82,7 +82,8 @@
   for (const TaskKey task : slot.tasks) {
     const PlacedRecord* placed = cell.FindPlaced(task);
     const JobGroup& job = cell.jobs().job(task.job);
-    if (placed->stopping || !MayPreempt(cell, preemptor, job, slot.partner)) {
+    if (placed->stopping || !placed->confirmed ||
+        !MayPreempt(cell, preemptor, job, slot.partner)) {
       continue;
     }
     const double cost = EvictionCost(cell, task, *placed);
@@ -261,7 +262,7 @@
   double best_cost = std::numeric_limits<double>::infinity();
   for (const TaskKey task : slot.tasks) {
     const PlacedRecord* placed = cell.FindPlaced(task);
-    if (placed->stopping) {
+    if (placed->stopping || !placed->confirmed) {
       return std::nullopt;
     }
     // One that frees too little would be followed by another.
--- a/Source/Placement/worker_table.cc
+++ b/Source/Placement/worker_table.cc
@@ -14,8 +14,7 @@
   }
   slot.rack = names_->Intern(state.rack);
   slot.failure_domain = names_->Intern(state.failure_domain);
-  slot.usable = Larger(
-      FromMessage(state.capacity) - FromMessage(state.reserved), Amounts{});
+  slot.usable = FromMessage(state.capacity) - FromMessage(state.reserved);
   slot.known = true;
   slot.accepting = state.accepting;
   rows_[id].access = AccessNumber(slot.partners);
--- a/Source/Placement/worker_table.h
+++ b/Source/Placement/worker_table.h
@@ -24,7 +24,8 @@
   std::vector<uint32_t> partners;
   uint32_t rack = kNoName;
   uint32_t failure_domain = kNoName;
-  // Capacity minus what is reserved; never negative.
+  // Capacity minus what is reserved; negative where more is reserved than
+  // there is, so that not even a task without need goes there.
   Amounts usable;
   // Sum of what the placed tasks hold.
   Amounts held;
--- a/Tests/Placement/placer_rules_test.cc
+++ b/Tests/Placement/placer_rules_test.cc
@@ -43,6 +43,7 @@
     *rules.add_preemption() = rule;
   }
   placer.SetRules("coop", rules);
+  placer.SetRules("cantabria", rules);
   schema::Team team;
   team.set_name("ageing");
   *team.mutable_quota() = row.quota;
@@ -235,8 +236,8 @@
       {.name = "NotTheSameTaskOverAndOver",
        .workers = {Worker("a")},
        .waiting = {urgent},
-       .placed = {Placed(best, "a", 500), Placed(best1, "a", 20, 3),
-                  Placed(best2, "a", 300)},
+       .placed = {Placed(best, "a", 9000), Placed(best1, "a", 20, 3),
+                  Placed(best2, "a", 8000)},
        .rules = over_best,
        .evictions = {"best#2"}},
       {.name = "FewestVictims",
