--- a/Source/Journal/config_fold.cc
+++ b/Source/Journal/config_fold.cc
@@ -131,11 +131,11 @@
   if (version == item.expected_version()) {
     return absl::OkStatus();
   }
-  return absl::AbortedError(absl::StrCat(
-      KeyText(item.key()), ": the change expects version ",
-      item.expected_version(), ", the current version is ", version,
-      version == 0 ? " (there is no such object)" : "",
-      "; look at the object as it is now and apply again"));
+  return absl::AbortedError(
+      absl::StrCat(KeyText(item.key()), ": the change expects version ",
+                   item.expected_version(), ", the current version is ",
+                   version, version == 0 ? " (there is no such object)" : "",
+                   "; look at the object as it is now and apply again"));
 }
 
 auto ConfigFold::CheckReferences(
--- a/Source/Journal/snapshot.cc
+++ b/Source/Journal/snapshot.cc
@@ -102,8 +102,10 @@
 }
 
 auto GapReader::Release(Step* step) -> void {
-  if (gap_ && snapshot_.has_value() && snapshot_->covers > applied_ &&
-      snapshot_->covers + 1 >= first_held()) {
+  // The gate: in a gap, what was applied ends before the first record held, so
+  // a snapshot that reaches that record covers more than was applied. One
+  // that covers less would take the state back, or leave records out.
+  if (gap_ && snapshot_.has_value() && snapshot_->covers + 1 >= first_held()) {
     applied_ = snapshot_->covers;
     step->adopt = std::move(snapshot_);
   }
--- a/Source/Journal/snapshot_policy.cc
+++ b/Source/Journal/snapshot_policy.cc
@@ -49,16 +49,13 @@
   }
   const auto id = std::make_pair(chunk.covers(), chunk.state_hash());
   auto& partial = partials_[id];
-  if (partial.chunks.empty()) {
-    partial.first_offset = offset;
-  }
   partial.chunks.insert(chunk.index());
   partial.latest = now;
   if (partial.chunks.size() < chunk.count()) {
     return;
   }
   covered_ = chunk.covers();
-  snapshot_offset_ = partial.first_offset;
+  whole_at_ = now;
   written_at_.reset();
   needed_by_count_at_ = TimePoint::max();
   std::erase_if(partials_,
@@ -77,9 +74,11 @@
   if (uncovered_.size() >= options_.max_records) {
     return true;
   }
-  // In the older half, or gone already.
-  return snapshot_offset_ <= first_kept_ ||
-         (snapshot_offset_ - first_kept_) * 2 < kept;
+  // The snapshot is of use while every record after what it covers is kept.
+  // Records between that point and its chunks (another process's chunks, for
+  // instance) may expire first, so the point counts, not the chunks' place.
+  const uint64_t usable_from = covered_ + 1;
+  return usable_from <= first_kept_ || (usable_from - first_kept_) * 2 < kept;
 }
 
 auto SnapshotPolicy::Update(TimePoint now) -> void {
@@ -91,11 +90,14 @@
 }
 
 auto SnapshotPolicy::needed_at() const -> TimePoint {
-  if (uncovered_.empty()) {
-    return needed_by_count_at_;
+  TimePoint needed = needed_by_count_at_;
+  if (!uncovered_.empty()) {
+    needed = std::min(needed, uncovered_.front().second + options_.max_age);
+  }
+  if (whole_at_.has_value()) {
+    needed = std::min(needed, *whole_at_ + options_.refresh_after);
   }
-  return std::min(needed_by_count_at_,
-                  uncovered_.front().second + options_.max_age);
+  return needed;
 }
 
 auto SnapshotPolicy::turn() const -> std::chrono::milliseconds {
--- a/Source/Journal/snapshot_policy.h
+++ b/Source/Journal/snapshot_policy.h
@@ -24,6 +24,10 @@
   // Oldest that a record grows before a snapshot covers it. Must be well
   // below the time for which the log keeps a record.
   std::chrono::milliseconds max_age{60000};
+  // A snapshot is written again after this time even if nothing was appended:
+  // a log that drops records by age would drop the snapshot itself. Must be at
+  // most a third of the time for which the log keeps a record.
+  std::chrono::milliseconds refresh_after{200000};
   // A process waits up to this long after a snapshot has become due, each for
   // its own time, so that usually one writes and the others see it.
   std::chrono::milliseconds spread{4000};
@@ -33,8 +37,9 @@
 };
 
 // Says when a process should write a snapshot of one stream: so early that
-// the latest whole snapshot always lies in the newer half of what the log
-// keeps, whether the log drops records by number or by age. Pure.
+// the latest whole snapshot covers the older half of what the log keeps,
+// whether the log drops records by number or by age. Pure. Only a process that
+// has read the stream to its end, without a gap, may write one.
 class SnapshotPolicy {
  public:
   explicit SnapshotPolicy(SnapshotPolicyOptions options);
@@ -54,7 +59,6 @@
 
  private:
   struct Partial {
-    uint64_t first_offset = 0;
     std::set<uint32_t> chunks;
     TimePoint latest;
   };
@@ -74,12 +78,12 @@
   uint64_t first_kept_ = 1;
   uint64_t next_ = 1;
   uint64_t covered_ = 0;
-  // Where the latest whole snapshot's first chunk lies; zero for none.
-  uint64_t snapshot_offset_ = 0;
   // Records with anything but snapshot chunks that no snapshot covers.
   std::deque<std::pair<uint64_t, TimePoint>> uncovered_;
   TimePoint needed_by_count_at_ = TimePoint::max();
   std::optional<TimePoint> written_at_;
+  // When the latest whole snapshot was read.
+  std::optional<TimePoint> whole_at_;
   // By (covers, state hash).
   std::map<std::pair<uint64_t, uint64_t>, Partial> partials_;
 };
