--- a/Source/Daemon/cell_duty.cc
+++ b/Source/Daemon/cell_duty.cc
@@ -7,12 +7,7 @@
 namespace {
 
 auto OptionsOfStream(const CellDutyOptions& options) -> StreamDutyOptions {
-  StreamDutyOptions stream;
-  stream.log_url = options.log_url;
-  stream.stream = CellStream(options.owner.cell);
-  stream.writer = options.owner.entry_id;
-  stream.incarnation = options.owner.entry_incarnation;
-  stream.append_interval = options.append_interval;
+  StreamDutyOptions stream = options.stream;
   // An owner counts as silent only over reads that follow each other closely
   // (half of the claim timeout); a read that waited longer would look like a
   // gap each time, and nobody would ever claim the cell.
--- a/Source/Daemon/cell_duty.h
+++ b/Source/Daemon/cell_duty.h
@@ -13,8 +13,7 @@
 
 struct CellDutyOptions {
   OwnerOptions owner;
-  std::string log_url;
-  std::chrono::milliseconds append_interval{100};
+  StreamDutyOptions stream;
 };
 
 struct CellHooks {
--- a/Source/Daemon/control_duty.cc
+++ b/Source/Daemon/control_duty.cc
@@ -10,18 +10,6 @@
 constexpr std::chrono::milliseconds kTick{100};
 constexpr std::chrono::milliseconds kStopLimit{2000};
 
-auto ConfigStreamOptions(const schema::DaemonSettings& settings,
-                         uint64_t incarnation) -> StreamDutyOptions {
-  StreamDutyOptions options;
-  options.log_url = settings.log_url();
-  options.stream = kConfigStream;
-  options.writer = settings.id();
-  options.incarnation = incarnation;
-  options.append_interval =
-      std::chrono::milliseconds(settings.entry().append_interval_ms());
-  return options;
-}
-
 }  // namespace
 
 ControlDuty::ControlDuty(const schema::DaemonSettings& settings,
@@ -34,7 +22,7 @@
       metrics_(metrics),
       thread_({.on_tick = [this](TimePoint now) -> void { OnTick(now); },
                .next_wake = [this]() -> TimePoint { return next_wake_; }}),
-      config_stream_(ConfigStreamOptions(settings, incarnation),
+      config_stream_(StreamOptionsOf(settings, incarnation, kConfigStream),
                      ConfigHooks(),
                      metrics) {
   MakeCells(settings);
@@ -44,9 +32,7 @@
   const auto& entry = settings.entry();
   for (const auto& cell : entry.cells()) {
     CellDutyOptions options;
-    options.log_url = settings.log_url();
-    options.append_interval =
-        std::chrono::milliseconds(entry.append_interval_ms());
+    options.stream = StreamOptionsOf(settings, incarnation_, CellStream(cell));
     options.owner.cell = cell;
     options.owner.entry_id = settings.id();
     options.owner.entry_incarnation = incarnation_;
--- a/Source/Daemon/entry_daemon.cc
+++ b/Source/Daemon/entry_daemon.cc
@@ -32,13 +32,7 @@
 
 auto OptionsOfOnce(const schema::DaemonSettings& settings, uint64_t incarnation)
     -> StreamDutyOptions {
-  StreamDutyOptions options;
-  options.log_url = settings.log_url();
-  options.stream = kOnceStream;
-  options.writer = settings.id();
-  options.incarnation = incarnation;
-  options.append_interval =
-      std::chrono::milliseconds(settings.entry().append_interval_ms());
+  auto options = StreamOptionsOf(settings, incarnation, kOnceStream);
   options.give_back_after = kOnceGiveBack;
   return options;
 }
--- a/Source/Daemon/stream_duty.cc
+++ b/Source/Daemon/stream_duty.cc
@@ -8,15 +8,38 @@
 // Small enough for one record, with room for its framing.
 constexpr std::size_t kSnapshotChunkBytes = 256 << 10;
 
+auto PolicyOf(const StreamDutyOptions& options) -> SnapshotPolicyOptions {
+  SnapshotPolicyOptions policy = options.snapshot;
+  policy.writer = options.writer;
+  return policy;
+}
+
 }  // namespace
 
+auto StreamOptionsOf(const schema::DaemonSettings& settings,
+                     uint64_t incarnation,
+                     const std::string& stream) -> StreamDutyOptions {
+  const auto& entry = settings.entry();
+  StreamDutyOptions options;
+  options.log_url = settings.log_url();
+  options.stream = stream;
+  options.writer = settings.id();
+  options.incarnation = incarnation;
+  options.append_interval =
+      std::chrono::milliseconds(entry.append_interval_ms());
+  options.snapshot.min_records = entry.snapshot_after_records();
+  options.snapshot.spread =
+      std::chrono::milliseconds(entry.snapshot_spread_ms());
+  return options;
+}
+
 StreamDuty::StreamDuty(StreamDutyOptions options,
                        StreamHooks hooks,
                        Metrics* metrics)
     : options_(std::move(options)),
       hooks_(std::move(hooks)),
       metrics_(metrics),
-      policy_({.writer = options_.writer}),
+      policy_(PolicyOf(options_)),
       writer_(WriterHooks()),
       follower_(FollowerHooks()) {}
 
--- a/Source/Daemon/stream_duty.h
+++ b/Source/Daemon/stream_duty.h
@@ -14,12 +14,19 @@
   std::string writer;
   uint64_t incarnation = 0;
   std::chrono::milliseconds append_interval{100};
+  // When snapshots are written; the writer is filled in.
+  SnapshotPolicyOptions snapshot = {};
   // How long one read waits for a record.
   std::chrono::milliseconds read_wait{1000};
   // See WriterOptions::give_back_after.
   std::chrono::milliseconds give_back_after{0};
 };
 
+// The options that an entry's settings give for any of its streams.
+auto StreamOptionsOf(const schema::DaemonSettings& settings,
+                     uint64_t incarnation,
+                     const std::string& stream) -> StreamDutyOptions;
+
 // The state's side of a stream. All but `post` run on the thread to which the
 // state belongs.
 struct StreamHooks {
--- a/Tests/Support/deployment.cc
+++ b/Tests/Support/deployment.cc
@@ -236,7 +236,8 @@
 }
 
 auto Deployment::Apply(const std::vector<std::string>& jobs,
-                       const std::vector<std::string>& flags) -> int {
+                       const std::vector<std::string>& flags,
+                       std::string* output) -> int {
   std::vector<std::string> instances;
   for (int i = 0; i < options_.agents; ++i) {
     instances.push_back(
@@ -254,7 +255,7 @@
       << absl::StrJoin(jobs, ",") << "]}";
   std::vector<std::string> arguments = {"apply", path};
   arguments.insert(arguments.end(), flags.begin(), flags.end());
-  return Client(arguments);
+  return Client(arguments, output);
 }
 
 auto Deployment::Client(std::vector<std::string> arguments, std::string* output)
--- a/Tests/Support/deployment.h
+++ b/Tests/Support/deployment.h
@@ -43,7 +43,8 @@
   // A register of partner "rufisque" with one service and every instance, and
   // these jobs (JSON objects).
   auto Apply(const std::vector<std::string>& jobs,
-             const std::vector<std::string>& flags = {}) -> int;
+             const std::vector<std::string>& flags = {},
+             std::string* output = nullptr) -> int;
   // Runs the operators' client; its output is appended to `output`.
   auto Client(std::vector<std::string> arguments, std::string* output = nullptr)
       -> int;
