Placement: Expect of a job's tasks the memory that others of it used

Cause: most evictions were growth beyond declared memory, repeated for each task of the same wrongly declared job.

Change: the most memory seen of any task of a job, in any version, is held for its waiting tasks, unless no instance is that large.

--- a/Source/Placement/cell_state.cc
+++ b/Source/Placement/cell_state.cc
@@ -49,6 +49,7 @@
     return;
   }
   PlacedRecord& placed = entry->second;
+  jobs_.SawMemory(task.job, seen.memory_mb);
   const Amounts by = Larger(placed.held, seen) - placed.held;
   placed.held += by;
   workers_.RaiseHeld(placed.worker, by);
--- a/Source/Placement/job_table.cc
+++ b/Source/Placement/job_table.cc
@@ -8,6 +8,8 @@
 
 // A job's order is compacted when this many dead entries lead it.
 constexpr std::size_t kCompactAfter = 64;
+// Jobs whose memory is remembered beyond their last version, at most.
+constexpr std::size_t kJobsRemembered = 65536;
 
 auto FullName(const std::string& partner, const std::string& job)
     -> std::string {
@@ -162,6 +164,30 @@
   return group.first_since;
 }
 
+auto JobTable::SawMemory(JobId id, int64_t memory_mb) -> void {
+  JobGroup& group = jobs_[id];
+  if (memory_mb <= group.seen_memory_mb) {
+    return;
+  }
+  group.seen_memory_mb = memory_mb;
+  if (seen_memory_mb_.size() >= kJobsRemembered) {
+    seen_memory_mb_.clear();
+  }
+  int64_t& seen = seen_memory_mb_[FullName(group.partner_name, group.name)];
+  seen = std::max(seen, memory_mb);
+}
+
+auto JobTable::Expected(JobId id,
+                        const Amounts& need,
+                        const Amounts& most) const -> Amounts {
+  const int64_t seen = jobs_[id].seen_memory_mb;
+  Amounts expected = need;
+  if (seen <= most.memory_mb) {
+    expected.memory_mb = std::max(need.memory_mb, seen);
+  }
+  return expected;
+}
+
 auto JobTable::CountPlaced(JobId id, uint32_t rack, uint32_t domain) -> void {
   JobGroup& group = jobs_[id];
   ++group.placed;
@@ -197,8 +223,11 @@
   }
   const JobId id = unused_.back();
   unused_.pop_back();
-  by_name_[FullName(task.partner(), task.job())].push_back(id);
+  const std::string name = FullName(task.partner(), task.job());
+  by_name_[name].push_back(id);
   JobGroup& group = jobs_[id];
+  const auto seen = seen_memory_mb_.find(name);
+  group.seen_memory_mb = seen == seen_memory_mb_.end() ? 0 : seen->second;
   group.in_use = true;
   group.version = task.job_version();
   group.partner_name = std::move(*task.mutable_partner());
--- a/Source/Placement/job_table.h
+++ b/Source/Placement/job_table.h
@@ -36,6 +36,8 @@
   uint32_t max_per_rack = 0;
   bool costly_to_evict = false;
   bool in_use = false;
+  // Most memory that one task of any version of the job was seen to use.
+  int64_t seen_memory_mb = 0;
 
   absl::flat_hash_map<uint32_t, WaitingTask> waiting;
   // Indices in order of arrival; those no longer in `waiting` are skipped.
@@ -81,6 +83,13 @@
   // Since when the job's first waiting task waits; none if none does.
   auto FirstSince(JobId id) -> std::optional<TimePoint>;
 
+  // Memory seen of one task, which the others are likely to need as well.
+  auto SawMemory(JobId id, int64_t memory_mb) -> void;
+  // What is held for a waiting task of the job: its own need, but as much
+  // memory as others of the job were seen to use, if that is at most `most`.
+  auto Expected(JobId id, const Amounts& need, const Amounts& most) const
+      -> Amounts;
+
   auto CountPlaced(JobId id, uint32_t rack, uint32_t domain) -> void;
   auto UncountPlaced(JobId id, uint32_t rack, uint32_t domain) -> void;
   // Forgets the job if it has no task left.
@@ -93,6 +102,8 @@
   std::vector<JobId> unused_;
   // Versions by "partner/job".
   absl::flat_hash_map<std::string, std::vector<JobId>> by_name_;
+  // Memory seen by "partner/job", beyond the life of a version.
+  absl::flat_hash_map<std::string, int64_t> seen_memory_mb_;
   std::size_t waiting_ = 0;
 };
 
--- a/Source/Placement/placement_round.cc
+++ b/Source/Placement/placement_round.cc
@@ -79,7 +79,9 @@
 
 auto PlacementRound::TryTask(TaskKey task) -> Attempt {
   const JobGroup& job = cell_->jobs().job(task.job);
-  const WaitingTask waiting = job.waiting.find(task.index)->second;
+  WaitingTask waiting = job.waiting.find(task.index)->second;
+  waiting.need = cell_->jobs().Expected(task.job, waiting.need,
+                                        cell_->workers().largest());
   if (!Fits(waiting.need, cell_->quotas().Room(job.team))) {
     cell_->DropClaim(task);
     return Attempt::kNoPlace;
@@ -146,7 +148,12 @@
 
 auto PlacementRound::KnownToBeStuck(JobId id) const -> bool {
   const JobGroup& job = cell_->jobs().job(id);
-  if (!job.common_need.has_value() || !KnownToFail(job, *job.common_need)) {
+  if (!job.common_need.has_value()) {
+    return false;
+  }
+  const Amounts need =
+      cell_->jobs().Expected(id, *job.common_need, cell_->workers().largest());
+  if (!KnownToFail(job, need)) {
     return false;
   }
   return std::ranges::none_of(
