Placement: Evict for memory only when what is used exceeds the instance

Cause: half of the evictions were of tasks whose declared memory was never used: a neighbour grew, the sum held went over, and one was evicted although the instance had room.

Ruled out: counting less than declared for placing; nothing is placed beyond the larger of declared and seen, as before.

Change: the victim of an overcommitted worker is chosen only while the memory that its tasks were seen to use (what they hold, where nothing was seen) is more than the instance has.

What is left of the evictions are kills before the first report came, and moves.

--- a/Source/Placement/cell_state.cc
+++ b/Source/Placement/cell_state.cc
@@ -50,6 +50,7 @@
   }
   PlacedRecord& placed = entry->second;
   jobs_.SawMemory(task.job, seen.memory_mb);
+  placed.used_memory_mb = std::max(placed.used_memory_mb, seen.memory_mb);
   const Amounts by = Larger(placed.held, seen) - placed.held;
   placed.held += by;
   workers_.RaiseHeld(placed.worker, by);
--- a/Source/Placement/cell_state.h
+++ b/Source/Placement/cell_state.h
@@ -24,6 +24,8 @@
   uint32_t rack = kNoName;
   uint32_t failure_domain = kNoName;
   uint32_t team = kNoName;
+  // Most memory that it was seen to use; what it holds until then.
+  int64_t used_memory_mb = 0;
   uint32_t unsaved_s = 0;
   uint32_t evictions = 0;
   bool stopping = false;
--- a/Source/Placement/preemption.cc
+++ b/Source/Placement/preemption.cc
@@ -139,6 +139,12 @@
          cell.workers().Takes(worker, job.partner);
 }
 
+// Memory that the task was seen to use; what it holds while nothing was seen.
+auto UsedMemory(const PlacedRecord& placed) -> int64_t {
+  return placed.used_memory_mb == 0 ? placed.held.memory_mb
+                                    : placed.used_memory_mb;
+}
+
 // Sum of the shares of the amounts in the largest there are.
 auto ShareOf(const Amounts& amounts, const Amounts& largest) -> double {
   const auto share = [](int64_t part, int64_t whole) -> double {
@@ -254,17 +260,24 @@
 auto ChooseOvercommitVictim(const CellState& cell, WorkerId worker)
     -> std::optional<TaskKey> {
   const WorkerSlot& slot = cell.workers().slot(worker);
-  const int64_t over = slot.held.memory_mb - slot.usable.memory_mb;
-  std::optional<TaskKey> best;
-  double best_cost = std::numeric_limits<double>::infinity();
+  int64_t over = -slot.usable.memory_mb;
   for (const TaskKey task : slot.tasks) {
     const PlacedRecord* placed = cell.FindPlaced(task);
     if (placed->stopping || !placed->confirmed) {
       return std::nullopt;
     }
+    over += UsedMemory(*placed);
+  }
+  if (over <= 0) {
+    return std::nullopt;
+  }
+  std::optional<TaskKey> best;
+  double best_cost = std::numeric_limits<double>::infinity();
+  for (const TaskKey task : slot.tasks) {
+    const PlacedRecord* placed = cell.FindPlaced(task);
     // One that frees too little would be followed by another.
     const double shortfall =
-        std::max<double>(0, static_cast<double>(over - placed->held.memory_mb));
+        std::max<double>(0, static_cast<double>(over - UsedMemory(*placed)));
     const double cost =
         std::min(EvictionCost(cell, task, *placed), 2 * kCostlyJob) +
         shortfall * 4 * kCostlyJob;
--- a/Source/Placement/preemption.h
+++ b/Source/Placement/preemption.h
@@ -49,8 +49,10 @@
                        const JobGroup& job,
                        const Amounts& need) -> std::optional<WorkerId>;
 
-// The task whose eviction brings an overcommitted worker's memory back under
-// its capacity at the least cost; none if one is already stopping there.
+// The task whose eviction brings the memory that is used on an overcommitted
+// worker back under its capacity at the least cost. None while that memory
+// fits: nothing more is placed there, and what is declared but not used kills
+// nobody. None if a task is stopping there already.
 auto ChooseOvercommitVictim(const CellState& cell, WorkerId worker)
     -> std::optional<TaskKey>;
 
