--- a/Source/Placement/worker_table.h
+++ b/Source/Placement/worker_table.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,7 +25,8 @@
   std::vector<uint32_t> partners;
   uint32_t rack = kNoName;
   uint32_t failure_domain = kNoName;
-  // Capacity minus what is reserved; never negative.
+  // Capacity minus what is reserved; negative where more is reserved than
+  // there is, so that not even a task without need goes there.
   Amounts usable;
   // Sum of what the placed tasks hold.
   Amounts held;
@@ -73,12 +75,17 @@
   auto Takes(WorkerId id, uint32_t partner) const -> bool;
   // For each access number of a row, whether the partner's tasks may run.
   auto Access(uint32_t partner) const -> std::vector<char>;
+  // Workers in the register whose tasks hold more memory than is usable.
+  auto overcommitted() const -> const std::set<WorkerId>& {
+    return overcommitted_;
+  }
   // The largest usable amounts of any known worker, dimension by dimension.
   auto largest() const -> const Amounts& { return largest_; }
 
  private:
   auto AccessNumber(const std::vector<uint32_t>& partners) -> uint32_t;
   auto Refresh(WorkerId id) -> void;
+  auto RefreshOvercommitted(WorkerId id) -> void;
   auto RefreshLargest() -> void;
 
   NameTable* names_;
@@ -87,6 +94,7 @@
   absl::flat_hash_map<std::string, WorkerId> ids_;
   // Distinct sets of partners that workers take.
   std::vector<std::vector<uint32_t>> accesses_;
+  std::set<WorkerId> overcommitted_;
   Amounts largest_;
 };
 
