Tasks: A process that released a cell claims it no more

Cause: the new test of a planned stop failed: the stopping process read its own release, found the cell free and claimed it again. Change: after Release a process makes no claim.

--- a/Source/Tasks/owner_claim.cc
+++ b/Source/Tasks/owner_claim.cc
@@ -38,7 +38,6 @@
   const uint64_t mine = IsMine() ? fold_->fence() : 0;
   if (mine != fence_) {
     fence_ = mine;
-    releasing_ = false;
     if (mine != 0) {
       TakeOver(now);
     }
@@ -77,11 +76,12 @@
 }
 
 auto CellClaim::Step(TimePoint now) -> std::optional<schema::LogEntry> {
-  if (now < next_issue()) {
+  // A process that gave the cell free is about to stop: it claims no more.
+  if (releasing_ || now < next_issue()) {
     return std::nullopt;
   }
   if (fence_ != 0) {
-    if (releasing_ || now < next_renewal_) {
+    if (now < next_renewal_) {
       return std::nullopt;
     }
     next_renewal_ = now + renewal();
@@ -117,10 +117,11 @@
 }
 
 auto CellClaim::Release() -> std::optional<schema::LogEntry> {
-  if (!owns()) {
+  const bool held = owns();
+  releasing_ = true;
+  if (!held) {
     return std::nullopt;
   }
-  releasing_ = true;
   schema::LogEntry entry = NewClaim();
   entry.mutable_claim()->set_replaces(fence_);
   entry.mutable_claim()->set_release(true);
--- a/Tests/Tasks/task_world.cc
+++ b/Tests/Tasks/task_world.cc
@@ -513,6 +513,16 @@
   }
 }
 
+auto TaskWorld::ReleaseCell(int entry) -> void {
+  Entry& from = entries_[entry];
+  Carry(entry, from.owner->Release(Local(from.process)));
+}
+
+auto TaskWorld::LeaveAgent(int instance) -> void {
+  Agent& agent = agents_[instance];
+  Carry(instance, agent.keeper->Leave(Local(agent.process)));
+}
+
 auto TaskWorld::owner() const -> int {
   for (int i = 0; i < options_.entries; ++i) {
     if (reference_.fence() != 0 && reference_.owner() == EntryName(i)) {
--- a/Tests/Tasks/task_world.h
+++ b/Tests/Tasks/task_world.h
@@ -81,6 +81,9 @@
   auto CutFor(Target target, int index, milliseconds time) -> void;
   auto CutLink(int entry, int instance, bool cut) -> void;
   auto Evict(const schema::TaskId& task) -> void;
+  // Planned stops.
+  auto ReleaseCell(int entry) -> void;
+  auto LeaveAgent(int instance) -> void;
 
   // The entry that owns the cell by the log, or -1.
   auto owner() const -> int;
