Daemon: Say 'not the owner' to operators by status 404

Cause: rhubarbhaven explain asked the first entry and took its 'not known here' for the answer; it depended on which entry owned the cell. An owner without tasks answered 404 to tasks.

Ruled out: asking the owner from the other entry (one more hop to fail).

Change: explain, evict and tasks answer 404 exactly when this entry does not own the cell, so that the client asks the next.

Conclusion: status codes carry it, no text is compared.

--- a/Source/Daemon/control_duty.cc
+++ b/Source/Daemon/control_duty.cc
@@ -10,6 +10,19 @@
 constexpr std::chrono::milliseconds kTick{100};
 constexpr std::chrono::milliseconds kStopLimit{2000};
 
+auto StatusOf(const TaskView& view) -> schema::TaskStatus {
+  schema::TaskStatus task;
+  task.set_partner(view.task.partner());
+  task.set_job(view.task.job());
+  task.set_index(view.task.index());
+  task.set_attempt(view.attempt);
+  task.set_state(view.state);
+  task.set_instance(view.instance);
+  task.set_why(view.why);
+  task.set_evictions(view.evictions);
+  return task;
+}
+
 }  // namespace
 
 ControlDuty::ControlDuty(const schema::DaemonSettings& settings,
@@ -292,29 +305,26 @@
   }
 }
 
-auto ControlDuty::Tasks(std::function<auto(schema::OperatorTasks)->void> answer)
+auto ControlDuty::Tasks(
+    std::function<auto(bool owned, schema::OperatorTasks)->void> answer)
     -> void {
   thread_.PostOrWait([this, answer = std::move(answer)](TimePoint now) -> void {
+    bool owned = false;
     schema::OperatorTasks tasks;
     for (const auto& [name, cell] : cells_) {
       if (!cell->owner().owns()) {
         tasks.set_owner(cell->owner().fold().owner());
         continue;
       }
-      tasks.set_owner(settings_.id());
+      owned = true;
       for (const auto& view : cell->owner().Tasks(now)) {
-        auto* task = tasks.add_tasks();
-        task->set_partner(view.task.partner());
-        task->set_job(view.task.job());
-        task->set_index(view.task.index());
-        task->set_attempt(view.attempt);
-        task->set_state(view.state);
-        task->set_instance(view.instance);
-        task->set_why(view.why);
-        task->set_evictions(view.evictions);
+        *tasks.add_tasks() = StatusOf(view);
       }
     }
-    answer(std::move(tasks));
+    if (owned) {
+      tasks.set_owner(settings_.id());
+    }
+    answer(owned, std::move(tasks));
   });
 }
 
@@ -358,35 +368,37 @@
 
 auto ControlDuty::Explain(
     schema::TaskId task,
-    std::function<auto(schema::OperatorExplanation)->void> answer) -> void {
+    std::function<auto(std::optional<schema::OperatorExplanation>)->void>
+        answer) -> void {
   WithTask(
       std::move(task),
       [answer = std::move(answer)](TimePoint now, const schema::TaskId& found,
                                    CellDuty* cell) -> void {
+        if (cell == nullptr) {
+          answer(std::nullopt);
+          return;
+        }
         schema::OperatorExplanation explanation;
-        explanation.set_text(
-            cell != nullptr
-                ? cell->owner().Explain(now, found)
-                : "Not known to any cell owned here; ask the owner named "
-                  "by `rhubarbhaven tasks`.");
+        explanation.set_text(cell->owner().Explain(now, found));
         answer(std::move(explanation));
       });
 }
 
-auto ControlDuty::Evict(schema::TaskId task,
-                        std::function<auto(schema::OperatorReply)->void> answer)
+auto ControlDuty::Evict(
+    schema::TaskId task,
+    std::function<auto(std::optional<schema::OperatorReply>)->void> answer)
     -> void {
   WithTask(
       std::move(task),
       [answer = std::move(answer)](TimePoint now, const schema::TaskId& found,
                                    CellDuty* cell) -> void {
-        schema::OperatorReply reply;
-        reply.set_ok(cell != nullptr);
-        if (cell != nullptr) {
-          cell->Evict(now, found);
-        } else {
-          reply.set_problem("no cell owned here knows the task");
+        if (cell == nullptr) {
+          answer(std::nullopt);
+          return;
         }
+        cell->Evict(now, found);
+        schema::OperatorReply reply;
+        reply.set_ok(true);
         answer(std::move(reply));
       });
 }
--- a/Source/Daemon/control_duty.h
+++ b/Source/Daemon/control_duty.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,12 +42,20 @@
 
   // Operators' questions; the answer is given on the control thread.
   auto Status(std::function<auto(schema::OperatorStatus)->void> answer) -> void;
-  auto Tasks(std::function<auto(schema::OperatorTasks)->void> answer) -> void;
-  auto Explain(schema::TaskId task,
-               std::function<auto(schema::OperatorExplanation)->void> answer)
+  // `owned` is false if this entry owns none of its cells; the message then
+  // only names an owner.
+  auto Tasks(
+      std::function<auto(bool owned, schema::OperatorTasks)->void> answer)
+      -> void;
+  // Empty if this entry does not own the task's cell.
+  auto Explain(
+      schema::TaskId task,
+      std::function<auto(std::optional<schema::OperatorExplanation>)->void>
+          answer) -> void;
+  auto Evict(
+      schema::TaskId task,
+      std::function<auto(std::optional<schema::OperatorReply>)->void> answer)
       -> void;
-  auto Evict(schema::TaskId task,
-             std::function<auto(schema::OperatorReply)->void> answer) -> void;
 
   // True once a configuration was read from the log or from a peer.
   auto ready() const -> bool { return ready_; }
--- a/Source/Daemon/operator_api.cc
+++ b/Source/Daemon/operator_api.cc
@@ -42,8 +42,10 @@
   return task;
 }
 
-auto BadTask() -> HttpServerAnswer {
-  return {kBadRequest, {}, "partner, job and index are needed.\n"};
+// Without a message the entry does not own the task's cell.
+template <typename Message>
+auto OrNotFound(const std::optional<Message>& message) -> HttpServerAnswer {
+  return message ? Json(*message) : Json(Message(), kNotFound);
 }
 
 }  // namespace
@@ -54,34 +56,37 @@
 auto OperatorApi::Handle(const HttpServerRequest& request,
                          const HttpResponder& respond) -> void {
   const std::string what = request.path.substr(sizeof(kOperatorPath) - 1);
-  const auto task = TaskOf(request);
-  if (what == "status" && request.method == "GET") {
+  const bool reads = request.method == "GET";
+  if (what == "status" && reads) {
     AnswerStatus(respond);
-  } else if (what == "tasks" && request.method == "GET") {
+  } else if (what == "tasks" && reads) {
     AnswerTasks(respond);
-  } else if (what == "explain" && request.method == "GET") {
-    if (!task) {
-      respond(BadTask());
-      return;
-    }
-    control_->Explain(
-        *task, [respond](const schema::OperatorExplanation& text) -> void {
-          respond(Json(text));
-        });
-  } else if (what == "evict" && request.method == "POST") {
-    if (!task) {
-      respond(BadTask());
-      return;
-    }
-    control_->Evict(*task,
-                    [respond](const schema::OperatorReply& reply) -> void {
-                      respond(Json(reply));
-                    });
+  } else if ((what == "explain" && reads) ||
+             (what == "evict" && request.method == "POST")) {
+    HandleTask(what, request, respond);
   } else {
     respond({kNotFound, {}, "No such operator call.\n"});
   }
 }
 
+auto OperatorApi::HandleTask(const std::string& what,
+                             const HttpServerRequest& request,
+                             const HttpResponder& respond) -> void {
+  const auto task = TaskOf(request);
+  if (!task) {
+    respond({kBadRequest, {}, "partner, job and index are needed.\n"});
+    return;
+  }
+  const auto answer = [respond](const auto& message) -> void {
+    respond(OrNotFound(message));
+  };
+  if (what == "explain") {
+    control_->Explain(*task, answer);
+  } else {
+    control_->Evict(*task, answer);
+  }
+}
+
 auto OperatorApi::AnswerStatus(const HttpResponder& respond) -> void {
   control_->Status(
       [this, respond](const schema::OperatorStatus& status) -> void {
@@ -105,10 +110,11 @@
 }
 
 auto OperatorApi::AnswerTasks(const HttpResponder& respond) -> void {
-  control_->Tasks([respond](const schema::OperatorTasks& tasks) -> void {
-    const bool owned = tasks.tasks_size() > 0 || tasks.owner().empty();
-    respond(Json(tasks, owned ? 200 : kNotFound));
-  });
+  control_->Tasks(
+      [respond](bool owned, const schema::OperatorTasks& tasks) -> void {
+        constexpr unsigned kOk = 200;
+        respond(Json(tasks, owned ? kOk : kNotFound));
+      });
 }
 
 }  // namespace rhubarbhaven
--- a/Source/Daemon/operator_api.h
+++ b/Source/Daemon/operator_api.h
@@ -21,6 +21,9 @@
       -> void;
 
  private:
+  auto HandleTask(const std::string& what,
+                  const HttpServerRequest& request,
+                  const HttpResponder& respond) -> void;
   auto AnswerStatus(const HttpResponder& respond) -> void;
   auto AnswerTasks(const HttpResponder& respond) -> void;
 
