Daemon: Count the link's bytes and measure processes

Cause: the page on capacity needs bytes, processor time and memory of real processes; nothing counted the traffic between them.

Ruled out: counting on the network interface (loopback mixes everything).

--- a/Source/Base/base.h
+++ b/Source/Base/base.h
@@ -8,6 +8,7 @@
 #include "Base/json_file.h"
 #include "Base/logging.h"
 #include "Base/metrics.h"
+#include "Base/settings_check.h"
 #include "Base/time.h"
 
 #endif  // RHUBARBHAVEN_BASE_BASE_H_
--- a/Source/Daemon/settings_check.cc
+++ b/Source/Base/settings_check.cc
@@ -1,9 +1,9 @@
-#include "Daemon/settings_check.h"
+#include "Base/settings_check.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
-#include "Base/base.h"
+#include "Base/json_file.h"
 
 namespace rhubarbhaven {
 namespace {
--- a/Source/Daemon/settings_check.h
+++ b/Source/Base/settings_check.h
@@ -1,5 +1,5 @@
-#ifndef RHUBARBHAVEN_DAEMON_SETTINGS_CHECK_H_
-#define RHUBARBHAVEN_DAEMON_SETTINGS_CHECK_H_
+#ifndef RHUBARBHAVEN_BASE_SETTINGS_CHECK_H_
+#define RHUBARBHAVEN_BASE_SETTINGS_CHECK_H_
 
 #include <absl/status/statusor.h>
 
@@ -16,4 +16,4 @@
 
 }  // namespace rhubarbhaven
 
-#endif  // RHUBARBHAVEN_DAEMON_SETTINGS_CHECK_H_
+#endif  // RHUBARBHAVEN_BASE_SETTINGS_CHECK_H_
--- a/Source/Daemon/Main/rhubarbhavend.cc
+++ b/Source/Daemon/Main/rhubarbhavend.cc
@@ -20,6 +20,5 @@
                  "but --check; see --help\n";
     return static_cast<int>(rhubarbhaven::DaemonExit::kSettings);
   }
-  return static_cast<int>(
-      rhubarbhaven::RunDaemon(FLAGS_settings, FLAGS_check));
+  return static_cast<int>(rhubarbhaven::RunDaemon(FLAGS_settings, FLAGS_check));
 }
--- a/Source/Daemon/agent_daemon.cc
+++ b/Source/Daemon/agent_daemon.cc
@@ -3,6 +3,8 @@
 #include <thread>
 #include <utility>
 
+#include "Daemon/metrics_page.h"
+
 namespace rhubarbhaven {
 namespace {
 
@@ -191,9 +193,7 @@
 auto AgentDaemon::HandleHttp(const HttpServerRequest& request,
                              const HttpResponder& respond) -> void {
   if (request.path == "/metrics") {
-    respond({200,
-             {{"Content-Type", "text/plain; version=0.0.4"}},
-             metrics_.Exposition()});
+    respond(AnswerMetrics(metrics_, link_));
   } else if (request.path == "/health/live") {
     respond({200, {}, "alive\n"});
   } else if (request.path == "/health/ready") {
--- a/Source/Daemon/daemon.h
+++ b/Source/Daemon/daemon.h
@@ -4,6 +4,5 @@
 // The daemon as a library; the program is a thin front end.
 
 #include "Daemon/run_daemon.h"
-#include "Daemon/settings_check.h"
 
 #endif  // RHUBARBHAVEN_DAEMON_DAEMON_H_
--- a/Source/Daemon/entry_daemon.cc
+++ b/Source/Daemon/entry_daemon.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "Daemon/caller_api.h"
+#include "Daemon/metrics_page.h"
 
 namespace rhubarbhaven {
 namespace {
@@ -200,9 +201,7 @@
   } else if (absl::StartsWith(request.path, kOperatorPath)) {
     operator_api_.Handle(request, respond);
   } else if (request.path == "/metrics") {
-    respond({200,
-             {{"Content-Type", "text/plain; version=0.0.4"}},
-             metrics_.Exposition()});
+    respond(AnswerMetrics(metrics_, link_));
   } else if (request.path == "/health/live") {
     respond({200, {}, "alive\n"});
   } else if (request.path == "/health/ready") {
--- a/Source/Daemon/run_daemon.cc
+++ b/Source/Daemon/run_daemon.cc
@@ -7,7 +7,6 @@
 #include "Base/base.h"
 #include "Daemon/agent_daemon.h"
 #include "Daemon/entry_daemon.h"
-#include "Daemon/settings_check.h"
 
 namespace rhubarbhaven {
 namespace {
--- a/Source/Transport/link.cc
+++ b/Source/Transport/link.cc
@@ -50,6 +50,9 @@
     return ring_.Push({peer, std::move(message)});
   }
 
+  auto bytes_sent() const -> uint64_t { return bytes_sent_; }
+  auto bytes_received() const -> uint64_t { return bytes_received_; }
+
   auto Stop(std::chrono::milliseconds limit) -> void {
     if (!thread_.joinable()) {
       return;
@@ -158,6 +161,7 @@
   auto SendOne(const Outgoing& outgoing) -> bool {
     std::string bytes;
     outgoing.message.SerializeToString(&bytes);
+    bytes_sent_ += bytes.size();
     const auto found = connected_.find(outgoing.peer);
     try {
       if (found != connected_.end()) {
@@ -224,6 +228,7 @@
   auto Deliver(const std::string& peer,
                const std::string& expected_sender,
                const zmq::message_t& bytes) -> void {
+    bytes_received_ += bytes.size();
     schema::Envelope message;
     if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
         message.body_case() == schema::Envelope::BODY_NOT_SET) {
@@ -252,6 +257,8 @@
   zmq::socket_t listener_;
   std::map<std::string, zmq::socket_t> connected_;
   BoundedRing<Outgoing> ring_;
+  std::atomic<uint64_t> bytes_sent_ = 0;
+  std::atomic<uint64_t> bytes_received_ = 0;
   std::atomic<bool> stop_ = false;
   std::atomic<std::chrono::milliseconds> linger_ = std::chrono::milliseconds(0);
   std::thread thread_;
@@ -266,6 +273,12 @@
 auto Link::Send(const std::string& peer, schema::Envelope message) -> bool {
   return impl_->Send(peer, std::move(message));
 }
+auto Link::bytes_sent() const -> uint64_t {
+  return impl_->bytes_sent();
+}
+auto Link::bytes_received() const -> uint64_t {
+  return impl_->bytes_received();
+}
 auto Link::Stop(std::chrono::milliseconds limit) -> void {
   impl_->Stop(limit);
 }
--- a/Source/Transport/link.h
+++ b/Source/Transport/link.h
@@ -55,6 +55,9 @@
   // From any thread. False if the ring is full: certainly not sent.
   // Version, sender and incarnation are filled in.
   auto Send(const std::string& peer, schema::Envelope message) -> bool;
+  // Bytes of messages since the start, without the protocol's framing.
+  auto bytes_sent() const -> uint64_t;
+  auto bytes_received() const -> uint64_t;
   // Sends what is queued, for at most `limit`, then closes.
   auto Stop(std::chrono::milliseconds limit) -> void;
 
--- a/Tests/StandIns/Endpoint/endpoint_stand_in.cc
+++ b/Tests/StandIns/Endpoint/endpoint_stand_in.cc
@@ -8,8 +8,10 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <condition_variable>
 #include <csignal>
 #include <cstdio>
+#include <deque>
 #include <mutex>
 #include <thread>
 
@@ -31,7 +33,7 @@
 
 class EndpointStandIn {
  public:
-  EndpointStandIn() : queue_(kQueueCapacity) {
+  EndpointStandIn() {
     for (int i = 0; i < FLAGS_slots; ++i) {
       workers_.emplace_back([this]() -> void { RunWorker(); });
     }
@@ -39,7 +41,11 @@
   EndpointStandIn(const EndpointStandIn&) = delete;
   auto operator=(const EndpointStandIn&) -> EndpointStandIn& = delete;
   ~EndpointStandIn() {
-    stop_ = true;
+    {
+      const std::lock_guard lock(mutex_);
+      stop_ = true;
+    }
+    arrived_.notify_all();
     for (auto& worker : workers_) {
       worker.join();
     }
@@ -53,7 +59,7 @@
       respond({200, {}, "ok\n"});
     } else if (fail_) {
       respond({500, {}, "failing\n"});
-    } else if (!queue_.Push({std::move(request), respond})) {
+    } else if (!Enqueue({std::move(request), respond})) {
       respond({503, {}, "full\n"});
     }
   }
@@ -63,7 +69,8 @@
                      const std::string& name,
                      int fallback) -> int {
     const auto found = request.query.find(name);
-    return found == request.query.end() ? fallback : atoi(found->second.c_str());
+    return found == request.query.end() ? fallback
+                                        : atoi(found->second.c_str());
   }
 
   auto SetFaults(const HttpServerRequest& request) -> void {
@@ -71,14 +78,28 @@
     fail_ = Number(request, "fail", fail_ ? 1 : 0) != 0;
   }
 
+  auto Enqueue(Work work) -> bool {
+    const std::lock_guard lock(mutex_);
+    if (queue_.size() >= kQueueCapacity) {
+      return false;
+    }
+    queue_.push_back(std::move(work));
+    arrived_.notify_one();
+    return true;
+  }
+
   auto RunWorker() -> void {
-    while (!stop_) {
-      auto work = queue_.Pop();
-      if (work) {
-        Run(*work);
-      } else {
-        std::this_thread::sleep_for(std::chrono::microseconds(500));
+    while (true) {
+      std::unique_lock lock(mutex_);
+      arrived_.wait(lock,
+                    [this]() -> bool { return stop_ || !queue_.empty(); });
+      if (stop_) {
+        return;
       }
+      const Work work = std::move(queue_.front());
+      queue_.pop_front();
+      lock.unlock();
+      Run(work);
     }
   }
 
@@ -89,8 +110,7 @@
   }
 
   auto Run(const Work& work) -> void {
-    const std::string attempt =
-        Header(work.request, "rhubarbhaven-attempt-id");
+    const std::string attempt = Header(work.request, "rhubarbhaven-attempt-id");
     const std::string key = Header(work.request, "idempotency-key");
     {
       const std::lock_guard lock(output_);
@@ -98,21 +118,23 @@
                   attempt.c_str(), work.request.path.c_str());
       std::fflush(stdout);
     }
-    std::this_thread::sleep_for(std::chrono::milliseconds(
-        Number(work.request, "ms", 0) + slow_ms_));
+    std::this_thread::sleep_for(
+        std::chrono::milliseconds(Number(work.request, "ms", 0) + slow_ms_));
     HttpServerAnswer answer;
     answer.headers["Rhubarbhaven-Attempt-Id"] = attempt;
     answer.headers["Content-Type"] = "text/plain";
-    answer.body = FLAGS_name + " answers " + work.request.path + " id=" +
-                  Header(work.request, "rhubarbhaven-request-id") + " " +
-                  work.request.body + "\n";
+    answer.body = FLAGS_name + " answers " + work.request.path +
+                  " id=" + Header(work.request, "rhubarbhaven-request-id") +
+                  " " + work.request.body + "\n";
     work.respond(std::move(answer));
   }
 
-  BoundedRing<Work> queue_;
+  std::mutex mutex_;
+  std::condition_variable arrived_;
+  std::deque<Work> queue_;
+  bool stop_ = false;
   std::vector<std::thread> workers_;
   std::mutex output_;
-  std::atomic<bool> stop_ = false;
   std::atomic<bool> fail_ = false;
   std::atomic<int> slow_ms_ = 0;
 };
