Routing: Keep goodput level under overload, probe idle endpoints

A wait without the doubling was not kept, since the estimate is rough and callers gain nothing from a longer queue.

Each endpoint that was passed over for a second now gets a request.

--- a/Source/Routing/endpoint_table.cc
+++ b/Source/Routing/endpoint_table.cc
@@ -15,19 +15,23 @@
 // A silent endpoint with nothing outstanding is forgotten after this.
 constexpr std::chrono::seconds kForgetAfter{60};
 // An endpoint slower than this multiple of the median gets one request at a
-// time, and one now and then to see whether it has recovered.
+// time.
 constexpr double kSlowFactor = 3;
 constexpr std::size_t kFewestToCompare = 3;
-constexpr milliseconds kSlowProbeInterval{1000};
+// An endpoint that was passed over this long gets a request. Without it, one
+// that has recovered would keep its old service time, since only its answers
+// bring news; one would notice an idle endpoint beside busy ones.
+constexpr milliseconds kIdleProbeInterval{1000};
+constexpr milliseconds kShortestProbeGap{20};
 constexpr milliseconds kMedianInterval{100};
 // Endpoints whose expected times differ by less than this are equal, and the
 // own failure domain decides.
 constexpr double kEqualShare = 0.1;
 constexpr double kAttemptTimeGain = 0.05;
+// Mean deviations above the mean within which nearly all attempts end.
+constexpr double kDeviations = 4;
 // An endpoint is looked at no more often than this.
 constexpr milliseconds kShortestTimer{10};
-// Random picks before every ready endpoint is looked at.
-constexpr int kPicks = 4;
 
 auto Contains(const std::vector<std::string>& tried, const Endpoint& endpoint)
     -> bool {
@@ -148,6 +152,7 @@
   credit.set_grant_id(endpoint.grant.id());
   credit.set_number(endpoint.next_credit);
   ++endpoint.next_credit;
+  endpoint.last_sent = now;
   ++endpoint.unanswered;
   ++endpoint.sent_since_report;
   Refresh(now, endpoint);
@@ -164,9 +169,13 @@
   endpoint.breaker.OnSuccess();
   const double took_us =
       std::chrono::duration<double, std::micro>(took).count();
-  double& smoothed = endpoint.pool->attempt_us;
-  smoothed = smoothed == 0 ? took_us
-                           : smoothed + kAttemptTimeGain * (took_us - smoothed);
+  EndpointPool& pool = *endpoint.pool;
+  if (pool.attempt_us == 0) {
+    pool.attempt_us = took_us;
+  }
+  const double error = took_us - pool.attempt_us;
+  pool.attempt_us += kAttemptTimeGain * error;
+  pool.deviation_us += kAttemptTimeGain * (std::abs(error) - pool.deviation_us);
   Refresh(now, endpoint);
 }
 
@@ -247,25 +256,26 @@
 auto EndpointTable::Choose(TimePoint now,
                            EndpointPool& pool,
                            const std::vector<std::string>& tried) -> Endpoint* {
-  if (Endpoint* probe = ChooseSlowProbe(now, pool, tried)) {
+  if (Endpoint* probe = ChooseIdleProbe(now, pool, tried)) {
     return probe;
   }
-  Endpoint* best = nullptr;
-  int found = 0;
-  for (int pick = 0; pick < kPicks && found < 2 && !pool.ready.empty();
-       ++pick) {
-    Endpoint* one = pool.ready[random_() % pool.ready.size()];
-    if (one == best || Contains(tried, *one)) {
-      continue;
-    }
-    ++found;
-    if (best == nullptr || IsBetter(*one, *best)) {
-      best = one;
+  const std::size_t count = pool.ready.size();
+  if (count >= 2) {
+    const std::size_t first = random_() % count;
+    const std::size_t second = (first + 1 + random_() % (count - 1)) % count;
+    Endpoint* one = pool.ready[first];
+    Endpoint* other = pool.ready[second];
+    if (!Contains(tried, *one) && !Contains(tried, *other)) {
+      return IsBetter(*other, *one) ? other : one;
     }
   }
-  if (best != nullptr) {
-    return best;
-  }
+  return ChooseBest(pool, tried);
+}
+
+auto EndpointTable::ChooseBest(const EndpointPool& pool,
+                               const std::vector<std::string>& tried) const
+    -> Endpoint* {
+  Endpoint* best = nullptr;
   for (Endpoint* one : pool.ready) {
     const bool better = best == nullptr || IsBetter(*one, *best);
     if (better && !Contains(tried, *one)) {
@@ -275,13 +285,19 @@
   return best;
 }
 
-auto EndpointTable::ExpectedTime(const EndpointPool& pool, std::size_t ahead)
+auto EndpointTable::ExpectedWait(const EndpointPool& pool, std::size_t ahead)
     -> microseconds {
+  if (pool.window_total == 0) {
+    return microseconds(0);
+  }
   const double rounds =
-      pool.window_total == 0
-          ? 0
-          : static_cast<double>(ahead) / static_cast<double>(pool.window_total);
-  return microseconds(static_cast<int64_t>(pool.attempt_us * (1 + rounds)));
+      static_cast<double>(ahead) / static_cast<double>(pool.window_total);
+  return microseconds(static_cast<int64_t>(pool.attempt_us * rounds));
+}
+
+auto EndpointTable::AttemptTime(const EndpointPool& pool) -> microseconds {
+  return microseconds(
+      static_cast<int64_t>(pool.attempt_us + kDeviations * pool.deviation_us));
 }
 
 auto EndpointTable::StateName(const Endpoint& endpoint) -> std::string {
@@ -424,17 +440,22 @@
   return left_us < right_us;
 }
 
-auto EndpointTable::ChooseSlowProbe(TimePoint now,
+auto EndpointTable::ChooseIdleProbe(TimePoint now,
                                     EndpointPool& pool,
                                     const std::vector<std::string>& tried)
     -> Endpoint* {
-  if (now < pool.slow_probe_at) {
+  if (now < pool.idle_probe_at) {
     return nullptr;
   }
-  pool.slow_probe_at = now + kSlowProbeInterval;
-  const auto found = std::find_if(
-      pool.ready.begin(), pool.ready.end(),
-      [&](Endpoint* one) { return IsSlow(*one) && !Contains(tried, *one); });
+  pool.idle_probe_at =
+      now +
+      std::max(kShortestProbeGap,
+               kIdleProbeInterval / static_cast<int64_t>(pool.members.size()));
+  const auto found =
+      std::find_if(pool.ready.begin(), pool.ready.end(), [&](Endpoint* one) {
+        return now - one->last_sent >= kIdleProbeInterval &&
+               !Contains(tried, *one);
+      });
   return found == pool.ready.end() ? nullptr : *found;
 }
 
--- a/Source/Routing/endpoint_table.h
+++ b/Source/Routing/endpoint_table.h
@@ -41,6 +41,7 @@
   // Attempts of this entry that have no answer yet.
   uint32_t unanswered = 0;
   uint32_t sent_since_report = 0;
+  TimePoint last_sent;
   CircuitBreaker breaker;
   EndpointPool* pool = nullptr;
 
@@ -60,12 +61,13 @@
   std::size_t live = 0;
   // Sum of the windows of the live members.
   uint64_t window_total = 0;
-  // Median service time of the members, and smoothed time from sending an
-  // attempt to its answer; zero while unknown.
+  // Median service time of the members; smoothed time from sending an attempt
+  // to its answer, and its smoothed deviation. Zero while unknown.
   double median_service_us = 0;
   double attempt_us = 0;
+  double deviation_us = 0;
   TimePoint median_at;
-  TimePoint slow_probe_at;
+  TimePoint idle_probe_at;
 };
 
 using PoolKey = std::pair<std::string, std::string>;
@@ -106,8 +108,11 @@
               EndpointPool& pool,
               const std::vector<std::string>& tried) -> Endpoint*;
   // How long a request that waits behind `ahead` others of this entry would
-  // take from now to its answer.
-  static auto ExpectedTime(const EndpointPool& pool, std::size_t ahead)
+  // wait until it is sent.
+  static auto ExpectedWait(const EndpointPool& pool, std::size_t ahead)
+      -> std::chrono::microseconds;
+  // Within which time nearly every attempt is answered.
+  static auto AttemptTime(const EndpointPool& pool)
       -> std::chrono::microseconds;
   static auto StateName(const Endpoint& endpoint) -> std::string;
   static auto IsLive(const Endpoint& endpoint) -> bool;
@@ -126,9 +131,11 @@
   auto UpdateMedian(TimePoint now, EndpointPool& pool) -> void;
   auto OpenCircuit(TimePoint now, Endpoint& endpoint) -> void;
   auto IsBetter(const Endpoint& left, const Endpoint& right) const -> bool;
-  auto ChooseSlowProbe(TimePoint now,
+  auto ChooseIdleProbe(TimePoint now,
                        EndpointPool& pool,
                        const std::vector<std::string>& tried) -> Endpoint*;
+  auto ChooseBest(const EndpointPool& pool,
+                  const std::vector<std::string>& tried) const -> Endpoint*;
   auto SetTimer(TimePoint now, const Endpoint& endpoint) -> void;
 
   std::string failure_domain_;
--- a/Source/Routing/entry_attempts.cc
+++ b/Source/Routing/entry_attempts.cc
@@ -7,8 +7,7 @@
 
 using std::chrono::milliseconds;
 
-// An attempt is asked after when it took this multiple of the usual time.
-constexpr int kOverdueFactor = 4;
+// An attempt is asked after when it took longer than nearly all do.
 constexpr milliseconds kShortestOverdue{250};
 constexpr milliseconds kFirstRecallPause{100};
 constexpr milliseconds kLongestRecallPause{1000};
@@ -131,7 +130,7 @@
   Request& request = requests_.at(id);
   const auto remaining =
       std::chrono::floor<milliseconds>(request.caller.deadline - now);
-  const Duration usual = EndpointTable::ExpectedTime(*endpoint.pool, 0);
+  const Duration usual = EndpointTable::AttemptTime(*endpoint.pool);
   const bool too_late =
       remaining < usual && !PassesUnchecked(now, request.pool);
   if (too_late || remaining.count() <= 0) {
@@ -156,8 +155,7 @@
                            .close_at = request.caller.deadline + late,
                            .recall_pause = kFirstRecallPause};
   by_agent_[endpoint.agent].insert(attempt_id);
-  const Duration overdue =
-      std::max<Duration>(kShortestOverdue, kOverdueFactor * usual);
+  const Duration overdue = std::max<Duration>(kShortestOverdue, usual);
   timers_.Set({TimerKind::kAttempt, attempt_id}, now + overdue);
 
   SendToAgent send{.agent = endpoint.agent, .message = {}};
--- a/Source/Routing/entry_router_impl.cc
+++ b/Source/Routing/entry_router_impl.cc
@@ -18,6 +18,9 @@
 // them, of which this many are looked at.
 constexpr int kMostPassedOver = 32;
 constexpr milliseconds kUncheckedInterval{100};
+// The wait is an estimate; work that misses its deadline is lost, so the wait
+// is taken for this much longer.
+constexpr int kWaitMargin = 2;
 // After the caller's deadline, how long the outcome of a non-repeatable
 // request is still asked for.
 constexpr std::chrono::seconds kOutcomeWanted{30};
@@ -213,7 +216,9 @@
   const auto waiting = waiting_.find(key);
   const std::size_t ahead =
       waiting == waiting_.end() ? 0 : waiting->second.size();
-  const Duration expected = EndpointTable::ExpectedTime(*pool, ahead);
+  const Duration wait = EndpointTable::ExpectedWait(*pool, ahead);
+  const Duration expected =
+      kWaitMargin * wait + EndpointTable::AttemptTime(*pool);
   if (now + expected > deadline && !PassesUnchecked(now, key)) {
     return schema::DEADLINE_UNREACHABLE;
   }
@@ -402,7 +407,7 @@
     return kShortestRetryAfter;
   }
   const auto expected = std::chrono::ceil<milliseconds>(
-      EndpointTable::ExpectedTime(*endpoints, waiting->second.size()));
+      EndpointTable::ExpectedWait(*endpoints, waiting->second.size()));
   return std::clamp(expected, kShortestRetryAfter, kLongestRetryAfter);
 }
 
--- a/Tests/Routing/verdict_test.cc
+++ b/Tests/Routing/verdict_test.cc
@@ -191,6 +191,21 @@
                               First(schema::Envelope::kAnswer, kTwice);
                         },
                     .counted = "dropped message_late"},
+        // The second copy finds another process in the agent's place, which
+        // numbers its credits like the one before.
+        VerdictCase{.name = "offer twice, agent restarted between",
+                    .once = true,
+                    .deadline = milliseconds(2000),
+                    .fault =
+                        [](Trial& trial) {
+                          trial.network =
+                              First(schema::Envelope::kOffer,
+                                    {.copies = 2,
+                                     .extra_delay = milliseconds(600),
+                                     .unsent = false});
+                          KillBothAfter(trial, milliseconds(800));
+                        },
+                    .counted = "agent wrong_incarnation"},
         // Killed before the offer came, during the run: nobody can vouch.
         VerdictCase{.name = "killed before the run",
                     .once = true,
