--- a/Source/Routing/endpoint_table.cc
+++ b/Source/Routing/endpoint_table.cc
@@ -14,10 +14,6 @@
 constexpr std::size_t kFormerIncarnations = 16;
 // A silent endpoint with nothing outstanding is forgotten after this.
 constexpr std::chrono::seconds kForgetAfter{60};
-// An endpoint slower than this multiple of the median gets one request at a
-// time.
-constexpr double kSlowFactor = 3;
-constexpr std::size_t kFewestToCompare = 3;
 // An endpoint that was passed over this long gets a request. Without it, one
 // that has recovered would keep its old service time, since only its answers
 // bring news; one would notice an idle endpoint beside busy ones.
@@ -28,8 +24,6 @@
 // own failure domain decides.
 constexpr double kEqualShare = 0.1;
 constexpr double kAttemptTimeGain = 0.05;
-// Mean deviations above the mean within which nearly all attempts end.
-constexpr double kDeviations = 4;
 // An endpoint is looked at no more often than this.
 constexpr milliseconds kShortestTimer{10};
 
@@ -38,40 +32,6 @@
   return std::find(tried.begin(), tried.end(), endpoint.agent) != tried.end();
 }
 
-auto IsSlow(const Endpoint& endpoint) -> bool {
-  const EndpointPool& pool = *endpoint.pool;
-  return pool.members.size() >= kFewestToCompare &&
-         pool.median_service_us > 0 &&
-         static_cast<double>(endpoint.grant.service_time_us()) >
-             kSlowFactor * pool.median_service_us;
-}
-
-// Attempts that may be unanswered at a time.
-auto Window(const Endpoint& endpoint) -> uint32_t {
-  switch (endpoint.breaker.state()) {
-    case CircuitBreaker::State::kOpen:
-      return 0;
-    case CircuitBreaker::State::kProbing:
-      return std::min(1U, endpoint.grant.credits());
-    case CircuitBreaker::State::kClosed:
-      break;
-  }
-  return IsSlow(endpoint) ? std::min(1U, endpoint.grant.credits())
-                          : endpoint.grant.credits();
-}
-
-// Expected time of a request there, in microseconds.
-auto ExpectedUs(const Endpoint& endpoint) -> double {
-  const auto& grant = endpoint.grant;
-  const uint64_t reported =
-      uint64_t{grant.running()} + grant.queued() + endpoint.sent_since_report;
-  const auto load =
-      static_cast<double>(std::max<uint64_t>(reported, endpoint.unanswered));
-  const auto service =
-      static_cast<double>(std::max<uint64_t>(1, grant.service_time_us()));
-  return service * (1 + load / endpoint.slots);
-}
-
 }  // namespace
 
 EndpointTable::EndpointTable(std::string failure_domain,
@@ -292,50 +252,6 @@
   return best;
 }
 
-auto EndpointTable::ExpectedWait(const EndpointPool& pool, std::size_t ahead)
-    -> microseconds {
-  if (pool.window_total == 0) {
-    return microseconds(0);
-  }
-  const double rounds =
-      static_cast<double>(ahead) / static_cast<double>(pool.window_total);
-  return microseconds(static_cast<int64_t>(pool.attempt_us * rounds));
-}
-
-auto EndpointTable::AttemptTime(const EndpointPool& pool) -> microseconds {
-  return microseconds(
-      static_cast<int64_t>(pool.attempt_us + kDeviations * pool.deviation_us));
-}
-
-auto EndpointTable::StateName(const Endpoint& endpoint) -> std::string {
-  if (endpoint.silent) {
-    return "silent";
-  }
-  if (endpoint.leaving) {
-    return "leaving";
-  }
-  if (!endpoint.healthy) {
-    return "unhealthy";
-  }
-  if (endpoint.unreachable) {
-    return "unreachable";
-  }
-  switch (endpoint.breaker.state()) {
-    case CircuitBreaker::State::kOpen:
-      return "failing";
-    case CircuitBreaker::State::kProbing:
-      return "probing";
-    case CircuitBreaker::State::kClosed:
-      break;
-  }
-  return IsSlow(endpoint) ? "slow" : "ready";
-}
-
-auto EndpointTable::IsLive(const Endpoint& endpoint) -> bool {
-  return !endpoint.silent && !endpoint.leaving && endpoint.healthy &&
-         !endpoint.unreachable;
-}
-
 auto EndpointTable::Restart(Endpoint& endpoint, uint64_t incarnation) -> void {
   endpoint.former.emplace_back(endpoint.incarnation,
                                endpoint.announce_sequence);
--- a/Source/Routing/entry_attempts.cc
+++ b/Source/Routing/entry_attempts.cc
@@ -129,7 +129,7 @@
   Request& request = requests_.at(id);
   const auto remaining =
       std::chrono::floor<milliseconds>(request.caller.deadline - now);
-  const Duration usual = EndpointTable::AttemptTime(*endpoint.pool);
+  const Duration usual = AttemptTime(*endpoint.pool);
   const bool too_late =
       remaining < usual && !PassesUnchecked(now, request.pool);
   if (too_late || remaining.count() <= 0) {
@@ -285,9 +285,8 @@
   const auto& tried = request.tried;
   return std::any_of(
       pool->members.begin(), pool->members.end(), [&](const Endpoint* member) {
-        return EndpointTable::IsLive(*member) &&
-               std::find(tried.begin(), tried.end(), member->agent) ==
-                   tried.end();
+        return IsLive(*member) && std::find(tried.begin(), tried.end(),
+                                            member->agent) == tried.end();
       });
 }
 
--- a/Source/Routing/entry_router.cc
+++ b/Source/Routing/entry_router.cc
@@ -92,7 +92,7 @@
     views.push_back({.agent = agent,
                      .partner = endpoint->pool->partner,
                      .service = endpoint->pool->service,
-                     .state = EndpointTable::StateName(*endpoint),
+                     .state = StateName(*endpoint),
                      .credits = endpoint->counted_window,
                      .in_progress = endpoint->unanswered,
                      .service_time = std::chrono::microseconds(
--- a/Source/Routing/entry_router_impl.cc
+++ b/Source/Routing/entry_router_impl.cc
@@ -5,15 +5,11 @@
 
 #include <algorithm>
 
-#include "Routing/ascii.h"
-
 namespace rhubarbhaven {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr std::chrono::hours kLongestDeadline{24};
-constexpr std::size_t kLongestOnceKey = 256;
 // Requests that were tried on all ready endpoints do not hold up those behind
 // them, of which this many are looked at.
 constexpr int kMostPassedOver = 32;
@@ -87,7 +83,7 @@
   request.caller = std::move(caller);
   const std::string partner = request.caller.partner;
   const std::size_t bytes = request.bytes;
-  schema::Reason reason = CheckRequest(now, request.caller);
+  schema::Reason reason = directory_.Check(now, request.caller);
   if (reason == schema::REASON_NONE && !request.caller.once_key.empty()) {
     request.once_key = OnceKeyOf(request.caller);
   }
@@ -144,21 +140,8 @@
 
 auto EntryRouter::Impl::SetServices(
     const std::vector<schema::VersionedObject>& objects) -> void {
-  configured_ = true;
-  services_.clear();
-  std::map<std::string, uint32_t> weights;
-  for (const schema::VersionedObject& object : objects) {
-    const std::string& partner = object.key().partner();
-    // A partner is known by any object of it.
-    auto& services = services_[partner];
-    if (object.object().has_service()) {
-      services.insert(object.key().name());
-    }
-    if (object.object().has_rules()) {
-      weights[partner] = object.object().rules().request_weight();
-    }
-  }
-  shares_.SetWeights(std::move(weights));
+  directory_.Set(objects);
+  shares_.SetWeights(directory_.weights());
 }
 
 auto EntryRouter::Impl::OnTick(TimePoint now) -> void {
@@ -180,32 +163,6 @@
   return std::min(timers_.next(), table_.next_wake());
 }
 
-auto EntryRouter::Impl::CheckRequest(TimePoint now,
-                                     const CallerRequest& caller) const
-    -> schema::Reason {
-  if (!configured_) {
-    return schema::ENTRY_NOT_READY;
-  }
-  const auto partner = services_.find(caller.partner);
-  if (partner == services_.end()) {
-    return schema::UNKNOWN_PARTNER;
-  }
-  if (!partner->second.contains(caller.service)) {
-    return schema::UNKNOWN_SERVICE;
-  }
-  if (!caller.repeatable && caller.once_key.empty()) {
-    return schema::KEY_REQUIRED;
-  }
-  if (!IsEncodable(caller.http) || !IsAscii(caller.request_id) ||
-      caller.once_key.size() > kLongestOnceKey) {
-    return schema::BAD_REQUEST;
-  }
-  if (caller.deadline <= now || caller.deadline - now > kLongestDeadline) {
-    return schema::DEADLINE_INVALID;
-  }
-  return schema::REASON_NONE;
-}
-
 auto EntryRouter::Impl::CheckCapacity(TimePoint now,
                                       const PoolKey& key,
                                       TimePoint deadline) -> schema::Reason {
@@ -216,9 +173,8 @@
   const auto waiting = waiting_.find(key);
   const std::size_t ahead =
       waiting == waiting_.end() ? 0 : waiting->second.size();
-  const Duration wait = EndpointTable::ExpectedWait(*pool, ahead);
-  const Duration expected =
-      kWaitMargin * wait + EndpointTable::AttemptTime(*pool);
+  const Duration wait = ExpectedWait(*pool, ahead);
+  const Duration expected = kWaitMargin * wait + AttemptTime(*pool);
   if (now + expected > deadline && !PassesUnchecked(now, key)) {
     return schema::DEADLINE_UNREACHABLE;
   }
@@ -407,7 +363,7 @@
     return kShortestRetryAfter;
   }
   const auto expected = std::chrono::ceil<milliseconds>(
-      EndpointTable::ExpectedWait(*endpoints, waiting->second.size()));
+      ExpectedWait(*endpoints, waiting->second.size()));
   return std::clamp(expected, kShortestRetryAfter, kLongestRetryAfter);
 }
 
--- a/Source/Routing/entry_router_impl.h
+++ b/Source/Routing/entry_router_impl.h
@@ -13,6 +13,7 @@
 #include "Routing/once_runs.h"
 #include "Routing/pending_shares.h"
 #include "Routing/retry_budget.h"
+#include "Routing/service_directory.h"
 #include "Routing/timer_queue.h"
 
 namespace rhubarbhaven {
@@ -83,8 +84,6 @@
   using TimerKey = std::pair<TimerKind, uint64_t>;
 
   // Requests, in entry_router_impl.cc.
-  auto CheckRequest(TimePoint now, const CallerRequest& caller) const
-      -> schema::Reason;
   auto CheckCapacity(TimePoint now, const PoolKey& key, TimePoint deadline)
       -> schema::Reason;
   auto MakeRoom(TimePoint now, const std::string& partner, std::size_t bytes)
@@ -129,8 +128,7 @@
   auto EndpointOf(const OpenAttempt& attempt) -> Endpoint*;
 
   RouterOptions options_;
-  bool configured_ = false;
-  std::map<std::string, std::set<std::string>> services_;
+  ServiceDirectory directory_;
   EndpointTable table_;
   PendingShares shares_;
   RetryBudget budget_;
