--- a/Source/Routing/entry_attempts.cc
+++ b/Source/Routing/entry_attempts.cc
@@ -7,16 +7,14 @@
 
 using std::chrono::milliseconds;
 
-// An attempt is asked after when it took this multiple of the usual time.
-constexpr int kOverdueFactor = 4;
+// An attempt is asked after when it took longer than nearly all do.
 constexpr milliseconds kShortestOverdue{250};
 constexpr milliseconds kFirstRecallPause{100};
 constexpr milliseconds kLongestRecallPause{1000};
 // With this many recalls sent and none answered before the last, a repeatable
 // request is tried elsewhere, and an agent that announces itself all the same
 // is taken not to get what is sent to it.
-constexpr int kRecallsForElsewhere = 2;
-constexpr int kRecallsForLostPath = 3;
+constexpr int kRecallsForLostPath = 2;
 // After its deadline, how long an attempt's answer is waited for so that it
 // can be told from an unknown one and its place at the agent is known free.
 constexpr milliseconds kLateAnswerTime{1000};
@@ -131,7 +129,7 @@
   Request& request = requests_.at(id);
   const auto remaining =
       std::chrono::floor<milliseconds>(request.caller.deadline - now);
-  const Duration usual = EndpointTable::ExpectedTime(*endpoint.pool, 0);
+  const Duration usual = AttemptTime(*endpoint.pool);
   const bool too_late =
       remaining < usual && !PassesUnchecked(now, request.pool);
   if (too_late || remaining.count() <= 0) {
@@ -156,8 +154,7 @@
                            .close_at = request.caller.deadline + late,
                            .recall_pause = kFirstRecallPause};
   by_agent_[endpoint.agent].insert(attempt_id);
-  const Duration overdue =
-      std::max<Duration>(kShortestOverdue, kOverdueFactor * usual);
+  const Duration overdue = std::max<Duration>(kShortestOverdue, usual);
   timers_.Set({TimerKind::kAttempt, attempt_id}, now + overdue);
 
   SendToAgent send{.agent = endpoint.agent, .message = {}};
@@ -204,14 +201,13 @@
       std::min(kLongestRecallPause, 2 * attempt.recall_pause);
   SendRecall(attempt_id, attempt);
   ++attempt.unanswered_recalls;
-  Endpoint* endpoint = EndpointOf(attempt);
-  if (attempt.unanswered_recalls >= kRecallsForLostPath &&
-      endpoint != nullptr) {
-    table_.OnPathLost(now, *endpoint);
+  if (attempt.unanswered_recalls < kRecallsForLostPath) {
+    return;
   }
-  if (attempt.unanswered_recalls >= kRecallsForElsewhere) {
-    TryElsewhere(now, attempt, schema::ATTEMPT_TIMEOUT);
+  if (Endpoint* endpoint = EndpointOf(attempt)) {
+    table_.OnPathLost(now, *endpoint);
   }
+  TryElsewhere(now, attempt, schema::ATTEMPT_TIMEOUT);
 }
 
 auto EntryRouter::Impl::EndAttempt(TimePoint now,
@@ -289,9 +285,8 @@
   const auto& tried = request.tried;
   return std::any_of(
       pool->members.begin(), pool->members.end(), [&](const Endpoint* member) {
-        return EndpointTable::IsLive(*member) &&
-               std::find(tried.begin(), tried.end(), member->agent) ==
-                   tried.end();
+        return IsLive(*member) && std::find(tried.begin(), tried.end(),
+                                            member->agent) == tried.end();
       });
 }
 
