--- a/Source/Client/file_check.cc
+++ b/Source/Client/file_check.cc
@@ -3,7 +3,7 @@
 #include <absl/strings/str_cat.h>
 #include <google/protobuf/struct.pb.h>
 
-#include "Daemon/settings_check.h"
+#include "Daemon/daemon.h"
 
 namespace rhubarbhaven {
 namespace {
--- a/Source/Journal/snapshot_policy.cc
+++ b/Source/Journal/snapshot_policy.cc
@@ -68,7 +68,7 @@
 auto SnapshotPolicy::NeededByCount() const -> bool {
   const uint64_t kept = next_ - std::min(first_kept_, next_);
   const bool nothing_dropped = first_kept_ <= 1;
-  if (kept == 0 || (nothing_dropped && kept < options_.min_records)) {
+  if (nothing_dropped && kept < options_.min_records) {
     return false;
   }
   if (uncovered_.size() >= options_.max_records) {
--- a/Tests/Client/change_plan_test.cc
+++ b/Tests/Client/change_plan_test.cc
@@ -2,7 +2,7 @@
 
 #include <absl/strings/str_join.h>
 
-#include "Client/change_plan.h"
+#include "Client/client.h"
 
 namespace rhubarbhaven {
 namespace {
--- a/Tests/Journal/snapshot_policy_test.cc
+++ b/Tests/Journal/snapshot_policy_test.cc
@@ -221,5 +221,18 @@
   }
 }
 
+// Symptom: a process that starts after a long outage finds nothing.
+// Sequence: every record expires while the log takes no appends.
+// Cause: an empty log taken for one that needs no snapshot.
+TEST(SnapshotPolicyTurnTest, AnEmptiedLogIsFilledAgain) {
+  SnapshotPolicy policy({});
+  const TimePoint now{seconds(1)};
+  policy.OnExtent(now, 101, 101);
+  EXPECT_TRUE(policy.Due(now + SnapshotPolicyOptions().spread));
+  SnapshotPolicy fresh({});
+  fresh.OnExtent(now, 1, 1);
+  EXPECT_FALSE(fresh.Due(now + seconds(86400)));
+}
+
 }  // namespace
 }  // namespace rhubarbhaven
