Routing: Bound the tail beside a slow endpoint

Switching off single mechanisms showed that no check saw the window of a slow endpoint. The window stays, and the row at 0.88 has a bound.

SilentPathTest allows 3 offers in 6 s instead of 6, so that a circuit which is not opened again from probing is seen. A row asks for a key through the entry that was killed.

--- a/Tests/Benchmarks/Routing/bench_requests.cc
+++ b/Tests/Benchmarks/Routing/bench_requests.cc
@@ -129,7 +129,7 @@
 auto Print(const Scenario& scenario, const char* policy, const Figures& row)
     -> void {
   std::printf(
-      "%-12s %5.1f  %-12s %8.1f %8.1f %8.1f %8.3f %7.3f%% %7.3f%% %7.3f%% "
+      "%-12s %5.2f  %-12s %8.1f %8.1f %8.1f %8.3f %7.3f%% %7.3f%% %7.3f%% "
       "%6.3f\n",
       scenario.name.c_str(), scenario.load, policy, row.p50_ms, row.p99_ms,
       row.p999_ms, row.goodput, 100 * row.failed, 100 * row.refused,
@@ -214,6 +214,10 @@
                       row.ours.p99_ms / baseline.p99_ms, 1.1);
       }
     }
+    if (row.scenario.fault == Fault::kSlow) {
+      // Without a window of its own, the slow endpoint's queue shows here.
+      bounds.AtMost(name + ": p99.9 ms", row.ours.p999_ms, 300);
+    }
     if (row.scenario.fault == Fault::kFailing) {
       bounds.AtMost(name + ": failed", row.ours.failed, 0.005);
     }
@@ -239,6 +243,7 @@
                              {"healthy", 3, Fault::kNone},
                              {"healthy", 10, Fault::kNone},
                              {"one slow", 0.7, Fault::kSlow},
+                             {"one slow", 0.88, Fault::kSlow},
                              {"one failing", 0.7, Fault::kFailing},
                              {"domain gone", 0.5, Fault::kDomainGone}}) {
     rows.push_back(RunRow(scenario));
--- a/Tests/Routing/load_test.cc
+++ b/Tests/Routing/load_test.cc
@@ -134,7 +134,7 @@
   const int runs = trial.runs_at[0];
   trial.cluster->RunFor(milliseconds(6000));
   // At most the probes, and the other entries use the endpoint as before.
-  EXPECT_LE(sent, 6);
+  EXPECT_LE(sent, 3);
   EXPECT_GT(trial.runs_at[0], runs + 50);
   cut = false;
   trial.cluster->RunFor(milliseconds(10000));
--- a/Tests/Routing/once_test.cc
+++ b/Tests/Routing/once_test.cc
@@ -23,6 +23,7 @@
   int runs = 1;
   milliseconds deadline{1000};
   milliseconds first_deadline{1000};
+  int repeat_entry = 1;
 };
 
 auto PrintTo(const OnceCase& one, std::ostream* out) -> void {
@@ -52,7 +53,7 @@
   trial.Ask(0, "first", row.first_deadline, kBilled);
   trial.cluster->RunFor(row.pause);
   row.between(trial);
-  trial.Ask(1, "repeat", row.deadline, row.key, row.body);
+  trial.Ask(row.repeat_entry, "repeat", row.deadline, row.key, row.body);
   trial.cluster->RunFor(milliseconds(5000));
   ASSERT_TRUE(trial.replies.contains("repeat"));
   const CallerReply& reply = trial.replies["repeat"];
@@ -155,6 +156,17 @@
                  .pause = milliseconds(50),
                  .verdict = schema::MAY_HAVE_RUN,
                  .reason = schema::KEY_OUTCOME_UNKNOWN},
+        // The entry itself has restarted and has not written yet.
+        OnceCase{.name = "entry killed, asked through it",
+                 .between =
+                     [](Trial& trial) {
+                       KillFirstEntry(trial);
+                       trial.cluster->RunFor(milliseconds(300));
+                     },
+                 .pause = milliseconds(50),
+                 .verdict = schema::MAY_HAVE_RUN,
+                 .reason = schema::KEY_OUTCOME_UNKNOWN,
+                 .repeat_entry = 0},
         OnceCase{.name = "other request under the key",
                  .between = Nothing,
                  .verdict = schema::NOT_RUN,
