--- a/Source/Tasks/keeper_worker.cc
+++ b/Source/Tasks/keeper_worker.cc
@@ -16,8 +16,6 @@
 constexpr int kClockReadingIntervals = 5;
 constexpr std::chrono::milliseconds kClockMargin{50};
 constexpr int kCheckpointTries = 3;
-// Two reports of one task that were measured closer than this are the same.
-constexpr std::chrono::milliseconds kSameMeasurement{500};
 
 }  // namespace
 
@@ -150,7 +148,7 @@
     OnWorkerTask(now, seen);
   }
   NoteAbsent(asked, present);
-  NoteUsage(now, status);
+  usage_.Note(now, status);
 }
 
 auto KeeperWorker::OnNewIncarnation(uint64_t incarnation) -> void {
@@ -194,50 +192,6 @@
   }
 }
 
-auto KeeperWorker::NoteUsage(TimePoint now, const schema::WorkerStatus& status)
-    -> void {
-  for (const schema::WorkerUsage& usage : status.usage()) {
-    const auto name = ParseWorkerTaskName(usage.name());
-    const TimePoint measured = now - std::chrono::milliseconds(usage.age_ms());
-    const auto last = last_measured_.find(usage.name());
-    if (last != last_measured_.end() &&
-        measured < last->second + kSameMeasurement) {
-      continue;
-    }
-    last_measured_[usage.name()] = measured;
-    Usage& noted = usage_[usage.name()];
-    noted.measured = measured;
-    noted.report.Clear();
-    *noted.report.mutable_used() = usage.used();
-    noted.report.set_service_p99_us(usage.service_p99_us());
-    if (name.has_value()) {
-      *noted.report.mutable_task() = name->task;
-    }
-    for (const std::string& beside : usage.beside()) {
-      const auto other = ParseWorkerTaskName(beside);
-      if (other.has_value()) {
-        *noted.report.add_beside() = other->task;
-      }
-    }
-  }
-}
-
-auto KeeperWorker::TakeUsage(TimePoint now)
-    -> std::vector<schema::UsageReport> {
-  std::vector<schema::UsageReport> reports;
-  for (auto& [name, usage] : usage_) {
-    const auto age =
-        std::chrono::ceil<std::chrono::milliseconds>(now - usage.measured);
-    usage.report.set_age_ms(static_cast<uint32_t>(age.count()));
-    reports.push_back(usage.report);
-  }
-  usage_.clear();
-  std::erase_if(last_measured_, [&](const auto& last) {
-    return now - last.second > std::chrono::minutes(5);
-  });
-  return reports;
-}
-
 auto KeeperWorker::TakeChanged() -> std::set<std::string> {
   return std::exchange(changed_, {});
 }
--- a/Source/Tasks/keeper_worker.h
+++ b/Source/Tasks/keeper_worker.h
@@ -9,6 +9,7 @@
 #include "Tasks/keeper_lease.h"
 #include "Tasks/keeper_table.h"
 #include "Tasks/task_keeper.h"
+#include "Tasks/usage_reporter.h"
 #include "Tasks/worker_calls.h"
 
 namespace rhubarbhaven::tasks {
@@ -37,19 +38,13 @@
   auto used() const -> const schema::Resources& { return used_; }
   // What tasks that are not the scheduler's use.
   auto foreign() const -> const schema::Resources& { return foreign_; }
-  // Usage reports that were not taken yet, aged to `now`.
-  auto TakeUsage(TimePoint now) -> std::vector<schema::UsageReport>;
+  auto usage() -> UsageReporter& { return usage_; }
   // Attempts whose phase changed since the last call.
   auto TakeChanged() -> std::set<std::string>;
   auto next_wake() const -> TimePoint { return next_status_; }
   auto birth_lease_end() const -> TimePoint { return birth_lease_end_; }
 
  private:
-  struct Usage {
-    TimePoint measured;
-    schema::UsageReport report;
-  };
-
   auto OnUnknown(TimePoint now, const PendingCall& call) -> void;
   auto OnReply(TimePoint now,
                const PendingCall& call,
@@ -65,7 +60,6 @@
   auto OnWorkerTask(TimePoint now, const schema::WorkerTask& seen) -> void;
   auto NoteAbsent(TimePoint asked, const std::set<std::string>& present)
       -> void;
-  auto NoteUsage(TimePoint now, const schema::WorkerStatus& status) -> void;
   auto Update(TimePoint now, KeeperTask* task, const schema::WorkerTask& seen)
       -> void;
   auto SetPhase(KeeperTask* task, KeeperTask::Phase phase) -> void;
@@ -100,8 +94,7 @@
   schema::Resources capacity_;
   schema::Resources used_;
   schema::Resources foreign_;
-  std::map<std::string, Usage> usage_;
-  std::map<std::string, TimePoint> last_measured_;
+  UsageReporter usage_;
   std::set<std::string> changed_;
 };
 
--- a/Source/Tasks/owner_impl.cc
+++ b/Source/Tasks/owner_impl.cc
@@ -282,8 +282,9 @@
   }
   // What goes wrong: an instance that is only out of reach is taken for dead,
   // and its task runs twice. Silence counts only once every lease that this
-  // owner, or one before it, may have given is over, and a later look at the
-  // log has shown that nobody else has owned the cell in between.
+  // owner, or one before it, may have given is over. That nobody else has
+  // owned the cell in between is shown by the record: it takes effect only
+  // under this owner's fence.
   TimePoint over = TimePoint::min();
   if (agent != nullptr && agent->last_grant.has_value()) {
     over = *agent->last_grant + options_.lease_ttl + options_.worker_lease +
@@ -292,7 +293,7 @@
   if (agent == nullptr || !agent->confirmed()) {
     over = std::max(over, claim_.inherited_until());
   }
-  if (claim_.verified() >= over && now >= over) {
+  if (now >= over) {
     return "the instance is silent and its leases are over";
   }
   return "";
--- a/Source/Tasks/owner_messages.cc
+++ b/Source/Tasks/owner_messages.cc
@@ -74,8 +74,10 @@
   for (const schema::RefusedOrder& refused : request.refused()) {
     OnRefused(now, instance, refused);
   }
-  for (const std::string& name : placed_.On(instance)) {
-    placed_.Find(name)->running = false;
+  if (request.running_as_of() == 0) {
+    for (const std::string& name : placed_.On(instance)) {
+      placed_.Find(name)->running = false;
+    }
   }
   for (const schema::RunningTask& running : request.running()) {
     OnRunning(now, instance, running);
--- a/Source/Tasks/task_keeper.cc
+++ b/Source/Tasks/task_keeper.cc
@@ -53,8 +53,13 @@
       actions->push_back(CountKeeper{"grant_wrong_cell"});
       return;
     }
+    const uint64_t fence = lease_.fence();
     switch (lease_.OnGrant(now, entry, grant)) {
       case Verdict::kTaken:
+        if (fence != lease_.fence()) {
+          worker_.usage().Reset();
+          running_changed_ = true;
+        }
         break;
       case Verdict::kUnknownNumber:
         actions->push_back(CountKeeper{"grant_unknown_number"});
@@ -243,6 +248,7 @@
 
   auto Report(KeeperActions* actions) -> void {
     reportable_.merge(worker_.TakeChanged());
+    running_changed_ = running_changed_ || !reportable_.empty();
     SendToOwner send;
     schema::TaskReport* report = send.message.mutable_task_report();
     for (const std::string& key : reportable_) {
@@ -284,24 +290,36 @@
     request->set_leaving(leaving_);
     *request->mutable_capacity() = worker_.capacity();
     *request->mutable_used() = worker_.used();
-    for (schema::RunningTask& running : table_.Running()) {
-      *request->add_running() = std::move(running);
-    }
     for (schema::EndedTask& ended : table_.Ended()) {
       *request->add_ended() = std::move(ended);
     }
     for (schema::RefusedOrder& refused : table_.Refused()) {
       *request->add_refused() = std::move(refused);
     }
-    for (schema::UsageReport& usage : worker_.TakeUsage(now)) {
+    for (schema::UsageReport& usage : worker_.usage().Take(now)) {
       *request->add_usage() = std::move(usage);
     }
     const bool to_all =
         !lease_.leased(now) || requests_ % kRequestsPerBroadcast == 0;
+    AddRunning(to_all, request);
     send.entry = to_all ? "" : lease_.owner();
     Send(std::move(send), actions);
   }
 
+  // The whole list only if something started or ended since it was sent, and
+  // to all entries: at 25 tasks it is most of what an agent sends.
+  auto AddRunning(bool to_all, schema::LeaseRequest* request) -> void {
+    if (full_number_ != 0 && !to_all && !running_changed_) {
+      request->set_running_as_of(full_number_);
+      return;
+    }
+    running_changed_ = false;
+    full_number_ = request->number();
+    for (schema::RunningTask& running : table_.Running()) {
+      *request->add_running() = std::move(running);
+    }
+  }
+
   auto Send(SendToOwner send, KeeperActions* actions) -> void {
     send.message.set_sender(options_.agent_id);
     send.message.set_sender_incarnation(options_.agent_incarnation);
@@ -317,6 +335,9 @@
   TimePoint next_request_;
   uint64_t requests_ = 0;
   std::set<std::string> reportable_;
+  // Latest request that listed what runs, and whether that has changed.
+  uint64_t full_number_ = 0;
+  bool running_changed_ = false;
 };
 
 TaskKeeper::TaskKeeper(KeeperOptions options)
