--- a/Source/Routing/endpoint_table.cc
+++ b/Source/Routing/endpoint_table.cc
@@ -14,11 +14,11 @@
 constexpr std::size_t kFormerIncarnations = 16;
 // A silent endpoint with nothing outstanding is forgotten after this.
 constexpr std::chrono::seconds kForgetAfter{60};
-// An endpoint slower than this multiple of the median gets one request at a
-// time, and one now and then to see whether it has recovered.
-constexpr double kSlowFactor = 3;
-constexpr std::size_t kFewestToCompare = 3;
-constexpr milliseconds kSlowProbeInterval{1000};
+// An endpoint that was passed over this long gets a request. Without it, one
+// that has recovered would keep its old service time, since only its answers
+// bring news; one would notice an idle endpoint beside busy ones.
+constexpr milliseconds kIdleProbeInterval{1000};
+constexpr milliseconds kShortestProbeGap{20};
 constexpr milliseconds kMedianInterval{100};
 // Endpoints whose expected times differ by less than this are equal, and the
 // own failure domain decides.
@@ -26,48 +26,12 @@
 constexpr double kAttemptTimeGain = 0.05;
 // An endpoint is looked at no more often than this.
 constexpr milliseconds kShortestTimer{10};
-// Random picks before every ready endpoint is looked at.
-constexpr int kPicks = 4;
 
 auto Contains(const std::vector<std::string>& tried, const Endpoint& endpoint)
     -> bool {
   return std::find(tried.begin(), tried.end(), endpoint.agent) != tried.end();
 }
 
-auto IsSlow(const Endpoint& endpoint) -> bool {
-  const EndpointPool& pool = *endpoint.pool;
-  return pool.members.size() >= kFewestToCompare &&
-         pool.median_service_us > 0 &&
-         static_cast<double>(endpoint.grant.service_time_us()) >
-             kSlowFactor * pool.median_service_us;
-}
-
-// Attempts that may be unanswered at a time.
-auto Window(const Endpoint& endpoint) -> uint32_t {
-  switch (endpoint.breaker.state()) {
-    case CircuitBreaker::State::kOpen:
-      return 0;
-    case CircuitBreaker::State::kProbing:
-      return std::min(1U, endpoint.grant.credits());
-    case CircuitBreaker::State::kClosed:
-      break;
-  }
-  return IsSlow(endpoint) ? std::min(1U, endpoint.grant.credits())
-                          : endpoint.grant.credits();
-}
-
-// Expected time of a request there, in microseconds.
-auto ExpectedUs(const Endpoint& endpoint) -> double {
-  const auto& grant = endpoint.grant;
-  const uint64_t reported =
-      uint64_t{grant.running()} + grant.queued() + endpoint.sent_since_report;
-  const auto load =
-      static_cast<double>(std::max<uint64_t>(reported, endpoint.unanswered));
-  const auto service =
-      static_cast<double>(std::max<uint64_t>(1, grant.service_time_us()));
-  return service * (1 + load / endpoint.slots);
-}
-
 }  // namespace
 
 EndpointTable::EndpointTable(std::string failure_domain,
@@ -148,6 +112,7 @@
   credit.set_grant_id(endpoint.grant.id());
   credit.set_number(endpoint.next_credit);
   ++endpoint.next_credit;
+  endpoint.last_sent = now;
   ++endpoint.unanswered;
   ++endpoint.sent_since_report;
   Refresh(now, endpoint);
@@ -164,9 +129,13 @@
   endpoint.breaker.OnSuccess();
   const double took_us =
       std::chrono::duration<double, std::micro>(took).count();
-  double& smoothed = endpoint.pool->attempt_us;
-  smoothed = smoothed == 0 ? took_us
-                           : smoothed + kAttemptTimeGain * (took_us - smoothed);
+  EndpointPool& pool = *endpoint.pool;
+  if (pool.attempt_us == 0) {
+    pool.attempt_us = took_us;
+  }
+  const double error = took_us - pool.attempt_us;
+  pool.attempt_us += kAttemptTimeGain * error;
+  pool.deviation_us += kAttemptTimeGain * (std::abs(error) - pool.deviation_us);
   Refresh(now, endpoint);
 }
 
@@ -179,8 +148,15 @@
 }
 
 auto EndpointTable::OnPathLost(TimePoint now, Endpoint& endpoint) -> void {
-  if (endpoint.breaker.state() == CircuitBreaker::State::kClosed) {
-    OpenCircuit(now, endpoint);
+  switch (endpoint.breaker.state()) {
+    case CircuitBreaker::State::kClosed:
+      OpenCircuit(now, endpoint);
+      break;
+    case CircuitBreaker::State::kProbing:
+      endpoint.breaker.Open(now);
+      break;
+    case CircuitBreaker::State::kOpen:
+      break;
   }
   SetTimer(now, endpoint);
   Refresh(now, endpoint);
@@ -247,25 +223,26 @@
 auto EndpointTable::Choose(TimePoint now,
                            EndpointPool& pool,
                            const std::vector<std::string>& tried) -> Endpoint* {
-  if (Endpoint* probe = ChooseSlowProbe(now, pool, tried)) {
+  if (Endpoint* probe = ChooseIdleProbe(now, pool, tried)) {
     return probe;
   }
-  Endpoint* best = nullptr;
-  int found = 0;
-  for (int pick = 0; pick < kPicks && found < 2 && !pool.ready.empty();
-       ++pick) {
-    Endpoint* one = pool.ready[random_() % pool.ready.size()];
-    if (one == best || Contains(tried, *one)) {
-      continue;
+  const std::size_t count = pool.ready.size();
+  if (count >= 2) {
+    const std::size_t first = random_() % count;
+    const std::size_t second = (first + 1 + random_() % (count - 1)) % count;
+    Endpoint* one = pool.ready[first];
+    Endpoint* other = pool.ready[second];
+    if (!Contains(tried, *one) && !Contains(tried, *other)) {
+      return IsBetter(*other, *one) ? other : one;
     }
-    ++found;
-    if (best == nullptr || IsBetter(*one, *best)) {
-      best = one;
-    }
-  }
-  if (best != nullptr) {
-    return best;
   }
+  return ChooseBest(pool, tried);
+}
+
+auto EndpointTable::ChooseBest(const EndpointPool& pool,
+                               const std::vector<std::string>& tried) const
+    -> Endpoint* {
+  Endpoint* best = nullptr;
   for (Endpoint* one : pool.ready) {
     const bool better = best == nullptr || IsBetter(*one, *best);
     if (better && !Contains(tried, *one)) {
@@ -275,44 +252,6 @@
   return best;
 }
 
-auto EndpointTable::ExpectedTime(const EndpointPool& pool, std::size_t ahead)
-    -> microseconds {
-  const double rounds =
-      pool.window_total == 0
-          ? 0
-          : static_cast<double>(ahead) / static_cast<double>(pool.window_total);
-  return microseconds(static_cast<int64_t>(pool.attempt_us * (1 + rounds)));
-}
-
-auto EndpointTable::StateName(const Endpoint& endpoint) -> std::string {
-  if (endpoint.silent) {
-    return "silent";
-  }
-  if (endpoint.leaving) {
-    return "leaving";
-  }
-  if (!endpoint.healthy) {
-    return "unhealthy";
-  }
-  if (endpoint.unreachable) {
-    return "unreachable";
-  }
-  switch (endpoint.breaker.state()) {
-    case CircuitBreaker::State::kOpen:
-      return "failing";
-    case CircuitBreaker::State::kProbing:
-      return "probing";
-    case CircuitBreaker::State::kClosed:
-      break;
-  }
-  return IsSlow(endpoint) ? "slow" : "ready";
-}
-
-auto EndpointTable::IsLive(const Endpoint& endpoint) -> bool {
-  return !endpoint.silent && !endpoint.leaving && endpoint.healthy &&
-         !endpoint.unreachable;
-}
-
 auto EndpointTable::Restart(Endpoint& endpoint, uint64_t incarnation) -> void {
   endpoint.former.emplace_back(endpoint.incarnation,
                                endpoint.announce_sequence);
@@ -424,17 +363,22 @@
   return left_us < right_us;
 }
 
-auto EndpointTable::ChooseSlowProbe(TimePoint now,
+auto EndpointTable::ChooseIdleProbe(TimePoint now,
                                     EndpointPool& pool,
                                     const std::vector<std::string>& tried)
     -> Endpoint* {
-  if (now < pool.slow_probe_at) {
+  if (now < pool.idle_probe_at) {
     return nullptr;
   }
-  pool.slow_probe_at = now + kSlowProbeInterval;
-  const auto found = std::find_if(
-      pool.ready.begin(), pool.ready.end(),
-      [&](Endpoint* one) { return IsSlow(*one) && !Contains(tried, *one); });
+  pool.idle_probe_at =
+      now +
+      std::max(kShortestProbeGap,
+               kIdleProbeInterval / static_cast<int64_t>(pool.members.size()));
+  const auto found =
+      std::find_if(pool.ready.begin(), pool.ready.end(), [&](Endpoint* one) {
+        return now - one->last_sent >= kIdleProbeInterval &&
+               !Contains(tried, *one);
+      });
   return found == pool.ready.end() ? nullptr : *found;
 }
 
