Tests: Check adapters to HTTP and the silent connection to the log

Cause: nothing tested that a cut or crossed answer of the endpoint is told from a whole one, nor a log connection that goes silent.

Ruled out: doing it through whole deployments (slow, and no better at naming the cause).

Change: tables over raw answers and outcomes, the server's stop, port in use.

--- a/Tests/Process/silent_connection_test.cc
+++ b/Tests/Process/silent_connection_test.cc
@@ -78,5 +78,32 @@
       return info.param.name;
     });
 
+// Symptom: an entry never learns of changes again. Sequence: its connection to
+// the platform's log goes silent. Cause: a read without a limit of its own.
+// Bound: 10 s.
+TEST(SilentConnectionToLog, IsReplaced) {
+  const int relay_port = FreePort();
+  DeploymentOptions options;
+  options.workers = false;
+  options.adjust = [relay_port](schema::DaemonSettings& settings) -> void {
+    if (settings.id() == "entry-0") {
+      settings.set_log_url(absl::StrCat("http://127.0.0.1:", relay_port));
+    }
+  };
+  Deployment deployment(options);
+  SilentRelay relay(relay_port, deployment.Port("log"));
+  ASSERT_TRUE(deployment.StartAll());
+  const uint64_t before = deployment.Status(0).config_applied();
+  relay.SilenceOpenConnections();
+  ASSERT_EQ(deployment.Apply({R"({"name":"small","tasks":1,"command":"run 1",)"
+                              R"("need":{"millicores":100,"memory_mb":10}})"}),
+            0);
+  EXPECT_TRUE(WaitFor(
+      [&deployment, before]() -> bool {
+        return deployment.Status(0).config_applied() > before;
+      },
+      std::chrono::seconds(10)));
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::test
--- /dev/null
+++ b/Tests/Transport/http_test.cc
@@ -0,0 +1,185 @@
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <thread>
+
+#include "Transport/transport.h"
+
+namespace rhubarbhaven {
+namespace {
+
+// Answers each connection with fixed bytes and closes it.
+class RawServer {
+ public:
+  explicit RawServer(std::string answer) : answer_(std::move(answer)) {
+    listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    bind(listener_, reinterpret_cast<sockaddr*>(&address), size);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+    port_ = ntohs(address.sin_port);
+    listen(listener_, SOMAXCONN);
+    thread_ = std::thread([this]() -> void { Run(); });
+  }
+  RawServer(const RawServer&) = delete;
+  auto operator=(const RawServer&) -> RawServer& = delete;
+  ~RawServer() {
+    stop_ = true;
+    thread_.join();
+    close(listener_);
+  }
+  auto url() const -> std::string {
+    return "http://127.0.0.1:" + std::to_string(port_) + "/";
+  }
+
+ private:
+  auto Run() -> void {
+    constexpr int kPollMs = 10;
+    while (!stop_) {
+      pollfd waiting{listener_, POLLIN, 0};
+      if (poll(&waiting, 1, kPollMs) > 0) {
+        const int peer = accept(listener_, nullptr, nullptr);
+        char buffer[4096];
+        static_cast<void>(!read(peer, buffer, sizeof(buffer)));
+        static_cast<void>(!write(peer, answer_.data(), answer_.size()));
+        close(peer);
+      }
+    }
+  }
+
+  std::string answer_;
+  int listener_ = -1;
+  int port_ = 0;
+  std::atomic<bool> stop_ = false;
+  std::thread thread_;
+};
+
+struct RawCase {
+  std::string name;
+  std::string answer;
+  bool complete;
+  schema::Reason reason;
+};
+
+auto PrintTo(const RawCase& raw, std::ostream* out) -> void {
+  *out << raw.name;
+}
+
+class RawAnswer : public testing::TestWithParam<RawCase> {};
+
+// Symptom: a caller gets half an answer as if it were whole. Sequence: the
+// endpoint dies, or its connection is cut, in the middle of an answer. Cause:
+// the end of the connection taken for the end of the answer.
+TEST_P(RawAnswer, IsWholeOrSaysWhyNot) {
+  const RawServer server(GetParam().answer);
+  HttpClient http;
+  HttpClientRequest request;
+  request.url = server.url();
+  request.max_answer_bytes = 1000;
+  const auto answer = http.Call(request);
+  EXPECT_EQ(answer.complete, GetParam().complete);
+  EXPECT_EQ(answer.reason, GetParam().reason);
+  EXPECT_TRUE(answer.handed_over);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    RawAnswer,
+    testing::Values(
+        RawCase{"Whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true,
+                schema::REASON_NONE},
+        RawCase{"Chunked",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "2\r\nok\r\n0\r\n\r\n",
+                true, schema::REASON_NONE},
+        RawCase{"NoContent", "HTTP/1.1 204 No Content\r\n\r\n", true,
+                schema::REASON_NONE},
+        RawCase{"CutBody", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+                false, schema::ENDPOINT_ANSWER_TRUNCATED},
+        RawCase{"CutChunk",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nha",
+                false, schema::ENDPOINT_ANSWER_TRUNCATED},
+        RawCase{"NoLength", "HTTP/1.1 200 OK\r\n\r\nmaybe half", false,
+                schema::ENDPOINT_ANSWER_TRUNCATED},
+        RawCase{"Nothing", "", false, schema::ENDPOINT_CONNECTION_LOST},
+        RawCase{"TooLarge",
+                "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" +
+                    std::string(2000, 'x'),
+                false, schema::ENDPOINT_ANSWER_TOO_LARGE}),
+    [](const testing::TestParamInfo<RawCase>& info) -> std::string {
+      return info.param.name;
+    });
+
+// Symptom: "not run" is said of a request that ran, or "may have run" of one
+// that never left. Cause: every failed call taken for the same.
+TEST(HttpClientTest, RefusedConnectionWasNotHandedOver) {
+  std::string url;
+  {
+    const RawServer gone("");
+    url = gone.url();
+  }
+  HttpClient http;
+  HttpClientRequest request;
+  request.url = url;
+  const auto answer = http.Call(request);
+  EXPECT_FALSE(answer.complete);
+  EXPECT_FALSE(answer.handed_over);
+  EXPECT_EQ(answer.reason, schema::ENDPOINT_CONNECT_FAILED);
+}
+
+// Symptom: the process hangs or crashes on a stop with requests in progress.
+// Cause: a connection that waits for an answer when its server ends.
+TEST(HttpServerTest, StopAnswersWhatIsInProgress) {
+  HttpResponder kept;
+  std::atomic<bool> handed = false;
+  HttpServerOptions options;
+  options.handler = [&kept, &handed](const HttpServerRequest&,
+                                     const HttpResponder& respond) -> void {
+    kept = respond;
+    handed = true;
+  };
+  auto server = std::make_unique<HttpServer>(options);
+  ASSERT_TRUE(server->Start().ok());
+  HttpClientRequest request;
+  request.url = "http://127.0.0.1:" + std::to_string(server->port()) + "/";
+  request.timeout = std::chrono::seconds(30);
+  HttpClientAnswer answer;
+  std::thread caller([&request, &answer]() -> void {
+    HttpClient http;
+    answer = http.Call(request);
+  });
+  while (!handed) {
+    std::this_thread::yield();
+  }
+  std::thread late([&kept]() -> void {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    kept({200, {}, "late"});
+  });
+  server.reset();
+  caller.join();
+  late.join();
+  EXPECT_TRUE(answer.complete);
+  EXPECT_EQ(answer.http.body(), "late");
+}
+
+TEST(HttpServerTest, PortInUseIsSaid) {
+  HttpServerOptions options;
+  options.handler = [](const HttpServerRequest&, const HttpResponder&) -> void {
+  };
+  HttpServer first(options);
+  ASSERT_TRUE(first.Start().ok());
+  options.port = first.port();
+  HttpServer second(options);
+  const auto status = second.Start();
+  EXPECT_FALSE(status.ok());
+  EXPECT_NE(std::string(status.message()).find(std::to_string(options.port)),
+            std::string::npos);
+}
+
+}  // namespace
+}  // namespace rhubarbhaven
