--- a/Tests/Routing/once_test.cc
+++ b/Tests/Routing/once_test.cc
@@ -188,6 +188,20 @@
                  .between = Nothing,
                  .first_deadline = milliseconds(9)}));
 
+// Symptom: the log's budget of appends is spent on repeats. Sequence: a key is
+// asked for again and again. Cause: an intent for each repeat.
+TEST(OnceCostTest, TwoLogEntriesAndNoneForARepeat) {
+  Trial trial;
+  trial.options.entries = 2;
+  trial.Start();
+  for (int number = 0; number < 10; ++number) {
+    trial.Ask(number % 2, std::to_string(number), milliseconds(500), kBilled);
+    trial.cluster->RunFor(milliseconds(100));
+  }
+  EXPECT_EQ(trial.CountReplies(schema::ANSWERED), 10);
+  EXPECT_EQ(trial.cluster->appends(), 2U);
+}
+
 auto Intent(uint64_t incarnation, uint64_t sequence) -> schema::LogRecord {
   schema::LogRecord record;
   record.set_writer("entry-1");
