--- a/Source/Placement/cell_state.h
+++ b/Source/Placement/cell_state.h
@@ -24,9 +24,14 @@
   uint32_t rack = kNoName;
   uint32_t failure_domain = kNoName;
   uint32_t team = kNoName;
+  // Most memory that it was seen to use; what it holds until then.
+  int64_t used_memory_mb = 0;
   uint32_t unsaved_s = 0;
   uint32_t evictions = 0;
   bool stopping = false;
+  // The caller has said that it holds the place. Before that it is only
+  // decided, and not a victim: a round would displace what it has just placed.
+  bool confirmed = false;
 };
 
 // Room kept free on a worker for one waiting task, while tasks that were
--- a/Source/Placement/worker_table.cc
+++ b/Source/Placement/worker_table.cc
@@ -14,8 +14,7 @@
   }
   slot.rack = names_->Intern(state.rack);
   slot.failure_domain = names_->Intern(state.failure_domain);
-  slot.usable = Larger(
-      FromMessage(state.capacity) - FromMessage(state.reserved), Amounts{});
+  slot.usable = FromMessage(state.capacity) - FromMessage(state.reserved);
   slot.known = true;
   slot.accepting = state.accepting;
   rows_[id].access = AccessNumber(slot.partners);
@@ -122,6 +121,16 @@
   row.has_accelerators = slot.usable.accelerators > 0;
   row.free = slot.accepting ? slot.usable - slot.held - slot.claimed
                             : Amounts{-1, -1, -1};
+  RefreshOvercommitted(id);
+}
+
+auto WorkerTable::RefreshOvercommitted(WorkerId id) -> void {
+  const WorkerSlot& slot = slots_[id];
+  if (slot.known && slot.held.memory_mb > slot.usable.memory_mb) {
+    overcommitted_.insert(id);
+  } else if (!overcommitted_.empty()) {
+    overcommitted_.erase(id);
+  }
 }
 
 auto WorkerTable::RefreshLargest() -> void {
