--- a/Source/Client/options.cc
+++ b/Source/Client/options.cc
@@ -42,7 +42,7 @@
   return name == "entry" || name == "expect";
 }
 
-auto FlagName(std::string name) -> std::string {
+auto FlagName(const std::string& name) -> std::string {
   if (name == kHelp || name == "h") {
     return kHelpFlag;
   }
--- a/Source/Journal/snapshot_policy.cc
+++ b/Source/Journal/snapshot_policy.cc
@@ -125,6 +125,10 @@
       });
 }
 
+auto SnapshotPolicy::Helps(uint64_t covers) const -> bool {
+  return covers >= covered_ && covers + 1 >= first_kept_;
+}
+
 auto SnapshotPolicy::OnWritten(TimePoint now) -> void {
   written_at_ = now;
 }
--- a/Source/Journal/snapshot_policy.h
+++ b/Source/Journal/snapshot_policy.h
@@ -51,6 +51,10 @@
 
   // True if this process is to write a snapshot now.
   auto Due(TimePoint now) const -> bool;
+  // True if a snapshot up to this offset would help a reader. False for the
+  // state of a process that is itself in a gap, or behind the latest snapshot:
+  // its chunks would only use up the log.
+  auto Helps(uint64_t covers) const -> bool;
   // The process began to write one.
   auto OnWritten(TimePoint now) -> void;
 
--- a/Tests/Journal/snapshot_policy_test.cc
+++ b/Tests/Journal/snapshot_policy_test.cc
@@ -217,6 +217,7 @@
   for (auto& process : processes) {
     process.OnRecord(now, 302, chunk);
     EXPECT_EQ(process.covered(), 300);
+    EXPECT_FALSE(process.Helps(299));
     EXPECT_FALSE(process.Due(now + options.refresh_after - kTick));
   }
 }
@@ -229,6 +230,9 @@
   const TimePoint now{seconds(1)};
   policy.OnExtent(now, 101, 101);
   EXPECT_TRUE(policy.Due(now + SnapshotPolicyOptions().spread));
+  // But not from a state that lacks what has expired.
+  EXPECT_TRUE(policy.Helps(100));
+  EXPECT_FALSE(policy.Helps(99));
   SnapshotPolicy fresh({});
   fresh.OnExtent(now, 1, 1);
   EXPECT_FALSE(fresh.Due(now + seconds(86400)));
