--- a/Tests/Routing/explorer_test.cc
+++ b/Tests/Routing/explorer_test.cc
@@ -152,6 +152,10 @@
     if (submission.replies > 1) {
       Fail("two replies to ", name);
     }
+    if ((reply.verdict == schema::ANSWERED) !=
+        (reply.reason == schema::REASON_NONE)) {
+      Fail("no reason, or one too many: ", name);
+    }
     if (reply.verdict == schema::NOT_RUN && submission.runs > 0) {
       Fail("not_run but ran: ", name);
     }
