--- a/Source/Routing/entry_attempts.cc
+++ b/Source/Routing/entry_attempts.cc
@@ -245,7 +245,7 @@
                                          Outcome outcome) -> void {
   Request& request = requests_.at(id);
   if (outcome.verdict == schema::ANSWERED) {
-    End(now, id, std::move(outcome));
+    End(now, id, outcome);
     return;
   }
   const schema::Verdict verdict = outcome.verdict;
@@ -261,7 +261,7 @@
   if (request.may_have_run) {
     outcome.verdict = schema::MAY_HAVE_RUN;
   }
-  End(now, id, std::move(outcome));
+  End(now, id, outcome);
 }
 
 auto EntryRouter::Impl::CanRetry(TimePoint now,
--- a/Source/Routing/entry_router_impl.cc
+++ b/Source/Routing/entry_router_impl.cc
@@ -68,9 +68,8 @@
           request.owns_run = true;
           Wait(now, id, request);
         };
-        once.finish = [this](TimePoint now, uint64_t id, Outcome outcome) {
-          End(now, id, std::move(outcome));
-        };
+        once.finish = [this](TimePoint now, uint64_t id,
+                             const Outcome& outcome) { End(now, id, outcome); };
         return once;
       }()),
       last_attempt_(FirstAttemptId(options_)) {}
@@ -291,10 +290,10 @@
     timers_.Set({TimerKind::kRequest, id}, now + kOutcomeWanted);
     return;
   }
-  End(now, id, std::move(outcome));
+  End(now, id, outcome);
 }
 
-auto EntryRouter::Impl::End(TimePoint now, uint64_t id, Outcome outcome)
+auto EntryRouter::Impl::End(TimePoint now, uint64_t id, const Outcome& outcome)
     -> void {
   Request& request = requests_.at(id);
   if (!request.replied) {
--- a/Source/Routing/entry_router_impl.h
+++ b/Source/Routing/entry_router_impl.h
@@ -96,7 +96,7 @@
   auto RefuseWaiting(TimePoint now, uint64_t id, schema::Reason reason) -> void;
   auto OnRequestTimer(TimePoint now, uint64_t id) -> void;
   // Replies, records the outcome of a non-repeatable request, and forgets it.
-  auto End(TimePoint now, uint64_t id, Outcome outcome) -> void;
+  auto End(TimePoint now, uint64_t id, const Outcome& outcome) -> void;
   auto Reply(TimePoint now, uint64_t id, const Outcome& outcome) -> void;
   auto Release(uint64_t id, Request& request) -> void;
   auto RetryAfter(schema::Reason reason, const PoolKey& pool) const
--- a/Tests/Routing/explorer_test.cc
+++ b/Tests/Routing/explorer_test.cc
@@ -84,15 +84,16 @@
       delivery.copies = 2;
     }
     if (Chance(0.1)) {
-      delivery.extra_delay =
-          milliseconds(random_() % (Chance(0.1) ? 2500 : 30));
+      const int longest = Chance(0.1) ? 2500 : 30;
+      delivery.extra_delay = milliseconds(random_() % longest);
     }
     return delivery;
   }
 
   auto Endpoint() -> Served {
     Served served;
-    served.takes = milliseconds(1 + random_() % (Chance(0.05) ? 800 : 20));
+    const int longest = Chance(0.05) ? 800 : 20;
+    served.takes = milliseconds(1 + random_() % longest);
     if (Chance(0.05)) {
       served.verdict = schema::MAY_HAVE_RUN;
       served.reason = schema::ENDPOINT_CONNECTION_LOST;
