Placement: Keep a service's own level when no report comes

Cause: tables of late reports showed that a task which started beside a slow service was throttled for the service's own load. The estimate of that level returned to the target between reports, so each report left a rest that was laid on the jobs. An instance that reports nothing was refused for ever.

Ruled out: a longer half-life of the level (the rest is smaller, the bias stays).

Change: the level keeps its mean and only grows unsure; placing is not refused where nothing was reported within the history; explanations use the memory that is expected.

--- a/Source/Placement/effect_estimates.cc
+++ b/Source/Placement/effect_estimates.cc
@@ -26,7 +26,9 @@
   const double age = std::max(0.0, Seconds(now - effect.updated));
   const double kept =
       std::exp2(-age / static_cast<double>(options_.half_life.count()));
-  effect.mean *= kept;
+  if (options_.forgets_to_zero) {
+    effect.mean *= kept;
+  }
   effect.variance = effect.variance * kept * kept +
                     options_.first_variance * (1 - kept * kept);
   effect.updated = now;
@@ -35,7 +37,7 @@
 
 auto EffectTable::Set(TimePoint now, const std::string& name, Effect effect)
     -> void {
-  if (options_.non_negative) {
+  if (options_.forgets_to_zero) {
     effect.mean = std::max(0.0, effect.mean);
   }
   effect.updated = now;
--- a/Source/Placement/effect_estimates.h
+++ b/Source/Placement/effect_estimates.h
@@ -11,7 +11,8 @@
 namespace rhubarbhaven {
 
 // One estimated quantity on the scale of log(slowdown): a mean, and how
-// unsure it is. Without news it returns to zero and to its first variance.
+// unsure it is. Without news it returns to its first variance, and, where the
+// table says so, to zero.
 struct Effect {
   double mean = 0;
   double variance = 0;
@@ -27,8 +28,10 @@
 struct EffectOptions {
   std::chrono::seconds half_life{1800};
   double first_variance = 0.1;
-  // Effects of jobs don't go below zero; those of the load itself may.
-  bool non_negative = true;
+  // For effects of jobs: they are not below zero and are forgotten. The
+  // service's own level is neither: if it returned to zero, every report
+  // above zero would lay a part of the difference on the jobs.
+  bool forgets_to_zero = true;
 };
 
 // A set of effects with common options.
--- a/Source/Placement/explanation.cc
+++ b/Source/Placement/explanation.cc
@@ -146,7 +146,8 @@
   if (waiting == job.waiting.end()) {
     return {false, "not known to the placer"};
   }
-  const Amounts& need = waiting->second.need;
+  const Amounts need = cell.jobs().Expected(key->job, waiting->second.need,
+                                            cell.workers().largest());
   const Survey survey = Look(cell, job, need);
   const std::optional<std::string> never =
       ExplainNever(cell, job, need, survey);
--- a/Source/Placement/interference.cc
+++ b/Source/Placement/interference.cc
@@ -17,7 +17,7 @@
 // Reports of one instance that were measured this close together come from
 // the same window: a worker repeats the service's figure for each task.
 constexpr std::chrono::milliseconds kSameWindow{500};
-// The service's own level follows its load, so it is forgotten fast.
+// The service's own level follows its load, so it is soon unsure again.
 constexpr std::chrono::seconds kBaseHalfLife{300};
 // The peaks of a day's load come back; a short-lived one is forgotten slowly.
 constexpr std::chrono::seconds kPeakHalfLife{7200};
@@ -37,6 +37,7 @@
   // Highest level of the service's own load of late, and as of when.
   double peak = 0;
   TimePoint peak_at;
+  bool reported = false;
   // Windows that were learned from, as far back as the history.
   std::vector<TimePoint> windows;
 };
@@ -145,6 +146,11 @@
     if (added < kNegligible) {
       return 0;
     }
+    // An instance that is silent, maybe since it runs nothing, would else
+    // stay refused by what was true when it last reported.
+    if (!state.reported || now - state.peak_at > options_.history) {
+      return added;
+    }
     const double limit = ActLevel(options_, Weights(state.partner));
     const double level =
         Base(now, instance, state) + EffectOfRunning(now, state) + added;
@@ -207,6 +213,7 @@
     const double kept = std::exp2(-age / kPeakHalfLife.count());
     state.peak = base + std::max(0.0, state.peak - base) * kept;
     state.peak_at = now;
+    state.reported = true;
   }
 
   auto TermsAt(TimePoint measured,
