--- a/Source/Daemon/entry_daemon.cc
+++ b/Source/Daemon/entry_daemon.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "Daemon/caller_api.h"
+#include "Daemon/metrics_page.h"
 
 namespace rhubarbhaven {
 namespace {
@@ -32,13 +33,7 @@
 
 auto OptionsOfOnce(const schema::DaemonSettings& settings, uint64_t incarnation)
     -> StreamDutyOptions {
-  StreamDutyOptions options;
-  options.log_url = settings.log_url();
-  options.stream = kOnceStream;
-  options.writer = settings.id();
-  options.incarnation = incarnation;
-  options.append_interval =
-      std::chrono::milliseconds(settings.entry().append_interval_ms());
+  auto options = StreamOptionsOf(settings, incarnation, kOnceStream);
   options.give_back_after = kOnceGiveBack;
   return options;
 }
@@ -206,9 +201,7 @@
   } else if (absl::StartsWith(request.path, kOperatorPath)) {
     operator_api_.Handle(request, respond);
   } else if (request.path == "/metrics") {
-    respond({200,
-             {{"Content-Type", "text/plain; version=0.0.4"}},
-             metrics_.Exposition()});
+    respond(AnswerMetrics(metrics_, link_));
   } else if (request.path == "/health/live") {
     respond({200, {}, "alive\n"});
   } else if (request.path == "/health/ready") {
--- a/Source/Tasks/keeper_worker.cc
+++ b/Source/Tasks/keeper_worker.cc
@@ -16,8 +16,6 @@
 constexpr int kClockReadingIntervals = 5;
 constexpr std::chrono::milliseconds kClockMargin{50};
 constexpr int kCheckpointTries = 3;
-// Two reports of one task that were measured closer than this are the same.
-constexpr std::chrono::milliseconds kSameMeasurement{500};
 
 }  // namespace
 
@@ -101,7 +99,7 @@
       break;
   }
   if (reply.ok()) {
-    Update(task, reply.task());
+    Update(now, task, reply.task());
   } else {
     task->retry_at = now + options_.status_interval;
   }
@@ -124,8 +122,7 @@
         "the worker refused the start: " + reply.problem());
     return;
   }
-  SetPhase(task, KeeperTask::Phase::kRunning);
-  Update(task, reply.task());
+  Update(now, task, reply.task());
 }
 
 auto KeeperWorker::OnStatus(TimePoint now,
@@ -150,8 +147,8 @@
     present.insert(AttemptKey(name->task, name->attempt));
     OnWorkerTask(now, seen);
   }
-  NoteAbsent(present);
-  NoteUsage(now, status);
+  NoteAbsent(asked, present);
+  usage_.Note(now, status);
 }
 
 auto KeeperWorker::OnNewIncarnation(uint64_t incarnation) -> void {
@@ -180,67 +177,28 @@
     task->start_not_after = birth_lease_end_;
     task->want_throttled = seen.state() == schema::WORKER_TASK_THROTTLED;
   }
-  Update(task, seen);
+  Update(now, task, seen);
 }
 
-auto KeeperWorker::NoteAbsent(const std::set<std::string>& present) -> void {
+auto KeeperWorker::NoteAbsent(TimePoint asked,
+                              const std::set<std::string>& present) -> void {
   for (auto& [key, task] : table_->all()) {
-    if (task.phase == KeeperTask::Phase::kRunning && !present.contains(key)) {
+    // What goes wrong: a status that was asked before the start took effect
+    // comes after the start's answer, and the running task is taken for gone.
+    if (task.phase == KeeperTask::Phase::kRunning && !present.contains(key) &&
+        asked > task.running_since) {
       End(&task, schema::LOST, "the worker does not know the task any more");
     }
   }
 }
 
-auto KeeperWorker::NoteUsage(TimePoint now, const schema::WorkerStatus& status)
-    -> void {
-  for (const schema::WorkerUsage& usage : status.usage()) {
-    const auto name = ParseWorkerTaskName(usage.name());
-    const TimePoint measured = now - std::chrono::milliseconds(usage.age_ms());
-    const auto last = last_measured_.find(usage.name());
-    if (last != last_measured_.end() &&
-        measured < last->second + kSameMeasurement) {
-      continue;
-    }
-    last_measured_[usage.name()] = measured;
-    Usage& noted = usage_[usage.name()];
-    noted.measured = measured;
-    noted.report.Clear();
-    *noted.report.mutable_used() = usage.used();
-    noted.report.set_service_p99_us(usage.service_p99_us());
-    if (name.has_value()) {
-      *noted.report.mutable_task() = name->task;
-    }
-    for (const std::string& beside : usage.beside()) {
-      const auto other = ParseWorkerTaskName(beside);
-      if (other.has_value()) {
-        *noted.report.add_beside() = other->task;
-      }
-    }
-  }
-}
-
-auto KeeperWorker::TakeUsage(TimePoint now)
-    -> std::vector<schema::UsageReport> {
-  std::vector<schema::UsageReport> reports;
-  for (auto& [name, usage] : usage_) {
-    const auto age =
-        std::chrono::ceil<std::chrono::milliseconds>(now - usage.measured);
-    usage.report.set_age_ms(static_cast<uint32_t>(age.count()));
-    reports.push_back(usage.report);
-  }
-  usage_.clear();
-  std::erase_if(last_measured_, [&](const auto& last) {
-    return now - last.second > std::chrono::minutes(5);
-  });
-  return reports;
-}
-
 auto KeeperWorker::TakeChanged() -> std::set<std::string> {
   return std::exchange(changed_, {});
 }
 
-auto KeeperWorker::Update(KeeperTask* task, const schema::WorkerTask& seen)
-    -> void {
+auto KeeperWorker::Update(TimePoint now,
+                          KeeperTask* task,
+                          const schema::WorkerTask& seen) -> void {
   if (task->phase == KeeperTask::Phase::kEnded) {
     return;
   }
@@ -254,6 +212,7 @@
     case schema::WORKER_TASK_THROTTLED:
       task->throttled = seen.state() == schema::WORKER_TASK_THROTTLED;
       if (task->phase != KeeperTask::Phase::kRunning) {
+        task->running_since = now;
         SetPhase(task, KeeperTask::Phase::kRunning);
       }
       return;
