Tests: Make the limit of a record a double in bench_fold

Cause: the linter named a narrowing conversion.

Ruled out: nothing else to weigh.

Change: one cast.

--- a/Tests/Benchmarks/Journal/bench_fold.cc
+++ b/Tests/Benchmarks/Journal/bench_fold.cc
@@ -191,8 +191,9 @@
       missed += Check(result.appends_per_s <= 1000.0 / interval + 0.01,
                       "appends a second are at most one an interval");
       // Beyond what full records carry, the queue grows until it is full.
-      const bool carried =
-          rate * interval / 1000 < AppendQueueOptions().max_entries_per_record;
+      const auto most_entries =
+          static_cast<double>(AppendQueueOptions().max_entries_per_record);
+      const bool carried = rate * interval / 1000 < most_entries;
       missed += Check(!carried || result.wait_p99_ms <= interval,
                       "an entry waits at most one interval");
     }
