--- a/Tests/Routing/once_test.cc
+++ b/Tests/Routing/once_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "Routing/once_table.h"
 #include "Tests/Routing/trial.h"
 
 namespace rhubarbhaven {
@@ -22,6 +23,7 @@
   int runs = 1;
   milliseconds deadline{1000};
   milliseconds first_deadline{1000};
+  int repeat_entry = 1;
 };
 
 auto PrintTo(const OnceCase& one, std::ostream* out) -> void {
@@ -51,7 +53,7 @@
   trial.Ask(0, "first", row.first_deadline, kBilled);
   trial.cluster->RunFor(row.pause);
   row.between(trial);
-  trial.Ask(1, "repeat", row.deadline, row.key, row.body);
+  trial.Ask(row.repeat_entry, "repeat", row.deadline, row.key, row.body);
   trial.cluster->RunFor(milliseconds(5000));
   ASSERT_TRUE(trial.replies.contains("repeat"));
   const CallerReply& reply = trial.replies["repeat"];
@@ -88,6 +90,16 @@
                        trial.cluster->Leave(0);
                        trial.cluster->Leave(1);
                      }},
+        // Its outcome must get into the log when that is back.
+        OnceCase{.name = "in progress, log down for a while",
+                 .between =
+                     [](Trial& trial) {
+                       trial.cluster->SetLogUp(false);
+                       trial.cluster->After(milliseconds(400), [&trial] {
+                         trial.cluster->SetLogUp(true);
+                       });
+                     },
+                 .pause = milliseconds(50)},
         OnceCase{
             .name = "finished, log down",
             .between = [](Trial& trial) { trial.cluster->SetLogUp(false); }},
@@ -144,6 +156,17 @@
                  .pause = milliseconds(50),
                  .verdict = schema::MAY_HAVE_RUN,
                  .reason = schema::KEY_OUTCOME_UNKNOWN},
+        // The entry itself has restarted and has not written yet.
+        OnceCase{.name = "entry killed, asked through it",
+                 .between =
+                     [](Trial& trial) {
+                       KillFirstEntry(trial);
+                       trial.cluster->RunFor(milliseconds(300));
+                     },
+                 .pause = milliseconds(50),
+                 .verdict = schema::MAY_HAVE_RUN,
+                 .reason = schema::KEY_OUTCOME_UNKNOWN,
+                 .repeat_entry = 0},
         OnceCase{.name = "other request under the key",
                  .between = Nothing,
                  .verdict = schema::NOT_RUN,
@@ -165,5 +188,60 @@
                  .between = Nothing,
                  .first_deadline = milliseconds(9)}));
 
+// Symptom: the log's budget of appends is spent on repeats. Sequence: a key is
+// asked for again and again. Cause: an intent for each repeat.
+TEST(OnceCostTest, TwoLogEntriesAndNoneForARepeat) {
+  Trial trial;
+  trial.options.entries = 2;
+  trial.Start();
+  for (int number = 0; number < 10; ++number) {
+    trial.Ask(number % 2, std::to_string(number), milliseconds(500), kBilled);
+    trial.cluster->RunFor(milliseconds(100));
+  }
+  EXPECT_EQ(trial.CountReplies(schema::ANSWERED), 10);
+  EXPECT_EQ(trial.cluster->appends(), 2U);
+}
+
+auto Intent(uint64_t incarnation, uint64_t sequence) -> schema::LogRecord {
+  schema::LogRecord record;
+  record.set_writer("entry-1");
+  record.set_incarnation(incarnation);
+  record.set_sequence(sequence);
+  record.add_entries()->mutable_once_intent()->set_key(kBilled);
+  return record;
+}
+
+// Symptom: a key is taken by a request that was refused long ago. Sequence:
+// the answer of an append is lost and the record comes into the log twice,
+// with the key freed in between. Cause: applying a record twice.
+TEST(OnceTableTest, RepeatedRecordIsVoid) {
+  const TimePoint now{std::chrono::seconds(100)};
+  OnceTable table({});
+  table.Apply(now, 1, Intent(1, 1));
+  schema::LogRecord freed = Intent(1, 2);
+  schema::OnceDone& done = *freed.mutable_entries(0)->mutable_once_done();
+  done.set_key(kBilled);
+  done.set_intent_offset(1);
+  done.set_not_run(true);
+  table.Apply(now, 2, freed);
+  table.Apply(now, 3, Intent(1, 1));
+  EXPECT_EQ(table.Find(kBilled), nullptr);
+}
+
+// Symptom: a key runs twice within the time for which it is remembered.
+// Sequence: an entry that started late still knows an old intent, so a new
+// one is void there, though it runs; then the entry forgets the old one.
+// Cause: counting the time from the first intent only.
+TEST(OnceTableTest, VoidIntentRenewsTheKey) {
+  const TimePoint now{std::chrono::seconds(100)};
+  OnceTable table({.retention = std::chrono::seconds(60)});
+  table.Apply(now, 1, Intent(1, 1));
+  table.Apply(now + std::chrono::seconds(50), 2, Intent(2, 1));
+  table.DropOld(now + std::chrono::seconds(100));
+  EXPECT_NE(table.Find(kBilled), nullptr);
+  table.DropOld(now + std::chrono::seconds(110));
+  EXPECT_EQ(table.Find(kBilled), nullptr);
+}
+
 }  // namespace
 }  // namespace rhubarbhaven
