Transport: Listen on a socket of our own

Cause: one of 32 runs of stream_test ended with an abort of libmicrohttpd (Failed to remove listen FD from epoll set): MHD_quiesce_daemon races with a pool thread; a daemon in a planned stop could die of it. And two servers could share a port (transport_http_test PortInUseIsSaid failed): the address reuse option sets SO_REUSEPORT.

Ruled out: one polling thread (all requests would share it); a lock around the call (the race is inside the library).

Change: Listener accepts on its own thread and hands connections to the library, which has no listening socket.

Conclusion: stopping to listen is ours to order.

--- a/Source/Transport/http_server.cc
+++ b/Source/Transport/http_server.cc
@@ -1,18 +1,18 @@
 #include "Transport/http_server.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
-#include <unistd.h>
 
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <set>
 
-#include "absl/strings/ascii.h"
+#include "Transport/listener.h"
 
 namespace rhubarbhaven {
 namespace {
@@ -90,9 +90,6 @@
     AnswerRest();
     WaitIdle();
     MHD_stop_daemon(daemon_);
-    if (listener_ != MHD_INVALID_SOCKET) {
-      close(listener_);
-    }
   }
 
   auto Start() -> absl::Status {
@@ -104,36 +101,25 @@
           absl::StrCat("http address \"", options_.address,
                        "\" is not an IPv4 address; give one by number"));
     }
-    daemon_ = MHD_start_daemon(
-        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
-        options_.port, nullptr, nullptr, &Impl::Handle, this,
-        MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr*>(&address),
-        MHD_OPTION_THREAD_POOL_SIZE, options_.threads,
-        MHD_OPTION_CONNECTION_LIMIT, options_.max_connections,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, kHeaderMemoryBytes,
-        MHD_OPTION_CONNECTION_TIMEOUT,
-        static_cast<unsigned>(options_.idle_timeout.count()),
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
-        &Impl::Completed, this, MHD_OPTION_END);
-    if (daemon_ == nullptr) {
+    if (!listener_.Open(address) || !StartDaemon()) {
       return absl::UnavailableError(
           absl::StrCat("cannot listen on ", options_.address, ":",
                        options_.port, "; is the port in use?"));
     }
+    listener_.Start([this](int connection, const sockaddr_in& peer) -> void {
+      MHD_add_connection(daemon_, connection,
+                         reinterpret_cast<const sockaddr*>(&peer),
+                         sizeof(peer));
+    });
     return absl::OkStatus();
   }
 
   auto StopListening() -> void {
-    const std::lock_guard lock(mutex_);
-    if (!stopping_.exchange(true)) {
-      listener_ = MHD_quiesce_daemon(daemon_);
-    }
+    stopping_ = true;
+    listener_.Stop();
   }
 
-  auto port() const -> uint16_t {
-    const auto* info = MHD_get_daemon_info(daemon_, MHD_DAEMON_INFO_BIND_PORT);
-    return info == nullptr ? 0 : info->port;
-  }
+  auto port() const -> uint16_t { return listener_.port(); }
 
   auto pending() const -> std::size_t {
     const std::lock_guard lock(mutex_);
@@ -177,6 +163,22 @@
     *state = nullptr;
   }
 
+  auto StartDaemon() -> bool {
+    // The library may abort when its pool is asked to stop listening while one
+    // of its threads handles the listening socket (MHD_quiesce_daemon); seen
+    // as a daemon that dies in a planned stop. So the socket is not its own.
+    daemon_ = MHD_start_daemon(
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC |
+            MHD_USE_NO_LISTEN_SOCKET,
+        0, nullptr, nullptr, &Impl::Handle, this, MHD_OPTION_THREAD_POOL_SIZE,
+        options_.threads, MHD_OPTION_CONNECTION_LIMIT, options_.max_connections,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, kHeaderMemoryBytes,
+        MHD_OPTION_CONNECTION_TIMEOUT,
+        static_cast<unsigned>(options_.idle_timeout.count()),
+        MHD_OPTION_NOTIFY_COMPLETED, &Impl::Completed, this, MHD_OPTION_END);
+    return daemon_ != nullptr;
+  }
+
   auto Begin(MHD_Connection* connection,
              const char* url,
              const char* method,
@@ -291,11 +293,11 @@
 
   HttpServerOptions options_;
   MHD_Daemon* daemon_ = nullptr;
-  MHD_socket listener_ = MHD_INVALID_SOCKET;
   std::atomic<bool> stopping_ = false;
   mutable std::mutex mutex_;
   std::condition_variable idle_;
   std::set<ExchangePtr> exchanges_;
+  Listener listener_;
 };
 
 HttpServer::HttpServer(HttpServerOptions options)
