--- a/Source/Daemon/stream_duty.cc
+++ b/Source/Daemon/stream_duty.cc
@@ -130,6 +130,10 @@
 // starts later would find a gap and no state; see docs/design/journal.md.
 auto StreamDuty::WriteSnapshot(TimePoint now) -> void {
   const WholeSnapshot whole = hooks_.export_state();
+  // A process that is itself in a gap has nothing newer to offer.
+  if (!policy_.Helps(whole.covers)) {
+    return;
+  }
   for (auto& entry :
        CutSnapshot(whole.covers, whole.state, kSnapshotChunkBytes)) {
     if (!writer_.Append(std::move(entry))) {
