--- a/Tests/StandIns/Endpoint/endpoint_stand_in.cc
+++ b/Tests/StandIns/Endpoint/endpoint_stand_in.cc
@@ -5,16 +5,15 @@
 // POST /faults?slow_ms=N&fail=1 makes it slow or failing.
 
 #include <gflags/gflags.h>
-#include <unistd.h>
 
 #include <atomic>
 #include <condition_variable>
-#include <csignal>
 #include <cstdio>
 #include <deque>
 #include <mutex>
 #include <thread>
 
+#include "Tests/StandIns/stand_in_process.h"
 #include "Transport/transport.h"
 
 DEFINE_int32(port, 0, "Port to listen on; 0 takes any.");
@@ -148,21 +147,7 @@
     stand_in.Handle(std::move(request), std::move(respond));
   };
   HttpServer server(options);
-  const auto status = server.Start();
-  if (!status.ok()) {
-    std::fprintf(stderr, "endpoint_stand_in: %s\n",
-                 std::string(status.message()).c_str());
-    return 1;
-  }
-  std::printf("event=listening port=%d\n", server.port());
-  std::fflush(stdout);
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  int signal = 0;
-  sigwait(&signals, &signal);
-  return 0;
+  return ServeUntilStopped("endpoint_stand_in", server);
 }
 
 }  // namespace
@@ -170,10 +155,6 @@
 
 auto main(int argc, char** argv) -> int {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  rhubarbhaven::BlockStopSignals();
   return rhubarbhaven::Serve();
 }
--- a/Tests/StandIns/Log/log_stand_in_main.cc
+++ b/Tests/StandIns/Log/log_stand_in_main.cc
@@ -3,10 +3,8 @@
 
 #include <gflags/gflags.h>
 
-#include <csignal>
-#include <cstdio>
-
 #include "Tests/StandIns/Log/log_stand_in.h"
+#include "Tests/StandIns/stand_in_process.h"
 
 DEFINE_int32(port, 0, "Port to listen on; 0 takes any.");
 DEFINE_uint64(retention_records, 0, "Records kept of each stream; 0 for all.");
@@ -14,26 +12,11 @@
 
 auto main(int argc, char** argv) -> int {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-
+  rhubarbhaven::BlockStopSignals();
   rhubarbhaven::LogStandInOptions options;
   options.port = static_cast<uint16_t>(FLAGS_port);
   options.retention_records = FLAGS_retention_records;
   options.retention = std::chrono::milliseconds(FLAGS_retention_ms);
   rhubarbhaven::LogStandIn log(options);
-  const auto status = log.Start();
-  if (!status.ok()) {
-    std::fprintf(stderr, "log_stand_in: %s\n",
-                 std::string(status.message()).c_str());
-    return 1;
-  }
-  std::printf("event=listening port=%d\n", log.port());
-  std::fflush(stdout);
-  int signal = 0;
-  sigwait(&signals, &signal);
-  return 0;
+  return rhubarbhaven::ServeUntilStopped("log_stand_in", log);
 }
--- a/Tests/StandIns/Worker/worker_stand_in.cc
+++ b/Tests/StandIns/Worker/worker_stand_in.cc
@@ -15,7 +15,6 @@
 #include <google/protobuf/util/json_util.h>
 
 #include <atomic>
-#include <csignal>
 #include <cstdio>
 #include <map>
 #include <mutex>
@@ -23,6 +22,7 @@
 #include <utility>
 
 #include "Tests/StandIns/Worker/worker_model.h"
+#include "Tests/StandIns/stand_in_process.h"
 #include "Transport/transport.h"
 
 DEFINE_int32(port, 0, "Port to listen on; 0 takes any.");
@@ -183,21 +183,7 @@
     stand_in.Handle(request, respond);
   };
   HttpServer server(options);
-  const auto status = server.Start();
-  if (!status.ok()) {
-    std::fprintf(stderr, "worker_stand_in: %s\n",
-                 std::string(status.message()).c_str());
-    return 1;
-  }
-  std::printf("event=listening port=%d\n", server.port());
-  std::fflush(stdout);
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  int signal = 0;
-  sigwait(&signals, &signal);
-  return 0;
+  return ServeUntilStopped("worker_stand_in", server);
 }
 
 }  // namespace
@@ -205,10 +191,6 @@
 
 auto main(int argc, char** argv) -> int {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  rhubarbhaven::BlockStopSignals();
   return rhubarbhaven::Serve();
 }
