--- a/Tests/Benchmarks/Routing/bench_router.cc
+++ b/Tests/Benchmarks/Routing/bench_router.cc
@@ -66,7 +66,7 @@
 
 auto RoutingDecision(benchmark::State& state) -> void {
   RouterLoad load(static_cast<int>(state.range(0)));
-  for (auto step : state) {
+  while (state.KeepRunning()) {
     load.Decide();
   }
 }
--- a/Tests/Routing/input_test.cc
+++ b/Tests/Routing/input_test.cc
@@ -105,7 +105,8 @@
     }
     ++parsed;
     const TimePoint now = trial.cluster->now();
-    const std::string agent = FakeCluster::AgentName(random() % 5);
+    const std::string agent =
+        FakeCluster::AgentName(static_cast<int>(random() % 5));
     trial.cluster->router(0).OnMessage(now, agent, message);
     trial.cluster->router(0).OnUnsent(now, agent, message);
     for (const auto& action :
--- a/Tests/Routing/load_test.cc
+++ b/Tests/Routing/load_test.cc
@@ -378,7 +378,7 @@
   TimePoint now{std::chrono::seconds(100)};
   RouterOptions options;
   options.max_pending = 100;
-  options.max_pending_bytes = 100 * 1000;
+  options.max_pending_bytes = 100'000;
   EntryRouter router(options);
   std::vector<schema::VersionedObject> objects;
   std::map<std::string, uint32_t> weights{{"coop", 1}, {"host", 3}};
--- a/Tests/Routing/verdict_test.cc
+++ b/Tests/Routing/verdict_test.cc
@@ -46,7 +46,7 @@
 }
 
 // Does something to the agent that the first offer goes to.
-auto WhenAsked(std::function<auto(Trial&, int agent)->void> what) {
+auto WhenAsked(const std::function<auto(Trial&, int agent)->void>& what) {
   return [what](Trial& trial) {
     trial.network = [&trial, what, done = false](
                         const std::string&, const std::string& to,
