Benchmarks: Make the placement benchmarks clean for the linter

Cause: clang-tidy named seven places in Tests/Benchmarks/Placement.

Change: KeepRunning in place of range loops, reserved vectors, a cast before the sum. No policy or bound is touched.

Conclusion: no change of behaviour.

--- a/Tests/Benchmarks/Placement/bench_colocation.cc
+++ b/Tests/Benchmarks/Placement/bench_colocation.cc
@@ -121,6 +121,7 @@
               "throughput", "evictions", "killed", "throttles", "lost core h");
   const std::vector<double> alone = RunAlone(shape);
   std::vector<Score> scores;
+  scores.reserve(entrants.size());
   for (const Entrant& entrant : entrants) {
     scores.push_back(Run(shape, entrant, alone));
   }
--- a/Tests/Benchmarks/Placement/bench_placer.cc
+++ b/Tests/Benchmarks/Placement/bench_placer.cc
@@ -102,7 +102,7 @@
   cell.Fill();
   std::size_t placed = 0;
   Duration spent{0};
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     cell.Finish(batch);
     cell.Submit(batch);
     const TimePoint begun = Clock::now();
@@ -129,7 +129,7 @@
   Cell cell(static_cast<uint32_t>(state.range(0)));
   cell.Submit(kTasks);
   cell.Fill();
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     benchmark::DoNotOptimize(cell.Decide(kBatch));
   }
 }
@@ -144,7 +144,7 @@
 // Cancelling one job with the given number of waiting tasks.
 auto CancelJob(benchmark::State& state) -> void {
   const auto tasks = static_cast<uint32_t>(state.range(0));
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     Cell cell(11);
     PendingTask task;
     task.task.set_partner("coop");
@@ -172,7 +172,7 @@
 auto Memory(benchmark::State& state) -> void {
   const auto workers = static_cast<uint32_t>(state.range(0));
   const auto tasks = static_cast<uint32_t>(state.range(1));
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     const double before = HeapBytes();
     auto cell = std::make_unique<Cell>(workers);
     const double with_workers = HeapBytes();
@@ -180,7 +180,7 @@
     const double with_tasks = HeapBytes();
     state.counters["bytes_per_worker"] = (with_workers - before) / workers;
     state.counters["bytes_per_task"] = (with_tasks - with_workers) / tasks;
-    while (cell->placer().Decide(TimePoint{}, 4096).placements.size() > 0) {
+    while (!cell->placer().Decide(TimePoint{}, 4096).placements.empty()) {
     }
     state.counters["bytes_all"] = HeapBytes() - before;
     state.counters["placed"] = static_cast<double>(cell->placer().placed());
--- a/Tests/Benchmarks/Placement/colocation_world.cc
+++ b/Tests/Benchmarks/Placement/colocation_world.cc
@@ -284,8 +284,8 @@
     if (second_ < kWarmUp || worker.down_s > 0) {
       return;
     }
-    const auto first =
-        static_cast<std::size_t>(second_ * 131 + worker.state.instance.back());
+    const auto first = static_cast<std::size_t>(second_) * 131 +
+                       static_cast<unsigned char>(worker.state.instance.back());
     const int count = static_cast<int>(kLatencySamples * load);
     for (int request = 0; request < count; ++request) {
       const std::size_t draw = (first + request) % ratios_.size();
