--- a/Tests/Benchmarks/Tasks/bench_owner.cc
+++ b/Tests/Benchmarks/Tasks/bench_owner.cc
@@ -28,7 +28,8 @@
 auto CpuSeconds() -> double {
   timespec time{};
   clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-  return static_cast<double>(time.tv_sec) + 1e-9 * time.tv_nsec;
+  return static_cast<double>(time.tv_sec) +
+         1e-9 * static_cast<double>(time.tv_nsec);
 }
 
 auto HeapBytes() -> double {
--- a/Tests/StandIns/Worker/worker_stand_in.cc
+++ b/Tests/StandIns/Worker/worker_stand_in.cc
@@ -178,8 +178,8 @@
   WorkerStandIn stand_in;
   HttpServerOptions options;
   options.port = static_cast<uint16_t>(FLAGS_port);
-  options.handler = [&stand_in](HttpServerRequest request,
-                                HttpResponder respond) -> void {
+  options.handler = [&stand_in](const HttpServerRequest& request,
+                                const HttpResponder& respond) -> void {
     stand_in.Handle(request, respond);
   };
   HttpServer server(options);
