--- a/Tests/Routing/fake_cluster.cc
+++ b/Tests/Routing/fake_cluster.cc
@@ -50,8 +50,9 @@
   now_ = end;
 }
 
-auto FakeCluster::Submit(int entry, CallerRequest request, OnReply on_reply)
-    -> void {
+auto FakeCluster::Submit(int entry,
+                         const CallerRequest& request,
+                         const OnReply& on_reply) -> void {
   Deliver(entries_[entry], [this, entry, request, on_reply] {
     callers_[{entries_[entry].incarnation, request.ticket}] = on_reply;
     Perform(entry, entries_[entry].decides->OnRequest(now_, request));
@@ -113,6 +114,7 @@
       absl::StrCat("domain-", agent % options_.failure_domains));
   process.decides->SetIdentity(identity);
   std::vector<std::string> names;
+  names.reserve(options_.entries);
   for (int entry = 0; entry < options_.entries; ++entry) {
     names.push_back(EntryName(entry));
   }
--- a/Tests/Routing/fake_cluster.h
+++ b/Tests/Routing/fake_cluster.h
@@ -72,7 +72,8 @@
   auto RunFor(Duration time) -> void;
 
   // Gives the request to the entry; a killed entry never replies.
-  auto Submit(int entry, CallerRequest request, OnReply on_reply) -> void;
+  auto Submit(int entry, const CallerRequest& request, const OnReply& on_reply)
+      -> void;
   auto CallerGone(int entry, uint64_t ticket) -> void;
 
   auto StopEntry(int entry) -> void { entries_[entry].Stop(); }
