Daemon: Count by the events of the manual, place by learnt cost

Cause: the daemon counted refusals under another name than docs/manual says, and twice; the owner used the slowdown expected of a job and not the cost that the colocation figures were measured with; a wait for the end of the clock could overflow.

Ruled out: renaming the events in the router (its manual and tests have them).

Change: events refused and dropped everywhere, the router alone counts replies; PlacementCost and FailedHere in the owner; waits are clamped first.

Conclusion: one name for each counter.

--- a/Source/Daemon/admission_duty.cc
+++ b/Source/Daemon/admission_duty.cc
@@ -62,7 +62,7 @@
         Carry(admission_.OnMessage(now, entry, message));
       });
   if (!taken) {
-    metrics_->AddReason("dropped_messages", schema::RING_FULL);
+    metrics_->AddReason("dropped", schema::RING_FULL);
   }
 }
 
@@ -105,12 +105,12 @@
 
 auto AdmissionDuty::CarryOne(const SendToEntry& send) -> void {
   if (!hooks_.send(send.entry, send.message)) {
-    metrics_->AddReason("dropped_messages", schema::RING_FULL);
+    metrics_->AddReason("dropped", schema::RING_FULL);
   }
 }
 
 auto AdmissionDuty::CarryOne(const CountRefusal& count) -> void {
-  metrics_->AddReason("refusals", count.reason);
+  metrics_->AddReason("refused", count.reason);
 }
 
 }  // namespace rhubarbhaven
--- a/Source/Daemon/agent_daemon.cc
+++ b/Source/Daemon/agent_daemon.cc
@@ -137,7 +137,7 @@
     OnLinkMessage(entry, std::move(message));
   };
   options.on_dropped = [this](schema::Reason reason) -> void {
-    metrics_.AddReason("dropped_messages", reason);
+    metrics_.AddReason("dropped", reason);
   };
   return options;
 }
@@ -159,7 +159,7 @@
       OnNotice(message.config_notice());
       break;
     default:
-      metrics_.AddReason("dropped_messages", schema::MESSAGE_MALFORMED);
+      metrics_.AddReason("dropped", schema::MESSAGE_MALFORMED);
   }
 }
 
--- a/Source/Daemon/cell_duty.cc
+++ b/Source/Daemon/cell_duty.cc
@@ -105,7 +105,7 @@
 auto CellDuty::CarryOne(TimePoint /*now*/, const OrderAgent& order) -> void {
   if (!hooks_.send(order.agent, order.message)) {
     // The owner repeats what is not acknowledged.
-    metrics_->AddReason("dropped_messages", schema::RING_FULL);
+    metrics_->AddReason("dropped", schema::RING_FULL);
   }
 }
 
--- a/Source/Daemon/control_duty.cc
+++ b/Source/Daemon/control_duty.cc
@@ -266,7 +266,7 @@
 
 auto ControlDuty::Post(DutyThread::Job job) -> void {
   if (!thread_.Post(std::move(job))) {
-    metrics_->AddReason("dropped_messages", schema::RING_FULL);
+    metrics_->AddReason("dropped", schema::RING_FULL);
   }
 }
 
--- a/Source/Daemon/duty_thread.cc
+++ b/Source/Daemon/duty_thread.cc
@@ -52,10 +52,11 @@
 }
 
 auto DutyThread::Wait() -> void {
-  const Duration left = options_.next_wake() - Clock::now();
-  const auto wait =
-      std::clamp(std::chrono::ceil<std::chrono::milliseconds>(left),
-                 std::chrono::milliseconds(0), kLongestWait);
+  const TimePoint now = Clock::now();
+  // Clamped first: the ends of the clock cannot be subtracted from.
+  const TimePoint next =
+      std::clamp(options_.next_wake(), now, now + kLongestWait);
+  const auto wait = std::chrono::ceil<std::chrono::milliseconds>(next - now);
   pollfd wake{ring_.wake_fd(), POLLIN, 0};
   poll(&wake, 1, static_cast<int>(wait.count()));
 }
--- a/Source/Daemon/entry_daemon.cc
+++ b/Source/Daemon/entry_daemon.cc
@@ -101,7 +101,7 @@
     OnLinkMessage(peer, std::move(message));
   };
   options.on_dropped = [this](schema::Reason reason) -> void {
-    metrics_.AddReason("dropped_messages", reason);
+    metrics_.AddReason("dropped", reason);
   };
   options.on_unsent = [this](const std::string& peer,
                              const schema::Envelope& message) -> void {
@@ -168,7 +168,7 @@
     HandleHttp(std::move(request), respond);
   };
   options.on_refused = [this](schema::Reason reason) -> void {
-    metrics_.AddReason("refusals", reason);
+    metrics_.AddReason("refused", reason);
   };
   return options;
 }
@@ -190,7 +190,7 @@
       control_.OnMessage(peer, std::move(message));
       break;
     default:
-      metrics_.AddReason("dropped_messages", schema::MESSAGE_MALFORMED);
+      metrics_.AddReason("dropped", schema::MESSAGE_MALFORMED);
   }
 }
 
@@ -207,7 +207,7 @@
   } else if (request.path == "/health/ready") {
     respond(AnswerReady());
   } else {
-    metrics_.AddReason("refusals", schema::BAD_REQUEST);
+    metrics_.AddReason("refused", schema::BAD_REQUEST);
     respond({404, {}, "No such path; callers use /call/PARTNER/SERVICE/.\n"});
   }
 }
@@ -227,7 +227,7 @@
   const uint64_t ticket = next_ticket_++;
   auto parsed = ParseCallerRequest(http, settings_.entry(), ticket);
   if (const auto* reason = std::get_if<schema::Reason>(&parsed)) {
-    metrics_.AddReason("refusals", *reason);
+    metrics_.AddReason("refused", *reason);
     respond(RenderRefusal(*reason, std::chrono::milliseconds(0)));
     return;
   }
@@ -246,7 +246,7 @@
                        respond(RenderReply(reply, request_id));
                      });
   if (!taken) {
-    metrics_.AddReason("refusals", schema::RING_FULL);
+    metrics_.AddReason("refused", schema::RING_FULL);
     respond(RenderRefusal(schema::RING_FULL, kComeBackSoon));
   }
 }
--- a/Source/Daemon/keeper_duty.cc
+++ b/Source/Daemon/keeper_duty.cc
@@ -58,7 +58,7 @@
         Carry(keeper_.OnMessage(now, entry, message));
       });
   if (!taken) {
-    metrics_->AddReason("dropped_messages", schema::RING_FULL);
+    metrics_->AddReason("dropped", schema::RING_FULL);
   }
 }
 
--- a/Source/Daemon/router_duty.cc
+++ b/Source/Daemon/router_duty.cc
@@ -73,7 +73,7 @@
 
 auto RouterDuty::Post(DutyThread::Job job) -> void {
   if (!thread_.Post(std::move(job))) {
-    metrics_->AddReason("dropped_messages", schema::RING_FULL);
+    metrics_->AddReason("dropped", schema::RING_FULL);
   }
 }
 
@@ -89,9 +89,6 @@
   auto waiting = waiting_.extract(reply.ticket);
   metrics_->Add("rhubarbhaven_replies_total{verdict=\"" +
                 VerdictName(reply.verdict) + "\"}");
-  if (reply.reason != schema::REASON_NONE) {
-    metrics_->AddReason("refusals", reply.reason);
-  }
   if (!waiting.empty()) {
     metrics_->RecordLatency("rhubarbhaven_request_seconds",
                             now - waiting.mapped().since);
@@ -101,7 +98,7 @@
 
 auto RouterDuty::CarryOne(TimePoint now, SendToAgent& send) -> void {
   if (!hooks_.send(send.agent, send.message)) {
-    metrics_->AddReason("dropped_messages", schema::RING_FULL);
+    metrics_->AddReason("dropped", schema::RING_FULL);
     Carry(now, router_.OnUnsent(now, send.agent, send.message));
   }
 }
--- a/Source/Tasks/owner_scheduler.cc
+++ b/Source/Tasks/owner_scheduler.cc
@@ -11,6 +11,8 @@
 
 // An agent that was not heard for this part of its lease takes no new work.
 constexpr int kSilentPart = 2;
+// As bad as a service slowed down by a factor e: tried elsewhere first.
+constexpr double kFailedHereCost = 1;
 
 auto JobName(const std::string& partner, const std::string& job)
     -> std::string {
@@ -38,11 +40,18 @@
       placer_(PlacerOptions{
           .extra_cost = [this](const PendingTask& task,
                                const std::string& instance) -> double {
-            return interference_.ExpectedSlowdown(
-                       now_, instance, task.task.partner(), task.task.job()) -
-                   1.0;
+            return ExtraCost(task, instance);
           }}) {}
 
+auto OwnerScheduler::ExtraCost(const PendingTask& task,
+                               const std::string& instance) const -> double {
+  const auto& partner = task.task.partner();
+  const auto& job = task.task.job();
+  const double harm = interference_.PlacementCost(now_, instance, partner, job);
+  const bool failed = health_.FailedHere(instance, partner, job);
+  return harm + (failed ? kFailedHereCost : 0);
+}
+
 auto OwnerScheduler::Begin(TimePoint now) -> void {
   LoadRules();
   SyncWorkers(now);
@@ -234,6 +243,7 @@
       return false;
     }
     placer_.RemoveWorker(name);
+    interference_.RemoveInstance(name);
     told_.erase(name);
     return true;
   });
--- a/Source/Tasks/owner_scheduler.h
+++ b/Source/Tasks/owner_scheduler.h
@@ -57,6 +57,9 @@
   auto in_flight() const -> std::size_t { return in_flight_.size(); }
 
  private:
+  // Cost of running the task on the instance beyond fit.
+  auto ExtraCost(const PendingTask& task, const std::string& instance) const
+      -> double;
   auto LoadRules() -> void;
   auto AddPendingJob(TimePoint now, const RegisterJob& job) -> void;
   auto AddPending(TimePoint now, const RegisterJob& job, uint32_t index)
