Tests: Ask while a lost path is being probed

Cause: process_silent_connection_test AgentToEntry failed: the entry now leaves a path that loses messages and takes it back after three requests that serve as probes; the test stopped asking and waited for the state to change by itself.

Ruled out: an endpoint that is given up (it is served again as soon as requests come).

Change: the test goes on asking while it waits; what it expects is the same.

Conclusion: probes need traffic; an idle service keeps its state.

--- a/Tests/Process/silent_connection_test.cc
+++ b/Tests/Process/silent_connection_test.cc
@@ -56,7 +56,13 @@
   EXPECT_TRUE(
       WaitFor([&relay, before]() -> bool { return relay.accepted() > before; },
               std::chrono::seconds(5)));
-  EXPECT_TRUE(deployment.WaitReady(0, 3));
+  // A path that lost messages comes back by requests that serve as probes.
+  EXPECT_TRUE(WaitFor(
+      [&deployment]() -> bool {
+        deployment.Get(0, "/call/rufisque/results/probe?ms=2");
+        return deployment.EndpointsInState(0, "ready") == 3;
+      },
+      kPatience));
 }
 
 INSTANTIATE_TEST_SUITE_P(
