Daemon: Mend what the linter found

Ruled out: leaving checks out. Change: references for values only read, reserved vectors, one unchecked bind.

--- a/Source/Daemon/control_duty.cc
+++ b/Source/Daemon/control_duty.cc
@@ -57,8 +57,8 @@
     options.owner.unverified_limit =
         std::chrono::seconds(entry.unverified_owner_limit_s());
     CellHooks hooks;
-    hooks.post = [this](DutyThread::Job job) -> void {
-      thread_.PostOrWait(std::move(job));
+    hooks.post = [this](const DutyThread::Job& job) -> void {
+      thread_.PostOrWait(job);
     };
     hooks.send = hooks_.send;
     cells_[cell] = std::make_unique<CellDuty>(options, hooks, metrics_);
@@ -88,8 +88,8 @@
 
 auto ControlDuty::ConfigHooks() -> StreamHooks {
   StreamHooks hooks;
-  hooks.post = [this](DutyThread::Job job) -> void {
-    thread_.PostOrWait(std::move(job));
+  hooks.post = [this](const DutyThread::Job& job) -> void {
+    thread_.PostOrWait(job);
   };
   hooks.on_record = [this](TimePoint now, uint64_t offset,
                            const schema::LogRecord& record) -> void {
--- a/Source/Daemon/duty_thread.cc
+++ b/Source/Daemon/duty_thread.cc
@@ -27,7 +27,7 @@
   return !stop_ && ring_.Push(std::move(job));
 }
 
-auto DutyThread::PostOrWait(Job job) -> void {
+auto DutyThread::PostOrWait(const Job& job) -> void {
   while (!stop_ && !ring_.Push(job)) {
     std::this_thread::sleep_for(kRingFullWait);
   }
--- a/Source/Daemon/duty_thread.h
+++ b/Source/Daemon/duty_thread.h
@@ -31,7 +31,7 @@
   // False if the ring is full: the job was dropped and must be counted.
   auto Post(Job job) -> bool;
   // Waits for room; for events that must not be lost, such as log records.
-  auto PostOrWait(Job job) -> void;
+  auto PostOrWait(const Job& job) -> void;
   // Ends the thread after the job that runs now. Further jobs are dropped.
   auto Stop() -> void;
 
--- a/Source/Daemon/endpoint_caller.cc
+++ b/Source/Daemon/endpoint_caller.cc
@@ -25,8 +25,8 @@
 EndpointCaller::EndpointCaller(std::string base_url, uint32_t connections)
     : base_url_(std::move(base_url)), http_(static_cast<int>(connections)) {}
 
-auto EndpointCaller::Start(const CallEndpoint& call, OnOutcome on_outcome)
-    -> void {
+auto EndpointCaller::Start(const CallEndpoint& call,
+                           const OnOutcome& on_outcome) -> void {
   HttpClientRequest request;
   request.method = call.http.method();
   request.url = base_url_ + call.http.path();
--- a/Source/Daemon/endpoint_caller.h
+++ b/Source/Daemon/endpoint_caller.h
@@ -18,7 +18,7 @@
   EndpointCaller(std::string base_url, uint32_t connections);
 
   // `on_outcome` runs on the caller's thread.
-  auto Start(const CallEndpoint& call, OnOutcome on_outcome) -> void;
+  auto Start(const CallEndpoint& call, const OnOutcome& on_outcome) -> void;
 
  private:
   std::string base_url_;
--- a/Source/Daemon/entry_daemon.cc
+++ b/Source/Daemon/entry_daemon.cc
@@ -139,8 +139,8 @@
 
 auto EntryDaemon::OnceHooks() -> StreamHooks {
   StreamHooks hooks;
-  hooks.post = [this](DutyThread::Job job) -> void {
-    router_.PostOrWait(std::move(job));
+  hooks.post = [this](const DutyThread::Job& job) -> void {
+    router_.PostOrWait(job);
   };
   hooks.on_record = [this](TimePoint now, uint64_t offset,
                            const schema::LogRecord& record) -> void {
@@ -163,9 +163,9 @@
   options.address = settings_.entry().http_address();
   options.port = static_cast<uint16_t>(settings_.entry().http_port());
   options.max_body_bytes = settings_.entry().max_body_bytes();
-  options.handler = [this](HttpServerRequest request,
+  options.handler = [this](const HttpServerRequest& request,
                            const HttpResponder& respond) -> void {
-    HandleHttp(std::move(request), respond);
+    HandleHttp(request, respond);
   };
   options.on_refused = [this](schema::Reason reason) -> void {
     metrics_.AddReason("refused", reason);
@@ -194,7 +194,7 @@
   }
 }
 
-auto EntryDaemon::HandleHttp(HttpServerRequest request,
+auto EntryDaemon::HandleHttp(const HttpServerRequest& request,
                              const HttpResponder& respond) -> void {
   if (absl::StartsWith(request.path, kCallPath)) {
     HandleCall(request, respond);
--- a/Source/Daemon/entry_daemon.h
+++ b/Source/Daemon/entry_daemon.h
@@ -35,8 +35,8 @@
   auto OnceHooks() -> StreamHooks;
   auto HttpOptions() -> HttpServerOptions;
   auto OnLinkMessage(const std::string& peer, schema::Envelope message) -> void;
-  auto HandleHttp(HttpServerRequest request, const HttpResponder& respond)
-      -> void;
+  auto HandleHttp(const HttpServerRequest& request,
+                  const HttpResponder& respond) -> void;
   auto HandleCall(const HttpServerRequest& request,
                   const HttpResponder& respond) -> void;
   auto AnswerReady() const -> HttpServerAnswer;
--- a/Source/Daemon/router_duty.h
+++ b/Source/Daemon/router_duty.h
@@ -34,8 +34,8 @@
   auto OnMessage(std::string agent, schema::Envelope message) -> void;
   auto OnUnsent(std::string agent, schema::Envelope message) -> void;
   // Runs a job on the router's thread; waits for room.
-  auto PostOrWait(DutyThread::Job job) -> void {
-    thread_.PostOrWait(std::move(job));
+  auto PostOrWait(const DutyThread::Job& job) -> void {
+    thread_.PostOrWait(job);
   }
   // On the router's thread only.
   auto OnOnceRecord(TimePoint now,
--- a/Tests/Benchmarks/Process/bench_request_overhead.cc
+++ b/Tests/Benchmarks/Process/bench_request_overhead.cc
@@ -78,6 +78,7 @@
 auto MeasureThroughput(Deployment& deployment) -> void {
   std::atomic<int> answered = 0;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   const TimePoint end = Clock::now() + kThroughputTime;
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&deployment, &answered, end]() -> void {
--- a/Tests/Daemon/adapters_test.cc
+++ b/Tests/Daemon/adapters_test.cc
@@ -66,7 +66,7 @@
   return settings;
 }
 
-auto Parse(HttpServerRequest http)
+auto Parse(const HttpServerRequest& http)
     -> std::variant<CallerRequest, schema::Reason> {
   return ParseCallerRequest(http, Settings(), 1);
 }
--- a/Tests/Process/request_path_test.cc
+++ b/Tests/Process/request_path_test.cc
@@ -39,6 +39,7 @@
   constexpr int kRequests = 50;
   std::atomic<int> own = 0;
   std::vector<std::thread> callers;
+  callers.reserve(kThreads);
   for (int caller = 0; caller < kThreads; ++caller) {
     callers.emplace_back([&deployment, &own, caller]() -> void {
       for (int i = 0; i < kRequests; ++i) {
--- a/Tests/StandIns/Endpoint/endpoint_stand_in.cc
+++ b/Tests/StandIns/Endpoint/endpoint_stand_in.cc
@@ -50,7 +50,7 @@
     }
   }
 
-  auto Handle(HttpServerRequest request, HttpResponder respond) -> void {
+  auto Handle(HttpServerRequest request, const HttpResponder& respond) -> void {
     if (request.path == "/health") {
       respond({200, {}, "ok\n"});
     } else if (request.path == "/faults") {
--- a/Tests/Support/deployment.cc
+++ b/Tests/Support/deployment.cc
@@ -239,6 +239,7 @@
                        const std::vector<std::string>& flags,
                        std::string* output) -> int {
   std::vector<std::string> instances;
+  instances.reserve(static_cast<std::size_t>(options_.agents));
   for (int i = 0; i < options_.agents; ++i) {
     instances.push_back(
         absl::StrCat(R"({"name":"instance-)", i,
--- a/Tests/Transport/http_test.cc
+++ b/Tests/Transport/http_test.cc
@@ -20,7 +20,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
-    bind(listener_, reinterpret_cast<sockaddr*>(&address), size);
+    EXPECT_EQ(bind(listener_, reinterpret_cast<sockaddr*>(&address), size), 0);
     getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
     port_ = ntohs(address.sin_port);
     listen(listener_, SOMAXCONN);
