--- a/Source/Base/logging.cc
+++ b/Source/Base/logging.cc
@@ -1,15 +1,49 @@
 #include "Base/logging.h"
 
+#include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/stdout_sinks.h>
 
+#include <utility>
+
 namespace rhubarbhaven {
 namespace {
 
 constexpr char kTextPattern[] = "%Y-%m-%dT%H:%M:%S.%e %l [%n] %v";
 
-auto JsonPattern(const std::string& process_id) -> std::string {
-  return R"({"time":"%Y-%m-%dT%H:%M:%S.%e","level":"%l","process":")" +
-         process_id + R"(","part":"%n","text":"%v"})";
+// The pattern flag for a line's text inside a JSON string.
+constexpr char kJsonTextFlag = '*';
+constexpr unsigned char kFirstPrintable = 0x20;
+
+// Writes the text escaped for JSON: one quote in a message would otherwise
+// make the line unreadable to whatever collects the logs.
+class JsonTextFlag : public spdlog::custom_flag_formatter {
+ public:
+  auto format(const spdlog::details::log_msg& message,
+              const std::tm& /*time*/,
+              spdlog::memory_buf_t& line) -> void override {
+    for (const char c : message.payload) {
+      if (c == '"' || c == '\\') {
+        line.push_back('\\');
+        line.push_back(c);
+      } else {
+        const bool control = static_cast<unsigned char>(c) < kFirstPrintable;
+        line.push_back(control ? ' ' : c);
+      }
+    }
+  }
+  auto clone() const -> std::unique_ptr<custom_flag_formatter> override {
+    return std::make_unique<JsonTextFlag>();
+  }
+};
+
+auto JsonFormatter(const std::string& process_id)
+    -> std::unique_ptr<spdlog::pattern_formatter> {
+  auto formatter = std::make_unique<spdlog::pattern_formatter>();
+  formatter->add_flag<JsonTextFlag>(kJsonTextFlag);
+  formatter->set_pattern(
+      R"({"time":"%Y-%m-%dT%H:%M:%S.%e","level":"%l","process":")" +
+      process_id + R"(","part":"%n","text":"%*"})");
+  return formatter;
 }
 
 auto SharedSink() -> spdlog::sink_ptr {
@@ -26,8 +60,11 @@
       settings.level().empty() ? "info" : settings.level();
   spdlog::set_level(
       spdlog::level::from_str(level == "warn" ? "warning" : level));
-  const bool json = settings.form() == "json";
-  SharedSink()->set_pattern(json ? JsonPattern(process_id) : kTextPattern);
+  if (settings.form() == "json") {
+    SharedSink()->set_formatter(JsonFormatter(process_id));
+  } else {
+    SharedSink()->set_pattern(kTextPattern);
+  }
 }
 
 auto PartLogger(const std::string& part) -> std::shared_ptr<spdlog::logger> {
