--- a/Tests/StandIns/Endpoint/endpoint_stand_in.cc
+++ b/Tests/StandIns/Endpoint/endpoint_stand_in.cc
@@ -143,8 +143,8 @@
   HttpServerOptions options;
   options.port = static_cast<uint16_t>(FLAGS_port);
   options.handler = [&stand_in](HttpServerRequest request,
-                                HttpResponder respond) -> void {
-    stand_in.Handle(std::move(request), std::move(respond));
+                                const HttpResponder& respond) -> void {
+    stand_in.Handle(std::move(request), respond);
   };
   HttpServer server(options);
   return ServeUntilStopped("endpoint_stand_in", server);
--- a/Tests/Tasks/task_keeper_test.cc
+++ b/Tests/Tasks/task_keeper_test.cc
@@ -149,7 +149,7 @@
     Grant(begin_, number);
     const KeeperActions actions =
         keeper_.OnMessage(begin_, "entry-0", Order(number));
-    const CallWorker start = *StartIn(actions);
+    CallWorker start = *StartIn(actions);
     WorkerOutcome lost;
     lost.call_id = start.call_id;
     now_ = begin_ + milliseconds(500);
