--- a/Source/Base/base.h
+++ b/Source/Base/base.h
@@ -4,6 +4,7 @@
 // What every other package builds on: time, rings, metrics, logs, settings.
 
 #include "Base/bounded_ring.h"
+#include "Base/event_log.h"
 #include "Base/hashing.h"
 #include "Base/json_file.h"
 #include "Base/logging.h"
--- a/Source/Base/logging.cc
+++ b/Source/Base/logging.cc
@@ -1,10 +1,11 @@
 #include "Base/logging.h"
 
 #include <spdlog/pattern_formatter.h>
-#include <spdlog/sinks/stdout_sinks.h>
 
 #include <utility>
 
+#include "Base/bounded_stdout_sink.h"
+
 namespace rhubarbhaven {
 namespace {
 
@@ -21,6 +22,23 @@
   auto format(const spdlog::details::log_msg& message,
               const std::tm& /*time*/,
               spdlog::memory_buf_t& line) -> void override {
+    if (message.payload.size() > 0 && message.payload[0] == kEventMark) {
+      // Fields of an event, escaped already.
+      line.append(message.payload.begin() + 1, message.payload.end());
+      return;
+    }
+    constexpr std::string_view kText = "\"text\":\"";
+    line.append(kText.data(), kText.data() + kText.size());
+    AppendEscaped(message, line);
+    line.push_back('"');
+  }
+  auto clone() const -> std::unique_ptr<custom_flag_formatter> override {
+    return std::make_unique<JsonTextFlag>();
+  }
+
+ private:
+  static auto AppendEscaped(const spdlog::details::log_msg& message,
+                            spdlog::memory_buf_t& line) -> void {
     for (const char c : message.payload) {
       if (c == '"' || c == '\\') {
         line.push_back('\\');
@@ -31,9 +49,6 @@
       }
     }
   }
-  auto clone() const -> std::unique_ptr<custom_flag_formatter> override {
-    return std::make_unique<JsonTextFlag>();
-  }
 };
 
 auto JsonFormatter(const std::string& process_id)
@@ -42,13 +57,12 @@
   formatter->add_flag<JsonTextFlag>(kJsonTextFlag);
   formatter->set_pattern(
       R"({"time":"%Y-%m-%dT%H:%M:%S.%e","level":"%l","process":")" +
-      process_id + R"(","part":"%n","text":"%*"})");
+      process_id + R"(","part":"%n",%*})");
   return formatter;
 }
 
 auto SharedSink() -> spdlog::sink_ptr {
-  static const spdlog::sink_ptr sink =
-      std::make_shared<spdlog::sinks::stderr_sink_mt>();
+  static const spdlog::sink_ptr sink = std::make_shared<BoundedStdoutSink>();
   return sink;
 }
 
--- a/Source/Base/logging.h
+++ b/Source/Base/logging.h
@@ -10,6 +10,9 @@
 
 namespace rhubarbhaven {
 
+// First character of a line's text that holds JSON fields, see EventLog.
+inline constexpr char kEventMark = '\x01';
+
 // Sets level and form of all logs of the process. Call once, before the
 // first `PartLogger`.
 auto ConfigureLogging(const schema::LoggingSettings& settings,
--- a/Source/Base/settings_check.cc
+++ b/Source/Base/settings_check.cc
@@ -3,6 +3,9 @@
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
+#include <utility>
+#include <vector>
+
 #include "Base/json_file.h"
 
 namespace rhubarbhaven {
@@ -99,6 +102,53 @@
   return CheckLinkEndpoints(path, "agent.entries", agent.entries());
 }
 
+auto CheckAddress(const std::string& path,
+                  const std::string& field,
+                  const std::string& value) -> absl::Status {
+  const auto colon = value.rfind(':');
+  if (colon == std::string::npos || colon == 0 || colon + 1 == value.size()) {
+    return Problem(
+        path, field,
+        absl::StrCat("found \"", value, "\", allowed is \"IP:PORT\""));
+  }
+  return absl::OkStatus();
+}
+
+auto CheckPlatform(const std::string& path,
+                   const schema::DaemonSettings& settings) -> absl::Status {
+  const auto& platform = settings.platform();
+  std::vector<std::pair<std::string, std::string>> needed = {
+      {"platform.log_address", platform.log_address()}};
+  if (settings.role() == "entry") {
+    needed.emplace_back("platform.callers_address", platform.callers_address());
+    needed.emplace_back("platform.ready_address", platform.ready_address());
+  } else {
+    needed.emplace_back("platform.heartbeat_address",
+                        platform.heartbeat_address());
+    needed.emplace_back("platform.worker_address", platform.worker_address());
+  }
+  for (const auto& [field, value] : needed) {
+    auto status = CheckAddress(path, field, value);
+    if (!status.ok()) {
+      return status;
+    }
+  }
+  if (settings.role() == "agent") {
+    return CheckLinkEndpoint(path, "platform.link_endpoint",
+                             platform.link_endpoint());
+  }
+  return absl::OkStatus();
+}
+
+auto CheckRole(const std::string& path, schema::DaemonSettings& settings)
+    -> absl::Status {
+  if (settings.has_platform()) {
+    return CheckPlatform(path, settings);
+  }
+  return settings.role() == "entry" ? CheckEntry(path, settings)
+                                    : CheckAgent(path, settings);
+}
+
 }  // namespace
 
 auto LoadDaemonSettings(const std::string& path)
@@ -109,8 +159,7 @@
     status = CheckUrl(path, "log_url", settings.log_url());
   }
   if (status.ok()) {
-    status = settings.role() == "entry" ? CheckEntry(path, settings)
-                                        : CheckAgent(path, settings);
+    status = CheckRole(path, settings);
   }
   if (!status.ok()) {
     return status;
--- /dev/null
+++ b/Source/Daemon/job_agent.cc
@@ -0,0 +1,186 @@
+#include "Daemon/job_agent.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbhaven {
+namespace {
+
+constexpr std::chrono::milliseconds kLookInterval{250};
+
+auto AppendOptions(const JobAgentOptions& options)
+    -> jobs::AppendBatcherOptions {
+  jobs::AppendBatcherOptions appends;
+  appends.producer =
+      absl::StrCat("agent-", options.name, "-", options.incarnation);
+  return appends;
+}
+
+}  // namespace
+
+JobAgent::JobAgent(JobAgentOptions options,
+                   JobAgentHooks hooks,
+                   Metrics* metrics)
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      metrics_(metrics),
+      log_("agent"),
+      agent_({}, MakeAgentHooks()),
+      appends_(AppendOptions(options_)),
+      duty_({.on_tick = [this](TimePoint now) -> void { Tick(now); },
+             .next_wake = [this]() -> TimePoint { return NextWake(); }}) {}
+
+auto JobAgent::Start() -> void {
+  duty_.Start();
+}
+
+auto JobAgent::Stop() -> void {
+  duty_.Stop();
+}
+
+auto JobAgent::OnOrders(const std::string& peer, jobs::AgentOrders orders)
+    -> void {
+  duty_.PostOrWait([this, peer,
+                    orders = std::move(orders)](TimePoint now) -> void {
+    const uint64_t fence = agent_.fence();
+    agent_.OnOrders(now, peer, orders);
+    if (agent_.fence() != fence) {
+      log_.Write("new_owner",
+                 {{"fence", absl::StrCat(agent_.fence())}, {"owner", peer}});
+    }
+  });
+}
+
+auto JobAgent::OnHeartbeat(jobs::WorkerHeartbeat heartbeat,
+                           std::function<auto(bool taken)->void> respond)
+    -> void {
+  const bool posted = duty_.Post(
+      [this, heartbeat = std::move(heartbeat), respond](TimePoint now) -> void {
+        const bool was_draining = agent_.draining();
+        const bool taken = agent_.OnHeartbeat(now, heartbeat);
+        if (agent_.draining() && !was_draining) {
+          log_.Write("worker_drains", {{"worker", heartbeat.worker_id}});
+        }
+        respond(taken);
+      });
+  if (!posted) {
+    respond(false);
+  }
+}
+
+auto JobAgent::OnLeave(const std::string& worker_id,
+                       std::function<auto(bool taken)->void> respond) -> void {
+  const bool posted =
+      duty_.Post([this, worker_id, respond](TimePoint now) -> void {
+        log_.Write("worker_leaves", {{"worker", worker_id}});
+        agent_.OnLeave(now, worker_id);
+        respond(true);
+      });
+  if (!posted) {
+    respond(false);
+  }
+}
+
+auto JobAgent::Tick(TimePoint now) -> void {
+  looked_at_ = now;
+  agent_.Tick(now);
+  RegisterIfDue(now);
+  SendRegistration(now);
+}
+
+auto JobAgent::NextWake() const -> TimePoint {
+  return std::min(
+      {looked_at_ + kLookInterval, agent_.next_wake(), appends_.next_wake()});
+}
+
+auto JobAgent::RegisterIfDue(TimePoint now) -> void {
+  const bool ordered = agent_.ordered_at() != TimePoint() &&
+                       now - agent_.ordered_at() < options_.register_again;
+  const bool registered = registered_at_ != TimePoint() &&
+                          now - registered_at_ < options_.register_again;
+  if (ordered || registered || !appends_.idle()) {
+    return;
+  }
+  registered_at_ = now;
+  jobs::AgentEntry entry;
+  entry.set_name(options_.name);
+  entry.set_link_endpoint(options_.link_endpoint);
+  entry.set_incarnation(options_.incarnation);
+  log_.Write("register", {{"endpoint", options_.link_endpoint}});
+  appends_.Enqueue(
+      1, {MakeRecord(jobs::RecordKind::kAgent, options_.name, entry)});
+}
+
+auto JobAgent::SendRegistration(TimePoint now) -> void {
+  auto call = appends_.Next(now);
+  if (!call) {
+    return;
+  }
+  hooks_.log.append(*call, [this](jobs::AppendResult result) -> void {
+    duty_.PostOrWait([this, result](TimePoint then) -> void {
+      appends_.OnResult(then, result);
+    });
+  });
+}
+
+// The same calls, whose answers come on this duty's thread.
+auto JobAgent::OnThread(const jobs::WorkerPort& port) -> jobs::WorkerPort {
+  const auto call_back =
+      [this](const jobs::WorkerPort::OnCall& done) -> jobs::WorkerPort::OnCall {
+    return [this, done](TimePoint, jobs::WorkerCallResult result) -> void {
+      duty_.PostOrWait(
+          [done, result](TimePoint now) -> void { done(now, result); });
+    };
+  };
+  jobs::WorkerPort on_thread;
+  on_thread.start = [port, call_back](
+                        const jobs::StartCall& call,
+                        const jobs::WorkerPort::OnCall& done) -> void {
+    port.start(call, call_back(done));
+  };
+  on_thread.stop = [port, call_back](
+                       const jobs::StopCall& call,
+                       const jobs::WorkerPort::OnCall& done) -> void {
+    port.stop(call, call_back(done));
+  };
+  on_thread.pace = [port, call_back](
+                       const jobs::PaceCall& call,
+                       const jobs::WorkerPort::OnCall& done) -> void {
+    port.pace(call, call_back(done));
+  };
+  on_thread.list = [this, port](
+                       const jobs::ListCall& call,
+                       const jobs::WorkerPort::OnListing& done) -> void {
+    port.list(
+        call, [this, done](TimePoint, jobs::WorkerListing listing) -> void {
+          duty_.PostOrWait([done, listing = std::move(listing)](
+                               TimePoint now) -> void { done(now, listing); });
+        });
+  };
+  return on_thread;
+}
+
+auto JobAgent::MakeAgentHooks() -> jobs::TaskAgentHooks {
+  jobs::TaskAgentHooks hooks;
+  hooks.worker = OnThread(hooks_.worker);
+  hooks.report = [this](const std::string& peer,
+                        jobs::AgentReport report) -> void {
+    schema::Envelope envelope;
+    *envelope.mutable_agent_report() = std::move(report);
+    if (!hooks_.send(peer, std::move(envelope))) {
+      metrics_->Add("rhubarbhaven_reports_dropped_total");
+    }
+  };
+  hooks.log = [this](const std::string& what, const jobs::TaskName& task,
+                     uint64_t run, const std::string& why) -> void {
+    metrics_->Add(absl::StrCat("rhubarbhaven_worker_", what, "_total"));
+    log_.Write(what, {{"task", DescribeTask(task)},
+                      {"run", absl::StrCat(run)},
+                      {"why", why}});
+  };
+  return hooks;
+}
+
+}  // namespace rhubarbhaven
--- /dev/null
+++ b/Source/Daemon/keyed_log_follower.cc
@@ -0,0 +1,137 @@
+#include "Daemon/keyed_log_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbhaven {
+
+KeyedLogFollower::KeyedLogFollower(KeyedLogFollowerOptions options,
+                                   jobs::KeyedLogPort port,
+                                   KeyedLogFollowerHooks hooks)
+    : options_(options), port_(std::move(port)), hooks_(std::move(hooks)) {}
+
+auto KeyedLogFollower::Start() -> void {
+  hooks_.post([this](TimePoint) -> void { AskNewest(); });
+}
+
+auto KeyedLogFollower::AskNewest() -> void {
+  port_.newest(
+      {options_.topic, after_}, [this](jobs::NewestResult result) -> void {
+        hooks_.post([this, result = std::move(result)](TimePoint now) -> void {
+          OnNewest(now, result);
+        });
+      });
+}
+
+auto KeyedLogFollower::OnNewest(TimePoint now, jobs::NewestResult result)
+    -> void {
+  if (!result.answered) {
+    Failed(result.error, /*read_on=*/false);
+    return;
+  }
+  Succeeded();
+  if (first_page_) {
+    first_page_ = false;
+    next_ = result.end;
+    keys_of_pages_.clear();
+  }
+  for (const auto& record : result.records) {
+    after_ = record.key;
+    keys_of_pages_.insert(record.key);
+    Deliver(now, record);
+  }
+  if (result.more && !result.records.empty()) {
+    AskNewest();
+    return;
+  }
+  after_.clear();
+  first_page_ = true;
+  ForgetMissingKeys(now);
+  Read();
+}
+
+auto KeyedLogFollower::ForgetMissingKeys(TimePoint now) -> void {
+  std::vector<std::string> missing;
+  std::set_difference(keys_.begin(), keys_.end(), keys_of_pages_.begin(),
+                      keys_of_pages_.end(), std::back_inserter(missing));
+  for (const auto& key : missing) {
+    keys_.erase(key);
+    hooks_.on_key_gone(now, key);
+  }
+}
+
+auto KeyedLogFollower::Read() -> void {
+  port_.read({options_.topic, next_, options_.read_wait},
+             [this](jobs::ReadResult result) -> void {
+               hooks_.post([this, result = std::move(result)](
+                               TimePoint now) -> void { OnRead(now, result); });
+             });
+}
+
+auto KeyedLogFollower::OnRead(TimePoint now, jobs::ReadResult result) -> void {
+  switch (result.outcome) {
+    case jobs::ReadOutcome::kFailed:
+      Failed(result.error, /*read_on=*/true);
+      return;
+    case jobs::ReadOutcome::kGone:
+      // Records that were not read have been deleted; the newest of each key
+      // are still there.
+      AskNewest();
+      return;
+    case jobs::ReadOutcome::kRecords:
+      break;
+  }
+  if (result.end < next_) {
+    // Another log, or one that was put back: its history is not ours.
+    AskNewest();
+    return;
+  }
+  Succeeded();
+  for (const auto& record : result.records) {
+    Deliver(now, record);
+    next_ = record.offset + 1;
+  }
+  if (next_ >= result.end) {
+    caught_up_at_ = now;
+    hooks_.on_caught_up(now);
+  }
+  Read();
+}
+
+auto KeyedLogFollower::Deliver(TimePoint now, const jobs::KeyedRecord& record)
+    -> void {
+  if (record.value.empty()) {
+    keys_.erase(record.key);
+  } else {
+    keys_.insert(record.key);
+  }
+  hooks_.on_record(now, record);
+}
+
+auto KeyedLogFollower::Failed(const std::string& error, bool read_on) -> void {
+  if (reachable_ || !ever_reached_) {
+    hooks_.on_reachable(error);
+  }
+  reachable_ = false;
+  ever_reached_ = true;
+  backoff_ = std::clamp(backoff_ * 2, options_.first_backoff,
+                        options_.longest_backoff);
+  hooks_.post_later(backoff_, [this, read_on](TimePoint) -> void {
+    if (read_on) {
+      Read();
+    } else {
+      AskNewest();
+    }
+  });
+}
+
+auto KeyedLogFollower::Succeeded() -> void {
+  backoff_ = std::chrono::milliseconds(0);
+  if (!reachable_) {
+    reachable_ = true;
+    ever_reached_ = true;
+    hooks_.on_reachable("");
+  }
+}
+
+}  // namespace rhubarbhaven
--- /dev/null
+++ b/Source/Daemon/keyed_log_follower.h
@@ -0,0 +1,81 @@
+#ifndef RHUBARBHAVEN_DAEMON_KEYED_LOG_FOLLOWER_H_
+#define RHUBARBHAVEN_DAEMON_KEYED_LOG_FOLLOWER_H_
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "Daemon/duty_thread.h"
+#include "Jobs/jobs.h"
+
+namespace rhubarbhaven {
+
+struct KeyedLogFollowerOptions {
+  jobs::LogTopic topic = jobs::LogTopic::kJobs;
+  // How long one read waits for a record; each answer shows that what was read
+  // is current.
+  std::chrono::milliseconds read_wait{1000};
+  // Pause after a failure.
+  std::chrono::milliseconds first_backoff{50};
+  std::chrono::milliseconds longest_backoff{400};
+};
+
+struct KeyedLogFollowerHooks {
+  // Runs a job on the thread to which the follower belongs.
+  std::function<auto(DutyThread::Job)->void> post;
+  // Runs a job there later.
+  std::function<auto(std::chrono::milliseconds, DutyThread::Job)->void>
+      post_later;
+  std::function<auto(TimePoint, const jobs::KeyedRecord&)->void> on_record;
+  // The key is no longer in the log: its deletion was not read.
+  std::function<auto(TimePoint, const std::string& key)->void> on_key_gone;
+  // Everything up to the end of the log at that time was read.
+  std::function<auto(TimePoint)->void> on_caught_up;
+  // The log was lost (with the error), or found again (empty).
+  std::function<auto(const std::string& error)->void> on_reachable;
+};
+
+// Follows one keyed log: takes the newest record of each key, then reads on
+// from there, and begins anew when the history that it needs is gone. All of
+// its state belongs to the thread of `post`.
+class KeyedLogFollower {
+ public:
+  KeyedLogFollower(KeyedLogFollowerOptions options,
+                   jobs::KeyedLogPort port,
+                   KeyedLogFollowerHooks hooks);
+  KeyedLogFollower(const KeyedLogFollower&) = delete;
+  auto operator=(const KeyedLogFollower&) -> KeyedLogFollower& = delete;
+
+  auto Start() -> void;
+  auto reachable() const -> bool { return reachable_; }
+  // When a read that reached the end was last answered.
+  auto caught_up_at() const -> TimePoint { return caught_up_at_; }
+
+ private:
+  auto AskNewest() -> void;
+  auto OnNewest(TimePoint now, jobs::NewestResult result) -> void;
+  auto ForgetMissingKeys(TimePoint now) -> void;
+  auto Read() -> void;
+  auto OnRead(TimePoint now, jobs::ReadResult result) -> void;
+  auto Deliver(TimePoint now, const jobs::KeyedRecord& record) -> void;
+  auto Failed(const std::string& error, bool read_on) -> void;
+  auto Succeeded() -> void;
+
+  KeyedLogFollowerOptions options_;
+  jobs::KeyedLogPort port_;
+  KeyedLogFollowerHooks hooks_;
+  std::string after_;
+  bool first_page_ = true;
+  uint64_t next_ = 0;
+  std::set<std::string> keys_;
+  std::set<std::string> keys_of_pages_;
+  bool reachable_ = false;
+  bool ever_reached_ = false;
+  TimePoint caught_up_at_;
+  std::chrono::milliseconds backoff_{0};
+};
+
+}  // namespace rhubarbhaven
+
+#endif  // RHUBARBHAVEN_DAEMON_KEYED_LOG_FOLLOWER_H_
--- a/Source/Daemon/run_daemon.cc
+++ b/Source/Daemon/run_daemon.cc
@@ -1,47 +1,115 @@
 #include "Daemon/run_daemon.h"
 
 #include <csignal>
+#include <fstream>
 #include <iostream>
+#include <iterator>
 #include <memory>
 
-#include "Base/base.h"
 #include "Daemon/agent_daemon.h"
 #include "Daemon/entry_daemon.h"
 
 namespace rhubarbhaven {
 namespace {
 
+// How often the settings file is looked at for changes without a signal.
+constexpr std::chrono::seconds kLookAtSettings{5};
+
 auto StopSignals() -> sigset_t {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   return signals;
 }
 
+// The roles on a platform without interfaces of its own.
+template <typename Daemon>
+class PlainRole : public DaemonRole {
+ public:
+  explicit PlainRole(const schema::DaemonSettings& settings)
+      : daemon_(settings) {}
+  auto Start() -> absl::Status override { return daemon_.Start(); }
+  auto Stop() -> void override { daemon_.Stop(); }
+
+ private:
+  Daemon daemon_;
+};
+
+auto MakeRole(const schema::DaemonSettings& settings,
+              const MakePlatformRole& make_platform_role)
+    -> std::unique_ptr<DaemonRole> {
+  if (settings.has_platform()) {
+    return make_platform_role(settings);
+  }
+  if (settings.role() == "entry") {
+    return std::make_unique<PlainRole<EntryDaemon>>(settings);
+  }
+  return std::make_unique<PlainRole<AgentDaemon>>(settings);
+}
+
+auto ReadFile(const std::string& path) -> std::string {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file),
+          std::istreambuf_iterator<char>()};
+}
+
+// Takes over what can change while the process runs. Wrong settings leave the
+// old ones in force.
+auto Reload(const std::string& path, EventLog& log) -> void {
+  const auto settings = LoadDaemonSettings(path);
+  if (!settings.ok()) {
+    log.Write("reload_refused",
+              {{"why", std::string(settings.status().message())}});
+    return;
+  }
+  ConfigureLogging(settings->logging(), settings->id());
+  log.Write("reload", {{"path", path}});
+}
+
+// Waits for the signal to stop; reloads the settings meanwhile.
+auto WaitForStop(const sigset_t& signals, const std::string& path) -> void {
+  EventLog log("daemon");
+  std::string text = ReadFile(path);
+  const timespec interval{kLookAtSettings.count(), 0};
+  while (true) {
+    const int signal = sigtimedwait(&signals, nullptr, &interval);
+    if (signal == SIGTERM || signal == SIGINT) {
+      return;
+    }
+    const std::string now = ReadFile(path);
+    if (signal == SIGHUP || now != text) {
+      Reload(path, log);
+    }
+    text = now;
+  }
+}
+
 // Runs one role: start, wait for a signal, planned stop.
-template <typename Role>
-auto RunRole(const schema::DaemonSettings& settings) -> DaemonExit {
+auto RunRole(const schema::DaemonSettings& settings,
+             const std::string& path,
+             const MakePlatformRole& make_platform_role) -> DaemonExit {
   const sigset_t signals = StopSignals();
-  // Blocked before any thread starts, so that only `sigwait` takes them.
+  // Blocked before any thread starts, so that only `sigtimedwait` takes them.
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
-  Role role(settings);
-  const auto status = role.Start();
+  const auto role = MakeRole(settings, make_platform_role);
+  const auto status = role->Start();
   if (!status.ok()) {
     std::cerr << "rhubarbhavend: " << status.message() << "\n";
     return DaemonExit::kSettings;
   }
-  int signal = 0;
-  sigwait(&signals, &signal);
-  role.Stop();
+  WaitForStop(signals, path);
+  role->Stop();
   return DaemonExit::kStopped;
 }
 
 }  // namespace
 
-auto RunDaemon(const std::string& settings_path, bool check_only)
-    -> DaemonExit {
+auto RunDaemon(const std::string& settings_path,
+               bool check_only,
+               const MakePlatformRole& make_platform_role) -> DaemonExit {
   const auto settings = LoadDaemonSettings(settings_path);
   if (!settings.ok()) {
     std::cerr << "rhubarbhavend: " << settings.status().message() << "\n";
@@ -53,8 +121,7 @@
     return DaemonExit::kStopped;
   }
   ConfigureLogging(settings->logging(), settings->id());
-  return settings->role() == "entry" ? RunRole<EntryDaemon>(*settings)
-                                     : RunRole<AgentDaemon>(*settings);
+  return RunRole(*settings, settings_path, make_platform_role);
 }
 
 }  // namespace rhubarbhaven
--- a/Source/Daemon/run_daemon.h
+++ b/Source/Daemon/run_daemon.h
@@ -1,8 +1,14 @@
 #ifndef RHUBARBHAVEN_DAEMON_RUN_DAEMON_H_
 #define RHUBARBHAVEN_DAEMON_RUN_DAEMON_H_
 
+#include <absl/status/status.h>
+
+#include <functional>
+#include <memory>
 #include <string>
 
+#include "Base/base.h"
+
 namespace rhubarbhaven {
 
 // Exit codes of the daemon.
@@ -14,9 +20,28 @@
   kSettings = 2
 };
 
+// What a daemon process does between its start and its planned stop.
+class DaemonRole {
+ public:
+  DaemonRole() = default;
+  DaemonRole(const DaemonRole&) = delete;
+  auto operator=(const DaemonRole&) -> DaemonRole& = delete;
+  virtual ~DaemonRole() = default;
+  virtual auto Start() -> absl::Status = 0;
+  virtual auto Stop() -> void = 0;
+};
+
+// Makes the role of a process whose settings have the section `platform`.
+using MakePlatformRole = std::function<
+    auto(const schema::DaemonSettings&)->std::unique_ptr<DaemonRole>>;
+
 // Runs the daemon with a settings file until SIGTERM or SIGINT, then stops
-// as planned. With `check_only`, says whether the settings are right.
-auto RunDaemon(const std::string& settings_path, bool check_only) -> DaemonExit;
+// as planned. With `check_only`, says whether the settings are right. SIGHUP,
+// and a change of the file without it, reloads what can change while the
+// process runs: the level and form of its logs.
+auto RunDaemon(const std::string& settings_path,
+               bool check_only,
+               const MakePlatformRole& make_platform_role) -> DaemonExit;
 
 }  // namespace rhubarbhaven
 
--- /dev/null
+++ b/Source/Jobs/job_check.cc
@@ -0,0 +1,72 @@
+#include "Jobs/job_check.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace rhubarbhaven::jobs {
+namespace {
+
+constexpr std::size_t kIdDigits = 16;
+
+auto Problem(const std::string& text) -> absl::Status {
+  return absl::InvalidArgumentError(text);
+}
+
+auto CheckId(const std::string& id) -> absl::Status {
+  const bool well_formed =
+      id.size() == kIdDigits &&
+      std::all_of(id.begin(), id.end(), [](unsigned char c) -> bool {
+        return absl::ascii_isxdigit(c);
+      });
+  return well_formed ? absl::OkStatus()
+                     : Problem("the job's id must have 16 hexadecimal digits");
+}
+
+auto CheckStep(const Job& job, int number) -> absl::Status {
+  const auto& step = job.steps(number);
+  if (step.count() < 1 || step.count() > kMostTasksPerStep) {
+    return Problem(absl::StrCat("step ", number, " has ", step.count(),
+                                " tasks, allowed is 1 to ", kMostTasksPerStep));
+  }
+  for (const uint32_t after : step.after()) {
+    // Only earlier steps: so there is no cycle.
+    if (after >= static_cast<uint32_t>(number)) {
+      return Problem(absl::StrCat("step ", number, " waits for step ", after,
+                                  ", allowed are earlier steps only"));
+    }
+  }
+  return absl::OkStatus();
+}
+
+}  // namespace
+
+auto CheckJob(const Job& job) -> absl::Status {
+  auto status = CheckId(job.id());
+  if (!status.ok()) {
+    return status;
+  }
+  if (job.payload().size() > kLongestPayload) {
+    return Problem(absl::StrCat("the payload has ", job.payload().size(),
+                                " bytes, allowed are ", kLongestPayload));
+  }
+  if (job.steps_size() < 1 || job.steps_size() > kMostSteps) {
+    return Problem(absl::StrCat("the job has ", job.steps_size(),
+                                " steps, allowed is 1 to ", kMostSteps));
+  }
+  if (job.occurrences() > kMostOccurrences) {
+    return Problem(absl::StrCat("the job occurs ", job.occurrences(),
+                                " times, allowed is at most ",
+                                kMostOccurrences));
+  }
+  for (int number = 0; number < job.steps_size(); ++number) {
+    status = CheckStep(job, number);
+    if (!status.ok()) {
+      return status;
+    }
+  }
+  return absl::OkStatus();
+}
+
+}  // namespace rhubarbhaven::jobs
--- /dev/null
+++ b/Source/Jobs/job_fold.h
@@ -0,0 +1,81 @@
+#ifndef RHUBARBHAVEN_JOBS_JOB_FOLD_H_
+#define RHUBARBHAVEN_JOBS_JOB_FOLD_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Base/base.h"
+#include "Jobs/job_records.h"
+#include "absl/container/flat_hash_map.h"
+
+namespace rhubarbhaven::jobs {
+
+// A job as the log has it.
+struct JobEntry {
+  Job job;
+  // Place of the job's first record.
+  uint64_t accepted_at = 0;
+  std::optional<uint64_t> cancelled_at;
+  JobProgress progress;
+  // Place of the newest progress; zero if there is none.
+  uint64_t progress_at = 0;
+
+  auto state() const -> JobState;
+  // Completed, failed or cancelled.
+  auto over() const -> bool;
+};
+
+// Changes that one record made, for whoever acts on them.
+struct FoldChange {
+  RecordKind kind = RecordKind::kUnknown;
+  std::string name;
+};
+
+// The state of all jobs, agents and of the ownership, folded from the records
+// of the keyed log. Every entry keeps one; two entries that have read to the
+// same place have the same.
+class JobFold {
+ public:
+  // Records of one key must come in the order of their offsets; an older one
+  // than the newest applied is ignored, so pages of newest records and the
+  // records behind them may overlap.
+  auto Apply(const KeyedRecord& record) -> FoldChange;
+
+  auto Find(const std::string& job) const -> const JobEntry*;
+  auto jobs() const
+      -> const absl::flat_hash_map<std::string, std::unique_ptr<JobEntry>>& {
+    return jobs_;
+  }
+  auto agents() const -> const std::map<std::string, AgentEntry>& {
+    return agents_;
+  }
+  // The last end in the log of a worker's life; zero if there is none.
+  auto ends_logged(const std::string& worker_id) const -> uint64_t;
+  // The newest claim; its place in the log.
+  auto claim() const -> const OwnerClaim& { return claim_; }
+  auto claim_at() const -> uint64_t { return claim_at_; }
+  // Jobs of a queue that are accepted and run once, none of whose tasks has
+  // started.
+  auto PendingIn(const std::string& queue) const -> uint64_t;
+
+ private:
+  auto ApplyJob(const std::string& id, const KeyedRecord& record) -> void;
+  auto ApplyProgress(const std::string& id, const KeyedRecord& record) -> void;
+  auto ApplyClaim(const KeyedRecord& record) -> void;
+  auto EntryOf(const std::string& id) -> JobEntry&;
+
+  absl::flat_hash_map<std::string, std::unique_ptr<JobEntry>> jobs_;
+  std::map<std::string, AgentEntry> agents_;
+  std::map<std::string, WorkerEnds> worker_ends_;
+  OwnerClaim claim_;
+  uint64_t claim_at_ = 0;
+  bool claim_known_ = false;
+};
+
+}  // namespace rhubarbhaven::jobs
+
+#endif  // RHUBARBHAVEN_JOBS_JOB_FOLD_H_
--- /dev/null
+++ b/Source/Jobs/job_owner.h
@@ -0,0 +1,197 @@
+#ifndef RHUBARBHAVEN_JOBS_JOB_OWNER_H_
+#define RHUBARBHAVEN_JOBS_JOB_OWNER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Base/base.h"
+#include "Jobs/job_fold.h"
+#include "Jobs/job_work.h"
+#include "Jobs/place_choice.h"
+#include "Jobs/worker_view.h"
+
+namespace rhubarbhaven::jobs {
+
+struct JobOwnerOptions {
+  uint64_t incarnation = 0;
+  // How long an agent may act on a grant. Longer: runs outlive longer silence
+  // of their agent or owner; shorter: tasks of a lost worker start elsewhere
+  // sooner. Agents that lose power come back within 3 to 5 s.
+  std::chrono::milliseconds lease_ttl{5000};
+  // Clocks may differ in speed by this share.
+  double clock_drift = 0.02;
+  std::chrono::milliseconds lease_margin{300};
+  std::chrono::milliseconds poll_interval{300};
+  // An order without a result is sent again after this.
+  std::chrono::milliseconds repeat_after{400};
+  // How long jobs that are over stay readable; the platform asks for 120 s.
+  std::chrono::seconds keep_over{150};
+  // An agent that is silent for this long leaves the roster. It registers
+  // again when it lives.
+  std::chrono::seconds forget_agent_after{12};
+};
+
+// A decision of the owner about one task, for the log.
+struct OwnerDecision {
+  std::string what;
+  TaskName task;
+  uint64_t run = 0;
+  std::string agent;
+  std::string why;
+};
+
+struct JobOwnerHooks {
+  // Over the link, to the agent at the endpoint.
+  std::function<auto(const std::string& link_endpoint, AgentOrders)->void> send;
+  std::function<auto(const OwnerDecision&)->void> log;
+  // The queue's rules by the newest configuration; null if it has none.
+  std::function<auto(const std::string& queue)->const QueueRules*> rules;
+  // Since 1970.
+  std::function<auto()->std::chrono::milliseconds> wall_clock;
+};
+
+// Decides for the cell between a claim and its loss: where tasks run, what
+// their ends mean, and what the log is told. Agents are believed only under
+// this owner's fence.
+class JobOwner {
+ public:
+  JobOwner(JobOwnerOptions options, JobOwnerHooks hooks);
+  JobOwner(const JobOwner&) = delete;
+  auto operator=(const JobOwner&) -> JobOwner& = delete;
+  ~JobOwner();
+
+  // `silent_until`: when runs of earlier owners are over even on agents that
+  // do not answer.
+  auto Begin(TimePoint now,
+             uint64_t fence,
+             const JobFold* fold,
+             TimePoint silent_until) -> void;
+  auto End() -> void;
+  auto active() const -> bool { return fence_ != 0; }
+
+  auto OnChange(TimePoint now, const FoldChange& change) -> void;
+  // The configuration has changed.
+  auto OnRules() -> void;
+  // False if the agent has seen a higher fence: this owner is replaced.
+  auto OnReport(TimePoint now,
+                const std::string& agent,
+                const AgentReport& report) -> bool;
+  // Records that should go into the log now, as one append; none while an
+  // earlier batch is under way.
+  auto TakeBatch() -> std::vector<KeyedRecord>;
+  auto OnBatchStored() -> void;
+  auto Tick(TimePoint now) -> void;
+  auto next_wake() const -> TimePoint;
+
+  // For operators.
+  auto workers() const -> const WorkerViews& { return workers_; }
+  auto census_done() const -> bool { return census_done_; }
+
+ private:
+  using JobOrder = std::pair<uint32_t, uint64_t>;
+
+  // Jobs.
+  auto AddJob(TimePoint now, const JobEntry& entry) -> void;
+  auto EndJob(JobWork& work, const std::string& why) -> void;
+  auto ForgetJobIfIdle(TimePoint now, const std::string& id) -> void;
+  auto DropJob(TimePoint now, const std::string& id) -> void;
+  auto OpenDue(TimePoint now, JobWork& work) -> void;
+  auto Locate(const TaskName& name) -> std::optional<TaskPlace>;
+  auto SetState(JobWork& work, JobState state) -> void;
+
+  // Agents and their workers.
+  auto AddAgent(const AgentEntry& entry) -> WorkerView&;
+  auto UpdateWorker(TimePoint now,
+                    WorkerView& worker,
+                    const AgentReport& report) -> void;
+  auto AdoptListing(TimePoint now,
+                    WorkerView& worker,
+                    const AgentReport& report) -> void;
+  auto AdoptRun(TimePoint now, WorkerView& worker, const RunningTask& row)
+      -> void;
+  auto NoteProgress(TimePoint now, WorkerView& worker, const RunningTask& row)
+      -> void;
+  auto LoseRuns(TimePoint now, WorkerView& worker, const std::string& why)
+      -> void;
+  auto LoseSilentWorkers(TimePoint now) -> void;
+  auto FinishCensus(TimePoint now) -> void;
+
+  // Ends and results.
+  auto OnEnd(TimePoint now,
+             WorkerView& worker,
+             const EndedTask& row,
+             bool census) -> void;
+  auto OnDone(const TaskPlace& place) -> void;
+  auto OnFailed(TimePoint now, WorkerView& worker, const TaskPlace& place)
+      -> void;
+  auto OnOrderResult(TimePoint now,
+                     WorkerView& worker,
+                     const OrderResult& result) -> void;
+  auto OnStartResult(TimePoint now,
+                     WorkerView& worker,
+                     const StartOrder& start,
+                     OrderOutcome outcome) -> void;
+  auto RemoveRun(TimePoint now,
+                 const TaskPlace& place,
+                 uint64_t run,
+                 const WorkerView* worker) -> bool;
+
+  // Placement.
+  auto PlaceAll(TimePoint now) -> void;
+  auto PlaceStep(TimePoint now, TaskPlace place) -> void;
+  auto PlaceGang(TimePoint now, TaskPlace place) -> void;
+  auto MayStart(TimePoint now, const TaskPlace& place) -> bool;
+  auto Start(TimePoint now,
+             const TaskPlace& place,
+             WorkerView& worker,
+             uint64_t run) -> void;
+  auto StopRun(const TaskPlace& place, RunWork& run, const std::string& why)
+      -> void;
+  auto StopOrphan(WorkerView& worker, const RunningTask& row) -> void;
+  auto NewRun() -> uint64_t;
+
+  // Messages.
+  auto Poll(TimePoint now, WorkerView& worker) -> void;
+  auto PollAll(TimePoint now) -> void;
+  auto AddPacedRuns(const WorkerView& worker, AgentOrders* orders) const
+      -> void;
+  auto Log(const std::string& what,
+           const TaskPlace& place,
+           uint64_t run,
+           const WorkerView* worker,
+           const std::string& why) -> void;
+
+  JobOwnerOptions options_;
+  JobOwnerHooks hooks_;
+  uint64_t fence_ = 0;
+  const JobFold* fold_ = nullptr;
+  uint64_t claim_at_ = 0;
+  TimePoint silent_until_;
+  bool census_done_ = false;
+
+  std::map<std::string, std::unique_ptr<JobWork>> jobs_;
+  // In the order in which they are served.
+  std::map<JobOrder, JobWork*> queue_;
+  // Workers by their agents' names.
+  WorkerViews workers_;
+  // Jobs that are over, since when.
+  std::map<std::string, TimePoint> over_since_;
+  std::vector<std::string> keys_to_drop_;
+  uint64_t next_order_ = 1;
+  uint64_t next_run_ = 1;
+  bool place_due_ = false;
+  bool batch_out_ = false;
+  std::map<std::string, uint64_t> batch_ends_;
+  TimePoint due_at_ = TimePoint::max();
+  TimePoint retry_at_ = TimePoint::max();
+};
+
+}  // namespace rhubarbhaven::jobs
+
+#endif  // RHUBARBHAVEN_JOBS_JOB_OWNER_H_
--- /dev/null
+++ b/Source/Jobs/job_records.h
@@ -0,0 +1,48 @@
+#ifndef RHUBARBHAVEN_JOBS_JOB_RECORDS_H_
+#define RHUBARBHAVEN_JOBS_JOB_RECORDS_H_
+
+#include <cstdint>
+#include <string>
+
+#include "Base/base.h"
+
+namespace rhubarbhaven::jobs {
+
+// One record of a log that keeps the newest record of each key for good. An
+// empty value drops the key.
+struct KeyedRecord {
+  std::string key;
+  std::string value;
+  // Place in the log; set on records that were read.
+  uint64_t offset = 0;
+};
+
+enum class RecordKind {
+  kJob,
+  kProgress,
+  kCancellation,
+  kAgent,
+  kWorkerEnds,
+  kClaim,
+  kUnknown,
+};
+
+struct RecordKey {
+  RecordKind kind = RecordKind::kUnknown;
+  // Job id, agent name or worker id; empty for the claim.
+  std::string name;
+};
+
+auto MakeKey(RecordKind kind, const std::string& name = "") -> std::string;
+auto ParseKey(const std::string& key) -> RecordKey;
+
+// A record whose value is `message`.
+auto MakeRecord(RecordKind kind,
+                const std::string& name,
+                const google::protobuf::Message& message) -> KeyedRecord;
+// A cancellation needs no content, but an empty value would drop the key.
+auto MakeCancellation(const std::string& job) -> KeyedRecord;
+
+}  // namespace rhubarbhaven::jobs
+
+#endif  // RHUBARBHAVEN_JOBS_JOB_RECORDS_H_
--- /dev/null
+++ b/Source/Jobs/job_work.cc
@@ -0,0 +1,145 @@
+#include "Jobs/job_work.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace rhubarbhaven::jobs {
+namespace {
+
+constexpr uint32_t kBitsPerByte = 8;
+
+auto BitIsSet(const std::string& bits, uint32_t index) -> bool {
+  const uint32_t byte = index / kBitsPerByte;
+  return byte < bits.size() &&
+         ((static_cast<unsigned char>(bits[byte]) >> (index % kBitsPerByte)) &
+          1U) != 0;
+}
+
+auto SetBit(std::string* bits, uint32_t index) -> void {
+  const uint32_t byte = index / kBitsPerByte;
+  (*bits)[byte] = static_cast<char>(static_cast<unsigned char>((*bits)[byte]) |
+                                    (1U << (index % kBitsPerByte)));
+}
+
+auto StepProgressOf(const StepWork& step, uint32_t number) -> StepProgress {
+  StepProgress progress;
+  progress.set_number(number);
+  std::string* done = progress.mutable_done();
+  done->assign((step.tasks.size() + kBitsPerByte - 1) / kBitsPerByte, '\0');
+  for (uint32_t index = 0; index < step.tasks.size(); ++index) {
+    if (step.tasks[index].done) {
+      SetBit(done, index);
+    }
+    if (step.tasks[index].failures > 0) {
+      (*progress.mutable_failures())[index] = step.tasks[index].failures;
+    }
+  }
+  return progress;
+}
+
+}  // namespace
+
+auto OccurrenceWork::complete() const -> bool {
+  return std::all_of(
+      steps.begin(), steps.end(),
+      [](const StepWork& step) -> bool { return step.complete(); });
+}
+
+auto JobWork::total_occurrences() const -> uint32_t {
+  return std::max(1U, job().occurrences());
+}
+
+auto JobWork::Ready(const OccurrenceWork& occurrence, uint32_t step) const
+    -> bool {
+  const auto& after = job().steps(static_cast<int>(step)).after();
+  return std::all_of(after.begin(), after.end(),
+                     [&occurrence](uint32_t earlier) -> bool {
+                       return occurrence.steps[earlier].complete();
+                     });
+}
+
+auto JobWork::Open(TimePoint now, uint32_t number, bool uncertain)
+    -> OccurrenceWork& {
+  auto& occurrence = occurrences[number];
+  opened = std::max(opened, number + 1);
+  if (!occurrence.steps.empty()) {
+    return occurrence;
+  }
+  for (const auto& step : job().steps()) {
+    auto& work = occurrence.steps.emplace_back();
+    work.tasks.resize(step.count());
+    for (auto& task : work.tasks) {
+      task.uncertain = uncertain;
+      task.waiting_since = now;
+    }
+  }
+  return occurrence;
+}
+
+auto JobWork::Restore(TimePoint now, bool uncertain) -> void {
+  state = entry->progress.state();
+  for (const auto& known : entry->progress.occurrences()) {
+    auto& occurrence = Open(now, known.number(), uncertain);
+    for (const auto& step : known.steps()) {
+      auto& work = occurrence.steps[step.number()];
+      for (uint32_t index = 0; index < work.tasks.size(); ++index) {
+        work.tasks[index].done = BitIsSet(step.done(), index);
+        work.done += work.tasks[index].done ? 1 : 0;
+      }
+      for (const auto& [index, failures] : step.failures()) {
+        if (index < work.tasks.size()) {
+          work.tasks[index].failures = failures;
+        }
+      }
+    }
+  }
+}
+
+auto JobWork::Progress() const -> JobProgress {
+  JobProgress progress;
+  progress.set_state(state);
+  for (const auto& [number, occurrence] : occurrences) {
+    auto* known = progress.add_occurrences();
+    known->set_number(number);
+    for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      *known->add_steps() = StepProgressOf(occurrence.steps[step], step);
+    }
+  }
+  return progress;
+}
+
+auto JobWork::AllComplete() const -> bool {
+  return occurrences.size() == total_occurrences() &&
+         std::all_of(
+             occurrences.begin(), occurrences.end(),
+             [](const auto& item) -> bool { return item.second.complete(); });
+}
+
+auto TaskPlace::task() const -> TaskWork& {
+  return step_work().tasks[index];
+}
+
+auto TaskPlace::step_work() const -> StepWork& {
+  return work->occurrences.at(occurrence).steps[step];
+}
+
+auto TaskPlace::spec() const -> const JobStep& {
+  return work->job().steps(static_cast<int>(step));
+}
+
+auto TaskPlace::Name() const -> TaskName {
+  TaskName name;
+  name.set_job(work->job().id());
+  name.set_occurrence(occurrence);
+  name.set_step(step);
+  name.set_index(index);
+  return name;
+}
+
+auto DescribeTask(const TaskName& task) -> std::string {
+  return absl::StrCat(task.job(), ".", task.occurrence(), ".", task.step(), ".",
+                      task.index());
+}
+
+}  // namespace rhubarbhaven::jobs
--- /dev/null
+++ b/Source/Jobs/job_work.h
@@ -0,0 +1,100 @@
+#ifndef RHUBARBHAVEN_JOBS_JOB_WORK_H_
+#define RHUBARBHAVEN_JOBS_JOB_WORK_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Base/base.h"
+#include "Jobs/job_fold.h"
+
+namespace rhubarbhaven::jobs {
+
+struct WorkerView;
+
+enum class RunPhase { kStarting, kRunning, kStopping };
+
+// One run of a task on a worker, from the order to start it until its end is
+// known.
+struct RunWork {
+  WorkerView* worker = nullptr;
+  uint64_t run = 0;
+  RunPhase phase = RunPhase::kStarting;
+  TimePoint ordered_at;
+  // Percent of its work done, and when that last changed.
+  uint32_t percent = 0;
+  TimePoint progress_at;
+  // Its end is to be ignored: the task is done, or its job is over.
+  bool unwanted = false;
+};
+
+struct TaskWork {
+  bool done = false;
+  // A run that an earlier owner started may still be there.
+  bool uncertain = false;
+  uint32_t failures = 0;
+  std::string checkpoint;
+  std::vector<RunWork> runs;
+  TimePoint waiting_since;
+  // Not started again before this, after a failure.
+  TimePoint not_before;
+};
+
+struct StepWork {
+  std::vector<TaskWork> tasks;
+  uint32_t done = 0;
+
+  auto complete() const -> bool { return done == tasks.size(); }
+};
+
+struct OccurrenceWork {
+  std::vector<StepWork> steps;
+
+  auto complete() const -> bool;
+};
+
+// What the owner knows of an unfinished job beyond the log.
+struct JobWork {
+  const JobEntry* entry = nullptr;
+  // Rules of the job's queue by the newest configuration.
+  QueueRules rules;
+  std::map<uint32_t, OccurrenceWork> occurrences;
+  // Occurrences that are due so far; all of them have been opened.
+  uint32_t opened = 0;
+  JobState state = JOB_QUEUED;
+  // Changed since it was last put into a record.
+  bool dirty = false;
+
+  auto total_occurrences() const -> uint32_t;
+  auto job() const -> const Job& { return entry->job; }
+  // Whether all steps that the step waits for are done.
+  auto Ready(const OccurrenceWork& occurrence, uint32_t step) const -> bool;
+  // Opens an occurrence; tasks start out as `uncertain` says.
+  auto Open(TimePoint now, uint32_t number, bool uncertain) -> OccurrenceWork&;
+  // Takes over what the log says is done.
+  auto Restore(TimePoint now, bool uncertain) -> void;
+  auto Progress() const -> JobProgress;
+  auto AllComplete() const -> bool;
+};
+
+// One task, by its place.
+struct TaskPlace {
+  JobWork* work = nullptr;
+  uint32_t occurrence = 0;
+  uint32_t step = 0;
+  uint32_t index = 0;
+
+  auto task() const -> TaskWork&;
+  auto step_work() const -> StepWork&;
+  auto spec() const -> const JobStep&;
+  auto Name() const -> TaskName;
+};
+
+// "JOB.OCCURRENCE.STEP.INDEX", for logs and operators.
+auto DescribeTask(const TaskName& task) -> std::string;
+
+}  // namespace rhubarbhaven::jobs
+
+#endif  // RHUBARBHAVEN_JOBS_JOB_WORK_H_
--- /dev/null
+++ b/Source/Jobs/jobs.h
@@ -0,0 +1,21 @@
+#ifndef RHUBARBHAVEN_JOBS_JOBS_H_
+#define RHUBARBHAVEN_JOBS_JOBS_H_
+
+// Jobs that callers submit: their state in the platform's keyed log, who
+// decides for them, where their tasks run, and what an agent does for them.
+// No I/O, no locks, no clock, no threads.
+
+#include "Jobs/append_batcher.h"
+#include "Jobs/filler_pacing.h"
+#include "Jobs/job_check.h"
+#include "Jobs/job_fold.h"
+#include "Jobs/job_owner.h"
+#include "Jobs/job_records.h"
+#include "Jobs/job_work.h"
+#include "Jobs/keyed_log.h"
+#include "Jobs/owner_election.h"
+#include "Jobs/queue_directory.h"
+#include "Jobs/task_agent.h"
+#include "Jobs/worker_port.h"
+
+#endif  // RHUBARBHAVEN_JOBS_JOBS_H_
--- /dev/null
+++ b/Source/Jobs/owner_election.cc
@@ -0,0 +1,114 @@
+#include "Jobs/owner_election.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbhaven::jobs {
+namespace {
+
+// A reader that has not heard from the log for this long starts anew to count
+// the owner's silence: nobody could renew while nobody could read.
+constexpr std::chrono::milliseconds kReadingGap{1500};
+
+}  // namespace
+
+OwnerElection::OwnerElection(OwnerElectionOptions options)
+    : options_(std::move(options)) {}
+
+auto OwnerElection::OnClaimRead(TimePoint now, const OwnerClaim& claim)
+    -> void {
+  newest_ = claim;
+  any_claim_ = true;
+  newest_read_ = now;
+  if (mine(claim) && claim.fence() == fence_) {
+    confirmed_ = !claim.released();
+    return;
+  }
+  if (claim.fence() >= fence_) {
+    // Somebody else's claim came later than ours.
+    OnClaimLost();
+  }
+}
+
+auto OwnerElection::OnCaughtUp(TimePoint now) -> void {
+  if (caught_up_ == TimePoint() || now - caught_up_ > kReadingGap) {
+    reading_since_ = now;
+  }
+  caught_up_ = now;
+}
+
+auto OwnerElection::OnClaimStored(TimePoint sent) -> void {
+  verified_ = std::max(verified_, sent);
+}
+
+auto OwnerElection::OnClaimLost() -> void {
+  fence_ = 0;
+  confirmed_ = false;
+}
+
+auto OwnerElection::ClaimDue(TimePoint now) -> std::optional<OwnerClaim> {
+  if (fence_ == 0) {
+    if (!MayClaim(now)) {
+      return std::nullopt;
+    }
+    fence_ = newest_.fence() + 1;
+    renewal_ = 0;
+    predecessor_seen_ = std::nullopt;
+    if (any_claim_ && !newest_.released()) {
+      predecessor_seen_ = newest_read_;
+    }
+  } else if (now < claim_due_) {
+    return std::nullopt;
+  }
+  claim_due_ = now + options_.renew_interval;
+  OwnerClaim claim;
+  claim.set_owner(options_.name);
+  claim.set_incarnation(options_.incarnation);
+  claim.set_fence(fence_);
+  claim.set_renewal(++renewal_);
+  return claim;
+}
+
+auto OwnerElection::Release() -> std::optional<OwnerClaim> {
+  if (fence_ == 0) {
+    return std::nullopt;
+  }
+  OwnerClaim claim;
+  claim.set_owner(options_.name);
+  claim.set_incarnation(options_.incarnation);
+  claim.set_fence(fence_);
+  claim.set_renewal(++renewal_);
+  claim.set_released(true);
+  OnClaimLost();
+  return claim;
+}
+
+auto OwnerElection::owner(TimePoint now) const -> bool {
+  return fence_ != 0 && confirmed_ &&
+         now < verified_ + options_.unverified_limit;
+}
+
+auto OwnerElection::MayClaim(TimePoint now) const -> bool {
+  const bool reading =
+      caught_up_ != TimePoint() && now - caught_up_ < kReadingGap;
+  if (!reading) {
+    return false;
+  }
+  // A process of the same name that holds the claim is a dead predecessor.
+  const bool predecessor_is_dead = newest_.owner() == options_.name;
+  if (!any_claim_ || newest_.released() || predecessor_is_dead) {
+    return true;
+  }
+  const auto own_part =
+      StableHash(options_.name, newest_.fence()) %
+      static_cast<uint64_t>(std::max<int64_t>(1, options_.spread.count()));
+  const auto wait = options_.silence + std::chrono::milliseconds(own_part);
+  return now - std::max(newest_read_, reading_since_) > wait;
+}
+
+auto OwnerElection::mine(const OwnerClaim& claim) const -> bool {
+  return claim.owner() == options_.name &&
+         claim.incarnation() == options_.incarnation;
+}
+
+}  // namespace rhubarbhaven::jobs
--- /dev/null
+++ b/Source/Jobs/owner_placement.cc
@@ -0,0 +1,233 @@
+#include <algorithm>
+#include <set>
+
+#include "Jobs/job_owner.h"
+
+// Where tasks start, and what agents are told.
+namespace rhubarbhaven::jobs {
+namespace {
+
+// Further tries of a step whose tasks found no room are left out: the rest of
+// the step has the same need.
+auto AddRepeated(PendingOrder& order, TimePoint now, AgentOrders* orders)
+    -> void {
+  if (order.start) {
+    auto* start = orders->add_starts();
+    *start = *order.start;
+    start->set_repeated(order.sent);
+  } else {
+    *orders->add_stops() = *order.stop;
+  }
+  order.sent = true;
+  order.sent_at = now;
+}
+
+}  // namespace
+
+auto JobOwner::PlaceAll(TimePoint now) -> void {
+  for (const auto& [order, work] : queue_) {
+    if (work->entry->over() || work->state >= JOB_COMPLETED) {
+      continue;
+    }
+    for (auto& [number, occurrence] : work->occurrences) {
+      for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+        const bool open =
+            !occurrence.steps[step].complete() && work->Ready(occurrence, step);
+        if (!open) {
+          continue;
+        }
+        const TaskPlace place{work, number, step, 0};
+        if (place.spec().gang()) {
+          PlaceGang(now, place);
+        } else {
+          PlaceStep(now, place);
+        }
+      }
+    }
+  }
+}
+
+auto JobOwner::MayStart(TimePoint now, const TaskPlace& place) -> bool {
+  const auto& task = place.task();
+  if (task.done || task.uncertain || !task.runs.empty()) {
+    return false;
+  }
+  if (now < task.not_before) {
+    retry_at_ = std::min(retry_at_, task.not_before);
+    return false;
+  }
+  return true;
+}
+
+auto JobOwner::PlaceStep(TimePoint now, TaskPlace place) -> void {
+  const auto count = place.spec().count();
+  for (place.index = 0; place.index < count; ++place.index) {
+    if (!MayStart(now, place)) {
+      continue;
+    }
+    WorkerView* worker = ChoosePlace(now, workers_, place);
+    if (worker == nullptr) {
+      return;
+    }
+    Start(now, place, *worker, NewRun());
+  }
+}
+
+auto JobOwner::PlaceGang(TimePoint now, TaskPlace place) -> void {
+  const auto count = place.spec().count();
+  for (place.index = 0; place.index < count; ++place.index) {
+    if (!MayStart(now, place)) {
+      return;
+    }
+  }
+  std::set<std::string> racks = {""};
+  if (place.spec().colocated()) {
+    for (const auto& [name, worker] : workers_) {
+      racks.insert(worker->rack);
+    }
+  }
+  std::vector<WorkerView*> best;
+  // The empty name, any rack, is tried last.
+  for (auto rack = racks.rbegin(); rack != racks.rend() && best.empty();
+       ++rack) {
+    for (place.index = 0; place.index < count; ++place.index) {
+      WorkerView* worker = ChoosePlace(now, workers_, place, *rack);
+      if (worker == nullptr) {
+        break;
+      }
+      worker->Hold(place.spec());
+      best.push_back(worker);
+    }
+    for (WorkerView* worker : best) {
+      worker->Release(place.spec());
+    }
+    if (best.size() < count) {
+      best.clear();
+    }
+  }
+  const uint64_t run = best.empty() ? 0 : NewRun();
+  for (place.index = 0; place.index < best.size(); ++place.index) {
+    Start(now, place, *best[place.index], run);
+  }
+}
+
+auto JobOwner::Start(TimePoint now,
+                     const TaskPlace& place,
+                     WorkerView& worker,
+                     uint64_t run) -> void {
+  auto& task = place.task();
+  RunWork work;
+  work.worker = &worker;
+  work.run = run;
+  work.ordered_at = now;
+  work.progress_at = now;
+  task.runs.push_back(work);
+  worker.Hold(place.spec());
+  // Members of a gang share their run's number; the order tells them apart.
+  const uint64_t number = next_order_++;
+  worker.runs[number] = place;
+  StartOrder order;
+  order.set_order(number);
+  *order.mutable_task() = place.Name();
+  order.set_run(run);
+  order.set_payload(place.work->job().payload());
+  order.set_checkpoint(task.checkpoint);
+  order.set_worker_id(worker.worker_id);
+  worker.orders[number] = {std::move(order), std::nullopt, now, false};
+  if (place.spec().target_latency_ms() > 0 ||
+      place.spec().uses_spare_processors()) {
+    ++worker.pacing_version;
+  }
+  worker.poll_due = true;
+  Log("place", place, run, &worker, "");
+}
+
+auto JobOwner::StopRun(const TaskPlace& place,
+                       RunWork& run,
+                       const std::string& why) -> void {
+  if (run.phase == RunPhase::kStopping) {
+    return;
+  }
+  run.phase = RunPhase::kStopping;
+  WorkerView& worker = *run.worker;
+  StopOrder order;
+  order.set_order(next_order_++);
+  *order.mutable_task() = place.Name();
+  order.set_run(run.run);
+  order.set_worker_id(worker.worker_id);
+  const uint64_t number = order.order();
+  worker.orders[number] = {std::nullopt, std::move(order), TimePoint(), false};
+  worker.poll_due = true;
+  Log("stop", place, run.run, &worker, why);
+}
+
+auto JobOwner::StopOrphan(WorkerView& worker, const RunningTask& row) -> void {
+  StopOrder order;
+  order.set_order(next_order_++);
+  *order.mutable_task() = row.task();
+  order.set_run(row.run());
+  order.set_worker_id(worker.worker_id);
+  const uint64_t number = order.order();
+  worker.orders[number] = {std::nullopt, std::move(order), TimePoint(), false};
+  worker.poll_due = true;
+  hooks_.log({"stop", row.task(), row.run(), worker.agent,
+              "no open job has this run"});
+}
+
+auto JobOwner::PollAll(TimePoint now) -> void {
+  for (auto& [name, worker] : workers_) {
+    if (worker->poll_due || now - worker->polled_at >= options_.poll_interval) {
+      Poll(now, *worker);
+    }
+  }
+}
+
+auto JobOwner::Poll(TimePoint now, WorkerView& worker) -> void {
+  worker.poll_due = false;
+  worker.polled_at = now;
+  AgentOrders orders;
+  orders.set_fence(fence_);
+  orders.set_owner_incarnation(options_.incarnation);
+  if (worker.reported_us > 0) {
+    orders.set_granted_from_us(worker.reported_us);
+    orders.set_lease_ttl_ms(static_cast<uint64_t>(options_.lease_ttl.count()));
+    const auto ttl = std::chrono::duration_cast<Duration>(
+        options_.lease_ttl * (1.0 + options_.clock_drift));
+    worker.lease_bound = std::max(
+        worker.lease_bound, worker.reported_at + ttl + options_.lease_margin);
+  }
+  orders.set_worker_id(worker.worker_id);
+  orders.set_ends_logged(worker.ends_logged);
+  orders.set_results_seen(worker.results_seen);
+  orders.set_pacing_version(worker.pacing_version);
+  if (worker.agent_pacing_version != worker.pacing_version) {
+    AddPacedRuns(worker, &orders);
+  }
+  for (auto& [number, order] : worker.orders) {
+    if (!order.sent || now - order.sent_at >= options_.repeat_after) {
+      AddRepeated(order, now, &orders);
+    }
+  }
+  hooks_.send(worker.link_endpoint, std::move(orders));
+}
+
+auto JobOwner::AddPacedRuns(const WorkerView& worker, AgentOrders* orders) const
+    -> void {
+  for (const auto& [number, place] : worker.runs) {
+    const auto& step = place.spec();
+    if (step.target_latency_ms() == 0 && !step.uses_spare_processors()) {
+      continue;
+    }
+    for (const auto& run : place.task().runs) {
+      if (run.worker == &worker) {
+        auto* paced = orders->add_paced_runs();
+        *paced->mutable_task() = place.Name();
+        paced->set_run(run.run);
+        paced->set_target_latency_ms(step.target_latency_ms());
+        paced->set_uses_spare_processors(step.uses_spare_processors());
+      }
+    }
+  }
+}
+
+}  // namespace rhubarbhaven::jobs
--- /dev/null
+++ b/Source/Jobs/place_choice.h
@@ -0,0 +1,24 @@
+#ifndef RHUBARBHAVEN_JOBS_PLACE_CHOICE_H_
+#define RHUBARBHAVEN_JOBS_PLACE_CHOICE_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "Base/base.h"
+#include "Jobs/worker_view.h"
+
+namespace rhubarbhaven::jobs {
+
+using WorkerViews = std::map<std::string, std::unique_ptr<WorkerView>>;
+
+// The worker on which a task should start, or null if none may take it now.
+// `rack` narrows the choice to one rack; empty for any.
+auto ChoosePlace(TimePoint now,
+                 const WorkerViews& workers,
+                 const TaskPlace& place,
+                 const std::string& rack = "") -> WorkerView*;
+
+}  // namespace rhubarbhaven::jobs
+
+#endif  // RHUBARBHAVEN_JOBS_PLACE_CHOICE_H_
--- /dev/null
+++ b/Source/Jobs/queue_directory.h
@@ -0,0 +1,60 @@
+#ifndef RHUBARBHAVEN_JOBS_QUEUE_DIRECTORY_H_
+#define RHUBARBHAVEN_JOBS_QUEUE_DIRECTORY_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "Base/base.h"
+
+namespace rhubarbhaven::jobs {
+
+// A queue of the configuration, which callers address by host and path.
+struct Queue {
+  std::string name;
+  std::string host;
+  std::string path_prefix;
+  QueueRules rules;
+  // The time within which a job should be done beyond its own work.
+  std::chrono::milliseconds target_latency{0};
+  // Factor on a job's own work within its target.
+  double stretch = 1.0;
+};
+
+// A service whose workers run tasks.
+struct WorkerService {
+  std::string name;
+  // Its workers refuse what does not fit; others start all they are told to.
+  bool refuses_overload = true;
+  // Its instances are off and cost nothing.
+  bool standby = false;
+};
+
+// One version of the operators' configuration.
+struct QueueConfiguration {
+  uint64_t version = 0;
+  std::vector<Queue> queues;
+  std::vector<WorkerService> services;
+};
+
+// Finds a queue in the newest configuration; older versions never replace it.
+class QueueDirectory {
+ public:
+  // False if the version is not newer than the one in force.
+  auto Adopt(QueueConfiguration configuration) -> bool;
+  auto known() const -> bool { return configuration_.version != 0; }
+  auto version() const -> uint64_t { return configuration_.version; }
+  // The queue with the longest prefix of `path`; null if there is none.
+  auto Match(const std::string& host, const std::string& path) const
+      -> const Queue*;
+  auto FindByName(const std::string& name) const -> const Queue*;
+  auto FindService(const std::string& name) const -> const WorkerService*;
+
+ private:
+  QueueConfiguration configuration_;
+};
+
+}  // namespace rhubarbhaven::jobs
+
+#endif  // RHUBARBHAVEN_JOBS_QUEUE_DIRECTORY_H_
--- /dev/null
+++ b/Source/Jobs/worker_view.cc
@@ -0,0 +1,73 @@
+#include "Jobs/worker_view.h"
+
+#include <algorithm>
+
+namespace rhubarbhaven::jobs {
+namespace {
+
+// A worker whose agent has not reported for this long takes no new runs: its
+// agent is polled each 300 ms, so two reports are missing.
+constexpr std::chrono::milliseconds kReportTooOld{900};
+
+}  // namespace
+
+auto Room::Add(const schema::Resources& amounts, int sign) -> void {
+  millicores += sign * static_cast<int64_t>(amounts.millicores());
+  memory_mb += sign * static_cast<int64_t>(amounts.memory_mb());
+  accelerators += sign * static_cast<int64_t>(amounts.accelerators());
+}
+
+auto Room::Holds(const Room& need) const -> bool {
+  return need.millicores <= millicores && need.memory_mb <= memory_mb &&
+         need.accelerators <= accelerators;
+}
+
+auto RoomOf(const schema::Resources& amounts) -> Room {
+  Room room;
+  room.Add(amounts, 1);
+  return room;
+}
+
+auto WorkerView::Free() const -> Room {
+  return {capacity.millicores - held.millicores,
+          capacity.memory_mb - held.memory_mb,
+          capacity.accelerators - held.accelerators};
+}
+
+auto WorkerView::Accepts(TimePoint now) const -> bool {
+  return confirmed && !worker_id.empty() && !draining && !silent &&
+         now - reported_at < kReportTooOld && now >= set_aside_until;
+}
+
+auto WorkerView::HasLabel(const std::string& label) const -> bool {
+  return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+auto WorkerView::CountOf(const TaskPlace& place) const -> uint32_t {
+  uint32_t count = 0;
+  for (const auto& [run, other] : runs) {
+    if (other.work == place.work && other.occurrence == place.occurrence &&
+        other.step == place.step) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+auto WorkerView::Hold(const JobStep& step) -> void {
+  held.Add(step.need(), 1);
+  if (step.uses_spare_processors()) {
+    held.millicores -= step.need().millicores();
+    spare_millicores_used += step.need().millicores();
+  }
+}
+
+auto WorkerView::Release(const JobStep& step) -> void {
+  held.Add(step.need(), -1);
+  if (step.uses_spare_processors()) {
+    held.millicores += step.need().millicores();
+    spare_millicores_used -= step.need().millicores();
+  }
+}
+
+}  // namespace rhubarbhaven::jobs
--- /dev/null
+++ b/Source/Jobs/worker_view.h
@@ -0,0 +1,89 @@
+#ifndef RHUBARBHAVEN_JOBS_WORKER_VIEW_H_
+#define RHUBARBHAVEN_JOBS_WORKER_VIEW_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "Base/base.h"
+#include "Jobs/job_work.h"
+
+namespace rhubarbhaven::jobs {
+
+// Amounts in signed numbers, so that differences never wrap.
+struct Room {
+  int64_t millicores = 0;
+  int64_t memory_mb = 0;
+  int64_t accelerators = 0;
+
+  auto Add(const schema::Resources& amounts, int sign) -> void;
+  auto Holds(const Room& need) const -> bool;
+};
+
+auto RoomOf(const schema::Resources& amounts) -> Room;
+
+// An order on its way to an agent, until its result has come.
+struct PendingOrder {
+  std::optional<StartOrder> start;
+  std::optional<StopOrder> stop;
+  TimePoint sent_at;
+  bool sent = false;
+};
+
+// A worker and its agent, as the owner knows them.
+struct WorkerView {
+  std::string agent;
+  std::string link_endpoint;
+  // Life of the worker; empty while it is not known.
+  std::string worker_id;
+  std::string service;
+  std::string failure_domain;
+  std::string kind;
+  std::string rack;
+  std::vector<std::string> labels;
+  Room capacity;
+  bool draining = false;
+  bool silent = false;
+  // The agent has listed what runs under this owner's fence.
+  bool confirmed = false;
+  // The latest report; its agent's clock is echoed in grants.
+  TimePoint reported_at;
+  uint64_t reported_us = 0;
+  // Nothing that rests on this owner's grants runs after this.
+  TimePoint lease_bound;
+
+  // Held by runs whose processors count, and by those on spare processors.
+  Room held;
+  int64_t spare_millicores_used = 0;
+  std::map<uint64_t, TaskPlace> runs;
+
+  std::map<uint64_t, PendingOrder> orders;
+  uint64_t results_seen = 0;
+  TimePoint polled_at;
+  bool poll_due = true;
+
+  // Newest end that was taken in, and newest that is in the log.
+  uint64_t ends_taken = 0;
+  uint64_t ends_logged = 0;
+  uint64_t pacing_version = 1;
+  uint64_t agent_pacing_version = 0;
+
+  // Failed runs since the last one that ended well.
+  int failures_in_row = 0;
+  TimePoint set_aside_until;
+
+  auto Free() const -> Room;
+  // Takes new runs at `now`.
+  auto Accepts(TimePoint now) const -> bool;
+  auto HasLabel(const std::string& label) const -> bool;
+  // Tasks of one step's occurrence that run here.
+  auto CountOf(const TaskPlace& place) const -> uint32_t;
+  auto Hold(const JobStep& step) -> void;
+  auto Release(const JobStep& step) -> void;
+};
+
+}  // namespace rhubarbhaven::jobs
+
+#endif  // RHUBARBHAVEN_JOBS_WORKER_VIEW_H_
--- a/Source/Schema/schema.h
+++ b/Source/Schema/schema.h
@@ -3,6 +3,7 @@
 
 // Messages and settings, generated from the .proto files in this folder.
 
+#include "jobs.pb.h"
 #include "journal.pb.h"
 #include "operator.pb.h"
 #include "options.pb.h"
--- a/Source/Transport/link.cc
+++ b/Source/Transport/link.cc
@@ -10,6 +10,7 @@
 namespace rhubarbhaven {
 namespace {
 
+constexpr char kTcp[] = "tcp://";
 constexpr int kQueuedMessages = 1000;
 constexpr std::chrono::milliseconds kReconnect{100};
 constexpr std::chrono::milliseconds kReconnectLongest{1000};
@@ -99,18 +100,35 @@
       listener_.bind(options_.bind);
     }
     for (const auto& endpoint : options_.connect) {
-      auto& socket = connected_[endpoint];
-      socket = zmq::socket_t(context_, zmq::socket_type::dealer);
-      SetCommonOptions(socket);
-      socket.set(zmq::sockopt::routing_id, options_.id);
-      // Queue for made connections only: nothing stale is sent later.
-      socket.set(zmq::sockopt::immediate, true);
-      socket.set(zmq::sockopt::reconnect_ivl, Milliseconds(kReconnect));
-      socket.set(zmq::sockopt::reconnect_ivl_max,
-                 Milliseconds(kReconnectLongest));
-      socket.set(zmq::sockopt::connect_timeout,
-                 Milliseconds(kReconnectLongest));
-      socket.connect(endpoint);
+      Connect(endpoint);
+    }
+  }
+
+  auto Connect(const std::string& endpoint) -> void {
+    auto& socket = connected_[endpoint];
+    socket = zmq::socket_t(context_, zmq::socket_type::dealer);
+    SetCommonOptions(socket);
+    socket.set(zmq::sockopt::routing_id, options_.id);
+    // Queue for made connections only: nothing stale is sent later.
+    socket.set(zmq::sockopt::immediate, true);
+    socket.set(zmq::sockopt::reconnect_ivl, Milliseconds(kReconnect));
+    socket.set(zmq::sockopt::reconnect_ivl_max,
+               Milliseconds(kReconnectLongest));
+    socket.set(zmq::sockopt::connect_timeout, Milliseconds(kReconnectLongest));
+    socket.connect(endpoint);
+  }
+
+  // Peers that this process no longer speaks to, as after it stopped being
+  // the owner; their connections would cost heartbeats for good.
+  auto LetGoOfIdle() -> void {
+    const TimePoint now = Clock::now();
+    for (auto used = used_at_.begin(); used != used_at_.end();) {
+      if (now - used->second < options_.idle_limit) {
+        ++used;
+        continue;
+      }
+      connected_.erase(used->first);
+      used = used_at_.erase(used);
     }
   }
 
@@ -119,6 +137,7 @@
       Poll();
       SendQueued();
       ReceiveAll();
+      LetGoOfIdle();
     }
     SendQueued();
     const int linger = Milliseconds(linger_);
@@ -162,8 +181,14 @@
     std::string bytes;
     outgoing.message.SerializeToString(&bytes);
     bytes_sent_ += bytes.size();
-    const auto found = connected_.find(outgoing.peer);
     try {
+      if (options_.connect_on_send && outgoing.peer.starts_with(kTcp)) {
+        if (!connected_.contains(outgoing.peer)) {
+          Connect(outgoing.peer);
+        }
+        used_at_[outgoing.peer] = Clock::now();
+      }
+      const auto found = connected_.find(outgoing.peer);
       if (found != connected_.end()) {
         return found->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait)
             .has_value();
@@ -256,6 +281,8 @@
   zmq::context_t context_;
   zmq::socket_t listener_;
   std::map<std::string, zmq::socket_t> connected_;
+  // Peers to which `Send` connected, and when something was last sent there.
+  std::map<std::string, TimePoint> used_at_;
   BoundedRing<Outgoing> ring_;
   std::atomic<uint64_t> bytes_sent_ = 0;
   std::atomic<uint64_t> bytes_received_ = 0;
--- a/Source/Transport/link.h
+++ b/Source/Transport/link.h
@@ -24,6 +24,10 @@
   std::string bind;
   // Whom to connect to.
   std::vector<std::string> connect;
+  // Also connect to any endpoint ("tcp://...") that `Send` names, and let go
+  // of it when nothing was sent there for `idle_limit`.
+  bool connect_on_send = false;
+  std::chrono::milliseconds idle_limit{10000};
   std::size_t max_message_bytes = 8 << 20;
   std::size_t ring_capacity = 8192;
   // Protocol heartbeats: a connection that is silent this long is replaced.
