Jobs: Pace fillers nearer the target, pack lasting tasks

Cause: with 0.6 and 0.8 of the target as bounds, fillers that had been slowed to nothing stood still for as long as a serving task idled in between. Lasting tasks were spread over all workers, so that none was left where fillers disturb nobody.

--- a/Source/Jobs/filler_pacing.h
+++ b/Source/Jobs/filler_pacing.h
@@ -15,8 +15,8 @@
   // sped up again. Slowing begins below the target, since the figures are up
   // to half a second old.
   double hard_above = 1.0;
-  double slow_above = 0.8;
-  double speed_up_below = 0.6;
+  double slow_above = 0.9;
+  double speed_up_below = 0.85;
   // Shortest time between two changes: the figures cover half a second.
   std::chrono::milliseconds interval{400};
 };
--- a/Source/Jobs/place_choice.cc
+++ b/Source/Jobs/place_choice.cc
@@ -12,16 +12,22 @@
 // For each task of the same lasting step on the worker, so that the loss of
 // one worker takes few of them.
 constexpr double kSameStepCost = 3.0;
+// For a run on spare processors beside one that serves; less than a worker that
+// is full, so that such runs go there before they crowd elsewhere.
+constexpr double kBesideServingCost = 0.5;
 // A worker that failed its latest runs is taken last.
 constexpr double kFailureCost = 2.0;
-// Share of a worker's processors that runs on spare processors may ask for
-// beyond those that are not held.
-constexpr double kSpareOversubscription = 1.0;
+// Share of what other runs hold that they are taken to use. Tasks that serve
+// are sized for their peaks and use about half; runs on spare processors get
+// what is left.
+constexpr double kUsedOfHeld = 0.5;
 
 auto FitsSpare(const WorkerView& worker, const JobStep& step) -> bool {
   const auto free = worker.Free();
-  const auto limit = static_cast<int64_t>(static_cast<double>(free.millicores) *
-                                          kSpareOversubscription);
+  const auto limit =
+      worker.capacity.millicores -
+      static_cast<int64_t>(static_cast<double>(worker.held.millicores) *
+                           kUsedOfHeld);
   return step.need().memory_mb() <=
              static_cast<uint64_t>(std::max<int64_t>(0, free.memory_mb)) &&
          worker.spare_millicores_used + step.need().millicores() <= limit;
@@ -67,11 +73,15 @@
     cost += kOtherRackCost;
   }
   if (step.long_running()) {
-    return cost + kSameStepCost * worker.CountOf(place) + UsedShare(worker);
+    // The tasks of one step on many workers, but those of all steps on few:
+    // the other workers are left to runs that would disturb them.
+    return cost + kSameStepCost * worker.CountOf(place) - UsedShare(worker);
   }
   if (step.uses_spare_processors()) {
-    // Where most processors are unused it is fastest and disturbs least.
-    return cost + UsedShare(worker);
+    // Where most processors are unused it is fastest, and where nothing serves
+    // it disturbs nobody and is never slowed.
+    const double serves = worker.serving_runs > 0 ? kBesideServingCost : 0.0;
+    return cost + serves + UsedShare(worker);
   }
   // Best fit: keeps large holes for large tasks.
   return cost - UsedShare(worker);
--- a/Source/Jobs/worker_view.cc
+++ b/Source/Jobs/worker_view.cc
@@ -56,6 +56,7 @@
 
 auto WorkerView::Hold(const JobStep& step) -> void {
   held.Add(step.need(), 1);
+  serving_runs += step.target_latency_ms() > 0 ? 1 : 0;
   if (step.uses_spare_processors()) {
     held.millicores -= step.need().millicores();
     spare_millicores_used += step.need().millicores();
@@ -64,6 +65,7 @@
 
 auto WorkerView::Release(const JobStep& step) -> void {
   held.Add(step.need(), -1);
+  serving_runs -= step.target_latency_ms() > 0 ? 1 : 0;
   if (step.uses_spare_processors()) {
     held.millicores += step.need().millicores();
     spare_millicores_used -= step.need().millicores();
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -57,6 +57,8 @@
   // Held by runs whose processors count, and by those on spare processors.
   Room held;
   int64_t spare_millicores_used = 0;
+  // Runs with a target for their latency.
+  int serving_runs = 0;
   std::map<uint64_t, TaskPlace> runs;
 
   std::map<uint64_t, PendingOrder> orders;
