--- a/Source/Jobs/filler_pacing.cc
+++ b/Source/Jobs/filler_pacing.cc
@@ -1,58 +1,86 @@
 #include "Jobs/filler_pacing.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace rhubarbhaven::jobs {
 namespace {
 
 constexpr uint32_t kFullSpeed = 100;
-constexpr uint32_t kSpeedUpStep = 15;
 // No percent: the order is given again.
 constexpr uint32_t kUnsure = 101;
+// Of a pair of images that the owner has not told.
+constexpr double kUnknownPressure = 3.0;
+// Weight of a new sample in a run's base latency.
+constexpr double kBaseWeight = 0.4;
+// Smaller changes of the speed are not ordered.
+constexpr uint32_t kLeastChange = 8;
+// Decisions in a row with a run over its target before all fillers are slowed.
+constexpr int kOverToSlowAll = 2;
+constexpr double kSlowAll = 0.5;
+constexpr double kSpeedUpAll = 0.1;
 
 }  // namespace
 
 auto FillerPacing::SetRuns(const std::vector<PacedRun>& runs) -> void {
-  std::map<uint64_t, Runs> next;
-  for (const auto& run : runs) {
-    const auto known = runs_.find(run.run());
-    // A run that this process has not seen may have been slowed before.
-    const uint32_t percent =
-        known == runs_.end() ? kUnsure : known->second.percent;
-    next[run.run()] = {run, percent};
+  std::map<uint64_t, Run> next;
+  for (const auto& paced : runs) {
+    Run run;
+    const auto known = runs_.find(paced.run());
+    if (known != runs_.end()) {
+      run = known->second;
+    } else {
+      // A run that this process has not seen may have been slowed before.
+      run.percent = kUnsure;
+    }
+    run.paced = paced;
+    next[paced.run()] = std::move(run);
   }
   runs_ = std::move(next);
 }
 
+auto FillerPacing::SetPressures(const std::vector<ImagePressure>& pressures)
+    -> void {
+  for (const auto& pressure : pressures) {
+    pressures_[{pressure.serving_image(), pressure.filler_image()}] =
+        pressure.pressure();
+  }
+}
+
 auto FillerPacing::OnListing(TimePoint now,
-                             const std::vector<RunningTask>& running)
+                             const std::vector<RunningTask>& running,
+                             uint32_t capacity_millicores)
     -> std::vector<PaceChange> {
-  double worst = 0;
-  bool serves = false;
-  for (const auto& row : running) {
-    const auto found = runs_.find(row.run());
-    if (found != runs_.end() && found->second.run.target_latency_ms() > 0) {
-      serves = true;
-      const auto target =
-          static_cast<double>(found->second.run.target_latency_ms());
-      worst = std::max(worst, static_cast<double>(row.load()) / target);
-    }
+  std::vector<PaceChange> changes;
+  if (now - decided_at_ < options_.interval || capacity_millicores == 0) {
+    return changes;
   }
-  if (!serves) {
-    percent_ = kFullSpeed;
-  } else if (now - changed_at_ >= options_.interval) {
-    changed_at_ = now;
-    Decide(worst);
+  decided_at_ = now;
+  for (auto& [number, run] : runs_) {
+    run.listed = false;
   }
-  std::vector<PaceChange> changes;
   for (const auto& row : running) {
     const auto found = runs_.find(row.run());
-    if (found == runs_.end() || !found->second.run.uses_spare_processors() ||
-        found->second.percent == percent_) {
+    if (found != runs_.end()) {
+      found->second.load = row.load();
+      found->second.listed = true;
+    }
+  }
+  AdjustCaution();
+  const auto budgets = Budgets(capacity_millicores);
+  for (auto& [number, run] : runs_) {
+    if (!run.listed || !run.paced.uses_spare_processors()) {
       continue;
     }
-    found->second.percent = percent_;
-    changes.push_back({found->second.run, percent_});
+    const uint32_t percent = PercentOf(run, budgets);
+    const uint32_t change =
+        std::max(percent, run.percent) - std::min(percent, run.percent);
+    const bool at_end = percent == 0 || percent == kFullSpeed;
+    if (change >= kLeastChange || (change > 0 && at_end)) {
+      run.percent = percent;
+      changes.push_back({run.paced, percent});
+    }
   }
   return changes;
 }
@@ -64,14 +92,71 @@
   }
 }
 
-auto FillerPacing::Decide(double worst) -> void {
-  if (worst > options_.hard_above) {
-    percent_ /= 3;
-  } else if (worst > options_.slow_above) {
-    percent_ = percent_ * 2 / 3;
-  } else if (worst < options_.speed_up_below) {
-    percent_ = std::min(kFullSpeed, percent_ + kSpeedUpStep);
+auto FillerPacing::PressureOf(const Run& serving, const Run& filler) const
+    -> double {
+  const auto found =
+      pressures_.find({serving.paced.image(), filler.paced.image()});
+  return found == pressures_.end() ? kUnknownPressure : found->second;
+}
+
+// For each run that serves, the share of full speed that the fillers which
+// disturb it may have.
+auto FillerPacing::Budgets(double capacity) -> std::map<uint64_t, double> {
+  std::map<uint64_t, double> budgets;
+  for (auto& [number, serving] : runs_) {
+    if (!serving.listed || serving.paced.target_latency_ms() == 0 ||
+        serving.load == 0) {
+      continue;
+    }
+    double slowdown = 1.0;
+    double at_full_speed = 0;
+    for (const auto& [other, filler] : runs_) {
+      if (!filler.listed || !filler.paced.uses_spare_processors()) {
+        continue;
+      }
+      const double pressure = PressureOf(serving, filler);
+      slowdown += pressure * filler.load / capacity;
+      at_full_speed += pressure * filler.paced.millicores() / capacity;
+    }
+    const double base = serving.load / slowdown;
+    serving.base_ms =
+        serving.base_ms == 0
+            ? base
+            : serving.base_ms + kBaseWeight * (base - serving.base_ms);
+    const double limit =
+        options_.aim * static_cast<double>(serving.paced.target_latency_ms());
+    const double room = limit / std::max(1.0, serving.base_ms) - 1.0;
+    budgets[number] =
+        at_full_speed <= 0 ? 1.0 : std::clamp(room / at_full_speed, 0.0, 1.0);
+  }
+  return budgets;
+}
+
+auto FillerPacing::AdjustCaution() -> void {
+  bool over = false;
+  for (const auto& [number, run] : runs_) {
+    over = over || (run.listed && run.paced.target_latency_ms() > 0 &&
+                    run.load > run.paced.target_latency_ms());
+  }
+  over_in_row_ = over ? over_in_row_ + 1 : 0;
+  if (over_in_row_ >= kOverToSlowAll) {
+    caution_ *= kSlowAll;
+  } else if (!over) {
+    caution_ = std::min(1.0, caution_ + kSpeedUpAll);
+  }
+}
+
+auto FillerPacing::PercentOf(const Run& filler,
+                             const std::map<uint64_t, double>& budgets) const
+    -> uint32_t {
+  double share = caution_;
+  for (const auto& [number, budget] : budgets) {
+    const auto& serving = runs_.at(number);
+    if (PressureOf(serving, filler) >= options_.least_pressure) {
+      share = std::min(share, budget);
+    }
   }
+  return static_cast<uint32_t>(std::lround(share * kFullSpeed));
 }
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/filler_pacing.h
+++ b/Source/Jobs/filler_pacing.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -11,14 +12,13 @@
 namespace rhubarbhaven::jobs {
 
 struct FillerPacingOptions {
-  // Shares of a target latency at which fillers are slowed hard, slowed, and
-  // sped up again. Slowing begins below the target, since the figures are up
-  // to half a second old.
-  double hard_above = 1.0;
-  double slow_above = 0.9;
-  double speed_up_below = 0.85;
-  // Shortest time between two changes: the figures cover half a second.
-  std::chrono::milliseconds interval{400};
+  // Share of a target latency that fillers may bring a run that serves to. The
+  // figures are up to half a second old, and its load swings.
+  double aim = 0.8;
+  // Pressures below this do not count as a disturbance of a run.
+  double least_pressure = 0.5;
+  // Shortest time between two decisions: the figures cover half a second.
+  std::chrono::milliseconds interval{300};
 };
 
 struct PaceChange {
@@ -26,32 +26,49 @@
   uint32_t percent = 100;
 };
 
-// Slows tasks that use spare processors while a task that serves beside them
-// nears its target latency, and speeds them up again. One worker.
+// Slows tasks that use spare processors as far as the tasks that serve beside
+// them need it for their target latency. Each filler is slowed for those that
+// it disturbs, by the pressures that the owner has learned. One worker.
 class FillerPacing {
  public:
   explicit FillerPacing(FillerPacingOptions options) : options_(options) {}
 
   auto SetRuns(const std::vector<PacedRun>& runs) -> void;
-  // Changes to order, from one listing of what runs.
-  auto OnListing(TimePoint now, const std::vector<RunningTask>& running)
-      -> std::vector<PaceChange>;
+  auto SetPressures(const std::vector<ImagePressure>& pressures) -> void;
+  // Changes to order, from one listing of what runs on a worker with these
+  // processors.
+  auto OnListing(TimePoint now,
+                 const std::vector<RunningTask>& running,
+                 uint32_t capacity_millicores) -> std::vector<PaceChange>;
   // The order to pace a run may not have taken effect; it is given again.
   auto OnUnsure(uint64_t run) -> void;
 
  private:
-  struct Runs {
-    PacedRun run;
-    // As ordered; a run starts at full speed.
+  struct Run {
+    PacedRun paced;
+    // As ordered; none if that is not known.
     uint32_t percent = 100;
+    // By the newest listing.
+    uint32_t load = 0;
+    bool listed = false;
+    // Of a run that serves: its latency without fillers, smoothed.
+    double base_ms = 0;
   };
 
-  auto Decide(double worst) -> void;
+  auto PressureOf(const Run& serving, const Run& filler) const -> double;
+  auto Budgets(double capacity) -> std::map<uint64_t, double>;
+  auto AdjustCaution() -> void;
+  auto PercentOf(const Run& filler,
+                 const std::map<uint64_t, double>& budgets) const -> uint32_t;
 
   FillerPacingOptions options_;
-  std::map<uint64_t, Runs> runs_;
-  uint32_t percent_ = 100;
-  TimePoint changed_at_;
+  std::map<uint64_t, Run> runs_;
+  std::map<std::pair<std::string, std::string>, double> pressures_;
+  // Share of full speed for all fillers, lowered while a run stays over its
+  // target although the pressures say that it should not.
+  double caution_ = 1.0;
+  int over_in_row_ = 0;
+  TimePoint decided_at_;
 };
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -130,6 +130,7 @@
     for (const auto& row : report.running()) {
       NoteProgress(now, worker, row);
     }
+    LearnInterference(worker, report);
   }
   if (worker.confirmed) {
     for (const auto& row : report.ended()) {
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "Base/base.h"
+#include "Jobs/image_interference.h"
 #include "Jobs/job_fold.h"
 #include "Jobs/job_work.h"
 #include "Jobs/place_choice.h"
@@ -30,6 +31,8 @@
   std::chrono::milliseconds poll_interval{300};
   // An order without a result is sent again after this.
   std::chrono::milliseconds repeat_after{400};
+  // How often an agent is told what was learned of the images on its worker.
+  std::chrono::milliseconds tell_pressures{1000};
   // How long jobs that are over stay readable; the platform asks for 120 s.
   std::chrono::seconds keep_over{150};
   // An agent that is silent for this long leaves the roster. It registers
@@ -159,6 +162,9 @@
   // Messages.
   auto Poll(TimePoint now, WorkerView& worker) -> void;
   auto PollAll(TimePoint now) -> void;
+  auto LearnInterference(WorkerView& worker, const AgentReport& report) -> void;
+  auto AddPressures(const WorkerView& worker, AgentOrders* orders) const
+      -> void;
   auto AddPacedRuns(const WorkerView& worker, AgentOrders* orders) const
       -> void;
   auto Log(const std::string& what,
@@ -180,6 +186,7 @@
   std::map<JobOrder, JobWork*> queue_;
   // Workers by their agents' names.
   WorkerViews workers_;
+  ImageInterference interference_;
   // Jobs that are over, since when.
   std::map<std::string, TimePoint> over_since_;
   std::vector<std::string> keys_to_drop_;
--- a/Source/Jobs/jobs.h
+++ b/Source/Jobs/jobs.h
@@ -7,6 +7,7 @@
 
 #include "Jobs/append_batcher.h"
 #include "Jobs/filler_pacing.h"
+#include "Jobs/image_interference.h"
 #include "Jobs/job_check.h"
 #include "Jobs/job_fold.h"
 #include "Jobs/job_owner.h"
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -103,7 +103,7 @@
   const bool wanted = !task.done && !place->work->entry->over() &&
                       (task.runs.empty() || place->spec().allow_duplicates());
   task.runs.push_back(run);
-  worker.Hold(place->spec());
+  worker.Hold(place->spec(), row.run());
   worker.runs[next_order_++] = *place;
   ++worker.pacing_version;
   if (!row.checkpoint().empty()) {
@@ -141,6 +141,35 @@
   }
 }
 
+auto JobOwner::LearnInterference(WorkerView& worker, const AgentReport& report)
+    -> void {
+  if (worker.capacity.millicores <= 0) {
+    return;
+  }
+  std::vector<ServingSample> serving;
+  std::map<std::string, double> shares;
+  for (const auto& row : report.running()) {
+    const auto place = Locate(row.task());
+    if (!place) {
+      continue;
+    }
+    const auto& step = place->spec();
+    if (step.target_latency_ms() > 0) {
+      serving.push_back(
+          {step.image(), row.run(), std::chrono::milliseconds(row.load())});
+    } else if (step.uses_spare_processors()) {
+      shares[step.image()] +=
+          row.load() / static_cast<double>(worker.capacity.millicores);
+    }
+  }
+  std::vector<FillerSample> fillers;
+  for (const auto& [image, share] : shares) {
+    fillers.push_back({image, share});
+  }
+  interference_.Observe(serving, fillers);
+  ++worker.load_version;
+}
+
 auto JobOwner::LoseRuns(TimePoint now,
                         WorkerView& worker,
                         const std::string& why) -> void {
@@ -344,7 +373,7 @@
     return false;
   }
   WorkerView& holder = *found->worker;
-  holder.Release(place.spec());
+  holder.Release(place.spec(), run);
   const auto held =
       std::find_if(holder.runs.begin(), holder.runs.end(),
                    [&place](const auto& item) -> bool {
@@ -356,6 +385,7 @@
   if (held != holder.runs.end()) {
     holder.runs.erase(held);
   }
+  interference_.Forget(run);
   task.runs.erase(found);
   task.waiting_since = now;
   place_due_ = true;
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -65,7 +65,7 @@
     if (!MayStart(now, place)) {
       continue;
     }
-    WorkerView* worker = ChoosePlace(now, workers_, place);
+    WorkerView* worker = ChoosePlace(now, workers_, place, interference_);
     if (worker == nullptr) {
       return;
     }
@@ -91,15 +91,16 @@
   for (auto rack = racks.rbegin(); rack != racks.rend() && best.empty();
        ++rack) {
     for (place.index = 0; place.index < count; ++place.index) {
-      WorkerView* worker = ChoosePlace(now, workers_, place, *rack);
+      WorkerView* worker =
+          ChoosePlace(now, workers_, place, interference_, *rack);
       if (worker == nullptr) {
         break;
       }
-      worker->Hold(place.spec());
+      worker->Hold(place.spec(), 0);
       best.push_back(worker);
     }
     for (WorkerView* worker : best) {
-      worker->Release(place.spec());
+      worker->Release(place.spec(), 0);
     }
     if (best.size() < count) {
       best.clear();
@@ -122,7 +123,7 @@
   work.ordered_at = now;
   work.progress_at = now;
   task.runs.push_back(work);
-  worker.Hold(place.spec());
+  worker.Hold(place.spec(), run);
   // Members of a gang share their run's number; the order tells them apart.
   const uint64_t number = next_order_++;
   worker.runs[number] = place;
@@ -203,6 +204,10 @@
   if (worker.agent_pacing_version != worker.pacing_version) {
     AddPacedRuns(worker, &orders);
   }
+  if (now - worker.pressures_told_at >= options_.tell_pressures) {
+    worker.pressures_told_at = now;
+    AddPressures(worker, &orders);
+  }
   for (auto& [number, order] : worker.orders) {
     if (!order.sent || now - order.sent_at >= options_.repeat_after) {
       AddRepeated(order, now, &orders);
@@ -211,6 +216,28 @@
   hooks_.send(worker.link_endpoint, std::move(orders));
 }
 
+auto JobOwner::AddPressures(const WorkerView& worker, AgentOrders* orders) const
+    -> void {
+  std::set<std::string> serving;
+  std::set<std::string> fillers;
+  for (const auto& [number, place] : worker.runs) {
+    const auto& step = place.spec();
+    if (step.target_latency_ms() > 0) {
+      serving.insert(step.image());
+    } else if (step.uses_spare_processors()) {
+      fillers.insert(step.image());
+    }
+  }
+  for (const auto& served : serving) {
+    for (const auto& filler : fillers) {
+      auto* pressure = orders->add_pressures();
+      pressure->set_serving_image(served);
+      pressure->set_filler_image(filler);
+      pressure->set_pressure(interference_.Pressure(served, filler));
+    }
+  }
+}
+
 auto JobOwner::AddPacedRuns(const WorkerView& worker, AgentOrders* orders) const
     -> void {
   for (const auto& [number, place] : worker.runs) {
@@ -225,6 +252,8 @@
         paced->set_run(run.run);
         paced->set_target_latency_ms(step.target_latency_ms());
         paced->set_uses_spare_processors(step.uses_spare_processors());
+        paced->set_image(step.image());
+        paced->set_millicores(step.need().millicores());
       }
     }
   }
--- a/Source/Jobs/place_choice.cc
+++ b/Source/Jobs/place_choice.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "Jobs/filler_speed.h"
+
 namespace rhubarbhaven::jobs {
 namespace {
 
@@ -12,32 +14,24 @@
 // For each task of the same lasting step on the worker, so that the loss of
 // one worker takes few of them.
 constexpr double kSameStepCost = 3.0;
-// For a run on spare processors beside one that serves; less than a worker that
-// is full, so that such runs go there before they crowd elsewhere.
-constexpr double kBesideServingCost = 0.5;
+// Of a filler's speed against the use of the worker: the speed decides, the
+// use only between equals.
+constexpr double kSpeedWeight = 4.0;
 // A worker that failed its latest runs is taken last.
 constexpr double kFailureCost = 2.0;
-// Share of what other runs hold that they are taken to use. Tasks that serve
-// are sized for their peaks and use about half; runs on spare processors get
-// what is left.
-constexpr double kUsedOfHeld = 0.5;
-
-auto FitsSpare(const WorkerView& worker, const JobStep& step) -> bool {
-  const auto free = worker.Free();
-  const auto limit =
-      worker.capacity.millicores -
-      static_cast<int64_t>(static_cast<double>(worker.held.millicores) *
-                           kUsedOfHeld);
-  return step.need().memory_mb() <=
-             static_cast<uint64_t>(std::max<int64_t>(0, free.memory_mb)) &&
-         worker.spare_millicores_used + step.need().millicores() <= limit;
-}
+// A filler does not start where it would work more slowly than this: many slow
+// ones at once make every job late, one after the other some are in time.
+constexpr double kLeastFillerSpeed = 0.35;
+// For a lasting task beside one of another image that serves: the fewer kinds
+// on a worker, the better fillers can be kept away from those they disturb.
+constexpr double kOtherImageCost = 0.4;
 
 auto Fits(const WorkerView& worker, const JobStep& step) -> bool {
+  auto need = RoomOf(step.need());
   if (step.uses_spare_processors()) {
-    return FitsSpare(worker, step);
+    need.millicores = std::min<int64_t>(0, worker.Free().millicores);
   }
-  return worker.Free().Holds(RoomOf(step.need()));
+  return worker.Free().Holds(need);
 }
 
 auto MayRun(TimePoint now, const WorkerView& worker, const TaskPlace& place)
@@ -66,7 +60,16 @@
          static_cast<double>(worker.capacity.millicores);
 }
 
-auto Cost(const WorkerView& worker, const TaskPlace& place) -> double {
+auto BesideOtherImage(const WorkerView& worker, const JobStep& step) -> bool {
+  return std::any_of(worker.serving.begin(), worker.serving.end(),
+                     [&step](const auto& item) -> bool {
+                       return item.second.image != step.image();
+                     });
+}
+
+auto Cost(WorkerView& worker,
+          const TaskPlace& place,
+          const ImageInterference& interference) -> double {
   const auto& step = place.spec();
   double cost = kFailureCost * worker.failures_in_row;
   if (!step.data_rack().empty() && step.data_rack() != worker.rack) {
@@ -75,13 +78,16 @@
   if (step.long_running()) {
     // The tasks of one step on many workers, but those of all steps on few:
     // the other workers are left to runs that would disturb them.
-    return cost + kSameStepCost * worker.CountOf(place) - UsedShare(worker);
+    const double other = BesideOtherImage(worker, step) ? kOtherImageCost : 0;
+    return cost + other + kSameStepCost * worker.CountOf(place) -
+           UsedShare(worker);
   }
   if (step.uses_spare_processors()) {
-    // Where most processors are unused it is fastest, and where nothing serves
-    // it disturbs nobody and is never slowed.
-    const double serves = worker.serving_runs > 0 ? kBesideServingCost : 0.0;
-    return cost + serves + UsedShare(worker);
+    const double speed = FillerSpeed(worker, step, interference);
+    if (speed < kLeastFillerSpeed) {
+      return std::numeric_limits<double>::infinity();
+    }
+    return cost - kSpeedWeight * speed + UsedShare(worker);
   }
   // Best fit: keeps large holes for large tasks.
   return cost - UsedShare(worker);
@@ -92,6 +98,7 @@
 auto ChoosePlace(TimePoint now,
                  const WorkerViews& workers,
                  const TaskPlace& place,
+                 const ImageInterference& interference,
                  const std::string& rack) -> WorkerView* {
   WorkerView* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
@@ -100,7 +107,7 @@
         !MayRun(now, *worker, place)) {
       continue;
     }
-    const double cost = Cost(*worker, place);
+    const double cost = Cost(*worker, place, interference);
     if (cost < best_cost) {
       best_cost = cost;
       best = worker.get();
--- a/Source/Jobs/place_choice.h
+++ b/Source/Jobs/place_choice.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "Base/base.h"
+#include "Jobs/image_interference.h"
 #include "Jobs/worker_view.h"
 
 namespace rhubarbhaven::jobs {
@@ -17,6 +18,7 @@
 auto ChoosePlace(TimePoint now,
                  const WorkerViews& workers,
                  const TaskPlace& place,
+                 const ImageInterference& interference,
                  const std::string& rack = "") -> WorkerView*;
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -210,6 +210,7 @@
     pacing_version_ = orders.pacing_version();
     pacing_.SetRuns({orders.paced_runs().begin(), orders.paced_runs().end()});
   }
+  pacing_.SetPressures({orders.pressures().begin(), orders.pressures().end()});
 }
 
 auto TaskAgent::ResetWorker(TimePoint now) -> void {
@@ -474,7 +475,8 @@
 }
 
 auto TaskAgent::Pace(TimePoint now) -> void {
-  for (const auto& change : pacing_.OnListing(now, listing_.running)) {
+  for (const auto& change : pacing_.OnListing(
+           now, listing_.running, heartbeat_.capacity.millicores())) {
     PaceCall call;
     call.task = change.run.task();
     call.run = change.run.run();
--- a/Source/Jobs/worker_view.cc
+++ b/Source/Jobs/worker_view.cc
@@ -54,21 +54,30 @@
   return count;
 }
 
-auto WorkerView::Hold(const JobStep& step) -> void {
+auto WorkerView::Hold(const JobStep& step, uint64_t run) -> void {
+  ++load_version;
   held.Add(step.need(), 1);
-  serving_runs += step.target_latency_ms() > 0 ? 1 : 0;
+  if (step.target_latency_ms() > 0) {
+    serving[run] = {step.image(),
+                    static_cast<double>(step.target_latency_ms())};
+  }
   if (step.uses_spare_processors()) {
     held.millicores -= step.need().millicores();
     spare_millicores_used += step.need().millicores();
+    filler_millicores[step.image()] += step.need().millicores();
   }
 }
 
-auto WorkerView::Release(const JobStep& step) -> void {
+auto WorkerView::Release(const JobStep& step, uint64_t run) -> void {
+  ++load_version;
   held.Add(step.need(), -1);
-  serving_runs -= step.target_latency_ms() > 0 ? 1 : 0;
+  if (step.target_latency_ms() > 0) {
+    serving.erase(run);
+  }
   if (step.uses_spare_processors()) {
     held.millicores += step.need().millicores();
     spare_millicores_used -= step.need().millicores();
+    filler_millicores[step.image()] -= step.need().millicores();
   }
 }
 
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -32,6 +32,17 @@
   bool sent = false;
 };
 
+// A run that has a target for its latency.
+struct ServingRun {
+  std::string image;
+  double target_ms = 0;
+};
+
+struct CachedSpeed {
+  uint64_t version = 0;
+  double speed = 0;
+};
+
 // A worker and its agent, as the owner knows them.
 struct WorkerView {
   std::string agent;
@@ -57,13 +68,19 @@
   // Held by runs whose processors count, and by those on spare processors.
   Room held;
   int64_t spare_millicores_used = 0;
-  // Runs with a target for their latency.
-  int serving_runs = 0;
+  // Runs with a target for their latency, and what fillers of each image ask
+  // for; see FillerSpeed.
+  std::map<uint64_t, ServingRun> serving;
+  std::map<std::string, int64_t> filler_millicores;
+  // Grows with each change of what runs or is known of it.
+  uint64_t load_version = 1;
+  std::map<std::string, CachedSpeed> filler_speeds;
   std::map<uint64_t, TaskPlace> runs;
 
   std::map<uint64_t, PendingOrder> orders;
   uint64_t results_seen = 0;
   TimePoint polled_at;
+  TimePoint pressures_told_at;
   bool poll_due = true;
 
   // Newest end that was taken in, and newest that is in the log.
@@ -82,8 +99,8 @@
   auto HasLabel(const std::string& label) const -> bool;
   // Tasks of one step's occurrence that run here.
   auto CountOf(const TaskPlace& place) const -> uint32_t;
-  auto Hold(const JobStep& step) -> void;
-  auto Release(const JobStep& step) -> void;
+  auto Hold(const JobStep& step, uint64_t run) -> void;
+  auto Release(const JobStep& step, uint64_t run) -> void;
 };
 
 }  // namespace rhubarbhaven::jobs
