Jobs: Serve by due time, keep images that serve together

Causes, each with its own run: fillers yielded to runs that are over their target anyway, and stood still where a change of a few percent was not ordered; all fillers of a worker ran slowly in place of some at full speed; under overload the oldest jobs, late already, went first; serving tasks of sensitive images were on every worker.

--- a/Source/Daemon/job_service.cc
+++ b/Source/Daemon/job_service.cc
@@ -55,6 +55,11 @@
   return options;
 }
 
+auto WallClock() -> std::chrono::milliseconds {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
 auto StateReply(jobs::JobState state) -> JobReply {
   JobReply reply;
   reply.verdict = JobVerdict::kState;
@@ -224,6 +229,7 @@
   call.job.set_id(id);
   call.job.set_queue(queue.name);
   *call.job.mutable_rules() = queue.rules;
+  call.job.set_received_unix_ms(static_cast<uint64_t>(WallClock().count()));
   const auto status = CheckJob(call.job);
   if (!status.ok()) {
     metrics_->Add("rhubarbhaven_jobs_invalid_total");
@@ -567,10 +573,7 @@
     const auto* found = queues_.FindByName(queue);
     return found == nullptr ? nullptr : &found->rules;
   };
-  hooks.wall_clock = []() -> std::chrono::milliseconds {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-        std::chrono::system_clock::now().time_since_epoch());
-  };
+  hooks.wall_clock = &WallClock;
   return hooks;
 }
 
--- a/Source/Jobs/filler_pacing.cc
+++ b/Source/Jobs/filler_pacing.cc
@@ -14,7 +14,7 @@
 constexpr double kUnknownPressure = 3.0;
 // Weight of a new sample in a run's base latency.
 constexpr double kBaseWeight = 0.4;
-// Smaller changes of the speed are not ordered.
+// Changes by less than a part of this size are not ordered.
 constexpr uint32_t kLeastChange = 8;
 // Decisions in a row with a run over its target before all fillers are slowed.
 constexpr int kOverToSlowAll = 2;
@@ -68,16 +68,18 @@
     }
   }
   AdjustCaution();
-  const auto budgets = Budgets(capacity_millicores);
+  auto rooms = Rooms(capacity_millicores);
+  // Run numbers rise, so this is the order in which the runs were started.
   for (auto& [number, run] : runs_) {
     if (!run.listed || !run.paced.uses_spare_processors()) {
       continue;
     }
-    const uint32_t percent = PercentOf(run, budgets);
+    const uint32_t percent = TakeSpeed(run, capacity_millicores, &rooms);
     const uint32_t change =
         std::max(percent, run.percent) - std::min(percent, run.percent);
     const bool at_end = percent == 0 || percent == kFullSpeed;
-    if (change >= kLeastChange || (change > 0 && at_end)) {
+    // A few percent are much for a run that stands still.
+    if (change * kLeastChange > percent || (change > 0 && at_end)) {
       run.percent = percent;
       changes.push_back({run.paced, percent});
     }
@@ -99,37 +101,32 @@
   return found == pressures_.end() ? kUnknownPressure : found->second;
 }
 
-// For each run that serves, the share of full speed that the fillers which
-// disturb it may have.
-auto FillerPacing::Budgets(double capacity) -> std::map<uint64_t, double> {
-  std::map<uint64_t, double> budgets;
+auto FillerPacing::Rooms(double capacity) -> std::map<uint64_t, double> {
+  std::map<uint64_t, double> rooms;
   for (auto& [number, serving] : runs_) {
     if (!serving.listed || serving.paced.target_latency_ms() == 0 ||
         serving.load == 0) {
       continue;
     }
     double slowdown = 1.0;
-    double at_full_speed = 0;
     for (const auto& [other, filler] : runs_) {
-      if (!filler.listed || !filler.paced.uses_spare_processors()) {
-        continue;
+      if (filler.listed && filler.paced.uses_spare_processors()) {
+        slowdown += PressureOf(serving, filler) * filler.load / capacity;
       }
-      const double pressure = PressureOf(serving, filler);
-      slowdown += pressure * filler.load / capacity;
-      at_full_speed += pressure * filler.paced.millicores() / capacity;
     }
     const double base = serving.load / slowdown;
     serving.base_ms =
         serving.base_ms == 0
             ? base
             : serving.base_ms + kBaseWeight * (base - serving.base_ms);
-    const double limit =
-        options_.aim * static_cast<double>(serving.paced.target_latency_ms());
-    const double room = limit / std::max(1.0, serving.base_ms) - 1.0;
-    budgets[number] =
-        at_full_speed <= 0 ? 1.0 : std::clamp(room / at_full_speed, 0.0, 1.0);
+    const auto target = static_cast<double>(serving.paced.target_latency_ms());
+    if (serving.base_ms <= options_.lost * target) {
+      const double limit = options_.aim * target;
+      rooms[number] =
+          std::max(0.0, limit / std::max(1.0, serving.base_ms) - 1.0);
+    }
   }
-  return budgets;
+  return rooms;
 }
 
 auto FillerPacing::AdjustCaution() -> void {
@@ -146,17 +143,23 @@
   }
 }
 
-auto FillerPacing::PercentOf(const Run& filler,
-                             const std::map<uint64_t, double>& budgets) const
+auto FillerPacing::TakeSpeed(const Run& filler,
+                             double capacity,
+                             std::map<uint64_t, double>* rooms) const
     -> uint32_t {
-  double share = caution_;
-  for (const auto& [number, budget] : budgets) {
-    const auto& serving = runs_.at(number);
-    if (PressureOf(serving, filler) >= options_.least_pressure) {
-      share = std::min(share, budget);
+  double speed = caution_;
+  const double share = filler.paced.millicores() / capacity;
+  for (const auto& [number, room] : *rooms) {
+    const double pressure = PressureOf(runs_.at(number), filler);
+    if (pressure >= options_.least_pressure) {
+      speed = std::min(speed, room / (pressure * share));
     }
   }
-  return static_cast<uint32_t>(std::lround(share * kFullSpeed));
+  for (auto& [number, room] : *rooms) {
+    const double pressure = PressureOf(runs_.at(number), filler);
+    room = std::max(0.0, room - pressure * share * speed);
+  }
+  return static_cast<uint32_t>(std::lround(speed * kFullSpeed));
 }
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/filler_pacing.h
+++ b/Source/Jobs/filler_pacing.h
@@ -14,7 +14,10 @@
 struct FillerPacingOptions {
   // Share of a target latency that fillers may bring a run that serves to. The
   // figures are up to half a second old, and its load swings.
-  double aim = 0.8;
+  double aim = 0.92;
+  // A run whose latency without fillers is beyond this share of its target is
+  // over it anyway; fillers need not yield to it.
+  double lost = 1.1;
   // Pressures below this do not count as a disturbance of a run.
   double least_pressure = 0.5;
   // Shortest time between two decisions: the figures cover half a second.
@@ -28,7 +31,9 @@
 
 // Slows tasks that use spare processors as far as the tasks that serve beside
 // them need it for their target latency. Each filler is slowed for those that
-// it disturbs, by the pressures that the owner has learned. One worker.
+// it disturbs, by the pressures that the owner has learned. The longest running
+// filler is served first: a job ends with its last task, so some fillers at
+// full speed finish more jobs in time than all of them at half. One worker.
 class FillerPacing {
  public:
   explicit FillerPacing(FillerPacingOptions options) : options_(options) {}
@@ -56,10 +61,13 @@
   };
 
   auto PressureOf(const Run& serving, const Run& filler) const -> double;
-  auto Budgets(double capacity) -> std::map<uint64_t, double>;
+  // How much more, as a share of its base, each serving run's latency may grow.
+  auto Rooms(double capacity) -> std::map<uint64_t, double>;
   auto AdjustCaution() -> void;
-  auto PercentOf(const Run& filler,
-                 const std::map<uint64_t, double>& budgets) const -> uint32_t;
+  // The speed that the rooms leave to a filler; takes its part of them.
+  auto TakeSpeed(const Run& filler,
+                 double capacity,
+                 std::map<uint64_t, double>* rooms) const -> uint32_t;
 
   FillerPacingOptions options_;
   std::map<uint64_t, Run> runs_;
--- a/Source/Jobs/filler_speed.cc
+++ b/Source/Jobs/filler_speed.cc
@@ -5,11 +5,15 @@
 namespace rhubarbhaven::jobs {
 namespace {
 
+// Fillers are not given more processors than are taken to be unused: beyond
+// that each only slows the others.
+constexpr double kLeastUnusedShare = 0.9;
 // Share of what other runs hold that they are taken to use. Tasks that serve
 // are sized for their peaks and use about half.
 constexpr double kUsedOfHeld = 0.5;
 // As the agents pace, see FillerPacingOptions.
-constexpr double kAim = 0.8;
+constexpr double kAim = 0.92;
+constexpr double kLost = 1.1;
 constexpr double kLeastPressure = 0.5;
 
 auto UnusedShare(const WorkerView& worker, const JobStep& step) -> double {
@@ -18,7 +22,8 @@
       kUsedOfHeld * static_cast<double>(worker.held.millicores);
   const auto wanted = static_cast<double>(worker.spare_millicores_used +
                                           step.need().millicores());
-  return std::clamp(unused / std::max(1.0, wanted), 0.0, 1.0);
+  const double share = std::clamp(unused / std::max(1.0, wanted), 0.0, 1.0);
+  return share < kLeastUnusedShare ? 0.0 : share;
 }
 
 // What fillers on the worker press the serving image with at full speed.
--- /dev/null
+++ b/Source/Jobs/job_order.h
@@ -0,0 +1,42 @@
+#ifndef RHUBARBHAVEN_JOBS_JOB_ORDER_H_
+#define RHUBARBHAVEN_JOBS_JOB_ORDER_H_
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+
+#include "Jobs/job_work.h"
+
+namespace rhubarbhaven::jobs {
+
+// Whether a job can still be done in time.
+enum class JobOutlook {
+  kInTime,
+  // Later than its target, but still of some use.
+  kLate,
+  // So late that nothing is lost by waiting longer.
+  kTooLate,
+};
+
+// Place of a job in the order in which jobs are served; the smallest is first.
+// The queue's priority decides, then whether the job can still be in time:
+// under overload, serving the oldest first would make every job late.
+struct JobRank {
+  uint32_t priority = 0;
+  JobOutlook outlook = JobOutlook::kInTime;
+  std::chrono::milliseconds due{0};
+  uint64_t accepted_at = 0;
+
+  auto operator<=>(const JobRank&) const = default;
+};
+
+// The longest chain of work of a job's steps that is not done, by the caller's
+// estimates. All of it if `whole`.
+auto LongestChain(const JobWork& work, bool whole) -> std::chrono::milliseconds;
+
+// `now` and the due time are times since 1970.
+auto RankOf(const JobWork& work, std::chrono::milliseconds now) -> JobRank;
+
+}  // namespace rhubarbhaven::jobs
+
+#endif  // RHUBARBHAVEN_JOBS_JOB_ORDER_H_
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -44,7 +44,6 @@
   fence_ = 0;
   census_done_ = false;
   jobs_.clear();
-  queue_.clear();
   workers_.clear();
   over_since_.clear();
   keys_to_drop_.clear();
@@ -260,7 +259,6 @@
   // claim, on agents that have not answered yet.
   const bool uncertain = !census_done_ && entry.accepted_at < claim_at_;
   work->Restore(now, uncertain);
-  queue_[{work->rules.priority(), entry.accepted_at}] = work.get();
   JobWork& added = *work;
   jobs_[entry.job.id()] = std::move(work);
   OpenDue(now, added);
@@ -295,9 +293,6 @@
       }
     }
   }
-  std::erase_if(queue_, [&found](const auto& item) -> bool {
-    return item.second == found->second.get();
-  });
   over_since_.emplace(id, now);
   jobs_.erase(found);
 }
@@ -319,9 +314,6 @@
       }
     }
   }
-  std::erase_if(queue_, [&found](const auto& item) -> bool {
-    return item.second == found->second.get();
-  });
   jobs_.erase(found);
 }
 
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -97,8 +97,6 @@
   auto census_done() const -> bool { return census_done_; }
 
  private:
-  using JobOrder = std::pair<uint32_t, uint64_t>;
-
   // Jobs.
   auto AddJob(TimePoint now, const JobEntry& entry) -> void;
   auto EndJob(JobWork& work, const std::string& why) -> void;
@@ -147,6 +145,7 @@
 
   // Placement.
   auto PlaceAll(TimePoint now) -> void;
+  auto PlaceJob(TimePoint now, JobWork& work) -> void;
   auto PlaceStep(TimePoint now, TaskPlace place) -> void;
   auto PlaceGang(TimePoint now, TaskPlace place) -> void;
   auto MayStart(TimePoint now, const TaskPlace& place) -> bool;
@@ -182,8 +181,6 @@
   bool census_done_ = false;
 
   std::map<std::string, std::unique_ptr<JobWork>> jobs_;
-  // In the order in which they are served.
-  std::map<JobOrder, JobWork*> queue_;
   // Workers by their agents' names.
   WorkerViews workers_;
   ImageInterference interference_;
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <set>
 
+#include "Jobs/job_order.h"
 #include "Jobs/job_owner.h"
 
 // Where tasks start, and what agents are told.
@@ -25,23 +26,37 @@
 }  // namespace
 
 auto JobOwner::PlaceAll(TimePoint now) -> void {
-  for (const auto& [order, work] : queue_) {
-    if (work->entry->over() || work->state >= JOB_COMPLETED) {
-      continue;
+  struct Ranked {
+    JobRank rank;
+    JobWork* work = nullptr;
+  };
+  std::vector<Ranked> open;
+  const auto wall = hooks_.wall_clock();
+  for (const auto& [id, work] : jobs_) {
+    if (!work->entry->over() && work->state < JOB_COMPLETED) {
+      open.push_back({RankOf(*work, wall), work.get()});
     }
-    for (auto& [number, occurrence] : work->occurrences) {
-      for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-        const bool open =
-            !occurrence.steps[step].complete() && work->Ready(occurrence, step);
-        if (!open) {
-          continue;
-        }
-        const TaskPlace place{work, number, step, 0};
-        if (place.spec().gang()) {
-          PlaceGang(now, place);
-        } else {
-          PlaceStep(now, place);
-        }
+  }
+  std::sort(open.begin(), open.end(),
+            [](const Ranked& left, const Ranked& right) -> bool {
+              return left.rank < right.rank;
+            });
+  for (const auto& ranked : open) {
+    PlaceJob(now, *ranked.work);
+  }
+}
+
+auto JobOwner::PlaceJob(TimePoint now, JobWork& work) -> void {
+  for (auto& [number, occurrence] : work.occurrences) {
+    for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      if (occurrence.steps[step].complete() || !work.Ready(occurrence, step)) {
+        continue;
+      }
+      const TaskPlace place{&work, number, step, 0};
+      if (place.spec().gang()) {
+        PlaceGang(now, place);
+      } else {
+        PlaceStep(now, place);
       }
     }
   }
--- a/Source/Jobs/place_choice.cc
+++ b/Source/Jobs/place_choice.cc
@@ -11,9 +11,9 @@
 // Costs beside the fit, which is 0 to 2. Another rack than that of the input
 // makes a task a half or more slower, which outweighs any fit.
 constexpr double kOtherRackCost = 4.0;
-// For each task of the same lasting step on the worker, so that the loss of
-// one worker takes few of them.
-constexpr double kSameStepCost = 3.0;
+// For each task of the same lasting step on the worker, between workers that
+// are equal otherwise, so that the loss of one worker takes few of them.
+constexpr double kSameStepCost = 0.1;
 // Of a filler's speed against the use of the worker: the speed decides, the
 // use only between equals.
 constexpr double kSpeedWeight = 4.0;
@@ -21,10 +21,13 @@
 constexpr double kFailureCost = 2.0;
 // A filler does not start where it would work more slowly than this: many slow
 // ones at once make every job late, one after the other some are in time.
-constexpr double kLeastFillerSpeed = 0.35;
-// For a lasting task beside one of another image that serves: the fewer kinds
-// on a worker, the better fillers can be kept away from those they disturb.
-constexpr double kOtherImageCost = 0.4;
+constexpr double kLeastFillerSpeed = 0.9;
+// For a task that serves beside one of another image, and for one on a worker
+// where none of its image serves yet. Images differ in how far fillers disturb
+// them. Kept apart, the sensitive ones take up few workers, and fillers run at
+// full speed on the rest.
+constexpr double kOtherImageCost = 2.0;
+constexpr double kNewImageCost = 1.0;
 
 auto Fits(const WorkerView& worker, const JobStep& step) -> bool {
   auto need = RoomOf(step.need());
@@ -60,11 +63,14 @@
          static_cast<double>(worker.capacity.millicores);
 }
 
-auto BesideOtherImage(const WorkerView& worker, const JobStep& step) -> bool {
-  return std::any_of(worker.serving.begin(), worker.serving.end(),
-                     [&step](const auto& item) -> bool {
-                       return item.second.image != step.image();
-                     });
+auto ImageCost(const WorkerView& worker, const JobStep& step) -> double {
+  bool same = false;
+  bool other = false;
+  for (const auto& [run, serving] : worker.serving) {
+    same = same || serving.image == step.image();
+    other = other || serving.image != step.image();
+  }
+  return (other ? kOtherImageCost : 0.0) + (same ? 0.0 : kNewImageCost);
 }
 
 auto Cost(WorkerView& worker,
@@ -76,11 +82,8 @@
     cost += kOtherRackCost;
   }
   if (step.long_running()) {
-    // The tasks of one step on many workers, but those of all steps on few:
-    // the other workers are left to runs that would disturb them.
-    const double other = BesideOtherImage(worker, step) ? kOtherImageCost : 0;
-    return cost + other + kSameStepCost * worker.CountOf(place) -
-           UsedShare(worker);
+    return cost + ImageCost(worker, step) +
+           kSameStepCost * worker.CountOf(place) - UsedShare(worker);
   }
   if (step.uses_spare_processors()) {
     const double speed = FillerSpeed(worker, step, interference);
--- a/Source/Jobs/queue_directory.h
+++ b/Source/Jobs/queue_directory.h
@@ -1,7 +1,6 @@
 #ifndef RHUBARBHAVEN_JOBS_QUEUE_DIRECTORY_H_
 #define RHUBARBHAVEN_JOBS_QUEUE_DIRECTORY_H_
 
-#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -16,10 +15,6 @@
   std::string host;
   std::string path_prefix;
   QueueRules rules;
-  // The time within which a job should be done beyond its own work.
-  std::chrono::milliseconds target_latency{0};
-  // Factor on a job's own work within its target.
-  double stretch = 1.0;
 };
 
 // A service whose workers run tasks.
