Jobs: Take the decisions of an entry out of its thread

EntryDecisions and KeyedLogFollower hold no thread any more, so that the same code runs in the daemon and over virtual time in tests; JobService only adds the thread. The fold's record of a job is StoredJob.

--- a/Source/Daemon/daemon.h
+++ b/Source/Daemon/daemon.h
@@ -4,7 +4,6 @@
 // The daemon as a library; the program is a thin front end.
 
 #include "Daemon/job_agent.h"
-#include "Daemon/job_requests.h"
 #include "Daemon/job_service.h"
 #include "Daemon/run_daemon.h"
 
--- a/Source/Daemon/job_agent.cc
+++ b/Source/Daemon/job_agent.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Daemon/job_service.h"
+
 namespace rhubarbhaven {
 namespace {
 
@@ -118,15 +120,15 @@
   if (!call) {
     return;
   }
-  hooks_.log.append(*call, [this](jobs::AppendResult result) -> void {
-    duty_.PostOrWait([this, result](TimePoint then) -> void {
-      appends_.OnResult(then, result);
-    });
-  });
+  OnThread(hooks_.log, &duty_)
+      .append(*call,
+              [this](TimePoint then, const jobs::AppendResult& result) -> void {
+                appends_.OnResult(then, result);
+              });
 }
 
 // The same calls, whose answers come on this duty's thread.
-auto JobAgent::OnThread(const jobs::WorkerPort& port) -> jobs::WorkerPort {
+auto JobAgent::WorkerOnThread(const jobs::WorkerPort& port) -> jobs::WorkerPort {
   const auto call_back =
       [this](const jobs::WorkerPort::OnCall& done) -> jobs::WorkerPort::OnCall {
     return [this, done](TimePoint, jobs::WorkerCallResult result) -> void {
@@ -164,7 +166,7 @@
 
 auto JobAgent::MakeAgentHooks() -> jobs::TaskAgentHooks {
   jobs::TaskAgentHooks hooks;
-  hooks.worker = OnThread(hooks_.worker);
+  hooks.worker = WorkerOnThread(hooks_.worker);
   hooks.report = [this](const std::string& peer,
                         jobs::AgentReport report) -> void {
     schema::Envelope envelope;
--- a/Source/Daemon/job_agent.h
+++ b/Source/Daemon/job_agent.h
@@ -51,7 +51,7 @@
   auto NextWake() const -> TimePoint;
   auto RegisterIfDue(TimePoint now) -> void;
   auto SendRegistration(TimePoint now) -> void;
-  auto OnThread(const jobs::WorkerPort& port) -> jobs::WorkerPort;
+  auto WorkerOnThread(const jobs::WorkerPort& port) -> jobs::WorkerPort;
   auto MakeAgentHooks() -> jobs::TaskAgentHooks;
 
   JobAgentOptions options_;
--- /dev/null
+++ b/Source/Jobs/entry_decisions.h
@@ -0,0 +1,134 @@
+#ifndef RHUBARBHAVEN_JOBS_ENTRY_DECISIONS_H_
+#define RHUBARBHAVEN_JOBS_ENTRY_DECISIONS_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "Jobs/append_batcher.h"
+#include "Jobs/job_check.h"
+#include "Jobs/job_fold.h"
+#include "Jobs/job_owner.h"
+#include "Jobs/job_requests.h"
+#include "Jobs/keyed_log_follower.h"
+#include "Jobs/owner_election.h"
+#include "Jobs/queue_directory.h"
+
+namespace rhubarbhaven::jobs {
+
+struct EntryOptions {
+  // This entry, unique in the deployment.
+  std::string name;
+  uint64_t incarnation = 0;
+};
+
+struct EntryHooks {
+  // Answers on the thread of the decisions.
+  KeyedLogPort log;
+  // Over the link, to an agent.
+  std::function<auto(const std::string& link_endpoint, AgentOrders)->void> send;
+  // Since 1970.
+  std::function<auto()->std::chrono::milliseconds> wall_clock;
+  // Reads one record of the operators' log; null if it is no configuration.
+  std::function<auto(const KeyedRecord&)->std::optional<QueueConfiguration>>
+      read_configuration;
+};
+
+// What an entry on the platform decides: it answers callers about jobs from the
+// fold of the log, stores what they hand in, and decides for the cell while it
+// owns it.
+class EntryDecisions {
+ public:
+  EntryDecisions(EntryOptions options, EntryHooks hooks, Metrics* metrics);
+  EntryDecisions(const EntryDecisions&) = delete;
+  auto operator=(const EntryDecisions&) -> EntryDecisions& = delete;
+  ~EntryDecisions();
+
+  auto Start() -> void;
+  // Answers once.
+  auto Call(TimePoint now, JobCall call, const JobResponder& respond) -> void;
+  auto OnReport(TimePoint now,
+                const std::string& agent,
+                const AgentReport& report) -> void;
+  // Gives the ownership up, so that another entry takes over at once.
+  auto Release(TimePoint now) -> void;
+  auto Tick(TimePoint now) -> void;
+  auto next_wake() const -> TimePoint;
+
+  // Whether callers are served: a configuration is known and the log is read.
+  auto ready() const -> bool { return ready_; }
+  auto owner() const -> const JobOwner& { return owner_; }
+  auto fold() const -> const JobFold& { return fold_; }
+
+ private:
+  struct Submission {
+    std::string job;
+    std::string queue;
+    JobResponder respond;
+    TimePoint received;
+    TimePoint give_up_at;
+    bool is_cancel = false;
+  };
+
+  auto Handle(TimePoint now, JobCall call, const JobResponder& respond) -> void;
+  auto Submit(TimePoint now,
+              const Queue& queue,
+              const std::string& id,
+              JobCall call,
+              const JobResponder& respond) -> void;
+  auto Cancel(TimePoint now,
+              const std::string& id,
+              const JobCall& call,
+              const JobResponder& respond) -> void;
+  auto Ask(TimePoint now, const std::string& id, const JobResponder& respond)
+      -> void;
+  auto Store(TimePoint now, Submission submission, KeyedRecord record) -> void;
+  auto GiveUpLate(TimePoint now) -> void;
+  auto Refuse(const Submission& submission, const std::string& why) -> void;
+  auto CaughtUp(TimePoint now) const -> bool;
+
+  auto FollowerHooksFor(LogTopic topic) -> KeyedLogFollowerHooks;
+  auto OnJobRecord(TimePoint now, const KeyedRecord& record) -> void;
+  auto OnOperatorRecord(const KeyedRecord& record) -> void;
+  auto OnCaughtUp(TimePoint now) -> void;
+
+  auto SendAppends(TimePoint now) -> void;
+  auto SendCallerBatch(TimePoint now) -> void;
+  auto OnCallerBatch(TimePoint now, const AppendResult& result) -> void;
+  auto SendOwnerBatch(TimePoint now) -> void;
+  auto OnOwnerBatch(TimePoint now, uint64_t fence, const AppendResult& result)
+      -> void;
+  auto ClaimIfDue(TimePoint now) -> void;
+  auto BecomeOwnerIfClaimed(TimePoint now) -> void;
+  auto Resign(const std::string& why) -> void;
+  auto UpdateReady(TimePoint now) -> void;
+  auto MakeOwnerHooks() -> JobOwnerHooks;
+
+  EntryOptions options_;
+  EntryHooks hooks_;
+  Metrics* metrics_;
+  EventLog log_;
+  bool ready_ = false;
+
+  JobFold fold_;
+  QueueDirectory queues_;
+  OwnerElection election_;
+  JobOwner owner_;
+  KeyedLogFollower job_follower_;
+  KeyedLogFollower operator_follower_;
+  std::multimap<TimePoint, std::function<auto(TimePoint)->void>> later_;
+
+  AppendBatcher caller_appends_;
+  std::map<uint64_t, Submission> submissions_;
+  uint64_t next_ticket_ = 1;
+  // Made anew for each claim; null while this entry claims nothing.
+  std::unique_ptr<AppendBatcher> owner_appends_;
+  bool releasing_ = false;
+  TimePoint looked_at_;
+};
+
+}  // namespace rhubarbhaven::jobs
+
+#endif  // RHUBARBHAVEN_JOBS_ENTRY_DECISIONS_H_
--- a/Source/Jobs/job_fold.cc
+++ b/Source/Jobs/job_fold.cc
@@ -2,7 +2,7 @@
 
 namespace rhubarbhaven::jobs {
 
-auto JobEntry::state() const -> JobState {
+auto StoredJob::state() const -> JobState {
   const bool ended =
       progress.state() == JOB_COMPLETED || progress.state() == JOB_FAILED;
   if (cancelled_at && !(ended && progress_at < *cancelled_at)) {
@@ -11,7 +11,7 @@
   return progress.state();
 }
 
-auto JobEntry::over() const -> bool {
+auto StoredJob::over() const -> bool {
   return state() >= JOB_COMPLETED;
 }
 
@@ -52,7 +52,7 @@
   return {key.kind, key.name};
 }
 
-auto JobFold::Find(const std::string& job) const -> const JobEntry* {
+auto JobFold::Find(const std::string& job) const -> const StoredJob* {
   const auto found = jobs_.find(job);
   // A cancellation or progress may be read ahead of its job, from the pages
   // of newest records.
@@ -82,7 +82,7 @@
     jobs_.erase(id);
     return;
   }
-  JobEntry& entry = EntryOf(id);
+  StoredJob& entry = EntryOf(id);
   // The first record of an id counts: a caller that heard no answer hands its
   // job in again, also at other entries.
   if (!entry.job.id().empty()) {
@@ -98,7 +98,7 @@
   if (record.value.empty()) {
     return;
   }
-  JobEntry& entry = EntryOf(id);
+  StoredJob& entry = EntryOf(id);
   if (record.offset >= entry.progress_at) {
     entry.progress.ParseFromString(record.value);
     entry.progress_at = record.offset;
@@ -114,10 +114,10 @@
   claim_known_ = true;
 }
 
-auto JobFold::EntryOf(const std::string& id) -> JobEntry& {
+auto JobFold::EntryOf(const std::string& id) -> StoredJob& {
   auto& entry = jobs_[id];
   if (entry == nullptr) {
-    entry = std::make_unique<JobEntry>();
+    entry = std::make_unique<StoredJob>();
   }
   return *entry;
 }
--- a/Source/Jobs/job_fold.h
+++ b/Source/Jobs/job_fold.h
@@ -15,7 +15,7 @@
 namespace rhubarbhaven::jobs {
 
 // A job as the log has it.
-struct JobEntry {
+struct StoredJob {
   Job job;
   // Place of the job's first record.
   uint64_t accepted_at = 0;
@@ -45,9 +45,9 @@
   // records behind them may overlap.
   auto Apply(const KeyedRecord& record) -> FoldChange;
 
-  auto Find(const std::string& job) const -> const JobEntry*;
+  auto Find(const std::string& job) const -> const StoredJob*;
   auto jobs() const
-      -> const absl::flat_hash_map<std::string, std::unique_ptr<JobEntry>>& {
+      -> const absl::flat_hash_map<std::string, std::unique_ptr<StoredJob>>& {
     return jobs_;
   }
   auto agents() const -> const std::map<std::string, AgentEntry>& {
@@ -66,9 +66,9 @@
   auto ApplyJob(const std::string& id, const KeyedRecord& record) -> void;
   auto ApplyProgress(const std::string& id, const KeyedRecord& record) -> void;
   auto ApplyClaim(const KeyedRecord& record) -> void;
-  auto EntryOf(const std::string& id) -> JobEntry&;
+  auto EntryOf(const std::string& id) -> StoredJob&;
 
-  absl::flat_hash_map<std::string, std::unique_ptr<JobEntry>> jobs_;
+  absl::flat_hash_map<std::string, std::unique_ptr<StoredJob>> jobs_;
   std::map<std::string, AgentEntry> agents_;
   std::map<std::string, WorkerEnds> worker_ends_;
   OwnerClaim claim_;
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -246,7 +246,7 @@
   return wake;
 }
 
-auto JobOwner::AddJob(TimePoint now, const JobEntry& entry) -> void {
+auto JobOwner::AddJob(TimePoint now, const StoredJob& entry) -> void {
   if (entry.over()) {
     over_since_[entry.job.id()] = now;
     return;
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -98,7 +98,7 @@
 
  private:
   // Jobs.
-  auto AddJob(TimePoint now, const JobEntry& entry) -> void;
+  auto AddJob(TimePoint now, const StoredJob& entry) -> void;
   auto EndJob(JobWork& work, const std::string& why) -> void;
   auto ForgetJobIfIdle(TimePoint now, const std::string& id) -> void;
   auto DropJob(TimePoint now, const std::string& id) -> void;
--- a/Source/Daemon/job_requests.h
+++ b/Source/Jobs/job_requests.h
@@ -1,13 +1,13 @@
-#ifndef RHUBARBHAVEN_DAEMON_JOB_REQUESTS_H_
-#define RHUBARBHAVEN_DAEMON_JOB_REQUESTS_H_
+#ifndef RHUBARBHAVEN_JOBS_JOB_REQUESTS_H_
+#define RHUBARBHAVEN_JOBS_JOB_REQUESTS_H_
 
 #include <chrono>
 #include <functional>
 #include <string>
 
-#include "Jobs/jobs.h"
+#include "Base/base.h"
 
-namespace rhubarbhaven {
+namespace rhubarbhaven::jobs {
 
 enum class JobCallKind { kSubmit, kAsk, kCancel };
 
@@ -17,7 +17,7 @@
   std::string host;
   std::string path;
   // With kSubmit; its id and queue follow from the path.
-  jobs::Job job;
+  Job job;
   // How long the caller waits from when the call was received.
   std::chrono::milliseconds deadline{2000};
 };
@@ -41,7 +41,7 @@
 
 struct JobReply {
   JobVerdict verdict = JobVerdict::kUnavailable;
-  jobs::JobState state = jobs::JOB_QUEUED;
+  JobState state = JOB_QUEUED;
   uint64_t pending = 0;
   std::chrono::milliseconds retry_after{0};
   // Why, in one sentence.
@@ -50,6 +50,6 @@
 
 using JobResponder = std::function<auto(JobReply)->void>;
 
-}  // namespace rhubarbhaven
+}  // namespace rhubarbhaven::jobs
 
-#endif  // RHUBARBHAVEN_DAEMON_JOB_REQUESTS_H_
+#endif  // RHUBARBHAVEN_JOBS_JOB_REQUESTS_H_
--- a/Source/Jobs/job_work.h
+++ b/Source/Jobs/job_work.h
@@ -57,7 +57,7 @@
 
 // What the owner knows of an unfinished job beyond the log.
 struct JobWork {
-  const JobEntry* entry = nullptr;
+  const StoredJob* entry = nullptr;
   // Rules of the job's queue by the newest configuration.
   QueueRules rules;
   std::map<uint32_t, OccurrenceWork> occurrences;
--- a/Source/Jobs/jobs.h
+++ b/Source/Jobs/jobs.h
@@ -6,14 +6,17 @@
 // No I/O, no locks, no clock, no threads.
 
 #include "Jobs/append_batcher.h"
+#include "Jobs/entry_decisions.h"
 #include "Jobs/filler_pacing.h"
 #include "Jobs/image_interference.h"
 #include "Jobs/job_check.h"
 #include "Jobs/job_fold.h"
 #include "Jobs/job_owner.h"
 #include "Jobs/job_records.h"
+#include "Jobs/job_requests.h"
 #include "Jobs/job_work.h"
 #include "Jobs/keyed_log.h"
+#include "Jobs/keyed_log_follower.h"
 #include "Jobs/owner_election.h"
 #include "Jobs/queue_directory.h"
 #include "Jobs/task_agent.h"
--- a/Source/Jobs/keyed_log.h
+++ b/Source/Jobs/keyed_log.h
@@ -61,18 +61,14 @@
   std::string error;
 };
 
-// Calls to the log. Each answers once, on any thread, also when the log is
-// silent.
+// Calls to the log. Each answers once, also when the log is silent.
 struct KeyedLogPort {
-  std::function<
-      auto(const AppendCall&, std::function<auto(AppendResult)->void>)->void>
-      append;
-  std::function<
-      auto(const ReadCall&, std::function<auto(ReadResult)->void>)->void>
-      read;
-  std::function<
-      auto(const NewestCall&, std::function<auto(NewestResult)->void>)->void>
-      newest;
+  using OnAppend = std::function<auto(TimePoint, AppendResult)->void>;
+  using OnRead = std::function<auto(TimePoint, ReadResult)->void>;
+  using OnNewest = std::function<auto(TimePoint, NewestResult)->void>;
+  std::function<auto(const AppendCall&, OnAppend)->void> append;
+  std::function<auto(const ReadCall&, OnRead)->void> read;
+  std::function<auto(const NewestCall&, OnNewest)->void> newest;
 };
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Daemon/keyed_log_follower.cc
+++ b/Source/Jobs/keyed_log_follower.cc
@@ -1,29 +1,27 @@
-#include "Daemon/keyed_log_follower.h"
+#include "Jobs/keyed_log_follower.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace rhubarbhaven {
+namespace rhubarbhaven::jobs {
 
 KeyedLogFollower::KeyedLogFollower(KeyedLogFollowerOptions options,
-                                   jobs::KeyedLogPort port,
+                                   KeyedLogPort port,
                                    KeyedLogFollowerHooks hooks)
     : options_(options), port_(std::move(port)), hooks_(std::move(hooks)) {}
 
 auto KeyedLogFollower::Start() -> void {
-  hooks_.post([this](TimePoint) -> void { AskNewest(); });
+  AskNewest();
 }
 
 auto KeyedLogFollower::AskNewest() -> void {
-  port_.newest(
-      {options_.topic, after_}, [this](jobs::NewestResult result) -> void {
-        hooks_.post([this, result = std::move(result)](TimePoint now) -> void {
-          OnNewest(now, result);
-        });
-      });
+  port_.newest({options_.topic, after_},
+               [this](TimePoint now, const NewestResult& result) -> void {
+                 OnNewest(now, result);
+               });
 }
 
-auto KeyedLogFollower::OnNewest(TimePoint now, jobs::NewestResult result)
+auto KeyedLogFollower::OnNewest(TimePoint now, const NewestResult& result)
     -> void {
   if (!result.answered) {
     Failed(result.error, /*read_on=*/false);
@@ -62,23 +60,22 @@
 
 auto KeyedLogFollower::Read() -> void {
   port_.read({options_.topic, next_, options_.read_wait},
-             [this](jobs::ReadResult result) -> void {
-               hooks_.post([this, result = std::move(result)](
-                               TimePoint now) -> void { OnRead(now, result); });
+             [this](TimePoint now, const ReadResult& result) -> void {
+               OnRead(now, result);
              });
 }
 
-auto KeyedLogFollower::OnRead(TimePoint now, jobs::ReadResult result) -> void {
+auto KeyedLogFollower::OnRead(TimePoint now, const ReadResult& result) -> void {
   switch (result.outcome) {
-    case jobs::ReadOutcome::kFailed:
+    case ReadOutcome::kFailed:
       Failed(result.error, /*read_on=*/true);
       return;
-    case jobs::ReadOutcome::kGone:
+    case ReadOutcome::kGone:
       // Records that were not read have been deleted; the newest of each key
       // are still there.
       AskNewest();
       return;
-    case jobs::ReadOutcome::kRecords:
+    case ReadOutcome::kRecords:
       break;
   }
   if (result.end < next_) {
@@ -98,7 +95,7 @@
   Read();
 }
 
-auto KeyedLogFollower::Deliver(TimePoint now, const jobs::KeyedRecord& record)
+auto KeyedLogFollower::Deliver(TimePoint now, const KeyedRecord& record)
     -> void {
   if (record.value.empty()) {
     keys_.erase(record.key);
@@ -116,7 +113,7 @@
   ever_reached_ = true;
   backoff_ = std::clamp(backoff_ * 2, options_.first_backoff,
                         options_.longest_backoff);
-  hooks_.post_later(backoff_, [this, read_on](TimePoint) -> void {
+  hooks_.later(backoff_, [this, read_on](TimePoint) -> void {
     if (read_on) {
       Read();
     } else {
@@ -134,4 +131,4 @@
   }
 }
 
-}  // namespace rhubarbhaven
+}  // namespace rhubarbhaven::jobs
--- a/Source/Daemon/keyed_log_follower.h
+++ b/Source/Jobs/keyed_log_follower.h
@@ -1,18 +1,17 @@
-#ifndef RHUBARBHAVEN_DAEMON_KEYED_LOG_FOLLOWER_H_
-#define RHUBARBHAVEN_DAEMON_KEYED_LOG_FOLLOWER_H_
+#ifndef RHUBARBHAVEN_JOBS_KEYED_LOG_FOLLOWER_H_
+#define RHUBARBHAVEN_JOBS_KEYED_LOG_FOLLOWER_H_
 
 #include <functional>
 #include <memory>
 #include <set>
 #include <string>
 
-#include "Daemon/duty_thread.h"
-#include "Jobs/jobs.h"
+#include "Jobs/keyed_log.h"
 
-namespace rhubarbhaven {
+namespace rhubarbhaven::jobs {
 
 struct KeyedLogFollowerOptions {
-  jobs::LogTopic topic = jobs::LogTopic::kJobs;
+  LogTopic topic = LogTopic::kJobs;
   // How long one read waits for a record; each answer shows that what was read
   // is current.
   std::chrono::milliseconds read_wait{1000};
@@ -22,12 +21,12 @@
 };
 
 struct KeyedLogFollowerHooks {
-  // Runs a job on the thread to which the follower belongs.
-  std::function<auto(DutyThread::Job)->void> post;
-  // Runs a job there later.
-  std::function<auto(std::chrono::milliseconds, DutyThread::Job)->void>
-      post_later;
-  std::function<auto(TimePoint, const jobs::KeyedRecord&)->void> on_record;
+  // Runs something later, on the thread to which the follower belongs.
+  std::function<auto(std::chrono::milliseconds,
+                     std::function<auto(TimePoint)->void>)
+                    ->void>
+      later;
+  std::function<auto(TimePoint, const KeyedRecord&)->void> on_record;
   // The key is no longer in the log: its deletion was not read.
   std::function<auto(TimePoint, const std::string& key)->void> on_key_gone;
   // Everything up to the end of the log at that time was read.
@@ -38,11 +37,11 @@
 
 // Follows one keyed log: takes the newest record of each key, then reads on
 // from there, and begins anew when the history that it needs is gone. All of
-// its state belongs to the thread of `post`.
+// its state belongs to one thread, on which the calls to the log are answered.
 class KeyedLogFollower {
  public:
   KeyedLogFollower(KeyedLogFollowerOptions options,
-                   jobs::KeyedLogPort port,
+                   KeyedLogPort port,
                    KeyedLogFollowerHooks hooks);
   KeyedLogFollower(const KeyedLogFollower&) = delete;
   auto operator=(const KeyedLogFollower&) -> KeyedLogFollower& = delete;
@@ -54,16 +53,16 @@
 
  private:
   auto AskNewest() -> void;
-  auto OnNewest(TimePoint now, jobs::NewestResult result) -> void;
+  auto OnNewest(TimePoint now, const NewestResult& result) -> void;
   auto ForgetMissingKeys(TimePoint now) -> void;
   auto Read() -> void;
-  auto OnRead(TimePoint now, jobs::ReadResult result) -> void;
-  auto Deliver(TimePoint now, const jobs::KeyedRecord& record) -> void;
+  auto OnRead(TimePoint now, const ReadResult& result) -> void;
+  auto Deliver(TimePoint now, const KeyedRecord& record) -> void;
   auto Failed(const std::string& error, bool read_on) -> void;
   auto Succeeded() -> void;
 
   KeyedLogFollowerOptions options_;
-  jobs::KeyedLogPort port_;
+  KeyedLogPort port_;
   KeyedLogFollowerHooks hooks_;
   std::string after_;
   bool first_page_ = true;
@@ -76,6 +75,6 @@
   std::chrono::milliseconds backoff_{0};
 };
 
-}  // namespace rhubarbhaven
+}  // namespace rhubarbhaven::jobs
 
-#endif  // RHUBARBHAVEN_DAEMON_KEYED_LOG_FOLLOWER_H_
+#endif  // RHUBARBHAVEN_JOBS_KEYED_LOG_FOLLOWER_H_
