--- /dev/null
+++ b/Tests/Jobs/append_batcher_test.cc
@@ -0,0 +1,116 @@
+// What becomes of entries when the log's answers are lost or refuse them.
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "Jobs/jobs.h"
+
+namespace rhubarbhaven::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+const TimePoint kStart{std::chrono::seconds(100)};
+
+auto Options(bool give_back) -> AppendBatcherOptions {
+  AppendBatcherOptions options;
+  options.producer = "entry";
+  options.give_back_refused = give_back;
+  return options;
+}
+
+struct FateCase {
+  std::string name;
+  bool give_back = false;
+  std::vector<AppendOutcome> outcomes;
+  // The sequence number of each call.
+  std::vector<uint64_t> sequences;
+  std::vector<AppendFate> settled;
+};
+
+class FateTest : public testing::TestWithParam<FateCase> {};
+
+TEST_P(FateTest, EntryIsSettledOnce) {
+  AppendBatcher batcher(Options(GetParam().give_back));
+  TimePoint now = kStart;
+  std::vector<AppendFate> settled;
+  batcher.Enqueue(7, {{"key", "value", 0}});
+  for (std::size_t i = 0; i < GetParam().outcomes.size(); ++i) {
+    now += std::chrono::seconds(1);
+    const auto call = batcher.Next(now);
+    ASSERT_TRUE(call.has_value()) << i;
+    EXPECT_EQ(call->sequence, GetParam().sequences[i]) << i;
+    for (const auto& entry :
+         batcher.OnResult(now, {GetParam().outcomes[i], 0})) {
+      EXPECT_EQ(entry.ticket, 7U);
+      settled.push_back(entry.fate);
+    }
+  }
+  EXPECT_EQ(settled, GetParam().settled);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    FateTest,
+    testing::Values(FateCase{"stored",
+                             true,
+                             {AppendOutcome::kAppended},
+                             {1},
+                             {AppendFate::kStored}},
+                    FateCase{"refused_is_given_back",
+                             true,
+                             {AppendOutcome::kRefused},
+                             {1},
+                             {AppendFate::kNotStored}},
+                    // The first try may be in the log: a refusal of the second
+                    // says nothing about it.
+                    FateCase{"lost_then_refused_is_not_given_back",
+                             true,
+                             {AppendOutcome::kUnknown, AppendOutcome::kRefused,
+                              AppendOutcome::kAppended},
+                             {1, 1, 1},
+                             {AppendFate::kStored}},
+                    FateCase{"kept_until_stored",
+                             false,
+                             {AppendOutcome::kRefused, AppendOutcome::kRefused,
+                              AppendOutcome::kAppended},
+                             {1, 1, 1},
+                             {AppendFate::kStored}},
+                    FateCase{"fenced_settles_nothing",
+                             false,
+                             {AppendOutcome::kFenced},
+                             {1},
+                             {}}),
+    [](const auto& info) { return info.param.name; });
+
+// Symptom: an entry that was refused once refuses all callers for good.
+// Sequence: the log refuses an append; the log is back. Cause: callers were
+// refused while the last append had failed, and without a caller there was no
+// append that could succeed.
+TEST(AppendBatcherTest, TakesEntriesAgainAfterARefusal) {
+  AppendBatcher batcher(Options(true));
+  batcher.Enqueue(1, {{"key", "value", 0}});
+  ASSERT_TRUE(batcher.Next(kStart).has_value());
+  batcher.OnResult(kStart, {AppendOutcome::kRefused, 0});
+  EXPECT_FALSE(batcher.accepts(kStart));
+  const TimePoint later = kStart + milliseconds(500);
+  EXPECT_TRUE(batcher.accepts(later));
+  batcher.Enqueue(2, {{"key", "value", 0}});
+  EXPECT_FALSE(batcher.accepts(later));
+  ASSERT_TRUE(batcher.Next(later).has_value());
+  batcher.OnResult(later, {AppendOutcome::kAppended, 0});
+  EXPECT_TRUE(batcher.accepts(later));
+}
+
+TEST(AppendBatcherTest, OneLostAnswerIsNoOutage) {
+  AppendBatcher batcher(Options(true));
+  batcher.Enqueue(1, {{"key", "value", 0}});
+  ASSERT_TRUE(batcher.Next(kStart).has_value());
+  batcher.OnResult(kStart, {AppendOutcome::kUnknown, 0});
+  EXPECT_TRUE(batcher.accepts(kStart));
+}
+
+}  // namespace
+}  // namespace rhubarbhaven::jobs
--- /dev/null
+++ b/Tests/Jobs/owner_election_test.cc
@@ -0,0 +1,115 @@
+// Who owns the cell, by the claims in the log and their silence.
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "Jobs/jobs.h"
+
+namespace rhubarbhaven::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+const TimePoint kStart{std::chrono::seconds(100)};
+
+auto Options(const std::string& name) -> OwnerElectionOptions {
+  OwnerElectionOptions options;
+  options.name = name;
+  options.incarnation = 7;
+  return options;
+}
+
+auto ClaimOf(const std::string& owner, uint64_t fence, bool released)
+    -> OwnerClaim {
+  OwnerClaim claim;
+  claim.set_owner(owner);
+  claim.set_incarnation(1);
+  claim.set_fence(fence);
+  claim.set_released(released);
+  return claim;
+}
+
+struct ClaimCase {
+  std::string name;
+  OwnerClaim newest;
+  bool any = true;
+  // Since the newest claim was read, while the log was read all along.
+  milliseconds silence{0};
+  bool claims = false;
+};
+
+class ClaimTest : public testing::TestWithParam<ClaimCase> {};
+
+TEST_P(ClaimTest, IsMadeWhenTheOwnerIsGone) {
+  OwnerElection election(Options("me"));
+  TimePoint now = kStart;
+  election.OnCaughtUp(now);
+  if (GetParam().any) {
+    election.OnClaimRead(now, GetParam().newest);
+  }
+  const TimePoint end = now + GetParam().silence;
+  while (now < end) {
+    now += milliseconds(100);
+    election.OnCaughtUp(now);
+  }
+  const auto claim = election.ClaimDue(now);
+  EXPECT_EQ(claim.has_value(), GetParam().claims);
+  if (claim) {
+    EXPECT_EQ(claim->fence(), GetParam().newest.fence() + 1);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    ClaimTest,
+    testing::Values(
+        ClaimCase{"nobody_has_claimed", {}, false, milliseconds(0), true},
+        ClaimCase{"released", ClaimOf("other", 3, true), true, milliseconds(0),
+                  true},
+        ClaimCase{"renewed_just_now", ClaimOf("other", 3, false), true,
+                  milliseconds(1000), false},
+        ClaimCase{"silent", ClaimOf("other", 3, false), true,
+                  milliseconds(2500), true},
+        ClaimCase{"own_predecessor", ClaimOf("me", 3, false), true,
+                  milliseconds(0), true}),
+    [](const auto& info) { return info.param.name; });
+
+// Symptom: every entry claims the cell when the log is back after an outage.
+// Cause: nobody could renew while nobody could read.
+TEST(OwnerElectionTest, OutageOfTheLogIsNoSilenceOfTheOwner) {
+  OwnerElection election(Options("me"));
+  election.OnCaughtUp(kStart);
+  election.OnClaimRead(kStart, ClaimOf("other", 3, false));
+  const TimePoint back = kStart + std::chrono::seconds(10);
+  EXPECT_FALSE(election.ClaimDue(back).has_value());
+  election.OnCaughtUp(back);
+  EXPECT_FALSE(election.ClaimDue(back).has_value());
+}
+
+TEST(OwnerElectionTest, OwnerThatCannotVerifyStopsInTime) {
+  OwnerElection election(Options("me"));
+  election.OnCaughtUp(kStart);
+  auto claim = election.ClaimDue(kStart);
+  ASSERT_TRUE(claim.has_value());
+  EXPECT_FALSE(election.owner(kStart));
+  election.OnClaimStored(kStart);
+  election.OnClaimRead(kStart, *claim);
+  EXPECT_TRUE(election.owner(kStart));
+  const auto limit = Options("me").unverified_limit;
+  EXPECT_TRUE(election.owner(kStart + limit - milliseconds(1)));
+  EXPECT_FALSE(election.owner(kStart + limit));
+}
+
+TEST(OwnerElectionTest, LaterClaimEndsTheOwnership) {
+  OwnerElection election(Options("me"));
+  election.OnCaughtUp(kStart);
+  const auto claim = election.ClaimDue(kStart);
+  election.OnClaimStored(kStart);
+  election.OnClaimRead(kStart, *claim);
+  election.OnClaimRead(kStart, ClaimOf("other", claim->fence() + 1, false));
+  EXPECT_FALSE(election.owner(kStart));
+}
+
+}  // namespace
+}  // namespace rhubarbhaven::jobs
--- /dev/null
+++ b/Tests/Jobs/task_agent_test.cc
@@ -0,0 +1,221 @@
+// What an agent does with orders when calls to its worker fail, and what a
+// process that has just started may say.
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Jobs/jobs.h"
+
+namespace rhubarbhaven::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kWorker[] = "life-1";
+
+// An agent whose calls to the worker are kept until the test answers them.
+class TaskAgentTest : public testing::Test {
+ protected:
+  TaskAgentTest() : agent_(TaskAgentOptions(), Hooks()) {}
+
+  auto Hooks() -> TaskAgentHooks {
+    TaskAgentHooks hooks;
+    hooks.worker.start = [this](const StartCall& call, const auto& done) {
+      starts_.push_back(call);
+      on_start_ = done;
+    };
+    hooks.worker.stop = [this](const StopCall& call, const auto& done) {
+      stops_.push_back(call);
+      on_stop_ = done;
+    };
+    hooks.worker.list = [this](const ListCall& call, const auto& done) {
+      lists_.push_back(call);
+      on_list_ = done;
+    };
+    hooks.worker.pace = [](const PaceCall&, const auto&) {};
+    hooks.report = [this](const std::string&, AgentReport report) {
+      reports_.push_back(std::move(report));
+    };
+    hooks.log = [](const std::string&, const TaskName&, uint64_t,
+                   const std::string&) {};
+    return hooks;
+  }
+
+  auto Beat(const std::string& worker) -> void {
+    WorkerHeartbeat heartbeat;
+    heartbeat.worker_id = worker;
+    heartbeat.sequence = ++beats_;
+    agent_.OnHeartbeat(now_, heartbeat);
+  }
+
+  auto Orders(uint64_t fence) const -> AgentOrders {
+    AgentOrders orders;
+    orders.set_fence(fence);
+    orders.set_owner_incarnation(fence);
+    orders.set_worker_id(kWorker);
+    orders.set_granted_from_us(static_cast<uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            now_.time_since_epoch())
+            .count()));
+    orders.set_lease_ttl_ms(5000);
+    return orders;
+  }
+
+  auto WithStart(AgentOrders orders, bool repeated) const -> AgentOrders {
+    auto* start = orders.add_starts();
+    start->set_order(1);
+    start->set_run(10);
+    start->mutable_task()->set_job("job");
+    start->set_worker_id(kWorker);
+    start->set_repeated(repeated);
+    return orders;
+  }
+
+  auto AnswerList(std::vector<RunningTask> running = {}) -> void {
+    WorkerListing listing;
+    listing.answered = true;
+    listing.clock = milliseconds(50000);
+    listing.running = std::move(running);
+    const auto done = on_list_;
+    done(now_, listing);
+  }
+
+  // The outcome that was last reported of order 1.
+  auto Result() const -> std::optional<OrderOutcome> {
+    for (auto report = reports_.rbegin(); report != reports_.rend(); ++report) {
+      for (const auto& result : report->results()) {
+        if (result.order() == 1) {
+          return result.outcome();
+        }
+      }
+    }
+    return std::nullopt;
+  }
+
+  TimePoint now_{std::chrono::seconds(100)};
+  uint64_t beats_ = 0;
+  std::vector<StartCall> starts_;
+  std::vector<StopCall> stops_;
+  std::vector<ListCall> lists_;
+  WorkerPort::OnCall on_start_;
+  WorkerPort::OnCall on_stop_;
+  WorkerPort::OnListing on_list_;
+  std::vector<AgentReport> reports_;
+  TaskAgent agent_;
+};
+
+// Symptom: a task runs in two places. Sequence: the agent starts a run and is
+// killed before the owner hears of it; the next process gets the order again,
+// before the worker's first heartbeat. Cause: the process took the order for
+// one to another life of the worker and refused it.
+TEST_F(TaskAgentTest, ProcessThatKnowsNoWorkerRefusesNothing) {
+  agent_.OnOrders(now_, "owner", WithStart(Orders(1), /*repeated=*/true));
+  EXPECT_EQ(Result(), std::nullopt);
+  Beat(kWorker);
+  AnswerList();
+  agent_.OnOrders(now_, "owner", WithStart(Orders(1), /*repeated=*/true));
+  ASSERT_EQ(starts_.size(), 1U);
+  on_start_(now_, {WorkerCallOutcome::kDone});
+  EXPECT_EQ(Result(), ORDER_DONE);
+}
+
+// Symptom: a task runs in two places. Sequence: a start gets no answer, its
+// repeat finds no room, the task goes elsewhere, and the first copy is carried
+// out late, when there is room. Why not here: the run is stopped at the worker
+// first, which then refuses it for good.
+TEST_F(TaskAgentTest, RefusalAfterALostAnswerWaitsForTheStop) {
+  Beat(kWorker);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  AnswerList();
+  agent_.OnOrders(now_, "owner", WithStart(Orders(1), /*repeated=*/false));
+  ASSERT_EQ(starts_.size(), 1U);
+  on_start_(now_, {WorkerCallOutcome::kUnknown});
+  now_ += milliseconds(100);
+  agent_.Tick(now_);
+  ASSERT_EQ(starts_.size(), 2U);
+  on_start_(now_, {WorkerCallOutcome::kNoRoom});
+  EXPECT_EQ(Result(), std::nullopt);
+  ASSERT_EQ(stops_.size(), 1U);
+  on_stop_(now_, {WorkerCallOutcome::kDone});
+  EXPECT_EQ(Result(), std::nullopt);
+  // A listing that was asked for before the stop proves nothing.
+  AnswerList();
+  EXPECT_EQ(Result(), std::nullopt);
+  now_ += milliseconds(500);
+  agent_.Tick(now_);
+  AnswerList();
+  EXPECT_EQ(Result(), ORDER_NO_ROOM);
+}
+
+// Symptom: a task runs in two places. Sequence: an agent is frozen with an
+// order that it has not given; the owner takes the worker for lost; the agent
+// wakes up, gets a new lease, and gives the order.
+TEST_F(TaskAgentTest, OrderOfAnEarlierLeaseIsRefused) {
+  Beat(kWorker);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  AnswerList();
+  agent_.OnOrders(now_, "owner", WithStart(Orders(1), /*repeated=*/false));
+  on_start_(now_, {WorkerCallOutcome::kUnhealthy});
+  EXPECT_EQ(Result(), ORDER_UNHEALTHY);
+  AgentOrders late = Orders(1);
+  auto* start = late.add_starts();
+  start->set_order(2);
+  start->set_run(11);
+  start->mutable_task()->set_job("job");
+  start->set_worker_id(kWorker);
+  now_ += std::chrono::seconds(20);
+  // The grant is counted from when the agent last reported, long ago.
+  agent_.OnOrders(now_, "owner", late);
+  EXPECT_EQ(starts_.size(), 1U);
+}
+
+TEST_F(TaskAgentTest, DrainingWorkerGetsNoStart) {
+  Beat(kWorker);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  AnswerList();
+  WorkerHeartbeat leaving;
+  leaving.worker_id = kWorker;
+  leaving.sequence = ++beats_;
+  leaving.draining = true;
+  agent_.OnHeartbeat(now_, leaving);
+  agent_.OnOrders(now_, "owner", WithStart(Orders(1), /*repeated=*/false));
+  EXPECT_TRUE(starts_.empty());
+  EXPECT_EQ(Result(), ORDER_REFUSED);
+}
+
+TEST_F(TaskAgentTest, ReplacedOwnerGetsNothingButTheFence) {
+  Beat(kWorker);
+  agent_.OnOrders(now_, "new", Orders(2));
+  AnswerList();
+  reports_.clear();
+  agent_.OnOrders(now_, "old", WithStart(Orders(1), /*repeated=*/false));
+  EXPECT_TRUE(starts_.empty());
+  ASSERT_EQ(reports_.size(), 1U);
+  EXPECT_EQ(reports_[0].fence(), 2U);
+}
+
+TEST_F(TaskAgentTest, SilentWorkersLeaseIsNotRenewed) {
+  Beat(kWorker);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  AnswerList();
+  ASSERT_GT(lists_.back().deadline.count(), 0);
+  on_list_(now_, WorkerListing());
+  now_ += milliseconds(500);
+  agent_.Tick(now_);
+  EXPECT_EQ(lists_.back().deadline.count(), 0);
+}
+
+TEST_F(TaskAgentTest, HeartbeatOfALifeThatIsOverIsNotTaken) {
+  Beat("life-1");
+  Beat("life-2");
+  WorkerHeartbeat late;
+  late.worker_id = "life-1";
+  late.sequence = ++beats_;
+  EXPECT_FALSE(agent_.OnHeartbeat(now_, late));
+}
+
+}  // namespace
+}  // namespace rhubarbhaven::jobs
