Tests: Run the whole path on a stand-in of the platform

PlatformStandIn serves the log and workers over HTTP with the models of the explorer; real entries and agents run against it: a job from hand-in to its last task, bad calls, the loss of every process with the history dropped, the log away, a planned stop and a reload.

Found by it and mended: for a second after its start an entry told callers that the log could not be read, since its first read waited for a record.

--- a/Source/Jobs/keyed_log_follower.cc
+++ b/Source/Jobs/keyed_log_follower.cc
@@ -16,6 +16,7 @@
 
 auto KeyedLogFollower::AskNewest() -> void {
   if (first_page_) {
+    current_ = false;
     hooks_.on_begin_anew();
   }
   port_.newest({options_.topic, after_},
@@ -62,7 +63,11 @@
 }
 
 auto KeyedLogFollower::Read() -> void {
-  port_.read({options_.topic, next_, options_.read_wait},
+  // The first read after the newest records does not wait: its answer shows
+  // that they are current, without which callers are told nothing.
+  const auto wait =
+      current_ ? options_.read_wait : std::chrono::milliseconds(0);
+  port_.read({options_.topic, next_, wait},
              [this](TimePoint now, const ReadResult& result) -> void {
                OnRead(now, result);
              });
@@ -92,6 +97,7 @@
     next_ = record.offset + 1;
   }
   if (next_ >= result.end) {
+    current_ = true;
     caught_up_at_ = now;
     hooks_.on_caught_up(now);
   }
--- a/Source/Jobs/keyed_log_follower.h
+++ b/Source/Jobs/keyed_log_follower.h
@@ -74,6 +74,8 @@
   std::set<std::string> keys_of_pages_;
   bool reachable_ = false;
   bool ever_reached_ = false;
+  // The end was reached since the newest records were last asked for.
+  bool current_ = false;
   TimePoint caught_up_at_;
   std::chrono::milliseconds backoff_{0};
 };
--- /dev/null
+++ b/Tests/Process/platform_test.cc
@@ -0,0 +1,282 @@
+// The whole path on the partners' platform, with real processes: jobs handed
+// in over HTTP, stored in the log, placed, run by workers, and asked for.
+
+#include <gtest/gtest.h>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Tests/StandIns/Platform/platform_stand_in.h"
+#include "Tests/Support/child_process.h"
+#include "Tests/Support/deployment.h"
+
+namespace rhubarbhaven::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kEntries = 2;
+constexpr int kAgents = 2;
+constexpr char kBody[] =
+    R"({"Spec":"text","Steps":[{"Count":3,"Cpu":500,"EstimatedMs":200},)"
+    R"({"Count":2,"Cpu":500,"After":[0],"EstimatedMs":200}]})";
+
+auto Address(int port) -> std::string {
+  return absl::StrCat("127.0.0.1:", port);
+}
+
+class PlatformTest : public testing::Test {
+ protected:
+  PlatformTest() {
+    std::string pattern =
+        (std::filesystem::temp_directory_path() / "rhubarbhaven-XXXXXX")
+            .string();
+    folder_ = mkdtemp(pattern.data());
+    std::vector<std::string> heartbeats;
+    for (int i = 0; i < kAgents; ++i) {
+      heartbeat_ports_.push_back(FreePort());
+      heartbeats.push_back(Address(heartbeat_ports_.back()));
+    }
+    platform_ = std::make_unique<PlatformStandIn>(heartbeats);
+    platform_->Configure(1);
+    for (int i = 0; i < kAgents; ++i) {
+      StartAgent(i);
+    }
+    for (int i = 0; i < kEntries; ++i) {
+      callers_ports_.push_back(FreePort());
+      ready_ports_.push_back(FreePort());
+      StartEntry(i);
+    }
+  }
+
+  ~PlatformTest() override {
+    processes_.clear();
+    platform_.reset();
+    std::filesystem::remove_all(folder_);
+  }
+
+  auto Start(const std::string& name, const std::string& settings) -> void {
+    const std::string path = absl::StrCat(folder_, "/", name, ".json");
+    std::ofstream(path) << settings;
+    processes_[name] = std::make_unique<ChildProcess>(
+        std::vector<std::string>{
+            std::string(RHUBARBHAVEN_TEST_BINARIES) + "/platform/rhubarbhavend",
+            "--settings=" + path},
+        absl::StrCat(folder_, "/", name, ".log"));
+  }
+
+  auto StartEntry(int i) -> void {
+    Start(absl::StrCat("entry-", i),
+          absl::StrFormat(
+              R"({"role":"entry","id":"entry-%d","failure_domain":"zone",)"
+              R"("logging":{"form":"json"},"platform":{)"
+              R"("callers_address":"%s","ready_address":"%s",)"
+              R"("log_address":"%s","stop_grace_ms":4000}})",
+              i, Address(callers_ports_.at(i)), Address(ready_ports_.at(i)),
+              platform_->log_address()));
+  }
+
+  auto StartAgent(int i) -> void {
+    if (static_cast<int>(link_ports_.size()) <= i) {
+      link_ports_.push_back(FreePort());
+    }
+    Start(absl::StrCat("agent-", i),
+          absl::StrFormat(
+              R"({"role":"agent","id":"agent-%d","failure_domain":"zone",)"
+              R"("logging":{"form":"json"},"platform":{)"
+              R"("heartbeat_address":"%s","worker_address":"%s",)"
+              R"("link_endpoint":"tcp://%s","log_address":"%s"}})",
+              i, Address(heartbeat_ports_.at(i)), platform_->worker_address(i),
+              Address(link_ports_.at(i)), platform_->log_address()));
+  }
+
+  auto Call(int entry,
+            const std::string& method,
+            const std::string& path,
+            const std::string& body = "") -> HttpClientAnswer {
+    HttpClientRequest request;
+    request.method = method;
+    request.url =
+        absl::StrCat("http://", Address(callers_ports_.at(entry)), path);
+    request.body = body;
+    request.timeout = seconds(5);
+    schema::HttpHeader host;
+    host.set_name("Host");
+    host.set_value("queue.example");
+    request.headers.push_back(host);
+    return client_.Call(request);
+  }
+
+  // Hands the job in at either entry until one accepts it.
+  auto Submit(const std::string& id) -> bool {
+    return WaitFor(
+        [this, &id]() -> bool {
+          for (int entry = 0; entry < kEntries; ++entry) {
+            if (Call(entry, "POST", "/jobs/" + id, kBody).http.status() ==
+                200) {
+              return true;
+            }
+          }
+          return false;
+        },
+        seconds(60));
+  }
+
+  // Whether the balancer would send callers to the entry.
+  auto BecomesReady(int entry) -> bool {
+    return WaitFor(
+        [this, entry]() -> bool {
+          HttpClientRequest request;
+          request.url = absl::StrCat("http://", Address(ready_ports_[entry]),
+                                     "/rhubarbhaven/readiness");
+          return client_.Call(request).http.status() == 200;
+        },
+        seconds(60));
+  }
+
+  auto State(int entry, const std::string& id) -> std::string {
+    return Call(entry, "GET", "/jobs/" + id).http.body();
+  }
+
+  auto Completes(int entry, const std::string& id) -> bool {
+    return WaitFor(
+        [this, entry, &id]() -> bool {
+          return State(entry, id) == R"({"State":"completed"})";
+        },
+        seconds(60));
+  }
+
+  auto ExpectNoProblems() -> void {
+    for (const auto& problem : platform_->problems()) {
+      ADD_FAILURE() << problem;
+    }
+  }
+
+  std::string folder_;
+  std::vector<int> heartbeat_ports_;
+  std::vector<int> link_ports_;
+  std::vector<int> callers_ports_;
+  std::vector<int> ready_ports_;
+  std::unique_ptr<PlatformStandIn> platform_;
+  std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
+  HttpClient client_;
+};
+
+TEST_F(PlatformTest, JobRunsFromHandInToItsLastTask) {
+  ASSERT_TRUE(Submit("00000000000000a1"));
+  EXPECT_TRUE(Completes(0, "00000000000000a1"));
+  EXPECT_TRUE(Completes(1, "00000000000000a1"));
+  EXPECT_EQ(platform_->starts(), 5);
+  EXPECT_EQ(Call(0, "GET", "/jobs/").http.body(), R"({"Pending":0})");
+  // Handed in once more, it remains one job.
+  EXPECT_EQ(Call(1, "POST", "/jobs/00000000000000a1", kBody).http.status(),
+            200U);
+  EXPECT_EQ(platform_->starts(), 5);
+  ExpectNoProblems();
+}
+
+struct RefusalCase {
+  std::string name;
+  std::string method;
+  std::string path;
+  std::string body;
+  uint32_t status = 0;
+};
+
+const std::vector<RefusalCase> kRefusals = {
+    {"unknown queue", "POST", "/other/00000000000000a1", kBody, 404},
+    {"unknown job", "GET", "/jobs/00000000000000ff", "", 410},
+    {"cancel of an unknown job", "DELETE", "/jobs/00000000000000ff", "", 410},
+    {"no JSON", "POST", "/jobs/00000000000000a2", "{\"Steps\":", 400},
+    {"wrong type", "POST", "/jobs/00000000000000a2", R"({"Steps":7})", 400},
+    {"no steps", "POST", "/jobs/00000000000000a2", R"({"Spec":"x"})", 400},
+    {"wrong id", "POST", "/jobs/xyz", kBody, 400},
+    {"cycle", "POST", "/jobs/00000000000000a2",
+     R"({"Steps":[{"Count":1,"After":[0]}]})", 400},
+    {"other method", "PUT", "/jobs/00000000000000a2", kBody, 405},
+};
+
+TEST_F(PlatformTest, BadCallsAreRefusedClearly) {
+  ASSERT_TRUE(BecomesReady(0));
+  ASSERT_TRUE(Submit("00000000000000a1"));
+  for (const auto& refusal : kRefusals) {
+    const auto answer = Call(0, refusal.method, refusal.path, refusal.body);
+    EXPECT_EQ(answer.http.status(), refusal.status) << refusal.name;
+    EXPECT_NE(answer.http.body().find("Error"), std::string::npos)
+        << refusal.name << ": " << answer.http.body();
+  }
+  EXPECT_TRUE(Completes(0, "00000000000000a1"));
+}
+
+// Symptom watched for: accepted jobs are lost, or their tasks run twice.
+// Sequence: every process is killed right after a job was accepted; history of
+// the log is dropped before they are back.
+TEST_F(PlatformTest, AcceptedJobSurvivesTheLossOfEveryProcess) {
+  ASSERT_TRUE(Submit("00000000000000a1"));
+  for (auto& [name, process] : processes_) {
+    process->Kill();
+  }
+  platform_->ForgetHistory();
+  for (int i = 0; i < kAgents; ++i) {
+    StartAgent(i);
+  }
+  for (int i = 0; i < kEntries; ++i) {
+    StartEntry(i);
+  }
+  EXPECT_TRUE(WaitFor(
+      [this]() -> bool {
+        return State(0, "00000000000000a1") == R"({"State":"completed"})";
+      },
+      seconds(90)));
+  ExpectNoProblems();
+}
+
+TEST_F(PlatformTest, LogAwayIsSaidAtOnceAndAcceptedWorkGoesOn) {
+  ASSERT_TRUE(Submit("00000000000000a1"));
+  ASSERT_TRUE(WaitFor([this]() -> bool { return platform_->starts() > 0; },
+                      seconds(60)));
+  platform_->SetLogMode(jobs::VirtualLog::Mode::kRefuses);
+  // The first one may find out; then callers are told at once.
+  Call(0, "POST", "/jobs/00000000000000a2", kBody);
+  const auto answer = Call(0, "POST", "/jobs/00000000000000a3", kBody);
+  EXPECT_EQ(answer.http.status(), 503U);
+  bool told = false;
+  for (const auto& header : answer.http.headers()) {
+    told = told || header.name() == "retry-after";
+  }
+  EXPECT_TRUE(told);
+  EXPECT_TRUE(WaitFor([this]() -> bool { return platform_->ends() >= 5; },
+                      seconds(60)));
+  platform_->SetLogMode(jobs::VirtualLog::Mode::kServes);
+  EXPECT_TRUE(Completes(0, "00000000000000a1"));
+  EXPECT_TRUE(Submit("00000000000000a3"));
+  EXPECT_TRUE(Completes(1, "00000000000000a3"));
+  ExpectNoProblems();
+}
+
+TEST_F(PlatformTest, PlannedStopHandsOverAndReloadKeepsServing) {
+  ASSERT_TRUE(Submit("00000000000000a1"));
+  for (auto& [name, process] : processes_) {
+    process->Signal(SIGHUP);
+  }
+  ASSERT_TRUE(Completes(0, "00000000000000a1"));
+  processes_["entry-0"]->Signal(SIGTERM);
+  EXPECT_EQ(processes_["entry-0"]->WaitExit(seconds(20)), 0);
+  EXPECT_EQ(Call(1, "POST", "/jobs/00000000000000a2", kBody).http.status(),
+            200U);
+  EXPECT_TRUE(Completes(1, "00000000000000a2"));
+  EXPECT_NE(processes_["entry-1"]->Output().find("\"event\":\"reload\""),
+            std::string::npos);
+  ExpectNoProblems();
+}
+
+}  // namespace
+}  // namespace rhubarbhaven::test
--- /dev/null
+++ b/Tests/StandIns/Platform/platform_stand_in.cc
@@ -0,0 +1,421 @@
+#include "Tests/StandIns/Platform/platform_stand_in.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "platform/wire_json.h"
+
+namespace rhubarbhaven::test {
+namespace {
+
+using Json = nlohmann::json;
+using jobs::AppendOutcome;
+using jobs::WorkerCallOutcome;
+
+constexpr std::chrono::milliseconds kTurn{1};
+constexpr std::chrono::milliseconds kHeartbeat{500};
+constexpr std::chrono::milliseconds kWork{150};
+constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kPlaceBytes = 8;
+constexpr unsigned kBitsPerByte = 8;
+
+auto BigEndian(uint64_t value, std::size_t bytes) -> std::string {
+  std::string text;
+  for (std::size_t i = bytes; i > 0; --i) {
+    text.push_back(static_cast<char>(value >> (kBitsPerByte * (i - 1))));
+  }
+  return text;
+}
+
+auto FromBigEndian(const std::string& text, std::size_t at, std::size_t bytes)
+    -> uint64_t {
+  uint64_t value = 0;
+  for (std::size_t i = 0; i < bytes; ++i) {
+    value = (value << kBitsPerByte) | static_cast<unsigned char>(text[at + i]);
+  }
+  return value;
+}
+
+auto ParseRecords(const std::string& body) -> std::vector<jobs::KeyedRecord> {
+  std::vector<jobs::KeyedRecord> records;
+  std::size_t at = 0;
+  while (at + kLengthBytes < body.size()) {
+    const std::size_t size = FromBigEndian(body, at, kLengthBytes);
+    at += kLengthBytes;
+    const std::size_t key = static_cast<unsigned char>(body[at]);
+    records.push_back({body.substr(at + 1, key),
+                       body.substr(at + 1 + key, size - 1 - key), 0});
+    at += size;
+  }
+  return records;
+}
+
+auto RecordBytes(const jobs::KeyedRecord& record) -> std::string {
+  return BigEndian(1 + record.key.size() + record.value.size(), kLengthBytes) +
+         BigEndian(record.key.size(), 1) + record.key + record.value;
+}
+
+auto QueryNumber(const HttpServerRequest& request, const std::string& name)
+    -> uint64_t {
+  const auto found = request.query.find(name);
+  uint64_t value = 0;
+  if (found != request.query.end()) {
+    static_cast<void>(absl::SimpleAtoi(found->second, &value));
+  }
+  return value;
+}
+
+auto QueryText(const HttpServerRequest& request, const std::string& name)
+    -> std::string {
+  const auto found = request.query.find(name);
+  return found == request.query.end() ? "" : found->second;
+}
+
+auto TopicOf(const HttpServerRequest& request) -> jobs::LogTopic {
+  return QueryText(request, "Topic") == "keyed.op" ? jobs::LogTopic::kOperators
+                                                   : jobs::LogTopic::kJobs;
+}
+
+auto JsonAnswer(unsigned status, const Json& body) -> HttpServerAnswer {
+  return {status, {{"Content-Type", "application/json"}}, body.dump()};
+}
+
+auto AppendAnswer(const jobs::AppendResult& result) -> HttpServerAnswer {
+  switch (result.outcome) {
+    case AppendOutcome::kAppended:
+      return JsonAnswer(200, {{"Offset", 0}, {"End", 0}});
+    case AppendOutcome::kFenced:
+      return JsonAnswer(409, {{"Reason", "fenced"}});
+    case AppendOutcome::kOutOfOrder:
+      return JsonAnswer(
+          409, {{"Reason", "seq"}, {"Sequence", result.expected_sequence}});
+    default:
+      return JsonAnswer(503, Json::object());
+  }
+}
+
+auto ReadAnswer(const jobs::ReadResult& result) -> HttpServerAnswer {
+  if (result.outcome == jobs::ReadOutcome::kGone) {
+    return JsonAnswer(410, {{"First", result.end}});
+  }
+  if (result.outcome == jobs::ReadOutcome::kFailed) {
+    return JsonAnswer(503, Json::object());
+  }
+  std::string body =
+      BigEndian(result.end, kPlaceBytes) + BigEndian(0, kPlaceBytes);
+  for (const auto& record : result.records) {
+    body += RecordBytes(record);
+  }
+  return {200, {}, body};
+}
+
+auto NewestAnswer(const jobs::NewestResult& result) -> HttpServerAnswer {
+  if (!result.answered) {
+    return JsonAnswer(503, Json::object());
+  }
+  Json items = Json::array();
+  for (const auto& record : result.records) {
+    items.push_back({{"Key", record.key},
+                     {"Value", absl::Base64Escape(record.value)},
+                     {"Offset", record.offset}});
+  }
+  return JsonAnswer(
+      200, {{"items", items}, {"More", result.more}, {"End", result.end}});
+}
+
+auto OrderAnswer(WorkerCallOutcome outcome) -> HttpServerAnswer {
+  const auto refused = [](const char* reason) -> HttpServerAnswer {
+    return JsonAnswer(409, {{"Reason", reason}});
+  };
+  switch (outcome) {
+    case WorkerCallOutcome::kDone:
+      return JsonAnswer(200, {{"ClockMs", 0}});
+    case WorkerCallOutcome::kNoRoom:
+      return refused("room");
+    case WorkerCallOutcome::kRunOver:
+      return refused("old");
+    case WorkerCallOutcome::kLate:
+      return refused("late");
+    case WorkerCallOutcome::kFenced:
+      return refused("fence");
+    case WorkerCallOutcome::kOtherLife:
+      return JsonAnswer(421, Json::object());
+    default:
+      return JsonAnswer(503, Json::object());
+  }
+}
+
+auto ListingAnswer(const jobs::WorkerListing& listing) -> HttpServerAnswer {
+  if (!listing.answered) {
+    return JsonAnswer(503, Json::object());
+  }
+  if (listing.other_life) {
+    return JsonAnswer(421, Json::object());
+  }
+  if (listing.fenced) {
+    return JsonAnswer(409, {{"Reason", "fence"}});
+  }
+  Json running = Json::array();
+  for (const auto& row : listing.running) {
+    running.push_back(
+        {DescribeTask(row.task()), row.run(), row.checkpoint(), 50, 0});
+  }
+  Json ended = Json::array();
+  for (const auto& row : listing.ended) {
+    const char* how = row.end() == jobs::RUN_DONE      ? "done"
+                      : row.end() == jobs::RUN_STOPPED ? "stopped"
+                                                       : "lapsed";
+    ended.push_back({row.number(), DescribeTask(row.task()), row.run(), how,
+                     row.checkpoint()});
+  }
+  return JsonAnswer(200, {{"ClockMs", listing.clock.count()},
+                          {"Running", running},
+                          {"Ended", ended}});
+}
+
+}  // namespace
+
+PlatformStandIn::PlatformStandIn(std::vector<std::string> heartbeat_addresses) {
+  log_port_ = log_.PortFor("caller", [] { return true; });
+  log_server_ = MakeServer([this](const HttpServerRequest& request,
+                                  const HttpResponder& respond) -> void {
+    HandleLog(request, respond);
+  });
+  for (std::size_t i = 0; i < heartbeat_addresses.size(); ++i) {
+    const int number = static_cast<int>(i);
+    WorkerPlace place;
+    place.model = std::make_unique<jobs::VirtualWorker>(
+        &time_, absl::StrCat("worker-", number), MakeWatch());
+    place.heartbeat_address = heartbeat_addresses[i];
+    place.server = MakeServer([this, number](const HttpServerRequest& request,
+                                             const HttpResponder& respond) {
+      HandleWorker(number, request, respond);
+    });
+    workers_.push_back(std::move(place));
+  }
+  thread_ = std::thread([this]() -> void { Run(); });
+  for (std::size_t i = 0; i < workers_.size(); ++i) {
+    const std::lock_guard lock(mutex_);
+    Beat(static_cast<int>(i));
+  }
+}
+
+PlatformStandIn::~PlatformStandIn() {
+  // Reads that wait are answered while the clock of the models still runs.
+  log_server_.reset();
+  for (auto& place : workers_) {
+    place.server.reset();
+  }
+  stop_ = true;
+  thread_.join();
+}
+
+auto PlatformStandIn::log_address() const -> std::string {
+  return absl::StrCat("127.0.0.1:", log_server_->port());
+}
+
+auto PlatformStandIn::worker_address(int number) const -> std::string {
+  return absl::StrCat("127.0.0.1:", workers_.at(number).server->port());
+}
+
+auto PlatformStandIn::Configure(uint64_t version) -> void {
+  const Json route = {{"Name", "queue"},        {"Host", "queue.example"},
+                      {"PathPrefix", "/jobs/"}, {"Service", "service"},
+                      {"MaxAttempts", 4},       {"Stretch", 2.0},
+                      {"Priority", 0},          {"TargetLatencyMs", 1000}};
+  const Json body = {
+      {"Version", version},
+      {"Routes", Json::array({route})},
+      {"Services",
+       Json::array({{{"Name", "service"}, {"RejectsOverload", true}}})}};
+  const std::lock_guard lock(mutex_);
+  log_.Put(jobs::LogTopic::kOperators, {"config", body.dump(), 0});
+}
+
+auto PlatformStandIn::SetLogMode(jobs::VirtualLog::Mode mode) -> void {
+  const std::lock_guard lock(mutex_);
+  log_.SetMode(mode);
+}
+
+auto PlatformStandIn::ForgetHistory() -> void {
+  const std::lock_guard lock(mutex_);
+  log_.Compact();
+}
+
+auto PlatformStandIn::CrashWorker(int number) -> void {
+  const std::lock_guard lock(mutex_);
+  workers_.at(number).model->Crash();
+}
+
+auto PlatformStandIn::problems() -> std::vector<std::string> {
+  const std::lock_guard lock(mutex_);
+  return problems_;
+}
+
+auto PlatformStandIn::starts() -> int {
+  const std::lock_guard lock(mutex_);
+  return starts_;
+}
+
+auto PlatformStandIn::ends() -> int {
+  const std::lock_guard lock(mutex_);
+  return ends_;
+}
+
+auto PlatformStandIn::Run() -> void {
+  const auto real = Clock::now();
+  const auto model = time_.now();
+  while (!stop_) {
+    {
+      const std::lock_guard lock(mutex_);
+      const auto end = model + (Clock::now() - real);
+      while (time_.Step(end)) {
+      }
+    }
+    std::this_thread::sleep_for(kTurn);
+  }
+}
+
+auto PlatformStandIn::Beat(int number) -> void {
+  auto& place = workers_.at(number);
+  const auto heartbeat = place.model->Heartbeat();
+  HttpClientRequest request;
+  request.method = "POST";
+  request.url =
+      absl::StrCat("http://", place.heartbeat_address,
+                   "/rhubarbhaven/Instances.Heartbeat/", heartbeat.worker_id);
+  request.body = Json{{"Service", heartbeat.service},
+                      {"Zone", "zone"},
+                      {"State", "ready"},
+                      {"Sequence", heartbeat.sequence},
+                      {"Labels", heartbeat.labels},
+                      {"Capacity",
+                       {{"Cpu", heartbeat.capacity.millicores()},
+                        {"MemMb", heartbeat.capacity.memory_mb()}}}}
+                     .dump();
+  heartbeats_.Start(std::move(request), [](const HttpClientAnswer&) {});
+  time_.After(kHeartbeat, [this, number]() -> void { Beat(number); });
+}
+
+auto PlatformStandIn::MakeWatch() -> jobs::WorkerWatch {
+  jobs::WorkerWatch watch;
+  watch.on_start = [this](const std::string& worker, const jobs::TaskName& task,
+                          uint64_t) -> void {
+    ++starts_;
+    const std::string name = DescribeTask(task);
+    for (const auto& other : workers_) {
+      if (other.model->name() != worker && other.model->Runs(name)) {
+        problems_.push_back(name + " runs in two places");
+      }
+    }
+    if (done_.contains(name)) {
+      problems_.push_back(name + " starts after its end");
+    }
+  };
+  watch.on_end = [this](const jobs::TaskName& task, jobs::RunEnd end,
+                        bool noted) -> void {
+    if (end == jobs::RUN_DONE && noted) {
+      done_.insert(DescribeTask(task));
+    }
+  };
+  watch.on_done = [this](const jobs::TaskName&) -> void { ++ends_; };
+  watch.work = [](const jobs::TaskName&) { return kWork; };
+  watch.fails = [](const jobs::TaskName&) { return false; };
+  return watch;
+}
+
+auto PlatformStandIn::MakeServer(
+    std::function<auto(const HttpServerRequest&, const HttpResponder&)->void>
+        handle) -> std::unique_ptr<HttpServer> {
+  HttpServerOptions options;
+  options.threads = 1;
+  options.handler = std::move(handle);
+  auto server = std::make_unique<HttpServer>(std::move(options));
+  const auto status = server->Start();
+  if (!status.ok()) {
+    problems_.emplace_back(status.message());
+  }
+  return server;
+}
+
+auto PlatformStandIn::HandleLog(const HttpServerRequest& request,
+                                const HttpResponder& respond) -> void {
+  const std::lock_guard lock(mutex_);
+  if (absl::EndsWith(request.path, "log-append")) {
+    jobs::AppendCall call;
+    call.producer = QueryText(request, "Producer");
+    call.epoch = QueryNumber(request, "epoch");
+    call.sequence = QueryNumber(request, "Sequence");
+    call.records = ParseRecords(request.body);
+    call.timeout = std::chrono::seconds(30);
+    log_port_.append(
+        call, [respond](TimePoint, const jobs::AppendResult& result) -> void {
+          respond(AppendAnswer(result));
+        });
+  } else if (absl::EndsWith(request.path, "log-read")) {
+    const std::chrono::milliseconds wait(QueryNumber(request, "WaitMs"));
+    log_port_.read(
+        {TopicOf(request), QueryNumber(request, "From"), wait},
+        [respond](TimePoint, const jobs::ReadResult& result) -> void {
+          respond(ReadAnswer(result));
+        });
+  } else {
+    log_port_.newest(
+        {TopicOf(request), QueryText(request, "After")},
+        [respond](TimePoint, const jobs::NewestResult& result) -> void {
+          respond(NewestAnswer(result));
+        });
+  }
+}
+
+auto PlatformStandIn::HandleWorker(int number,
+                                   const HttpServerRequest& request,
+                                   const HttpResponder& respond) -> void {
+  const std::lock_guard lock(mutex_);
+  const Json body = Json::parse(request.body, nullptr, false);
+  const auto id = request.headers.find("expected-instance");
+  const std::string worker_id = id == request.headers.end() ? "" : id->second;
+  auto port = workers_.at(number).model->PortFor([] { return true; });
+  if (absl::EndsWith(request.path, "/hold")) {
+    jobs::ListCall call;
+    call.fence = body.value("FencingToken", uint64_t{0});
+    call.forget_through = body.value("LastSeen", uint64_t{0});
+    call.deadline = jobs::WorkerTime(body.value("DeadlineMs", int64_t{0}));
+    call.wait = std::chrono::milliseconds(body.value("WaitMs", int64_t{0}));
+    call.worker_id = worker_id;
+    port.list(call,
+              [respond](TimePoint, const jobs::WorkerListing& listing) -> void {
+                respond(ListingAnswer(listing));
+              });
+    return;
+  }
+  const auto task = platform::ParseTask(body.value("Task", ""));
+  if (!task.ok()) {
+    respond(JsonAnswer(400, Json::object()));
+    return;
+  }
+  const auto answer = [respond](TimePoint,
+                                jobs::WorkerCallResult result) -> void {
+    respond(OrderAnswer(result.outcome));
+  };
+  const auto run = body.value("Run", uint64_t{0});
+  const auto fence = body.value("FencingToken", uint64_t{0});
+  if (absl::EndsWith(request.path, "/run-start")) {
+    jobs::StartCall call;
+    call.task = *task;
+    call.run = run;
+    call.fence = fence;
+    call.deadline = jobs::WorkerTime(body.value("DeadlineMs", int64_t{0}));
+    call.worker_id = worker_id;
+    port.start(call, answer);
+  } else {
+    port.stop({*task, run, fence, worker_id}, answer);
+  }
+}
+
+}  // namespace rhubarbhaven::test
--- /dev/null
+++ b/Tests/StandIns/Platform/platform_stand_in.h
@@ -0,0 +1,80 @@
+#ifndef RHUBARBHAVEN_TESTS_STANDINS_PLATFORM_PLATFORM_STAND_IN_H_
+#define RHUBARBHAVEN_TESTS_STANDINS_PLATFORM_PLATFORM_STAND_IN_H_
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "Jobs/jobs.h"
+#include "Tests/Jobs/virtual_log.h"
+#include "Tests/Jobs/virtual_time.h"
+#include "Tests/Jobs/virtual_worker.h"
+#include "Transport/transport.h"
+
+namespace rhubarbhaven::test {
+
+// The partners' platform for tests of real processes, by its published
+// interfaces: the log and one worker for each agent, over HTTP on loopback. The
+// models are those of the explorer, with the real clock behind them.
+class PlatformStandIn {
+ public:
+  // Each worker reports itself to the address of the same place in
+  // `heartbeat_addresses`.
+  explicit PlatformStandIn(std::vector<std::string> heartbeat_addresses);
+  PlatformStandIn(const PlatformStandIn&) = delete;
+  auto operator=(const PlatformStandIn&) -> PlatformStandIn& = delete;
+  ~PlatformStandIn();
+
+  auto log_address() const -> std::string;
+  auto worker_address(int number) const -> std::string;
+  // Publishes a configuration with one queue, /jobs/ at host "queue.example".
+  auto Configure(uint64_t version) -> void;
+  auto SetLogMode(jobs::VirtualLog::Mode mode) -> void;
+  auto ForgetHistory() -> void;
+  auto CrashWorker(int number) -> void;
+
+  // What was broken: a task in two places, or run again after its end.
+  auto problems() -> std::vector<std::string>;
+  auto starts() -> int;
+  auto ends() -> int;
+
+ private:
+  struct WorkerPlace {
+    std::unique_ptr<jobs::VirtualWorker> model;
+    std::unique_ptr<HttpServer> server;
+    std::string heartbeat_address;
+  };
+
+  auto Run() -> void;
+  auto Beat(int number) -> void;
+  auto MakeWatch() -> jobs::WorkerWatch;
+  auto MakeServer(
+      std::function<auto(const HttpServerRequest&, const HttpResponder&)->void>
+          handle) -> std::unique_ptr<HttpServer>;
+  auto HandleLog(const HttpServerRequest& request, const HttpResponder& respond)
+      -> void;
+  auto HandleWorker(int number,
+                    const HttpServerRequest& request,
+                    const HttpResponder& respond) -> void;
+
+  std::mutex mutex_;
+  jobs::VirtualTime time_{1};
+  jobs::VirtualLog log_{&time_};
+  jobs::KeyedLogPort log_port_;
+  std::vector<WorkerPlace> workers_;
+  std::unique_ptr<HttpServer> log_server_;
+  HttpCaller heartbeats_{8};
+  std::vector<std::string> problems_;
+  std::set<std::string> done_;
+  int starts_ = 0;
+  int ends_ = 0;
+  std::atomic<bool> stop_ = false;
+  std::thread thread_;
+};
+
+}  // namespace rhubarbhaven::test
+
+#endif  // RHUBARBHAVEN_TESTS_STANDINS_PLATFORM_PLATFORM_STAND_IN_H_
--- a/Tests/Support/deployment.cc
+++ b/Tests/Support/deployment.cc
@@ -191,7 +191,7 @@
   static_cast<void>(google::protobuf::util::MessageToJsonString(
       settings_.at(name), &json, print));
   std::ofstream(PathOf(name + ".json")) << json;
-  return {binaries + "/Source/Daemon/rhubarbhavend",
+  return {binaries + "/platform/rhubarbhavend",
           "--settings=" + PathOf(name + ".json")};
 }
 
