Jobs: Slow fillers of late jobs first

Cause: on a worker the longest running filler was served first, which under overload is mostly one of a job that is late already.

--- a/Source/Jobs/filler_pacing.cc
+++ b/Source/Jobs/filler_pacing.cc
@@ -69,11 +69,8 @@
   }
   AdjustCaution();
   auto rooms = Rooms(capacity_millicores);
-  // Run numbers rise, so this is the order in which the runs were started.
-  for (auto& [number, run] : runs_) {
-    if (!run.listed || !run.paced.uses_spare_processors()) {
-      continue;
-    }
+  for (const uint64_t number : FillersInOrder()) {
+    Run& run = runs_.at(number);
     const uint32_t percent = TakeSpeed(run, capacity_millicores, &rooms);
     const uint32_t change =
         std::max(percent, run.percent) - std::min(percent, run.percent);
@@ -129,6 +126,23 @@
   return rooms;
 }
 
+// The rank decides, then the order in which the runs were started: run numbers
+// rise.
+auto FillerPacing::FillersInOrder() const -> std::vector<uint64_t> {
+  std::vector<uint64_t> order;
+  for (const auto& [number, run] : runs_) {
+    if (run.listed && run.paced.uses_spare_processors()) {
+      order.push_back(number);
+    }
+  }
+  std::stable_sort(order.begin(), order.end(),
+                   [this](uint64_t left, uint64_t right) -> bool {
+                     return runs_.at(left).paced.rank() <
+                            runs_.at(right).paced.rank();
+                   });
+  return order;
+}
+
 auto FillerPacing::AdjustCaution() -> void {
   bool over = false;
   for (const auto& [number, run] : runs_) {
--- a/Source/Jobs/filler_pacing.h
+++ b/Source/Jobs/filler_pacing.h
@@ -63,6 +63,7 @@
   auto PressureOf(const Run& serving, const Run& filler) const -> double;
   // How much more, as a share of its base, each serving run's latency may grow.
   auto Rooms(double capacity) -> std::map<uint64_t, double>;
+  auto FillersInOrder() const -> std::vector<uint64_t>;
   auto AdjustCaution() -> void;
   // The speed that the rooms leave to a filler; takes its part of them.
   auto TakeSpeed(const Run& filler,
--- a/Source/Jobs/filler_speed.cc
+++ b/Source/Jobs/filler_speed.cc
@@ -1,6 +1,8 @@
 #include "Jobs/filler_speed.h"
 
 #include <algorithm>
+#include <map>
+#include <string>
 
 namespace rhubarbhaven::jobs {
 namespace {
@@ -16,25 +18,45 @@
 constexpr double kLost = 1.1;
 constexpr double kLeastPressure = 0.5;
 
-auto UnusedShare(const WorkerView& worker, const JobStep& step) -> double {
+// What the fillers ask for that are slowed no sooner than the task's own run.
+struct Competition {
+  std::map<std::string, double> share_by_image;
+  double millicores = 0;
+};
+
+auto CompetitionOf(const WorkerView& worker) -> Competition {
+  Competition competition;
+  const auto capacity = static_cast<double>(worker.capacity.millicores);
+  for (const auto& [number, other] : worker.runs) {
+    const auto& step = other.spec();
+    if (!step.uses_spare_processors()) {
+      continue;
+    }
+    const auto millicores = static_cast<double>(step.need().millicores());
+    competition.millicores += millicores;
+    competition.share_by_image[step.image()] += millicores / capacity;
+  }
+  return competition;
+}
+
+auto UnusedShare(const WorkerView& worker,
+                 const Competition& competition,
+                 const JobStep& step) -> double {
   const double unused =
       static_cast<double>(worker.capacity.millicores) -
       kUsedOfHeld * static_cast<double>(worker.held.millicores);
-  const auto wanted = static_cast<double>(worker.spare_millicores_used +
-                                          step.need().millicores());
+  const double wanted = competition.millicores + step.need().millicores();
   const double share = std::clamp(unused / std::max(1.0, wanted), 0.0, 1.0);
   return share < kLeastUnusedShare ? 0.0 : share;
 }
 
-// What fillers on the worker press the serving image with at full speed.
-auto PressureAtFullSpeed(const WorkerView& worker,
+// What the competing fillers press the serving image with at full speed.
+auto PressureAtFullSpeed(const Competition& competition,
                          const std::string& serving_image,
                          const ImageInterference& interference) -> double {
   double pressure = 0;
-  for (const auto& [image, millicores] : worker.filler_millicores) {
-    pressure += interference.Pressure(serving_image, image) *
-                static_cast<double>(millicores) /
-                static_cast<double>(worker.capacity.millicores);
+  for (const auto& [image, share] : competition.share_by_image) {
+    pressure += interference.Pressure(serving_image, image) * share;
   }
   return pressure;
 }
@@ -42,13 +64,15 @@
 }  // namespace
 
 auto FillerSpeed(WorkerView& worker,
-                 const JobStep& step,
+                 const TaskPlace& place,
                  const ImageInterference& interference) -> double {
-  auto& cached = worker.filler_speeds[step.image()];
+  const auto& step = place.spec();
+  auto& cached = worker.filler_speeds[{step.image(), place.work->outlook}];
   if (cached.version == worker.load_version) {
     return cached.speed;
   }
-  double speed = UnusedShare(worker, step);
+  const Competition competition = CompetitionOf(worker);
+  double speed = UnusedShare(worker, competition, step);
   const auto capacity = static_cast<double>(worker.capacity.millicores);
   for (const auto& [run, serving] : worker.serving) {
     const double pressure = interference.Pressure(serving.image, step.image());
@@ -58,7 +82,7 @@
     const double base = interference.base_ms(run);
     const double room = base <= 0 ? 1.0 : kAim * serving.target_ms / base - 1.0;
     const double at_full_speed =
-        PressureAtFullSpeed(worker, serving.image, interference) +
+        PressureAtFullSpeed(competition, serving.image, interference) +
         pressure * step.need().millicores() / capacity;
     speed = std::min(speed, std::max(0.0, room) / at_full_speed);
   }
--- a/Source/Jobs/job_order.h
+++ b/Source/Jobs/job_order.h
@@ -9,15 +9,6 @@
 
 namespace rhubarbhaven::jobs {
 
-// Whether a job can still be done in time.
-enum class JobOutlook {
-  kInTime,
-  // Later than its target, but still of some use.
-  kLate,
-  // So late that nothing is lost by waiting longer.
-  kTooLate,
-};
-
 // Place of a job in the order in which jobs are served; the smallest is first.
 // The queue's priority decides, then whether the job can still be in time:
 // under overload, serving the oldest first would make every job late.
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -146,6 +146,7 @@
 
   // Placement.
   auto PlaceAll(TimePoint now) -> void;
+  auto NoteOutlook(JobWork& work, JobOutlook outlook) -> void;
   auto PlaceJob(TimePoint now, JobWork& work) -> void;
   auto PlaceStep(TimePoint now, TaskPlace place) -> void;
   auto PlaceGang(TimePoint now, TaskPlace place) -> void;
--- a/Source/Jobs/job_work.h
+++ b/Source/Jobs/job_work.h
@@ -14,6 +14,15 @@
 
 struct WorkerView;
 
+// Whether a job can still be done in time.
+enum class JobOutlook {
+  kInTime,
+  // Later than its target, but still of some use.
+  kLate,
+  // So late that nothing is lost by waiting longer.
+  kTooLate,
+};
+
 enum class RunPhase { kStarting, kRunning, kStopping };
 
 // One run of a task on a worker, from the order to start it until its end is
@@ -64,6 +73,8 @@
   // Occurrences that are due so far; all of them have been opened.
   uint32_t opened = 0;
   JobState state = JOB_QUEUED;
+  // When tasks were last placed.
+  JobOutlook outlook = JobOutlook::kInTime;
   // Changed since it was last put into a record.
   bool dirty = false;
 
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -35,6 +35,7 @@
   for (const auto& [id, work] : jobs_) {
     if (!work->entry->over() && work->state < JOB_COMPLETED) {
       open.push_back({RankOf(*work, wall), work.get()});
+      NoteOutlook(*work, open.back().rank.outlook);
     }
   }
   std::sort(open.begin(), open.end(),
@@ -46,6 +47,23 @@
   }
 }
 
+auto JobOwner::NoteOutlook(JobWork& work, JobOutlook outlook) -> void {
+  if (work.outlook == outlook) {
+    return;
+  }
+  work.outlook = outlook;
+  for (auto& [number, occurrence] : work.occurrences) {
+    for (auto& step : occurrence.steps) {
+      for (auto& task : step.tasks) {
+        for (auto& run : task.runs) {
+          // Its agent is told anew in what order to slow its runs.
+          ++run.worker->pacing_version;
+        }
+      }
+    }
+  }
+}
+
 auto JobOwner::PlaceJob(TimePoint now, JobWork& work) -> void {
   for (auto& [number, occurrence] : work.occurrences) {
     for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
@@ -269,6 +287,7 @@
         paced->set_uses_spare_processors(step.uses_spare_processors());
         paced->set_image(step.image());
         paced->set_millicores(step.need().millicores());
+        paced->set_rank(static_cast<uint32_t>(place.work->outlook));
       }
     }
   }
--- a/Source/Jobs/place_choice.cc
+++ b/Source/Jobs/place_choice.cc
@@ -86,7 +86,7 @@
            kSameStepCost * worker.CountOf(place) - UsedShare(worker);
   }
   if (step.uses_spare_processors()) {
-    const double speed = FillerSpeed(worker, step, interference);
+    const double speed = FillerSpeed(worker, place, interference);
     if (speed < kLeastFillerSpeed) {
       return std::numeric_limits<double>::infinity();
     }
--- a/Source/Jobs/worker_view.cc
+++ b/Source/Jobs/worker_view.cc
@@ -64,7 +64,6 @@
   if (step.uses_spare_processors()) {
     held.millicores -= step.need().millicores();
     spare_millicores_used += step.need().millicores();
-    filler_millicores[step.image()] += step.need().millicores();
   }
 }
 
@@ -77,7 +76,6 @@
   if (step.uses_spare_processors()) {
     held.millicores += step.need().millicores();
     spare_millicores_used -= step.need().millicores();
-    filler_millicores[step.image()] -= step.need().millicores();
   }
 }
 
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -6,6 +6,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "Base/base.h"
 #include "Jobs/job_work.h"
@@ -68,13 +70,11 @@
   // Held by runs whose processors count, and by those on spare processors.
   Room held;
   int64_t spare_millicores_used = 0;
-  // Runs with a target for their latency, and what fillers of each image ask
-  // for; see FillerSpeed.
+  // Runs with a target for their latency; see FillerSpeed.
   std::map<uint64_t, ServingRun> serving;
-  std::map<std::string, int64_t> filler_millicores;
   // Grows with each change of what runs or is known of it.
   uint64_t load_version = 1;
-  std::map<std::string, CachedSpeed> filler_speeds;
+  std::map<std::pair<std::string, JobOutlook>, CachedSpeed> filler_speeds;
   std::map<uint64_t, TaskPlace> runs;
 
   std::map<uint64_t, PendingOrder> orders;
