Jobs: Stop runs that stand still, and mend two findings

A run without progress for 2 s is stopped, its worker set aside for 4 s. Cause: workers on which tasks stand still held jobs until their callers gave up.

Found by a test: an order to start what had ended already was sent again.

--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -129,6 +129,7 @@
     for (const auto& row : report.running()) {
       NoteProgress(now, worker, row);
     }
+    StopStalled(now, worker);
     LearnInterference(worker, report);
   }
   if (worker.confirmed) {
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -33,6 +33,10 @@
   std::chrono::milliseconds repeat_after{400};
   // How often an agent is told what was learned of the images on its worker.
   std::chrono::milliseconds tell_pressures{1000};
+  // A run that has made no progress for this long is stopped and started
+  // elsewhere. Workers tell whole percents of tasks that take seconds.
+  std::chrono::milliseconds stalled_after{2000};
+  std::chrono::milliseconds set_aside_stalled{4000};
   // How long jobs that are over stay readable; the platform asks for 120 s.
   std::chrono::seconds keep_over{150};
   // An agent that is silent for this long leaves the roster. It registers
@@ -119,6 +123,8 @@
       -> void;
   auto NoteProgress(TimePoint now, WorkerView& worker, const RunningTask& row)
       -> void;
+  // Stops runs that stand still.
+  auto StopStalled(TimePoint now, WorkerView& worker) -> void;
   auto LoseRuns(TimePoint now, WorkerView& worker, const std::string& why)
       -> void;
   auto LoseSilentWorkers(TimePoint now) -> void;
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -159,6 +159,30 @@
   }
 }
 
+auto JobOwner::StopStalled(TimePoint now, WorkerView& worker) -> void {
+  if (worker.silent || worker.draining) {
+    return;
+  }
+  const auto runs = worker.runs;
+  for (const auto& [number, place] : runs) {
+    const auto& step = place.spec();
+    // Tasks that last report no progress, and fillers may be slowed to nothing.
+    if (step.long_running() || step.uses_spare_processors()) {
+      continue;
+    }
+    for (auto& run : place.task().runs) {
+      const bool stalled = run.worker == &worker &&
+                           run.phase == RunPhase::kRunning &&
+                           now - run.progress_at > options_.stalled_after;
+      if (stalled) {
+        StopRun(place, run, "it makes no progress");
+        worker.set_aside_until = now + options_.set_aside_stalled;
+        retry_at_ = std::min(retry_at_, worker.set_aside_until);
+      }
+    }
+  }
+}
+
 auto JobOwner::LearnInterference(WorkerView& worker, const AgentReport& report)
     -> void {
   if (worker.capacity.millicores <= 0) {
@@ -352,6 +376,7 @@
       if (run.run == start.run() && run.worker == &worker &&
           run.phase == RunPhase::kStarting) {
         run.phase = RunPhase::kRunning;
+        run.progress_at = now;
       }
     }
     if (place->work->state == JOB_QUEUED) {
@@ -403,6 +428,14 @@
   if (held != holder.runs.end()) {
     holder.runs.erase(held);
   }
+  // An order to start what is over would only be refused by the worker.
+  std::erase_if(holder.orders, [run, &place](const auto& item) -> bool {
+    const auto& start = item.second.start;
+    return start && start->run() == run &&
+           start->task().index() == place.index &&
+           start->task().step() == place.step &&
+           start->task().job() == place.work->job().id();
+  });
   interference_.Forget(run);
   task.runs.erase(found);
   task.waiting_since = now;
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -538,8 +538,11 @@
         (*worker_lease_until_ - *silent_since_) * options_.worker_clock_drift);
     report.set_worker_lapsed(now > *worker_lease_until_ + drift + kLeaseMargin);
   }
-  report.set_complete(listed_ && with_running);
-  if (listed_) {
+  // What was listed before the worker fell silent is no longer known to be so:
+  // an owner that has taken its runs for lost would take them back.
+  const bool listed = listed_ && !silent_since_;
+  report.set_complete(listed && with_running);
+  if (listed) {
     if (with_running) {
       for (const auto& row : listing_.running) {
         *report.add_running() = row;
--- a/Tests/Jobs/explorer_test.cc
+++ b/Tests/Jobs/explorer_test.cc
@@ -127,5 +127,27 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, ExplorerTest, Seeds());
 
+// Seeds that once showed a fault.
+INSTANTIATE_TEST_SUITE_P(
+    Kept,
+    ExplorerTest,
+    testing::Values(
+        // An agent without a worker's heartbeat named no worker, and the owner
+        // took its runs for lost.
+        12,
+        14,
+        29,
+        // An entry refused callers for good after one refusal by the log.
+        166,
+        // An owner began on a fold that lacked records.
+        327,
+        754,
+        764,
+        // A restarted agent refused a start that had been carried out.
+        1000,
+        // A silent worker's old listing was told again after its runs had been
+        // taken for lost.
+        3203));
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
--- /dev/null
+++ b/Tests/Jobs/job_owner_test.cc
@@ -0,0 +1,373 @@
+// What an owner decides from what agents report. The agents are played by the
+// test; the log is a fold that the test fills.
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Jobs/jobs.h"
+
+namespace rhubarbhaven::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kId[] = "0123456789abcdef";
+constexpr uint64_t kFence = 1;
+
+class JobOwnerTest : public testing::Test {
+ protected:
+  JobOwnerTest() : owner_(JobOwnerOptions(), Hooks()) {
+    for (const char* agent : {"agent-0", "agent-1"}) {
+      AgentEntry entry;
+      entry.set_name(agent);
+      entry.set_link_endpoint(agent);
+      Put(MakeRecord(RecordKind::kAgent, agent, entry));
+    }
+    rules_.set_service("service");
+    rules_.set_max_attempts(2);
+  }
+
+  auto Hooks() -> JobOwnerHooks {
+    JobOwnerHooks hooks;
+    hooks.send = [this](const std::string& agent, AgentOrders orders) {
+      for (const auto& start : orders.starts()) {
+        starts_[agent][start.order()] = start;
+      }
+      for (const auto& stop : orders.stops()) {
+        stops_[agent][stop.order()] = stop;
+      }
+    };
+    hooks.log = [](const OwnerDecision&) {};
+    hooks.rules = [this](const std::string&) { return &rules_; };
+    hooks.wall_clock = [this]() -> milliseconds { return wall_; };
+    return hooks;
+  }
+
+  auto Put(KeyedRecord record) -> void {
+    record.offset = ++offset_;
+    const auto change = fold_.Apply(record);
+    owner_.OnChange(now_, change);
+  }
+
+  auto PutJob(const std::vector<JobStep>& steps, uint32_t occurrences = 0)
+      -> void {
+    Job job;
+    job.set_id(kId);
+    for (const auto& step : steps) {
+      *job.add_steps() = step;
+    }
+    job.set_occurrences(occurrences);
+    job.set_first_due_unix_ms(1000);
+    job.set_interval_ms(500);
+    Put(MakeRecord(RecordKind::kJob, kId, job));
+  }
+
+  static auto Step(uint32_t count) -> JobStep {
+    JobStep step;
+    step.set_count(count);
+    step.mutable_need()->set_millicores(1000);
+    step.set_estimated_ms(1000);
+    return step;
+  }
+
+  auto Begin() -> void {
+    owner_.Begin(now_, kFence, &fold_, now_ + seconds(20));
+  }
+
+  static auto ReportOf(const std::string& agent) -> AgentReport {
+    AgentReport report;
+    report.set_fence(kFence);
+    report.set_sent_us(++sent_us_);
+    report.set_worker_id("life-of-" + agent);
+    report.set_service("service");
+    report.mutable_capacity()->set_millicores(4000);
+    report.mutable_capacity()->set_memory_mb(4000);
+    report.set_complete(true);
+    return report;
+  }
+
+  auto Report(const std::string& agent, const AgentReport& report) -> void {
+    EXPECT_TRUE(owner_.OnReport(now_, agent, report));
+    owner_.Tick(now_);
+  }
+
+  auto ReportAll() -> void {
+    for (const char* agent : {"agent-0", "agent-1"}) {
+      Report(agent, ReportOf(agent));
+    }
+  }
+
+  auto Starts() const -> std::size_t {
+    std::size_t count = 0;
+    for (const auto& [agent, starts] : starts_) {
+      count += starts.size();
+    }
+    return count;
+  }
+
+  // A report by which an agent has carried out all of its starts.
+  auto Started(const std::string& agent, uint32_t percent) -> AgentReport {
+    auto report = ReportOf(agent);
+    for (const auto& [number, start] : starts_[agent]) {
+      auto* result = report.add_results();
+      result->set_order(number);
+      result->set_outcome(ORDER_DONE);
+      auto* row = report.add_running();
+      *row->mutable_task() = start.task();
+      row->set_run(start.run());
+      row->set_percent(percent);
+    }
+    return report;
+  }
+
+  static inline uint64_t sent_us_ = 0;
+  TimePoint now_{seconds(100)};
+  milliseconds wall_{0};
+  uint64_t offset_ = 0;
+  QueueRules rules_;
+  JobFold fold_;
+  std::map<std::string, std::map<uint64_t, StartOrder>> starts_;
+  std::map<std::string, std::map<uint64_t, StopOrder>> stops_;
+  JobOwner owner_;
+};
+
+TEST_F(JobOwnerTest, NextStepWaitsForAllTasksOfTheOneBefore) {
+  auto second = Step(1);
+  second.add_after(0);
+  PutJob({Step(2), second});
+  Begin();
+  ReportAll();
+  ASSERT_EQ(Starts(), 2U);
+  uint64_t number = 0;
+  for (const auto& [agent, starts] : std::map(starts_)) {
+    for (const auto& [order, start] : starts) {
+      auto report = ReportOf(agent);
+      auto* end = report.add_ended();
+      end->set_number(++number);
+      *end->mutable_task() = start.task();
+      end->set_run(start.run());
+      end->set_end(RUN_DONE);
+      EXPECT_EQ(Starts(), 2U);
+      Report(agent, report);
+    }
+  }
+  EXPECT_EQ(Starts(), 3U);
+}
+
+// Symptom: tasks run in two places after an agent restarts. Sequence: the
+// agent's process is killed; the next one reports before its worker's first
+// heartbeat. Cause: no worker was taken for a worker that has left.
+TEST_F(JobOwnerTest, ReportWithoutAWorkerLosesNoRuns) {
+  PutJob({Step(1)});
+  Begin();
+  ReportAll();
+  ASSERT_EQ(Starts(), 1U);
+  const std::string agent = starts_.begin()->first;
+  Report(agent, Started(agent, 10));
+  AgentReport restarted;
+  restarted.set_fence(kFence);
+  restarted.set_sent_us(++sent_us_);
+  Report(agent, restarted);
+  ReportAll();
+  EXPECT_EQ(Starts(), 1U);
+}
+
+TEST_F(JobOwnerTest, WorkerThatLeftLosesItsRuns) {
+  PutJob({Step(1)});
+  Begin();
+  ReportAll();
+  const std::string agent = starts_.begin()->first;
+  Report(agent, Started(agent, 10));
+  AgentReport left;
+  left.set_fence(kFence);
+  left.set_sent_us(++sent_us_);
+  left.set_left_worker_id("life-of-" + agent);
+  Report(agent, left);
+  EXPECT_EQ(Starts(), 2U);
+}
+
+// A job of before the claim may run on an agent that has not answered; one
+// accepted later cannot.
+TEST_F(JobOwnerTest, TasksOfBeforeTheClaimWaitForTheCensus) {
+  PutJob({Step(1)});
+  OwnerClaim claim;
+  claim.set_fence(kFence);
+  Put(MakeRecord(RecordKind::kClaim, "", claim));
+  Begin();
+  Report("agent-0", ReportOf("agent-0"));
+  for (int round = 0; round < 60; ++round) {
+    EXPECT_EQ(Starts(), 0U) << round;
+    now_ += milliseconds(300);
+    Report("agent-0", ReportOf("agent-0"));
+  }
+  now_ += seconds(3);
+  Report("agent-0", ReportOf("agent-0"));
+  EXPECT_EQ(Starts(), 1U);
+}
+
+// Symptom: a job hangs on a worker whose tasks stand still.
+TEST_F(JobOwnerTest, RunWithoutProgressIsStoppedAndStartedElsewhere) {
+  PutJob({Step(1)});
+  Begin();
+  ReportAll();
+  const std::string agent = starts_.begin()->first;
+  const std::string other = agent == "agent-0" ? "agent-1" : "agent-0";
+  for (int round = 0; round < 10; ++round) {
+    Report(agent, Started(agent, 10));
+    Report(other, ReportOf(other));
+    now_ += milliseconds(300);
+  }
+  ASSERT_EQ(stops_[agent].size(), 1U);
+  EXPECT_EQ(Starts(), 1U);
+  auto report = ReportOf(agent);
+  auto* end = report.add_ended();
+  end->set_number(1);
+  *end->mutable_task() = starts_[agent].begin()->second.task();
+  end->set_run(starts_[agent].begin()->second.run());
+  end->set_end(RUN_STOPPED);
+  Report(agent, report);
+  EXPECT_EQ(starts_[other].size(), 1U);
+}
+
+TEST_F(JobOwnerTest, ProgressKeepsARunWhereItIs) {
+  PutJob({Step(1)});
+  Begin();
+  ReportAll();
+  const std::string agent = starts_.begin()->first;
+  for (uint32_t round = 0; round < 20; ++round) {
+    Report(agent, Started(agent, 10 + round));
+    now_ += milliseconds(300);
+  }
+  EXPECT_TRUE(stops_[agent].empty());
+}
+
+TEST_F(JobOwnerTest, JobFailsAfterItsAttempts) {
+  PutJob({Step(1)});
+  Begin();
+  ReportAll();
+  uint64_t number = 0;
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    for (const auto& [agent, starts] : std::map(starts_)) {
+      for (const auto& [order, start] : starts) {
+        auto report = ReportOf(agent);
+        auto* end = report.add_ended();
+        end->set_number(++number);
+        *end->mutable_task() = start.task();
+        end->set_run(start.run());
+        end->set_end(RUN_FAILED);
+        Report(agent, report);
+        starts_[agent].erase(order);
+      }
+    }
+    now_ += milliseconds(200);
+    ReportAll();
+  }
+  EXPECT_EQ(Starts(), 0U);
+  bool failed = false;
+  for (const auto& record : owner_.TakeBatch()) {
+    JobProgress progress;
+    if (ParseKey(record.key).kind == RecordKind::kProgress &&
+        progress.ParseFromString(record.value)) {
+      failed = failed || progress.state() == JOB_FAILED;
+    }
+  }
+  EXPECT_TRUE(failed);
+}
+
+TEST_F(JobOwnerTest, OccurrencesStartWhenTheyAreDue) {
+  PutJob({Step(1)}, /*occurrences=*/3);
+  Begin();
+  ReportAll();
+  EXPECT_EQ(Starts(), 0U);
+  for (const auto& [wall, starts] : std::vector<std::pair<int, std::size_t>>{
+           {999, 0}, {1000, 1}, {1499, 1}, {1500, 2}, {2600, 3}}) {
+    now_ += milliseconds(wall) - wall_;
+    wall_ = milliseconds(wall);
+    ReportAll();
+    EXPECT_EQ(Starts(), starts) << wall;
+  }
+}
+
+struct GangCase {
+  std::string name;
+  uint32_t members = 0;
+  std::size_t starts = 0;
+};
+
+class GangTest : public JobOwnerTest,
+                 public testing::WithParamInterface<GangCase> {};
+
+TEST_P(GangTest, StartsWholeOrNotAtAll) {
+  auto step = Step(GetParam().members);
+  step.set_gang(true);
+  PutJob({step});
+  Begin();
+  ReportAll();
+  EXPECT_EQ(Starts(), GetParam().starts);
+  std::set<uint64_t> runs;
+  for (const auto& [agent, starts] : starts_) {
+    for (const auto& [order, start] : starts) {
+      runs.insert(start.run());
+    }
+  }
+  EXPECT_LE(runs.size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         GangTest,
+                         testing::Values(GangCase{"fits", 8, 8},
+                                         GangCase{"one_too_many", 9, 0}),
+                         [](const auto& info) { return info.param.name; });
+
+struct PlaceCase {
+  std::string name;
+  std::function<auto(JobStep*)->void> change;
+  std::size_t starts = 0;
+};
+
+class PlaceTest : public JobOwnerTest,
+                  public testing::WithParamInterface<PlaceCase> {};
+
+TEST_P(PlaceTest, KeepsTheStepsRules) {
+  auto step = Step(6);
+  GetParam().change(&step);
+  PutJob({step});
+  Begin();
+  for (const char* agent : {"agent-0", "agent-1"}) {
+    auto report = ReportOf(agent);
+    report.add_labels("kind");
+    report.add_labels(std::string("rack-of-") + agent);
+    Report(agent, report);
+  }
+  EXPECT_EQ(Starts(), GetParam().starts);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    PlaceTest,
+    testing::Values(
+        PlaceCase{"no_rule", [](JobStep*) {}, 6},
+        PlaceCase{
+            "label_of_one",
+            [](JobStep* step) { step->set_required_label("rack-of-agent-1"); },
+            4},
+        PlaceCase{"label_of_none",
+                  [](JobStep* step) { step->set_required_label("other"); }, 0},
+        PlaceCase{"two_a_worker",
+                  [](JobStep* step) { step->set_max_per_worker(2); }, 4},
+        PlaceCase{
+            "memory",
+            [](JobStep* step) { step->mutable_need()->set_memory_mb(2000); },
+            4},
+        PlaceCase{
+            "accelerator",
+            [](JobStep* step) { step->mutable_need()->set_accelerators(1); },
+            0}),
+    [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace rhubarbhaven::jobs
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -208,6 +208,24 @@
   EXPECT_EQ(lists_.back().deadline.count(), 0);
 }
 
+// Symptom: a task runs in two places. Sequence: a worker falls silent, its
+// lease runs out, the owner takes its runs for lost; the agent's next report
+// lists them as before. Cause: the listing of before the silence was told
+// again.
+TEST_F(TaskAgentTest, SilentWorkersRunsAreNotTold) {
+  Beat(kWorker);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  RunningTask row;
+  row.mutable_task()->set_job("job");
+  row.set_run(10);
+  AnswerList({row});
+  ASSERT_TRUE(reports_.back().complete());
+  on_list_(now_, WorkerListing());
+  agent_.OnOrders(now_, "owner", Orders(1));
+  EXPECT_FALSE(reports_.back().complete());
+  EXPECT_TRUE(reports_.back().running().empty());
+}
+
 TEST_F(TaskAgentTest, HeartbeatOfALifeThatIsOverIsNotTaken) {
   Beat("life-1");
   Beat("life-2");
--- a/Tests/Jobs/virtual_worker.cc
+++ b/Tests/Jobs/virtual_worker.cc
@@ -25,6 +25,13 @@
       time_->now().time_since_epoch());
 }
 
+auto VirtualWorker::PercentOf(const Run& run) const -> uint32_t {
+  constexpr int64_t kAll = 100;
+  const auto done = time_->now() - run.started;
+  return static_cast<uint32_t>(
+      std::min(kAll, kAll * done.count() / Duration(run.work).count()));
+}
+
 auto VirtualWorker::PortFor(std::function<auto()->bool> alive) -> WorkerPort {
   const auto guard = [alive](const WorkerPort::OnCall& done) {
     return [alive, done](TimePoint now, WorkerCallResult result) -> void {
@@ -149,9 +156,10 @@
     return WorkerCallOutcome::kNoRoom;
   }
   const uint64_t number = ++run_numbers_;
-  runs_[task] = {call.task, call.run, false, number};
+  const auto work = watch_.work(call.task);
+  runs_[task] = {call.task, call.run, false, number, time_->now(), work};
   watch_.on_start(name_, call.task, call.run);
-  time_->After(watch_.work(call.task), [this, task, number]() -> void {
+  time_->After(work, [this, task, number]() -> void {
     const auto run = runs_.find(task);
     if (run != runs_.end() && run->second.number == number &&
         !run->second.stopping) {
@@ -207,6 +215,7 @@
     RunningTask row;
     *row.mutable_task() = run.task;
     row.set_run(run.run);
+    row.set_percent(PercentOf(run));
     listing.running.push_back(std::move(row));
   }
   for (const auto& end : listed_) {
--- a/Tests/Jobs/virtual_worker.h
+++ b/Tests/Jobs/virtual_worker.h
@@ -52,6 +52,8 @@
     uint64_t run = 0;
     bool stopping = false;
     uint64_t number = 0;
+    TimePoint started;
+    std::chrono::milliseconds work{0};
   };
   struct End {
     EndedTask row;
@@ -59,6 +61,7 @@
   };
 
   auto Clock() const -> WorkerTime;
+  auto PercentOf(const Run& run) const -> uint32_t;
   auto ExpireLease() -> void;
   auto ExtendLease(WorkerTime deadline) -> void;
   auto Start(const StartCall& call) -> WorkerCallOutcome;
--- a/Tests/StandIns/Platform/platform_stand_in.cc
+++ b/Tests/StandIns/Platform/platform_stand_in.cc
@@ -162,8 +162,8 @@
   }
   Json running = Json::array();
   for (const auto& row : listing.running) {
-    running.push_back(
-        {DescribeTask(row.task()), row.run(), row.checkpoint(), 50, 0});
+    running.push_back({DescribeTask(row.task()), row.run(), row.checkpoint(),
+                       row.percent(), 0});
   }
   Json ended = Json::array();
   for (const auto& row : listing.ended) {
