--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -16,9 +16,9 @@
 // The fold counts as current for this long after a read that reached the end.
 // Callers may ask for a job 3 s after it was accepted anywhere.
 constexpr std::chrono::milliseconds kCurrentFor{2000};
-// An entry is ready for this long after it last read the log: longer, so that a
-// short outage does not take every entry out of the balancer at once.
-constexpr std::chrono::milliseconds kReadyFor{4000};
+// An entry whose read of the log has not been answered for this long is not
+// ready: a read waits a second for a record, and gets its time for the way.
+constexpr std::chrono::milliseconds kReadyFor{2500};
 // The election and the readiness look at the time at least this often.
 constexpr std::chrono::milliseconds kLookInterval{100};
 // Tickets of the owner's appends.
@@ -532,8 +532,12 @@
 }
 
 auto EntryDecisions::UpdateReady(TimePoint now) -> void {
+  // The balancer sends callers to the entries of other failure domains as soon
+  // as this one is not ready. Often only some entries lose the log; a caller
+  // would use up its retries at one of them.
   const auto read_at = job_follower_.caught_up_at();
-  ready_ = !releasing_ && queues_.known() && read_at != TimePoint() &&
+  ready_ = !releasing_ && queues_.known() && job_follower_.reachable() &&
+           !caller_appends_.failing() && read_at != TimePoint() &&
            now - read_at < kReadyFor;
 }
 
--- a/Source/Jobs/image_interference.cc
+++ b/Source/Jobs/image_interference.cc
@@ -44,6 +44,28 @@
   return found == row->second.end() ? kUnknownPressure : found->second;
 }
 
+auto ImageInterference::Learned() const -> LearnedPressures {
+  LearnedPressures learned;
+  for (const auto& [serving, row] : pressures_) {
+    for (const auto& [filler, value] : row) {
+      auto* pressure = learned.add_pressures();
+      pressure->set_serving_image(serving);
+      pressure->set_filler_image(filler);
+      pressure->set_pressure(value);
+    }
+  }
+  return learned;
+}
+
+auto ImageInterference::Load(const LearnedPressures& learned) -> void {
+  pressures_.clear();
+  bases_ms_.clear();
+  for (const auto& pressure : learned.pressures()) {
+    pressures_[pressure.serving_image()][pressure.filler_image()] =
+        std::clamp(pressure.pressure(), 0.0, kLargestPressure);
+  }
+}
+
 auto ImageInterference::base_ms(uint64_t run) const -> double {
   const auto found = bases_ms_.find(run);
   return found == bases_ms_.end() ? 0 : found->second;
--- a/Source/Jobs/image_interference.h
+++ b/Source/Jobs/image_interference.h
@@ -36,6 +36,9 @@
   // neither let loose nor stopped.
   auto Pressure(const std::string& serving_image,
                 const std::string& filler_image) const -> double;
+  // All that was learned, and its start from what another has learned.
+  auto Learned() const -> LearnedPressures;
+  auto Load(const LearnedPressures& learned) -> void;
   // A serving run's latency without fillers, in milliseconds; zero if unknown.
   auto base_ms(uint64_t run) const -> double;
   // The run has ended.
--- a/Source/Jobs/job_fold.cc
+++ b/Source/Jobs/job_fold.cc
@@ -46,6 +46,9 @@
     case RecordKind::kClaim:
       ApplyClaim(record);
       break;
+    case RecordKind::kPressures:
+      pressures_.ParseFromString(record.value);
+      break;
     case RecordKind::kUnknown:
       break;
   }
--- a/Source/Jobs/job_fold.h
+++ b/Source/Jobs/job_fold.h
@@ -58,6 +58,8 @@
   // The newest claim; its place in the log.
   auto claim() const -> const OwnerClaim& { return claim_; }
   auto claim_at() const -> uint64_t { return claim_at_; }
+  // What the latest owners have learned of images.
+  auto pressures() const -> const LearnedPressures& { return pressures_; }
   // Jobs of a queue that are accepted and run once, none of whose tasks has
   // started.
   auto PendingIn(const std::string& queue) const -> uint64_t;
@@ -71,6 +73,7 @@
   absl::flat_hash_map<std::string, std::unique_ptr<StoredJob>> jobs_;
   std::map<std::string, AgentEntry> agents_;
   std::map<std::string, WorkerEnds> worker_ends_;
+  LearnedPressures pressures_;
   OwnerClaim claim_;
   uint64_t claim_at_ = 0;
   bool claim_known_ = false;
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -28,6 +28,8 @@
   fold_ = fold;
   claim_at_ = fold->claim_at();
   silent_until_ = silent_until;
+  interference_.Load(fold->pressures());
+  pressures_stored_at_ = now;
   for (const auto& [name, entry] : fold->agents()) {
     AddAgent(entry);
   }
@@ -178,6 +180,11 @@
     records.push_back({key, "", 0});
   }
   keys_to_drop_.clear();
+  if (pressures_due_) {
+    pressures_due_ = false;
+    records.push_back(
+        MakeRecord(RecordKind::kPressures, "", interference_.Learned()));
+  }
   batch_out_ = !records.empty();
   return records;
 }
@@ -225,6 +232,10 @@
     }
     over = over_since_.erase(over);
   }
+  if (now - pressures_stored_at_ >= options_.store_pressures) {
+    pressures_stored_at_ = now;
+    pressures_due_ = !interference_.Learned().pressures().empty();
+  }
   PollAll(now);
 }
 
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -33,6 +33,9 @@
   std::chrono::milliseconds repeat_after{400};
   // How often an agent is told what was learned of the images on its worker.
   std::chrono::milliseconds tell_pressures{1000};
+  // How often what was learned goes into the log, for the next owner: one that
+  // began with nothing would crowd fillers where they disturb.
+  std::chrono::milliseconds store_pressures{3000};
   // A run that has made no progress for this long is stopped and started
   // elsewhere. Workers tell whole percents of tasks that take seconds.
   std::chrono::milliseconds stalled_after{2000};
@@ -192,6 +195,8 @@
   // Workers by their agents' names.
   WorkerViews workers_;
   ImageInterference interference_;
+  TimePoint pressures_stored_at_;
+  bool pressures_due_ = false;
   // Jobs that are over, since when.
   std::map<std::string, TimePoint> over_since_;
   std::vector<std::string> keys_to_drop_;
--- a/Source/Jobs/job_records.cc
+++ b/Source/Jobs/job_records.cc
@@ -10,13 +10,14 @@
   char letter;
 };
 
-constexpr std::array<KeyPrefix, 6> kPrefixes = {{
+constexpr std::array<KeyPrefix, 7> kPrefixes = {{
     {RecordKind::kJob, 'j'},
     {RecordKind::kProgress, 'p'},
     {RecordKind::kCancellation, 'c'},
     {RecordKind::kAgent, 'a'},
     {RecordKind::kWorkerEnds, 'e'},
     {RecordKind::kClaim, 'o'},
+    {RecordKind::kPressures, 'i'},
 }};
 
 }  // namespace
--- a/Source/Jobs/job_records.h
+++ b/Source/Jobs/job_records.h
@@ -24,6 +24,7 @@
   kAgent,
   kWorkerEnds,
   kClaim,
+  kPressures,
   kUnknown,
 };
 
--- a/Tests/Jobs/pacing_test.cc
+++ b/Tests/Jobs/pacing_test.cc
@@ -130,5 +130,25 @@
   EXPECT_NEAR(interference.base_ms(1), 50, 5);
 }
 
+// Symptom: fillers crowd where they disturb after each change of the owner.
+// Cause: the next owner began with nothing learned.
+TEST(ImageInterferenceTest, NextOwnerGoesOnFromWhatWasLearned) {
+  ImageInterference first;
+  for (int round = 0; round < 100; ++round) {
+    first.Observe({{"serving", 1, std::chrono::milliseconds(150)}},
+                  {{"heavy", 0.2}});
+    first.Observe({{"serving", 1, std::chrono::milliseconds(50)}}, {});
+  }
+  JobFold fold;
+  auto record = MakeRecord(RecordKind::kPressures, "", first.Learned());
+  record.offset = 1;
+  fold.Apply(record);
+  ImageInterference next;
+  next.Load(fold.pressures());
+  EXPECT_DOUBLE_EQ(next.Pressure("serving", "heavy"),
+                   first.Pressure("serving", "heavy"));
+  EXPECT_GT(next.Pressure("serving", "heavy"), 5);
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
