Jobs: Ask for tickets where a queue has a policy

Queues may have a policy that says which workers may run a step and gives tickets for them. Without it such starts were refused by the workers for good.

--- a/Source/Daemon/job_agent.cc
+++ b/Source/Daemon/job_agent.cc
@@ -56,7 +56,7 @@
 }
 
 auto JobAgent::OnHeartbeat(jobs::WorkerHeartbeat heartbeat,
-                           std::function<auto(bool taken)->void> respond)
+                           const std::function<auto(bool taken)->void>& respond)
     -> void {
   const bool posted = duty_.Post(
       [this, heartbeat = std::move(heartbeat), respond](TimePoint now) -> void {
@@ -73,7 +73,8 @@
 }
 
 auto JobAgent::OnLeave(const std::string& worker_id,
-                       std::function<auto(bool taken)->void> respond) -> void {
+                       const std::function<auto(bool taken)->void>& respond)
+    -> void {
   const bool posted =
       duty_.Post([this, worker_id, respond](TimePoint now) -> void {
         log_.Write("worker_leaves", {{"worker", worker_id}});
@@ -128,7 +129,8 @@
 }
 
 // The same calls, whose answers come on this duty's thread.
-auto JobAgent::WorkerOnThread(const jobs::WorkerPort& port) -> jobs::WorkerPort {
+auto JobAgent::WorkerOnThread(const jobs::WorkerPort& port)
+    -> jobs::WorkerPort {
   const auto call_back =
       [this](const jobs::WorkerPort::OnCall& done) -> jobs::WorkerPort::OnCall {
     return [this, done](TimePoint, jobs::WorkerCallResult result) -> void {
--- a/Source/Daemon/job_agent.h
+++ b/Source/Daemon/job_agent.h
@@ -42,9 +42,10 @@
   auto OnOrders(const std::string& peer, jobs::AgentOrders orders) -> void;
   // `respond` tells whether the heartbeat is taken.
   auto OnHeartbeat(jobs::WorkerHeartbeat heartbeat,
-                   std::function<auto(bool taken)->void> respond) -> void;
+                   const std::function<auto(bool taken)->void>& respond)
+      -> void;
   auto OnLeave(const std::string& worker_id,
-               std::function<auto(bool taken)->void> respond) -> void;
+               const std::function<auto(bool taken)->void>& respond) -> void;
 
  private:
   auto Tick(TimePoint now) -> void;
--- a/Source/Daemon/job_service.cc
+++ b/Source/Daemon/job_service.cc
@@ -84,6 +84,14 @@
 
 auto JobService::WithLogOnThread(jobs::EntryHooks hooks) -> jobs::EntryHooks {
   hooks.log = OnThread(hooks.log, &duty_);
+  hooks.ask_advice = [this, ask = hooks.ask_advice](
+                         const jobs::AdviceCall& call,
+                         const auto& done) -> void {
+    ask(call, [this, done](TimePoint, jobs::AdviceResult result) -> void {
+      duty_.PostOrWait([done, result = std::move(result)](
+                           TimePoint now) -> void { done(now, result); });
+    });
+  };
   return hooks;
 }
 
--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -556,6 +556,7 @@
     return found == nullptr ? nullptr : &found->rules;
   };
   hooks.wall_clock = hooks_.wall_clock;
+  hooks.ask_advice = hooks_.ask_advice;
   return hooks;
 }
 
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -31,6 +31,8 @@
   std::function<auto(const std::string& link_endpoint, AgentOrders)->void> send;
   // Since 1970.
   std::function<auto()->std::chrono::milliseconds> wall_clock;
+  // The policy that gives tickets; answers on the thread of the decisions.
+  AskAdvice ask_advice;
   // Reads one record of the operators' log; null if it is no configuration.
   std::function<auto(const KeyedRecord&)->std::optional<QueueConfiguration>>
       read_configuration;
--- a/Source/Jobs/job_order.h
+++ b/Source/Jobs/job_order.h
@@ -2,8 +2,8 @@
 #define RHUBARBHAVEN_JOBS_JOB_ORDER_H_
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 #include "Jobs/job_work.h"
 
@@ -18,7 +18,11 @@
   std::chrono::milliseconds due{0};
   uint64_t accepted_at = 0;
 
-  auto operator<=>(const JobRank&) const = default;
+  auto operator<(const JobRank& other) const -> bool {
+    return std::tie(priority, outlook, due, accepted_at) <
+           std::tie(other.priority, other.outlook, other.due,
+                    other.accepted_at);
+  }
 };
 
 // The longest chain of work of a job's steps that is not done, by the caller's
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -15,7 +15,11 @@
 }  // namespace
 
 JobOwner::JobOwner(JobOwnerOptions options, JobOwnerHooks hooks)
-    : options_(options), hooks_(std::move(hooks)) {}
+    : options_(options),
+      hooks_(std::move(hooks)),
+      tickets_([this](const AdviceCall& call, const auto& done) -> void {
+        hooks_.ask_advice(call, done);
+      }) {}
 
 JobOwner::~JobOwner() = default;
 
@@ -48,6 +52,7 @@
   jobs_.clear();
   workers_.clear();
   over_since_.clear();
+  tickets_.Clear();
   keys_to_drop_.clear();
   batch_out_ = false;
   batch_ends_.clear();
@@ -217,6 +222,9 @@
     retry_at_ = TimePoint::max();
     place_due_ = true;
   }
+  if (tickets_.TakeNews()) {
+    place_due_ = true;
+  }
   if (place_due_) {
     place_due_ = false;
     PlaceAll(now);
@@ -306,6 +314,7 @@
     }
   }
   over_since_.emplace(id, now);
+  tickets_.Forget(id);
   jobs_.erase(found);
 }
 
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -15,6 +15,7 @@
 #include "Jobs/job_fold.h"
 #include "Jobs/job_work.h"
 #include "Jobs/place_choice.h"
+#include "Jobs/ticket_book.h"
 #include "Jobs/worker_view.h"
 
 namespace rhubarbhaven::jobs {
@@ -64,6 +65,8 @@
   std::function<auto(const std::string& queue)->const QueueRules*> rules;
   // Since 1970.
   std::function<auto()->std::chrono::milliseconds> wall_clock;
+  // The policy that gives tickets.
+  AskAdvice ask_advice;
 };
 
 // Decides for the cell between a claim and its loss: where tasks run, what
@@ -159,11 +162,16 @@
   auto PlaceJob(TimePoint now, JobWork& work) -> void;
   auto PlaceStep(TimePoint now, TaskPlace place) -> void;
   auto PlaceGang(TimePoint now, TaskPlace place) -> void;
+  // Workers on which the task's step may run, by its queue's policy; none if
+  // the queue has no policy.
+  auto TicketsFor(TimePoint now, const TaskPlace& place)
+      -> std::optional<StepTickets>;
   auto MayStart(TimePoint now, const TaskPlace& place) -> bool;
   auto Start(TimePoint now,
              const TaskPlace& place,
              WorkerView& worker,
-             uint64_t run) -> void;
+             uint64_t run,
+             const std::string& ticket) -> void;
   auto StopRun(const TaskPlace& place, RunWork& run, const std::string& why)
       -> void;
   auto StopOrphan(WorkerView& worker, const RunningTask& row) -> void;
@@ -195,6 +203,7 @@
   // Workers by their agents' names.
   WorkerViews workers_;
   ImageInterference interference_;
+  TicketBook tickets_;
   TimePoint pressures_stored_at_;
   bool pressures_due_ = false;
   // Jobs that are over, since when.
--- a/Source/Jobs/jobs.h
+++ b/Source/Jobs/jobs.h
@@ -20,6 +20,7 @@
 #include "Jobs/owner_election.h"
 #include "Jobs/queue_directory.h"
 #include "Jobs/task_agent.h"
+#include "Jobs/ticket_book.h"
 #include "Jobs/worker_port.h"
 
 #endif  // RHUBARBHAVEN_JOBS_JOBS_H_
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -391,6 +391,9 @@
       OrderOutcome_Name(outcome));
   if (outcome == ORDER_NO_ROOM) {
     worker.set_aside_until = now + kNoRoomPause;
+  } else if (outcome == ORDER_BAD_TICKET) {
+    tickets_.Drop(start.task(), start.worker_id());
+    place->task().not_before = now + kFailurePause;
   } else if (outcome == ORDER_UNHEALTHY) {
     ++worker.failures_in_row;
     worker.set_aside_until = now + kUnhealthyPause;
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -94,18 +94,43 @@
 
 auto JobOwner::PlaceStep(TimePoint now, TaskPlace place) -> void {
   const auto count = place.spec().count();
+  const auto tickets = TicketsFor(now, place);
   for (place.index = 0; place.index < count; ++place.index) {
     if (!MayStart(now, place)) {
       continue;
     }
-    WorkerView* worker = ChoosePlace(now, workers_, place, interference_);
+    WorkerView* worker = ChoosePlace(now, workers_, place, interference_,
+                                     tickets ? &*tickets : nullptr);
     if (worker == nullptr) {
       return;
     }
-    Start(now, place, *worker, NewRun());
+    Start(now, place, *worker, NewRun(),
+          tickets ? tickets->at(worker->worker_id) : "");
   }
 }
 
+auto JobOwner::TicketsFor(TimePoint now, const TaskPlace& place)
+    -> std::optional<StepTickets> {
+  if (!place.work->rules.needs_ticket()) {
+    return std::nullopt;
+  }
+  std::vector<std::string> ids;
+  for (const auto& [name, worker] : workers_) {
+    if (worker->Accepts(now) &&
+        worker->service == place.work->rules.service()) {
+      ids.push_back(worker->worker_id);
+    }
+  }
+  StepTickets tickets;
+  for (const auto& id : ids) {
+    auto ticket = tickets_.Find(now, place.Name(), id, ids);
+    if (ticket) {
+      tickets[id] = *std::move(ticket);
+    }
+  }
+  return tickets;
+}
+
 auto JobOwner::PlaceGang(TimePoint now, TaskPlace place) -> void {
   const auto count = place.spec().count();
   for (place.index = 0; place.index < count; ++place.index) {
@@ -113,6 +138,7 @@
       return;
     }
   }
+  const auto tickets = TicketsFor(now, place);
   std::set<std::string> racks = {""};
   if (place.spec().colocated()) {
     for (const auto& [name, worker] : workers_) {
@@ -124,8 +150,8 @@
   for (auto rack = racks.rbegin(); rack != racks.rend() && best.empty();
        ++rack) {
     for (place.index = 0; place.index < count; ++place.index) {
-      WorkerView* worker =
-          ChoosePlace(now, workers_, place, interference_, *rack);
+      WorkerView* worker = ChoosePlace(now, workers_, place, interference_,
+                                       tickets ? &*tickets : nullptr, *rack);
       if (worker == nullptr) {
         break;
       }
@@ -141,14 +167,17 @@
   }
   const uint64_t run = best.empty() ? 0 : NewRun();
   for (place.index = 0; place.index < best.size(); ++place.index) {
-    Start(now, place, *best[place.index], run);
+    WorkerView& worker = *best[place.index];
+    Start(now, place, worker, run,
+          tickets ? tickets->at(worker.worker_id) : "");
   }
 }
 
 auto JobOwner::Start(TimePoint now,
                      const TaskPlace& place,
                      WorkerView& worker,
-                     uint64_t run) -> void {
+                     uint64_t run,
+                     const std::string& ticket) -> void {
   auto& task = place.task();
   RunWork work;
   work.worker = &worker;
@@ -167,6 +196,7 @@
   order.set_payload(place.work->job().payload());
   order.set_checkpoint(task.checkpoint);
   order.set_worker_id(worker.worker_id);
+  order.set_ticket(ticket);
   worker.orders[number] = {std::move(order), std::nullopt, now, false};
   if (place.spec().target_latency_ms() > 0 ||
       place.spec().uses_spare_processors()) {
--- a/Source/Jobs/place_choice.cc
+++ b/Source/Jobs/place_choice.cc
@@ -102,11 +102,13 @@
                  const WorkerViews& workers,
                  const TaskPlace& place,
                  const ImageInterference& interference,
+                 const StepTickets* tickets,
                  const std::string& rack) -> WorkerView* {
   WorkerView* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
   for (const auto& [name, worker] : workers) {
     if ((!rack.empty() && worker->rack != rack) ||
+        (tickets != nullptr && !tickets->contains(worker->worker_id)) ||
         !MayRun(now, *worker, place)) {
       continue;
     }
--- /dev/null
+++ b/Source/Jobs/ticket_book.cc
@@ -0,0 +1,107 @@
+#include "Jobs/ticket_book.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+namespace rhubarbhaven::jobs {
+namespace {
+
+// A ticket must hold until the start has reached the worker; a start takes
+// 5 to 15 ms, and some hundred where a call is repeated.
+constexpr std::chrono::milliseconds kWayToWorker{400};
+// Between two calls for the same step: the policy does not change, so only
+// other workers or run-out tickets call for another.
+constexpr std::chrono::milliseconds kAskAgain{500};
+
+}  // namespace
+
+auto TicketBook::Find(TimePoint now,
+                      const TaskName& step,
+                      const std::string& worker_id,
+                      const std::vector<std::string>& workers)
+    -> std::optional<std::string> {
+  const auto& entry = entries_[Key(step)];
+  if (now + kWayToWorker < entry.valid_until) {
+    const auto found = entry.tickets.find(worker_id);
+    if (found != entry.tickets.end()) {
+      return found->second;
+    }
+  }
+  AskIfDue(now, step, workers);
+  return std::nullopt;
+}
+
+auto TicketBook::Drop(const TaskName& step, const std::string& worker_id)
+    -> void {
+  const auto found = entries_.find(Key(step));
+  if (found != entries_.end()) {
+    found->second.tickets.erase(worker_id);
+    found->second.asked_about.clear();
+  }
+}
+
+auto TicketBook::Forget(const std::string& job) -> void {
+  std::erase_if(entries_, [&job](const auto& item) -> bool {
+    return absl::StartsWith(item.first, job + ".");
+  });
+}
+
+auto TicketBook::Clear() -> void {
+  entries_.clear();
+  ++generation_;
+}
+
+auto TicketBook::TakeNews() -> bool {
+  return std::exchange(news_, false);
+}
+
+auto TicketBook::Key(const TaskName& step) -> std::string {
+  return absl::StrCat(step.job(), ".", step.occurrence(), ".", step.step());
+}
+
+auto TicketBook::AskIfDue(TimePoint now,
+                          const TaskName& step,
+                          const std::vector<std::string>& workers) -> void {
+  auto& entry = entries_[Key(step)];
+  const bool same_workers = entry.asked_about == workers;
+  const bool still_valid = now + kWayToWorker < entry.valid_until;
+  const bool recent =
+      entry.asked_at != TimePoint() && now - entry.asked_at < kAskAgain;
+  if (entry.asking || recent || (same_workers && still_valid) ||
+      workers.empty()) {
+    return;
+  }
+  entry.asking = true;
+  entry.asked_at = now;
+  entry.asked_about = workers;
+  AdviceCall call;
+  call.step = step;
+  call.workers = workers;
+  if (call.workers.size() > kMostAdvisedWorkers) {
+    call.workers.resize(kMostAdvisedWorkers);
+  }
+  ask_(call,
+       [this, key = Key(step), asked = now, generation = generation_](
+           TimePoint, const AdviceResult& result) -> void {
+         const auto found = entries_.find(key);
+         if (generation != generation_ || found == entries_.end()) {
+           return;
+         }
+         found->second.asking = false;
+         if (!result.answered) {
+           found->second.asked_about.clear();
+           return;
+         }
+         found->second.tickets.clear();
+         for (const auto& ticket : result.tickets) {
+           found->second.tickets[ticket.worker_id] = ticket.text;
+         }
+         // From when it was asked: the answer may have been long under way.
+         found->second.valid_until = asked + result.valid;
+         news_ = true;
+       });
+}
+
+}  // namespace rhubarbhaven::jobs
--- a/Tests/Jobs/job_owner_test.cc
+++ b/Tests/Jobs/job_owner_test.cc
@@ -44,6 +44,10 @@
     hooks.log = [](const OwnerDecision&) {};
     hooks.rules = [this](const std::string&) { return &rules_; };
     hooks.wall_clock = [this]() -> milliseconds { return wall_; };
+    hooks.ask_advice = [this](const AdviceCall& call, const auto& done) {
+      advice_calls_.push_back(call);
+      on_advice_ = done;
+    };
     return hooks;
   }
 
@@ -132,6 +136,8 @@
   JobFold fold_;
   std::map<std::string, std::map<uint64_t, StartOrder>> starts_;
   std::map<std::string, std::map<uint64_t, StopOrder>> stops_;
+  std::vector<AdviceCall> advice_calls_;
+  std::function<auto(TimePoint, AdviceResult)->void> on_advice_;
   JobOwner owner_;
 };
 
@@ -292,6 +298,36 @@
   }
 }
 
+// A queue with a policy: nothing starts before it has answered, then only where
+// it allows; a ticket that a worker refused is asked for again.
+TEST_F(JobOwnerTest, TicketsSayWhereAStepMayRun) {
+  rules_.set_needs_ticket(true);
+  PutJob({Step(2)});
+  Begin();
+  ReportAll();
+  EXPECT_EQ(Starts(), 0U);
+  ASSERT_FALSE(advice_calls_.empty());
+  const auto calls = advice_calls_.size();
+  EXPECT_EQ(advice_calls_.back().step.job(), kId);
+  on_advice_(now_, {true, {{"life-of-agent-1", "ticket"}}, seconds(3)});
+  ReportAll();
+  EXPECT_EQ(starts_["agent-0"].size(), 0U);
+  ASSERT_EQ(starts_["agent-1"].size(), 2U);
+  EXPECT_EQ(starts_["agent-1"].begin()->second.ticket(), "ticket");
+  EXPECT_EQ(advice_calls_.size(), calls);
+  auto report = ReportOf("agent-1");
+  for (const auto& [number, start] : starts_["agent-1"]) {
+    auto* result = report.add_results();
+    result->set_order(number);
+    result->set_outcome(ORDER_BAD_TICKET);
+  }
+  now_ += seconds(1);
+  Report("agent-1", report);
+  ReportAll();
+  EXPECT_EQ(advice_calls_.size(), calls + 1);
+  EXPECT_EQ(starts_["agent-1"].size(), 2U);
+}
+
 struct GangCase {
   std::string name;
   uint32_t members = 0;
--- a/Tests/Jobs/job_world.cc
+++ b/Tests/Jobs/job_world.cc
@@ -205,6 +205,7 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(
         time_.now().time_since_epoch());
   };
+  hooks.ask_advice = [](const AdviceCall&, const auto&) {};
   hooks.read_configuration = [](const KeyedRecord&) {
     return std::optional(Configuration());
   };
