Jobs: Split files by duty

An agent's orders, the meaning of ends, and what callers are told have files of their own; parameters that were passed for nothing are gone.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -8,14 +8,6 @@
 namespace rhubarbhaven::jobs {
 namespace {
 
-// A caller that can't be served comes back after this; about the time in which
-// another entry takes over or a short outage ends.
-constexpr std::chrono::milliseconds kComeBack{1000};
-// Left of a caller's deadline for the way of its answer.
-constexpr std::chrono::milliseconds kAnswerMargin{300};
-// The fold counts as current for this long after a read that reached the end.
-// Callers may ask for a job 3 s after it was accepted anywhere.
-constexpr std::chrono::milliseconds kCurrentFor{2000};
 // An entry whose read of the log has not been answered for this long is not
 // ready: a read waits a second for a record, and gets its time for the way.
 constexpr std::chrono::milliseconds kReadyFor{2500};
@@ -53,23 +45,6 @@
   return options;
 }
 
-auto StateReply(JobState state) -> JobReply {
-  JobReply reply;
-  reply.verdict = JobVerdict::kState;
-  reply.state = state;
-  return reply;
-}
-
-auto VerdictReply(JobVerdict verdict, const std::string& text) -> JobReply {
-  JobReply reply;
-  reply.verdict = verdict;
-  reply.text = text;
-  if (verdict == JobVerdict::kUnavailable) {
-    reply.retry_after = kComeBack;
-  }
-  return reply;
-}
-
 }  // namespace
 
 EntryDecisions::EntryDecisions(EntryOptions options,
@@ -154,165 +129,6 @@
   return wake;
 }
 
-auto EntryDecisions::Handle(TimePoint now,
-                            JobCall call,
-                            const JobResponder& respond) -> void {
-  metrics_->Add("rhubarbhaven_job_calls_total");
-  if (!queues_.known()) {
-    respond(VerdictReply(JobVerdict::kUnavailable,
-                         "No configuration has been read yet."));
-    return;
-  }
-  const auto* queue = queues_.Match(call.host, call.path);
-  if (queue == nullptr) {
-    log_.Write("no_such_queue",
-               {{"host", call.host},
-                {"path", call.path},
-                {"config_version", absl::StrCat(queues_.version())}});
-    respond(VerdictReply(JobVerdict::kNoSuchQueue,
-                         "No queue of the configuration has this host and "
-                         "path."));
-    return;
-  }
-  const std::string id = call.path.substr(queue->path_prefix.size());
-  switch (call.kind) {
-    case JobCallKind::kSubmit:
-      Submit(now, *queue, id, std::move(call), respond);
-      return;
-    case JobCallKind::kCancel:
-      Cancel(now, id, call, respond);
-      return;
-    case JobCallKind::kAsk:
-      break;
-  }
-  if (id.empty()) {
-    JobReply reply;
-    reply.verdict = JobVerdict::kPending;
-    reply.pending = fold_.PendingIn(queue->name);
-    if (!CaughtUp(now)) {
-      reply = VerdictReply(JobVerdict::kUnavailable,
-                           "The log cannot be read at present.");
-    }
-    respond(reply);
-    return;
-  }
-  Ask(now, id, respond);
-}
-
-auto EntryDecisions::Submit(TimePoint now,
-                            const Queue& queue,
-                            const std::string& id,
-                            JobCall call,
-                            const JobResponder& respond) -> void {
-  call.job.set_id(id);
-  call.job.set_queue(queue.name);
-  *call.job.mutable_rules() = queue.rules;
-  call.job.set_received_unix_ms(
-      static_cast<uint64_t>(hooks_.wall_clock().count()));
-  const auto status = CheckJob(call.job);
-  if (!status.ok()) {
-    metrics_->Add("rhubarbhaven_jobs_invalid_total");
-    log_.Write("job_invalid",
-               {{"job", id}, {"why", std::string(status.message())}});
-    respond(VerdictReply(JobVerdict::kInvalid, std::string(status.message())));
-    return;
-  }
-  if (fold_.Find(id) != nullptr) {
-    log_.Write("job_known", {{"job", id}});
-    respond(VerdictReply(JobVerdict::kAccepted, ""));
-    return;
-  }
-  const auto record = MakeRecord(RecordKind::kJob, id, call.job);
-  Store(now,
-        {id, queue.name, respond, now, now + call.deadline - kAnswerMargin,
-         false},
-        record);
-}
-
-auto EntryDecisions::Cancel(TimePoint now,
-                            const std::string& id,
-                            const JobCall& call,
-                            const JobResponder& respond) -> void {
-  const auto* entry = fold_.Find(id);
-  if (entry == nullptr) {
-    const bool certain = CaughtUp(now);
-    respond(VerdictReply(
-        certain ? JobVerdict::kNoSuchJob : JobVerdict::kUnavailable,
-        certain ? "The log has no such job."
-                : "The log cannot be read at present."));
-    return;
-  }
-  if (entry->over()) {
-    respond(VerdictReply(JobVerdict::kCancelled, ""));
-    return;
-  }
-  Store(now,
-        {id, entry->job.queue(), respond, now,
-         now + call.deadline - kAnswerMargin, true},
-        MakeCancellation(id));
-}
-
-auto EntryDecisions::Ask(TimePoint now,
-                         const std::string& id,
-                         const JobResponder& respond) -> void {
-  const auto* entry = fold_.Find(id);
-  if (entry != nullptr) {
-    respond(StateReply(entry->state()));
-    return;
-  }
-  if (CaughtUp(now)) {
-    respond(VerdictReply(JobVerdict::kNoSuchJob, "The log has no such job."));
-  } else {
-    respond(VerdictReply(JobVerdict::kUnavailable,
-                         "The log cannot be read at present."));
-  }
-}
-
-auto EntryDecisions::Store(TimePoint now,
-                           Submission submission,
-                           KeyedRecord record) -> void {
-  if (!caller_appends_.accepts(now) || releasing_) {
-    // Nothing was sent, so this is certainly not stored.
-    Refuse(submission,
-           releasing_ ? "this entry is stopping" : "the log does not answer");
-    return;
-  }
-  const uint64_t ticket = next_ticket_++;
-  submissions_[ticket] = std::move(submission);
-  caller_appends_.Enqueue(ticket, {std::move(record)});
-}
-
-auto EntryDecisions::Refuse(const Submission& submission,
-                            const std::string& why) -> void {
-  metrics_->Add("rhubarbhaven_jobs_refused_total");
-  log_.Write("refused", {{"job", submission.job},
-                         {"queue", submission.queue},
-                         {"cancel", submission.is_cancel ? "yes" : ""},
-                         {"why", why}});
-  submission.respond(VerdictReply(JobVerdict::kUnavailable, why));
-}
-
-auto EntryDecisions::GiveUpLate(TimePoint now) -> void {
-  for (auto item = submissions_.begin(); item != submissions_.end();) {
-    if (now < item->second.give_up_at) {
-      ++item;
-      continue;
-    }
-    metrics_->Add("rhubarbhaven_jobs_unknown_total");
-    log_.Write("fate_unknown",
-               {{"job", item->second.job},
-                {"why", "the log did not answer within the deadline"}});
-    item->second.respond(VerdictReply(
-        JobVerdict::kUnknown, "The log did not answer within the deadline."));
-    item = submissions_.erase(item);
-  }
-}
-
-auto EntryDecisions::CaughtUp(TimePoint now) const -> bool {
-  return job_follower_.caught_up_at() != TimePoint() &&
-         now - job_follower_.caught_up_at() < kCurrentFor;
-}
-
 auto EntryDecisions::FollowerHooksFor(LogTopic topic) -> KeyedLogFollowerHooks {
   const bool is_jobs = topic == LogTopic::kJobs;
   KeyedLogFollowerHooks hooks;
--- a/Source/Jobs/job_requests.h
+++ b/Source/Jobs/job_requests.h
@@ -48,6 +48,14 @@
   std::string text;
 };
 
+// A caller that cannot be served comes back after this; about the time in which
+// another entry takes over or a short outage ends.
+inline constexpr std::chrono::milliseconds kComeBack{1000};
+
+auto StateReply(JobState state) -> JobReply;
+// With kUnavailable it says when to come back.
+auto VerdictReply(JobVerdict verdict, const std::string& text) -> JobReply;
+
 using JobResponder = std::function<auto(JobReply)->void>;
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -96,31 +96,24 @@
   auto TakeOrders(const AgentOrders& orders) -> void;
   auto ResetWorker(TimePoint now) -> void;
   auto RunOrders(TimePoint now) -> void;
-  auto RunOrder(TimePoint now, uint64_t number, const OrderPtr& order) -> void;
-  auto CallStart(TimePoint now, uint64_t number, const OrderPtr& order) -> void;
-  auto CallStop(TimePoint now, uint64_t number, const OrderPtr& order) -> void;
-  auto OnStarted(TimePoint now,
-                 uint64_t number,
-                 const OrderPtr& order,
-                 WorkerCallResult result) -> void;
-  auto OnStopped(TimePoint now,
-                 uint64_t number,
-                 const OrderPtr& order,
-                 WorkerCallResult result) -> void;
-  auto RefuseStart(TimePoint now,
-                   uint64_t number,
-                   const OrderPtr& order,
-                   OrderOutcome outcome) -> void;
-  auto Verify(TimePoint now, const OrderPtr& order, OrderOutcome outcome)
+  auto RunOrder(TimePoint now, const OrderPtr& order) -> void;
+  auto CallStart(TimePoint now, const OrderPtr& order) -> void;
+  auto CallStop(const OrderPtr& order) -> void;
+  auto OnStarted(TimePoint now, const OrderPtr& order, WorkerCallResult result)
+      -> void;
+  auto OnStopped(TimePoint now, const OrderPtr& order, WorkerCallResult result)
       -> void;
-  auto Finish(uint64_t number, const OrderPtr& order, OrderOutcome outcome)
+  auto RefuseStart(TimePoint now, const OrderPtr& order, OrderOutcome outcome)
+      -> void;
+  auto Verify(TimePoint now, const OrderPtr& order, OrderOutcome outcome)
       -> void;
+  auto Finish(const OrderPtr& order, OrderOutcome outcome) -> void;
   auto ListIfDue(TimePoint now) -> void;
   auto OnListing(TimePoint asked, TimePoint now, WorkerListing listing) -> void;
   auto SettleVerified(TimePoint asked) -> void;
   auto Pace(TimePoint now) -> void;
   auto LeaseHolds(TimePoint now) const -> bool { return now < lease_until_; }
-  auto WorkerDeadline(TimePoint now) const -> WorkerTime;
+  auto WorkerDeadline() const -> WorkerTime;
   auto Report(TimePoint now, bool with_running) -> void;
 
   TaskAgentOptions options_;
