--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -32,6 +32,7 @@
   fold_ = fold;
   claim_at_ = fold->claim_at();
   silent_until_ = silent_until;
+  begun_at_ = now;
   interference_.Load(fold->pressures());
   pressures_stored_at_ = now;
   for (const auto& [name, entry] : fold->agents()) {
@@ -259,9 +260,7 @@
     wake = std::min(wake, silent_until_);
   }
   for (const auto& [name, worker] : workers_) {
-    wake = std::min(wake, worker->poll_due
-                              ? TimePoint()
-                              : worker->polled_at + options_.poll_interval);
+    wake = std::min(wake, NextPoll(*worker));
   }
   return wake;
 }
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -30,6 +30,11 @@
   double clock_drift = 0.02;
   std::chrono::milliseconds lease_margin{300};
   std::chrono::milliseconds poll_interval{300};
+  // An agent that has not listed its runs yet is polled more often at first:
+  // the first poll only makes the connection, and a takeover waits for the
+  // listing.
+  std::chrono::milliseconds first_polls{40};
+  std::chrono::milliseconds first_polls_for{2000};
   // An order without a result is sent again after this.
   std::chrono::milliseconds repeat_after{400};
   // How often an agent is told what was learned of the images on its worker.
@@ -180,6 +185,7 @@
   // Messages.
   auto Poll(TimePoint now, WorkerView& worker) -> void;
   auto PollAll(TimePoint now) -> void;
+  auto NextPoll(const WorkerView& worker) const -> TimePoint;
   auto LearnInterference(WorkerView& worker, const AgentReport& report) -> void;
   auto AddPressures(const WorkerView& worker, AgentOrders* orders) const
       -> void;
@@ -197,6 +203,7 @@
   const JobFold* fold_ = nullptr;
   uint64_t claim_at_ = 0;
   TimePoint silent_until_;
+  TimePoint begun_at_;
   bool census_done_ = false;
 
   std::map<std::string, std::unique_ptr<JobWork>> jobs_;
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -240,12 +240,22 @@
 
 auto JobOwner::PollAll(TimePoint now) -> void {
   for (auto& [name, worker] : workers_) {
-    if (worker->poll_due || now - worker->polled_at >= options_.poll_interval) {
+    if (NextPoll(*worker) <= now) {
       Poll(now, *worker);
     }
   }
 }
 
+auto JobOwner::NextPoll(const WorkerView& worker) const -> TimePoint {
+  if (worker.poll_due) {
+    return TimePoint();
+  }
+  const bool first = !worker.confirmed &&
+                     worker.polled_at < begun_at_ + options_.first_polls_for;
+  return worker.polled_at +
+         (first ? options_.first_polls : options_.poll_interval);
+}
+
 auto JobOwner::Poll(TimePoint now, WorkerView& worker) -> void {
   worker.poll_due = false;
   worker.polled_at = now;
--- a/Tests/Jobs/job_owner_test.cc
+++ b/Tests/Jobs/job_owner_test.cc
@@ -196,6 +196,17 @@
   EXPECT_EQ(Starts(), 2U);
 }
 
+// Symptom: a takeover takes 0.3 s longer than it must. Cause: the first poll of
+// an agent is lost while its connection is made, and the next came 0.3 s later.
+TEST_F(JobOwnerTest, AgentsAreAskedOftenUntilTheyAnswer) {
+  Begin();
+  owner_.Tick(now_);
+  EXPECT_LE(owner_.next_wake(), now_ + milliseconds(50));
+  ReportAll();
+  owner_.Tick(now_);
+  EXPECT_GT(owner_.next_wake(), now_ + milliseconds(50));
+}
+
 // A job of before the claim may run on an agent that has not answered; one
 // accepted later cannot.
 TEST_F(JobOwnerTest, TasksOfBeforeTheClaimWaitForTheCensus) {
