--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -197,6 +197,7 @@
     }
   }
   std::vector<FillerSample> fillers;
+  fillers.reserve(shares.size());
   for (const auto& [image, share] : shares) {
     fillers.push_back({image, share});
   }
