--- a/Tests/Jobs/job_owner_test.cc
+++ b/Tests/Jobs/job_owner_test.cc
@@ -33,7 +33,7 @@
 
   auto Hooks() -> JobOwnerHooks {
     JobOwnerHooks hooks;
-    hooks.send = [this](const std::string& agent, AgentOrders orders) {
+    hooks.send = [this](const std::string& agent, const AgentOrders& orders) {
       for (const auto& start : orders.starts()) {
         starts_[agent][start.order()] = start;
       }
--- a/Tests/Jobs/job_world.cc
+++ b/Tests/Jobs/job_world.cc
@@ -64,7 +64,7 @@
 }
 
 auto JobWorld::Submit(const std::vector<uint32_t>& steps) -> std::string {
-  const std::string id = absl::StrFormat("%016x", ++next_job_);
+  std::string id = absl::StrFormat("%016x", ++next_job_);
   Job job;
   job.set_payload(id);
   for (uint32_t number = 0; number < steps.size(); ++number) {
@@ -168,9 +168,10 @@
   const auto port = hooks.log;
   const uint64_t generation = process->generation;
   const auto in_process =
-      [this, process, generation](std::function<auto()->void> event) -> void {
+      [this, process,
+       generation](const std::function<auto()->void>& event) -> void {
     if (process->generation == generation) {
-      Deliver(process, std::move(event));
+      Deliver(process, event);
     }
   };
   hooks.log.append = [this, port, in_process](
@@ -198,8 +199,8 @@
         });
   };
   hooks.send = [this, number](const std::string& endpoint,
-                              AgentOrders orders) -> void {
-    SendOrders(number, endpoint, std::move(orders));
+                              const AgentOrders& orders) -> void {
+    SendOrders(number, endpoint, orders);
   };
   hooks.wall_clock = [this]() -> std::chrono::milliseconds {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -219,9 +220,10 @@
   process->up = true;
   const uint64_t generation = process->generation;
   const auto in_process =
-      [this, process, generation](std::function<auto()->void> event) -> void {
+      [this, process,
+       generation](const std::function<auto()->void>& event) -> void {
     if (process->generation == generation) {
-      Deliver(process, std::move(event));
+      Deliver(process, event);
     }
   };
   const WorkerPort port = workers_.at(number)->PortFor([] { return true; });
@@ -251,8 +253,9 @@
       in_process([this, done, listing] { done(time_.now(), listing); });
     });
   };
-  hooks.report = [this, number](const std::string& peer, AgentReport report) {
-    SendReport(number, peer, std::move(report));
+  hooks.report = [this, number](const std::string& peer,
+                                const AgentReport& report) {
+    SendReport(number, peer, report);
   };
   hooks.log = [this, process](const std::string& what, const TaskName& task,
                               uint64_t run, const std::string& why) {
@@ -309,8 +312,8 @@
   time_.After(down, std::move(start));
 }
 
-auto JobWorld::Deliver(Process* process, std::function<auto()->void> event)
-    -> void {
+auto JobWorld::Deliver(Process* process,
+                       const std::function<auto()->void>& event) -> void {
   const uint64_t generation = process->generation;
   // Through the queue of events always: so nothing of a process runs inside a
   // call that the process makes.
@@ -359,7 +362,7 @@
 
 auto JobWorld::SendOrders(int entry,
                           const std::string& endpoint,
-                          AgentOrders orders) -> void {
+                          const AgentOrders& orders) -> void {
   const int number = std::stoi(endpoint.substr(sizeof(kEndpoint) - 1));
   if (IsCut(entry, number)) {
     return;
@@ -376,7 +379,7 @@
 
 auto JobWorld::SendReport(int agent,
                           const std::string& peer,
-                          AgentReport report) -> void {
+                          const AgentReport& report) -> void {
   const int entry = std::stoi(peer);
   if (IsCut(entry, agent)) {
     return;
--- a/Tests/Jobs/job_world.h
+++ b/Tests/Jobs/job_world.h
@@ -90,12 +90,14 @@
   auto Kill(Process* process, Duration down, std::function<auto()->void> start)
       -> void;
   // Runs `event` in the process, if it is still the same; later, if frozen.
-  auto Deliver(Process* process, std::function<auto()->void> event) -> void;
+  auto Deliver(Process* process, const std::function<auto()->void>& event)
+      -> void;
   auto WakeLater(Process* process) -> void;
   auto Alive(Process* process) -> std::function<auto()->bool>;
-  auto SendOrders(int entry, const std::string& endpoint, AgentOrders orders)
-      -> void;
-  auto SendReport(int agent, const std::string& peer, AgentReport report)
+  auto SendOrders(int entry,
+                  const std::string& endpoint,
+                  const AgentOrders& orders) -> void;
+  auto SendReport(int agent, const std::string& peer, const AgentReport& report)
       -> void;
   auto IsCut(int entry, int agent) const -> bool;
   auto Beat(int number) -> void;
--- a/Tests/Jobs/virtual_log.cc
+++ b/Tests/Jobs/virtual_log.cc
@@ -14,7 +14,8 @@
 }  // namespace
 
 auto VirtualLog::PortFor(const std::string& client,
-                         std::function<auto()->bool> alive) -> KeyedLogPort {
+                         const std::function<auto()->bool>& alive)
+    -> KeyedLogPort {
   KeyedLogPort port;
   port.append = [this, client, alive](const AppendCall& call,
                                       const KeyedLogPort::OnAppend& done) {
--- a/Tests/Jobs/virtual_log.h
+++ b/Tests/Jobs/virtual_log.h
@@ -24,8 +24,8 @@
   explicit VirtualLog(VirtualTime* time) : time_(time) {}
 
   // Calls of one client; `alive` tells whether it can still be answered.
-  auto PortFor(const std::string& client, std::function<auto()->bool> alive)
-      -> KeyedLogPort;
+  auto PortFor(const std::string& client,
+               const std::function<auto()->bool>& alive) -> KeyedLogPort;
   auto SetMode(Mode mode) -> void { mode_ = mode; }
   auto SetModeFor(const std::string& client, Mode mode) -> void {
     client_modes_[client] = mode;
--- a/Tests/Jobs/virtual_worker.cc
+++ b/Tests/Jobs/virtual_worker.cc
@@ -32,7 +32,8 @@
       std::min(kAll, kAll * done.count() / Duration(run.work).count()));
 }
 
-auto VirtualWorker::PortFor(std::function<auto()->bool> alive) -> WorkerPort {
+auto VirtualWorker::PortFor(const std::function<auto()->bool>& alive)
+    -> WorkerPort {
   const auto guard = [alive](const WorkerPort::OnCall& done) {
     return [alive, done](TimePoint now, WorkerCallResult result) -> void {
       if (alive()) {
--- a/Tests/Jobs/virtual_worker.h
+++ b/Tests/Jobs/virtual_worker.h
@@ -32,7 +32,7 @@
  public:
   VirtualWorker(VirtualTime* time, std::string name, WorkerWatch watch);
 
-  auto PortFor(std::function<auto()->bool> alive) -> WorkerPort;
+  auto PortFor(const std::function<auto()->bool>& alive) -> WorkerPort;
   auto Heartbeat() -> WorkerHeartbeat;
   // Loses all runs and comes back as a new life.
   auto Crash() -> void;
