Routing: Announce no endpoint before the agent's identity is known

Cause: an agent's admission thread began with an empty identity, which was handed to it after the start. Beside load the thread ticked in between and announced an endpoint of no service. The entry filed it under the empty name and showed it as ready, so that a waiting caller went on, and every request was refused with no_endpoint until the next announcement.

Ruled out: a link that was let go (the failing runs had no unsent offer), the health probe (it had reported healthy), a second deployment on the ports of the first (the first suite failed as well).

--- a/Source/Daemon/agent_daemon.cc
+++ b/Source/Daemon/agent_daemon.cc
@@ -70,8 +70,8 @@
   if (!status.ok()) {
     return status;
   }
-  admission_.Start();
   admission_.SetIdentity(identity_);
+  admission_.Start();
   status = link_.Start();
   if (!status.ok()) {
     return status;
--- a/Source/Routing/agent_admission_impl.cc
+++ b/Source/Routing/agent_admission_impl.cc
@@ -135,6 +135,7 @@
 
 auto AgentAdmission::Impl::SetIdentity(schema::Announce identity) -> void {
   identity_ = std::move(identity);
+  next_announce_ = TimePoint::min();
 }
 
 auto AgentAdmission::Impl::SetEndpointHealthy(TimePoint now, bool healthy)
@@ -351,6 +352,12 @@
 
 auto AgentAdmission::Impl::AnnounceToAll(TimePoint now) -> void {
   next_announce_ = now + options_.announce_interval;
+  // An entry files an endpoint under the service that it announces. Before the
+  // identity is known it would be filed under none: shown as ready, while
+  // every request is refused for want of an endpoint.
+  if (identity_.instance().empty()) {
+    return;
+  }
   ++announce_sequence_;
   for (const std::string& entry : entries_) {
     schema::Envelope message;
