Jobs: Poll an agent that registers late

The trace showed that four agents of added machines registered again every 3 s and were never polled, until the owner changed 23 s later.

Cause: an owner forgets agents that have been silent since the end of its census for 12 s. One that had just registered had never reported, so it was forgotten in the same tick, before its first poll. Added workers stayed empty for as long as the owner lived.

Ruled out: the append of the registration (it was answered), the link (the next owner reached the same endpoints at once), room on other workers (the tasks were placed 5 s later when room came by chance).

The unit test failed first; its 12 tasks need the late worker.

--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -36,7 +36,7 @@
   interference_.Load(fold->pressures());
   pressures_stored_at_ = now;
   for (const auto& [name, entry] : fold->agents()) {
-    AddAgent(entry);
+    AddAgent(now, entry);
   }
   for (const auto& [id, entry] : fold->jobs()) {
     if (!entry->job.id().empty()) {
@@ -96,7 +96,7 @@
     case RecordKind::kAgent: {
       const auto found = fold_->agents().find(change.name);
       if (found != fold_->agents().end()) {
-        AddAgent(found->second);
+        AddAgent(now, found->second);
       }
       break;
     }
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -122,7 +122,7 @@
   auto SetState(JobWork& work, JobState state) -> void;
 
   // Agents and their workers.
-  auto AddAgent(const AgentEntry& entry) -> WorkerView&;
+  auto AddAgent(TimePoint now, const AgentEntry& entry) -> void;
   auto UpdateWorker(TimePoint now,
                     WorkerView& worker,
                     const AgentReport& report) -> void;
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-auto JobOwner::AddAgent(const AgentEntry& entry) -> WorkerView& {
+auto JobOwner::AddAgent(TimePoint now, const AgentEntry& entry) -> void {
   auto& worker = workers_[entry.name()];
   if (worker == nullptr) {
     worker = std::make_unique<WorkerView>();
@@ -22,8 +22,8 @@
     worker->lease_bound = silent_until_;
   }
   worker->link_endpoint = entry.link_endpoint();
+  worker->registered_at = now;
   worker->poll_due = true;
-  return *worker;
 }
 
 auto JobOwner::EndLife(TimePoint now, WorkerView& worker) -> void {
@@ -232,7 +232,11 @@
   }
   std::erase_if(workers_, [this, now](const auto& item) -> bool {
     const auto& worker = *item.second;
-    const auto last = std::max(worker.reported_at, silent_until_);
+    // An agent that has just registered has not reported yet. Taken for silent
+    // since the claim, it would be forgotten before its first poll, and its
+    // worker would stay empty.
+    const auto last = std::max(
+        {worker.registered_at, worker.reported_at, silent_until_});
     if (worker.confirmed || now < worker.lease_bound ||
         now - last < options_.forget_agent_after || !census_done_) {
       return false;
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -61,6 +61,8 @@
   bool silent = false;
   // The agent has listed what runs under this owner's fence.
   bool confirmed = false;
+  // When the agent last made itself known in the log.
+  TimePoint registered_at;
   // The latest report; its agent's clock is echoed in grants.
   TimePoint reported_at;
   uint64_t reported_us = 0;
--- a/Tests/Jobs/job_owner_test.cc
+++ b/Tests/Jobs/job_owner_test.cc
@@ -34,6 +34,7 @@
   auto Hooks() -> JobOwnerHooks {
     JobOwnerHooks hooks;
     hooks.send = [this](const std::string& agent, const AgentOrders& orders) {
+      ++polls_[agent];
       for (const auto& start : orders.starts()) {
         starts_[agent][start.order()] = start;
       }
@@ -134,6 +135,7 @@
   uint64_t offset_ = 0;
   QueueRules rules_;
   JobFold fold_;
+  std::map<std::string, int> polls_;
   std::map<std::string, std::map<uint64_t, StartOrder>> starts_;
   std::map<std::string, std::map<uint64_t, StopOrder>> stops_;
   std::vector<AdviceCall> advice_calls_;
@@ -207,6 +209,50 @@
   EXPECT_GT(owner_.next_wake(), now_ + milliseconds(50));
 }
 
+// Symptom: workers that are added to the cell stay empty until the owner
+// changes, and tasks that lost their worker wait for room. Sequence: an agent
+// registers when the owner has been one for longer than it keeps silent agents.
+// Cause: an agent that had never reported counted as silent since the claim, so
+// that it was forgotten before it was polled for the first time.
+TEST_F(JobOwnerTest, AgentsThatComeLateAreAskedAndUsed) {
+  Begin();
+  ReportAll();
+  for (int second = 0; second < 60; ++second) {
+    now_ += seconds(1);
+    ReportAll();
+  }
+  AgentEntry entry;
+  entry.set_name("agent-late");
+  entry.set_link_endpoint("agent-late");
+  Put(MakeRecord(RecordKind::kAgent, "agent-late", entry));
+  owner_.Tick(now_);
+  EXPECT_EQ(polls_["agent-late"], 1);
+  Report("agent-late", ReportOf("agent-late"));
+  PutJob({Step(12)});
+  owner_.Tick(now_);
+  EXPECT_EQ(starts_["agent-late"].size(), 4U);
+}
+
+// Symptom: the list of agents grows for good. Cause: agents that never
+// answered were kept.
+TEST_F(JobOwnerTest, AgentsThatNeverAnswerAreForgotten) {
+  Begin();
+  ReportAll();
+  AgentEntry entry;
+  entry.set_name("agent-late");
+  entry.set_link_endpoint("agent-late");
+  Put(MakeRecord(RecordKind::kAgent, "agent-late", entry));
+  for (int second = 0; second < 60; ++second) {
+    now_ += seconds(1);
+    ReportAll();
+  }
+  polls_.clear();
+  now_ += seconds(1);
+  owner_.Tick(now_);
+  EXPECT_EQ(polls_["agent-late"], 0);
+  EXPECT_EQ(polls_["agent-0"], 1);
+}
+
 // A job of before the claim may run on an agent that has not answered; one
 // accepted later cannot.
 TEST_F(JobOwnerTest, TasksOfBeforeTheClaimWaitForTheCensus) {
