Jobs: Keep a late agent's worker from its first report on

Now its first listing bounds the lease anew; a later bound only delays that runs are taken for lost.

Ruled out: that the tasks found room elsewhere (8 of 12 were placed).

--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -130,6 +130,8 @@
   auto AdoptListing(TimePoint now,
                     WorkerView& worker,
                     const AgentReport& report) -> void;
+  // Until when a lease granted from an agent's report of then may hold.
+  auto LeaseBound(TimePoint granted_from) const -> TimePoint;
   auto AdoptRun(TimePoint now, WorkerView& worker, const RunningTask& row)
       -> void;
   auto NoteProgress(TimePoint now, WorkerView& worker, const RunningTask& row)
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -82,12 +82,21 @@
                             WorkerView& worker,
                             const AgentReport& report) -> void {
   worker.confirmed = true;
+  // It is granted its first lease with the next poll. Until then the end of the
+  // census, long past for an agent that has just come, would make it lost.
+  worker.lease_bound = std::max(worker.lease_bound, LeaseBound(now));
   for (const auto& row : report.running()) {
     AdoptRun(now, worker, row);
   }
   place_due_ = true;
 }
 
+auto JobOwner::LeaseBound(TimePoint granted_from) const -> TimePoint {
+  const auto ttl = std::chrono::duration_cast<Duration>(
+      options_.lease_ttl * (1.0 + options_.clock_drift));
+  return granted_from + ttl + options_.lease_margin;
+}
+
 auto JobOwner::AdoptRun(TimePoint now,
                         WorkerView& worker,
                         const RunningTask& row) -> void {
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -265,10 +265,8 @@
   if (worker.reported_us > 0) {
     orders.set_granted_from_us(worker.reported_us);
     orders.set_lease_ttl_ms(static_cast<uint64_t>(options_.lease_ttl.count()));
-    const auto ttl = std::chrono::duration_cast<Duration>(
-        options_.lease_ttl * (1.0 + options_.clock_drift));
-    worker.lease_bound = std::max(
-        worker.lease_bound, worker.reported_at + ttl + options_.lease_margin);
+    worker.lease_bound =
+        std::max(worker.lease_bound, LeaseBound(worker.reported_at));
   }
   orders.set_worker_id(worker.worker_id);
   orders.set_ends_logged(worker.ends_logged);
