--- a/Source/Jobs/image_interference.cc
+++ b/Source/Jobs/image_interference.cc
@@ -122,8 +122,8 @@
   const double slowdown = Slowdown(sample.image, fillers);
   const double log_base =
       std::log(static_cast<double>(sample.latency.count()) / slowdown);
-  const auto [found, is_new] = bases_.try_emplace(
-      sample.run, Base{{log_base, kNewBaseVariance}, now});
+  const auto [found, is_new] =
+      bases_.try_emplace(sample.run, Base{{log_base, kNewBaseVariance}, now});
   if (is_new) {
     return;
   }
@@ -137,10 +137,9 @@
   double variance = base.log_ms.variance + kLookVariance / news;
   auto& row = pressures_[sample.image];
   for (const auto& filler : fillers) {
-    auto& pressure =
-        row.try_emplace(filler.image,
-                        Estimate{kUnknownPressure, kUnknownVariance})
-            .first->second;
+    auto& pressure = row.try_emplace(filler.image, Estimate{kUnknownPressure,
+                                                            kUnknownVariance})
+                         .first->second;
     pressure.variance = std::min(kUnknownVariance,
                                  pressure.variance + kPressureDrift * seconds);
     const double slope = filler.share / slowdown;
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -188,7 +188,9 @@
   auto Poll(TimePoint now, WorkerView& worker) -> void;
   auto PollAll(TimePoint now) -> void;
   auto NextPoll(const WorkerView& worker) const -> TimePoint;
-  auto LearnInterference(TimePoint now, WorkerView& worker, const AgentReport& report) -> void;
+  auto LearnInterference(TimePoint now,
+                         WorkerView& worker,
+                         const AgentReport& report) -> void;
   auto AddPressures(const WorkerView& worker, AgentOrders* orders) const
       -> void;
   auto AddPacedRuns(const WorkerView& worker, AgentOrders* orders) const
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -184,8 +184,9 @@
   }
 }
 
-auto JobOwner::LearnInterference(TimePoint now, WorkerView& worker, const AgentReport& report)
-    -> void {
+auto JobOwner::LearnInterference(TimePoint now,
+                                 WorkerView& worker,
+                                 const AgentReport& report) -> void {
   if (worker.capacity.millicores <= 0) {
     return;
   }
@@ -244,8 +245,8 @@
     // An agent that has just registered has not reported yet. Taken for silent
     // since the claim, it would be forgotten before its first poll, and its
     // worker would stay empty.
-    const auto last = std::max(
-        {worker.registered_at, worker.reported_at, silent_until_});
+    const auto last =
+        std::max({worker.registered_at, worker.reported_at, silent_until_});
     if (worker.confirmed || now < worker.lease_bound ||
         now - last < options_.forget_agent_after || !census_done_) {
       return false;
--- a/Tests/Jobs/pacing_test.cc
+++ b/Tests/Jobs/pacing_test.cc
@@ -180,14 +180,13 @@
   EXPECT_LT(error, 0.1);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    Table,
-    BaseLatencyTest,
-    testing::Values(SwingCase{"short_runs", 0.2, 0.1, 3},
-                    SwingCase{"long_runs", 0.2, 0.1, 12},
-                    SwingCase{"light_only", 0.0, 0.3, 12},
-                    SwingCase{"crowd", 0.4, 0.2, 5}),
-    [](const auto& info) { return info.param.name; });
+INSTANTIATE_TEST_SUITE_P(Table,
+                         BaseLatencyTest,
+                         testing::Values(SwingCase{"short_runs", 0.2, 0.1, 3},
+                                         SwingCase{"long_runs", 0.2, 0.1, 12},
+                                         SwingCase{"light_only", 0.0, 0.3, 12},
+                                         SwingCase{"crowd", 0.4, 0.2, 5}),
+                         [](const auto& info) { return info.param.name; });
 
 // Symptom: fillers crowd where they disturb after each change of the owner.
 // Cause: the next owner began with nothing learned.
--- a/Tests/Process/platform_test.cc
+++ b/Tests/Process/platform_test.cc
@@ -9,8 +9,12 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "Tests/StandIns/Platform/platform_stand_in.h"
@@ -25,6 +29,8 @@
 
 constexpr int kEntries = 2;
 constexpr int kAgents = 2;
+// Several polls, reads and listings long.
+constexpr milliseconds kGarbageFor{2500};
 constexpr char kBody[] =
     R"({"Spec":"text","Steps":[{"Count":3,"Cpu":500,"EstimatedMs":200},)"
     R"({"Count":2,"Cpu":500,"After":[0],"EstimatedMs":200}]})";
@@ -278,5 +284,60 @@
   ExpectNoProblems();
 }
 
+// Symptom watched for: a job is acknowledged and nowhere, records of the log
+// are passed over, or a process ends. Sequence: log and workers answer with
+// success and bytes without meaning while jobs are handed in and run. Cause
+// watched for: an answer is taken by its status alone.
+TEST_F(PlatformTest, AnswersWithoutMeaningLoseNothing) {
+  ASSERT_TRUE(Submit("00000000000000a1"));
+  platform_->SetGarbage(true);
+  const auto answer = Call(0, "POST", "/jobs/00000000000000a2", kBody);
+  EXPECT_NE(answer.http.status(), 200U);
+  std::this_thread::sleep_for(kGarbageFor);
+  platform_->SetGarbage(false);
+  EXPECT_TRUE(Completes(0, "00000000000000a1"));
+  ASSERT_TRUE(Submit("00000000000000a2"));
+  EXPECT_TRUE(Completes(0, "00000000000000a2"));
+  EXPECT_TRUE(Completes(1, "00000000000000a2"));
+  for (const auto& [name, process] : processes_) {
+    EXPECT_EQ(process->WaitExit(milliseconds(0)), std::nullopt) << name;
+  }
+  ExpectNoProblems();
+}
+
+TEST_F(PlatformTest, UnreadableConfigurationLeavesTheLastOneInForce) {
+  ASSERT_TRUE(Submit("00000000000000a1"));
+  platform_->ConfigureGarbage();
+  EXPECT_TRUE(WaitFor(
+      [this]() -> bool {
+        return processes_["entry-0"]->Output().find(
+                   "\"event\":\"configuration_unreadable\"") !=
+               std::string::npos;
+      },
+      seconds(60)));
+  ASSERT_TRUE(Submit("00000000000000a2"));
+  EXPECT_TRUE(Completes(0, "00000000000000a2"));
+  ExpectNoProblems();
+}
+
+TEST_F(PlatformTest, SettingsThatChangeWithoutASignalAreReloaded) {
+  ASSERT_TRUE(BecomesReady(0));
+  const std::string path = absl::StrCat(folder_, "/entry-0.json");
+  std::ifstream file(path);
+  std::string settings((std::istreambuf_iterator<char>(file)),
+                       std::istreambuf_iterator<char>());
+  const std::string form = R"("logging":{"form":"json"})";
+  settings.replace(settings.find(form), form.size(),
+                   R"("logging":{"form":"json","level":"debug"})");
+  std::ofstream(path) << settings;
+  EXPECT_TRUE(WaitFor(
+      [this]() -> bool {
+        return processes_["entry-0"]->Output().find("\"event\":\"reload\"") !=
+               std::string::npos;
+      },
+      seconds(60)));
+  EXPECT_TRUE(Submit("00000000000000a1"));
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::test
--- a/Tests/Routing/announce_test.cc
+++ b/Tests/Routing/announce_test.cc
@@ -45,8 +45,7 @@
 TEST_F(AnnounceTest, NothingIsAnnouncedWithoutAnIdentity) {
   EXPECT_TRUE(Announcements(agent_.SetEntries(kStart, {"entry-0"})).empty());
   EXPECT_TRUE(Announcements(agent_.OnTick(kStart)).empty());
-  EXPECT_TRUE(
-      Announcements(agent_.SetEndpointHealthy(kStart, false)).empty());
+  EXPECT_TRUE(Announcements(agent_.SetEndpointHealthy(kStart, false)).empty());
 }
 
 // Symptom, sequence and cause as above; waiting for the next interval would
--- a/Tests/StandIns/Platform/platform_stand_in.cc
+++ b/Tests/StandIns/Platform/platform_stand_in.cc
@@ -8,7 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "platform/wire_json.h"
+#include "platform/wire_fields.h"
 
 namespace rhubarbhaven::test {
 namespace {
@@ -23,6 +23,7 @@
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kPlaceBytes = 8;
 constexpr unsigned kBitsPerByte = 8;
+constexpr std::size_t kMostGarbageBytes = 300;
 
 auto BigEndian(uint64_t value, std::size_t bytes) -> std::string {
   std::string text;
@@ -252,6 +253,24 @@
   workers_.at(number).model->Crash();
 }
 
+auto PlatformStandIn::SetGarbage(bool on) -> void {
+  const std::lock_guard lock(mutex_);
+  garbage_ = on;
+}
+
+auto PlatformStandIn::ConfigureGarbage() -> void {
+  const std::lock_guard lock(mutex_);
+  log_.Put(jobs::LogTopic::kOperators, {"config", R"({"Version":"?",)", 0});
+}
+
+auto PlatformStandIn::Garbage() -> HttpServerAnswer {
+  std::string bytes(random_() % kMostGarbageBytes, '\0');
+  for (char& byte : bytes) {
+    byte = static_cast<char>(random_());
+  }
+  return {200, {}, bytes};
+}
+
 auto PlatformStandIn::problems() -> std::vector<std::string> {
   const std::lock_guard lock(mutex_);
   return problems_;
@@ -346,6 +365,10 @@
 auto PlatformStandIn::HandleLog(const HttpServerRequest& request,
                                 const HttpResponder& respond) -> void {
   const std::lock_guard lock(mutex_);
+  if (garbage_) {
+    respond(Garbage());
+    return;
+  }
   if (absl::EndsWith(request.path, "log-append")) {
     jobs::AppendCall call;
     call.producer = QueryText(request, "Producer");
@@ -377,6 +400,10 @@
                                    const HttpServerRequest& request,
                                    const HttpResponder& respond) -> void {
   const std::lock_guard lock(mutex_);
+  if (garbage_) {
+    respond(Garbage());
+    return;
+  }
   const Json body = Json::parse(request.body, nullptr, false);
   const auto id = request.headers.find("expected-instance");
   const std::string worker_id = id == request.headers.end() ? "" : id->second;
--- a/Tests/StandIns/Platform/platform_stand_in.h
+++ b/Tests/StandIns/Platform/platform_stand_in.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -35,6 +36,11 @@
   auto SetLogMode(jobs::VirtualLog::Mode mode) -> void;
   auto ForgetHistory() -> void;
   auto CrashWorker(int number) -> void;
+  // While on, the log and the workers answer every call with success and bytes
+  // without meaning, and carry out none.
+  auto SetGarbage(bool on) -> void;
+  // Publishes a configuration that nobody can read.
+  auto ConfigureGarbage() -> void;
 
   // What was broken: a task in two places, or run again after its end.
   auto problems() -> std::vector<std::string>;
@@ -54,6 +60,7 @@
   auto MakeServer(
       std::function<auto(const HttpServerRequest&, const HttpResponder&)->void>
           handle) -> std::unique_ptr<HttpServer>;
+  auto Garbage() -> HttpServerAnswer;
   auto HandleLog(const HttpServerRequest& request, const HttpResponder& respond)
       -> void;
   auto HandleWorker(int number,
@@ -69,6 +76,8 @@
   HttpCaller heartbeats_{8};
   std::vector<std::string> problems_;
   std::set<std::string> done_;
+  bool garbage_ = false;
+  std::mt19937_64 random_{7};
   int starts_ = 0;
   int ends_ = 0;
   std::atomic<bool> stop_ = false;
