Jobs: Count a gang's planned members against the step's limit of a worker

Cause: all members of a gang find their place before the first is started, and only started tasks were counted, so that more of them came onto a worker than the step allows.

Ruled out: the order of starts at the agent (the owner's own choice showed it).

The rows of the gang test with a limit failed first (4 members on one worker where 2 may be). ChoosePlace takes its limits as one typed value now.

--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -169,6 +169,9 @@
   auto PlaceJob(TimePoint now, JobWork& work) -> void;
   auto PlaceStep(TimePoint now, TaskPlace place) -> void;
   auto PlaceGang(TimePoint now, TaskPlace place) -> void;
+  // A place for each member of a gang, or none at all.
+  auto PlacesOfGang(TimePoint now, TaskPlace place, PlaceLimits& limits)
+      -> std::vector<WorkerView*>;
   // Workers on which the task's step may run, by its queue's policy; none if
   // the queue has no policy.
   auto TicketsFor(TimePoint now, const TaskPlace& place)
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -8,10 +8,8 @@
 namespace rhubarbhaven::jobs {
 namespace {
 
-// Further tries of a step whose tasks found no room are left out: the rest of
-// the step has the same need.
-auto AddRepeated(PendingOrder& order, TimePoint now, AgentOrders* orders)
-    -> void {
+// Gives an order for the first time, or again.
+auto AddOrder(PendingOrder& order, TimePoint now, AgentOrders* orders) -> void {
   if (order.start) {
     auto* start = orders->add_starts();
     *start = *order.start;
@@ -95,12 +93,14 @@
 auto JobOwner::PlaceStep(TimePoint now, TaskPlace place) -> void {
   const auto count = place.spec().count();
   const auto tickets = TicketsFor(now, place);
+  PlaceLimits limits;
+  limits.tickets = tickets ? &*tickets : nullptr;
   for (place.index = 0; place.index < count; ++place.index) {
     if (!MayStart(now, place)) {
       continue;
     }
-    WorkerView* worker = ChoosePlace(now, workers_, place, interference_,
-                                     tickets ? &*tickets : nullptr);
+    WorkerView* worker =
+        ChoosePlace(now, workers_, place, interference_, limits);
     if (worker == nullptr) {
       return;
     }
@@ -149,21 +149,10 @@
   // The empty name, any rack, is tried last.
   for (auto rack = racks.rbegin(); rack != racks.rend() && best.empty();
        ++rack) {
-    for (place.index = 0; place.index < count; ++place.index) {
-      WorkerView* worker = ChoosePlace(now, workers_, place, interference_,
-                                       tickets ? &*tickets : nullptr, *rack);
-      if (worker == nullptr) {
-        break;
-      }
-      worker->Hold(place.spec(), 0);
-      best.push_back(worker);
-    }
-    for (WorkerView* worker : best) {
-      worker->Release(place.spec(), 0);
-    }
-    if (best.size() < count) {
-      best.clear();
-    }
+    PlaceLimits limits;
+    limits.tickets = tickets ? &*tickets : nullptr;
+    limits.rack = *rack;
+    best = PlacesOfGang(now, place, limits);
   }
   const uint64_t run = best.empty() ? 0 : NewRun();
   for (place.index = 0; place.index < best.size(); ++place.index) {
@@ -173,6 +162,29 @@
   }
 }
 
+auto JobOwner::PlacesOfGang(TimePoint now, TaskPlace place, PlaceLimits& limits)
+    -> std::vector<WorkerView*> {
+  const auto count = place.spec().count();
+  std::vector<WorkerView*> places;
+  for (place.index = 0; place.index < count; ++place.index) {
+    WorkerView* worker =
+        ChoosePlace(now, workers_, place, interference_, limits);
+    if (worker == nullptr) {
+      break;
+    }
+    worker->Hold(place.spec(), 0);
+    ++limits.planned[worker];
+    places.push_back(worker);
+  }
+  for (WorkerView* worker : places) {
+    worker->Release(place.spec(), 0);
+  }
+  if (places.size() < count) {
+    places.clear();
+  }
+  return places;
+}
+
 auto JobOwner::Start(TimePoint now,
                      const TaskPlace& place,
                      WorkerView& worker,
@@ -281,7 +293,7 @@
   }
   for (auto& [number, order] : worker.orders) {
     if (!order.sent || now - order.sent_at >= options_.repeat_after) {
-      AddRepeated(order, now, &orders);
+      AddOrder(order, now, &orders);
     }
   }
   hooks_.send(worker.link_endpoint, std::move(orders));
--- a/Source/Jobs/place_choice.cc
+++ b/Source/Jobs/place_choice.cc
@@ -37,12 +37,21 @@
   return worker.Free().Holds(need);
 }
 
-auto MayRun(TimePoint now, const WorkerView& worker, const TaskPlace& place)
-    -> bool {
+auto MayRun(TimePoint now,
+            const WorkerView& worker,
+            const TaskPlace& place,
+            const PlaceLimits& limits) -> bool {
   const auto& step = place.spec();
   if (!worker.Accepts(now) || worker.service != place.work->rules.service()) {
     return false;
   }
+  if (!limits.rack.empty() && worker.rack != limits.rack) {
+    return false;
+  }
+  if (limits.tickets != nullptr &&
+      !limits.tickets->contains(worker.worker_id)) {
+    return false;
+  }
   if (!step.required_label().empty() &&
       !worker.HasLabel(step.required_label())) {
     return false;
@@ -50,8 +59,14 @@
   if (!Fits(worker, step)) {
     return false;
   }
-  return step.max_per_worker() == 0 ||
-         worker.CountOf(place) < step.max_per_worker();
+  if (step.max_per_worker() == 0) {
+    return true;
+  }
+  const auto planned = limits.planned.find(&worker);
+  const uint32_t count =
+      worker.CountOf(place) +
+      (planned == limits.planned.end() ? 0 : planned->second);
+  return count < step.max_per_worker();
 }
 
 auto UsedShare(const WorkerView& worker) -> double {
@@ -102,14 +117,11 @@
                  const WorkerViews& workers,
                  const TaskPlace& place,
                  const ImageInterference& interference,
-                 const StepTickets* tickets,
-                 const std::string& rack) -> WorkerView* {
+                 const PlaceLimits& limits) -> WorkerView* {
   WorkerView* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
   for (const auto& [name, worker] : workers) {
-    if ((!rack.empty() && worker->rack != rack) ||
-        (tickets != nullptr && !tickets->contains(worker->worker_id)) ||
-        !MayRun(now, *worker, place)) {
+    if (!MayRun(now, *worker, place, limits)) {
       continue;
     }
     const double cost = Cost(*worker, place, interference);
--- a/Source/Jobs/place_choice.h
+++ b/Source/Jobs/place_choice.h
@@ -16,15 +16,22 @@
 
 using WorkerViews = std::map<std::string, std::unique_ptr<WorkerView>>;
 
+// What narrows the choice of a place beside the step's own rules.
+struct PlaceLimits {
+  // Workers that may run the step; null if it needs no ticket.
+  const StepTickets* tickets = nullptr;
+  // Empty for any rack.
+  std::string rack;
+  // Members of the same gang that have a place there and are not started yet.
+  std::map<const WorkerView*, uint32_t> planned;
+};
+
 // The worker on which a task should start, or null if none may take it now.
-// `rack` narrows the choice to one rack, empty for any; `tickets` to the
-// workers that it names, null for any.
 auto ChoosePlace(TimePoint now,
                  const WorkerViews& workers,
                  const TaskPlace& place,
                  const ImageInterference& interference,
-                 const StepTickets* tickets = nullptr,
-                 const std::string& rack = "") -> WorkerView*;
+                 const PlaceLimits& limits = {}) -> WorkerView*;
 
 }  // namespace rhubarbhaven::jobs
 
--- a/Tests/Jobs/job_owner_test.cc
+++ b/Tests/Jobs/job_owner_test.cc
@@ -389,14 +389,20 @@
   std::string name;
   uint32_t members = 0;
   std::size_t starts = 0;
+  // Of the gang's members; zero for no limit.
+  uint32_t max_per_worker = 0;
 };
 
 class GangTest : public JobOwnerTest,
                  public testing::WithParamInterface<GangCase> {};
 
+// Symptom watched for: more members of a gang on a worker than its step allows.
+// Sequence: all members find their place before the first one is started.
+// Cause: only tasks that were started were counted.
 TEST_P(GangTest, StartsWholeOrNotAtAll) {
   auto step = Step(GetParam().members);
   step.set_gang(true);
+  step.set_max_per_worker(GetParam().max_per_worker);
   PutJob({step});
   Begin();
   ReportAll();
@@ -408,12 +414,19 @@
     }
   }
   EXPECT_LE(runs.size(), 1U);
+  for (const auto& [agent, starts] : starts_) {
+    if (GetParam().max_per_worker > 0) {
+      EXPECT_LE(starts.size(), GetParam().max_per_worker) << agent;
+    }
+  }
 }
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          GangTest,
-                         testing::Values(GangCase{"fits", 8, 8},
-                                         GangCase{"one_too_many", 9, 0}),
+                         testing::Values(GangCase{"fits", 8, 8, 0},
+                                         GangCase{"one_too_many", 9, 0, 0},
+                                         GangCase{"spread", 4, 4, 2},
+                                         GangCase{"too_few_workers", 5, 0, 2}),
                          [](const auto& info) { return info.param.name; });
 
 struct PlaceCase {
