Jobs: Take the smoothing out of the latencies that workers tell

Cause: what a worker tells of a run's latency follows the latency itself with about half a second's delay. After all fillers of a worker had been stopped at once it was told as 715, 359, 191 and 93 ms within 1.8 s, while their load was told as zero from the first look on. The learner took this tail for the run's own latency, so that fillers stood still for longer; and the guard against runs that stay over their target took such a run for one that is over by itself after one look, and was switched off.

Now the figure of the look before is taken out of each, and a run is over by itself only after two looks in a row without working fillers.

--- a/Source/Jobs/filler_pacing.cc
+++ b/Source/Jobs/filler_pacing.cc
@@ -14,6 +14,9 @@
 constexpr uint32_t kLeastChange = 8;
 // Fillers that take less than this share of the processors do no harm.
 constexpr double kLeastShare = 0.01;
+// Looks without working fillers until a run that is over its target is taken to
+// be so by itself. After one, what fillers did before still shows.
+constexpr int kOverAlone = 2;
 
 }  // namespace
 
@@ -164,23 +167,27 @@
     if (!run.listed || target_ms == 0) {
       continue;
     }
-    if (run.load <= target_ms) {
+    if (interference_.latency_ms(number) <= static_cast<double>(target_ms)) {
       run.over_since.reset();
-      run.over_alone = false;
+      run.over_alone = 0;
       continue;
     }
     run.over_since = run.over_since.value_or(now);
-    run.over_alone = run.over_alone || filled < kLeastShare;
+    if (filled < kLeastShare) {
+      ++run.over_alone;
+    } else if (run.over_alone < kOverAlone) {
+      run.over_alone = 0;
+    }
   }
 }
 
 auto FillerPacing::MustStopFillers(TimePoint now) const -> bool {
-  return std::any_of(runs_.begin(), runs_.end(),
-                     [this, now](const auto& item) -> bool {
-                       const Run& run = item.second;
-                       return run.listed && run.over_since && !run.over_alone &&
-                              now - *run.over_since >= options_.longest_over;
-                     });
+  return std::any_of(
+      runs_.begin(), runs_.end(), [this, now](const auto& item) -> bool {
+        const Run& run = item.second;
+        return run.listed && run.over_since && run.over_alone < kOverAlone &&
+               now - *run.over_since >= options_.longest_over;
+      });
 }
 
 auto FillerPacing::TakeSpeed(const Run& filler,
--- a/Source/Jobs/filler_pacing.h
+++ b/Source/Jobs/filler_pacing.h
@@ -63,8 +63,8 @@
     bool listed = false;
     // Of a run that serves: since when its latency is over its target.
     std::optional<TimePoint> over_since;
-    // Its latency was over its target while no filler worked.
-    bool over_alone = false;
+    // Looks in a row at which it was over its target while no filler worked.
+    int over_alone = 0;
   };
 
   auto NoteListing(const std::vector<RunningTask>& running) -> void;
--- a/Source/Jobs/image_interference.cc
+++ b/Source/Jobs/image_interference.cc
@@ -21,10 +21,17 @@
 constexpr double kNewBaseVariance = 0.3;
 // Of a look, as the square of a share of the latency: the figure is rough.
 constexpr double kLookVariance = 0.01;
-// What a worker tells is the mean of this time. Looks that follow each other
-// more closely tell less that is new.
-constexpr std::chrono::duration<double> kLookCovers{0.5};
-constexpr double kLeastNews = 0.02;
+// What a worker tells follows the latency with this time constant: after all
+// fillers of a worker had been stopped, it fell by 0.45 in 0.6 s. Looks that
+// follow each other more closely tell less that is new.
+constexpr std::chrono::duration<double> kSmoothing{0.5};
+// Sooner than this after the one before, a look tells nothing.
+constexpr std::chrono::milliseconds kShortestGap{100};
+// A look that repeats the figure of the one before is the same one, told again,
+// up to this age.
+constexpr std::chrono::milliseconds kToldAgain{350};
+// Noise is not taken for a fall of the latency below this part of the figure.
+constexpr double kLeastOfTold = 0.25;
 // A base is not taken to drift longer than this between two looks.
 constexpr double kLongestDrift = 3.0;
 // A worker that stood still tells absurd latencies; they count no more than
@@ -101,6 +108,11 @@
   return found == bases_.end() ? 0 : std::exp(found->second.log_ms.value);
 }
 
+auto ImageInterference::latency_ms(uint64_t run) const -> double {
+  const auto found = bases_.find(run);
+  return found == bases_.end() ? 0 : found->second.latency_ms;
+}
+
 auto ImageInterference::Forget(uint64_t run) -> void {
   bases_.erase(run);
 }
@@ -119,20 +131,27 @@
                               const ServingSample& sample,
                               const std::vector<FillerSample>& fillers)
     -> void {
+  const auto told_ms = static_cast<double>(sample.latency.count());
   const double slowdown = Slowdown(sample.image, fillers);
-  const double log_base =
-      std::log(static_cast<double>(sample.latency.count()) / slowdown);
-  const auto [found, is_new] =
-      bases_.try_emplace(sample.run, Base{{log_base, kNewBaseVariance}, now});
-  if (is_new) {
-    return;
-  }
+  const auto [found, is_new] = bases_.try_emplace(
+      sample.run, Base{{std::log(told_ms / slowdown), kNewBaseVariance},
+                       told_ms,
+                       told_ms,
+                       now});
   Base& base = found->second;
   const std::chrono::duration<double> since = now - base.seen;
+  const bool repeated = told_ms == base.told_ms && since < kToldAgain;
+  if (is_new || repeated || since < kShortestGap) {
+    return;
+  }
+  const double kept = std::exp(-(since / kSmoothing));
+  base.latency_ms = std::max((told_ms - kept * base.told_ms) / (1.0 - kept),
+                             kLeastOfTold * told_ms);
+  base.told_ms = told_ms;
   base.seen = now;
   const double seconds = std::clamp(since.count(), 0.0, kLongestDrift);
   base.log_ms.variance += kBaseDrift * seconds;
-  const double news = std::clamp(since / kLookCovers, kLeastNews, 1.0);
+  const double news = std::min(since / kSmoothing, 1.0);
 
   double variance = base.log_ms.variance + kLookVariance / news;
   auto& row = pressures_[sample.image];
@@ -146,7 +165,8 @@
     variance += pressure.variance * slope * slope;
   }
   const double error =
-      std::clamp(log_base - base.log_ms.value, -kLargestError, kLargestError);
+      std::clamp(std::log(base.latency_ms / slowdown) - base.log_ms.value,
+                 -kLargestError, kLargestError);
   const auto correct = [error, variance](Estimate* estimate, double slope) {
     const double gain = estimate->variance * slope / variance;
     estimate->value += gain * error;
--- a/Source/Jobs/image_interference.h
+++ b/Source/Jobs/image_interference.h
@@ -50,6 +50,9 @@
   auto SetPressure(const ImagePressure& pressure) -> void;
   // A serving run's latency without fillers, in milliseconds; zero if unknown.
   auto base_ms(uint64_t run) const -> double;
+  // Its latency now, with the smoothing of what the worker tells taken out;
+  // zero if unknown.
+  auto latency_ms(uint64_t run) const -> double;
   // The run has ended.
   auto Forget(uint64_t run) -> void;
 
@@ -59,9 +62,13 @@
     double value = 0;
     double variance = 0;
   };
-  // Logarithm of a run's latency without fillers, in milliseconds.
+  // What is known of a serving run. Times in milliseconds.
   struct Base {
+    // Logarithm of its latency without fillers.
     Estimate log_ms;
+    // As told at `seen`, and without its smoothing.
+    double told_ms = 0;
+    double latency_ms = 0;
     TimePoint seen;
   };
 
