Tests: Give the agent of the queue's test an identity

Cause: routing_load_test ended with a segmentation fault, each time, since agents announce nothing before their identity is known: this test built one without, and read the grant of an announcement that was no longer made.

Ruled out: a fault of the product's own path, which sets the identity before its thread begins. The test's bounds are unchanged; it now stops with a clear failure where there is no announcement.

--- a/Tests/Routing/load_test.cc
+++ b/Tests/Routing/load_test.cc
@@ -339,7 +339,12 @@
   AdmissionOptions options;
   options.incarnation = 7;
   AgentAdmission agent(options);
+  // An agent without an identity announces nothing.
+  schema::Announce identity;
+  identity.set_instance("instance-0");
+  agent.SetIdentity(identity);
   const auto announced = agent.SetEntries(now, {"entry-0"});
+  ASSERT_FALSE(announced.empty());
   const auto& grant =
       std::get<SendToEntry>(announced.front()).message.announce().grant();
   std::map<schema::Reason, int> refused;
