Tests: Show how an accepted job is lost when the log's connection is reset

Cause, as the tests show it: the HTTP library takes a kept connection that breaks before the answer for one that had died while idle, and sends the request again by itself. Where new connections are refused, only that is reported, so that the append counts as never sent (the test of the transport; where new connections work, the request reaches the server twice). Its sequence number is used again, and the log takes the next append for a repeat of the first (the test of the batcher). On the whole path: the caller is told 503 for a job that runs, and the next accepted job never completes.

--- a/Tests/Jobs/append_batcher_test.cc
+++ b/Tests/Jobs/append_batcher_test.cc
@@ -6,11 +6,14 @@
 #include <vector>
 
 #include "Jobs/jobs.h"
+#include "Tests/Jobs/virtual_log.h"
+#include "Tests/Jobs/virtual_time.h"
 
 namespace rhubarbhaven::jobs {
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 const TimePoint kStart{std::chrono::seconds(100)};
 
@@ -104,6 +107,44 @@
   EXPECT_TRUE(batcher.accepts(later));
 }
 
+// Symptom: an entry that was told to be stored is nowhere. Sequence: the log
+// carries out an append, and its sender takes it for refused and gives it back;
+// the next entry is sent. Cause: it went out under the sequence number of the
+// first, so the log took it for a repeat and answered without storing it.
+TEST(AppendBatcherTest, EntryAfterOneGivenBackIsNoRepeatOfIt) {
+  VirtualTime time(1);
+  VirtualLog log(&time);
+  const auto port = log.PortFor("entry", []() -> bool { return true; });
+  AppendBatcher batcher(Options(true));
+  const auto send = [&time, &port](const AppendCall& call) -> AppendResult {
+    AppendResult answer;
+    port.append(call, [&answer](TimePoint, const AppendResult& result) -> void {
+      answer = result;
+    });
+    while (time.Step(time.now() + seconds(1))) {
+    }
+    return answer;
+  };
+  batcher.Enqueue(1, {{"first", "value", 0}});
+  send(*batcher.Next(time.now()));
+  batcher.OnResult(time.now(), {AppendOutcome::kRefused, 0});
+  batcher.Enqueue(2, {{"second", "value", 0}});
+  const auto settled = batcher.OnResult(
+      time.now(), send(*batcher.Next(time.now() + seconds(1))));
+  ASSERT_EQ(settled.size(), 1U);
+  EXPECT_EQ(settled.front().fate, AppendFate::kStored);
+  std::vector<std::string> stored;
+  port.newest({LogTopic::kJobs, ""},
+              [&stored](TimePoint, const NewestResult& newest) -> void {
+                for (const auto& record : newest.records) {
+                  stored.push_back(record.key);
+                }
+              });
+  while (time.Step(time.now() + seconds(1))) {
+  }
+  EXPECT_EQ(stored, (std::vector<std::string>{"first", "second"}));
+}
+
 TEST(AppendBatcherTest, OneLostAnswerIsNoOutage) {
   AppendBatcher batcher(Options(true));
   batcher.Enqueue(1, {{"key", "value", 0}});
--- a/Tests/Process/platform_test.cc
+++ b/Tests/Process/platform_test.cc
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <iterator>
 #include <map>
 #include <memory>
@@ -20,6 +21,7 @@
 #include "Tests/StandIns/Platform/platform_stand_in.h"
 #include "Tests/Support/child_process.h"
 #include "Tests/Support/deployment.h"
+#include "Tests/Support/silent_relay.h"
 
 namespace rhubarbhaven::test {
 namespace {
@@ -87,7 +89,14 @@
               R"("callers_address":"%s","ready_address":"%s",)"
               R"("log_address":"%s","stop_grace_ms":4000}})",
               i, Address(callers_ports_.at(i)), Address(ready_ports_.at(i)),
-              platform_->log_address()));
+              LogAddressOf(i)));
+  }
+
+  // An entry may reach the log over a relay.
+  auto LogAddressOf(int entry) -> std::string {
+    const auto found = relayed_log_.find(entry);
+    return found == relayed_log_.end() ? platform_->log_address()
+                                       : found->second;
   }
 
   auto StartAgent(int i) -> void {
@@ -108,6 +117,13 @@
             const std::string& method,
             const std::string& path,
             const std::string& body = "") -> HttpClientAnswer {
+    return client_.Call(MakeCall(entry, method, path, body));
+  }
+
+  auto MakeCall(int entry,
+                const std::string& method,
+                const std::string& path,
+                const std::string& body) -> HttpClientRequest {
     HttpClientRequest request;
     request.method = method;
     request.url =
@@ -118,7 +134,16 @@
     host.set_name("Host");
     host.set_value("queue.example");
     request.headers.push_back(host);
-    return client_.Call(request);
+    return request;
+  }
+
+  // Hands the job in at one entry until it accepts it.
+  auto Accepts(int entry, const std::string& id) -> bool {
+    return WaitFor(
+        [this, entry, &id]() -> bool {
+          return Call(entry, "POST", "/jobs/" + id, kBody).http.status() == 200;
+        },
+        seconds(60));
   }
 
   // Hands the job in at either entry until one accepts it.
@@ -171,6 +196,7 @@
   std::vector<int> link_ports_;
   std::vector<int> callers_ports_;
   std::vector<int> ready_ports_;
+  std::map<int, std::string> relayed_log_;
   std::unique_ptr<PlatformStandIn> platform_;
   std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
   HttpClient client_;
@@ -284,6 +310,42 @@
   ExpectNoProblems();
 }
 
+// Symptom: a job that was acknowledged is unknown and never runs; another one,
+// whose caller was told that it was not accepted, runs. Sequence: the log
+// carries out an append, and the connection is reset before the answer; new
+// connections are refused for a while. Then the log can be reached again and
+// the next job is handed in. Cause: the client library had sent the append
+// again by itself, and only its failure to connect was seen. So the append was
+// taken for refused and its sequence number for unused; the next append went
+// out under the same number, and the log took it for the repeat of the first.
+TEST_F(PlatformTest, AppendWhoseAnswerWasResetIsNotTakenForRefused) {
+  const int relay_port = FreePort();
+  SilentRelay relay(relay_port, platform_->log_port());
+  relayed_log_[0] = Address(relay_port);
+  processes_["entry-0"]->Kill();
+  StartEntry(0);
+  ASSERT_TRUE(BecomesReady(0));
+  ASSERT_TRUE(Accepts(0, "00000000000000a1"));
+  relay.ResetOnAnswerTo(
+      "POST /rhubarbhaven/log-append?Topic=keyed.jobs&part=0&Producer=entry-");
+  auto told = std::async(std::launch::async,
+                         [call = MakeCall(0, "POST", "/jobs/00000000000000a2",
+                                          kBody)]() -> uint32_t {
+                           return HttpClient().Call(call).http.status();
+                         });
+  ASSERT_TRUE(WaitFor(
+      [this]() -> bool {
+        return Call(1, "GET", "/jobs/00000000000000a2").http.status() == 200;
+      },
+      seconds(60)));
+  relay.ListenAgain();
+  EXPECT_NE(told.get(), 503U);
+  ASSERT_TRUE(Accepts(0, "00000000000000a3"));
+  EXPECT_TRUE(Completes(1, "00000000000000a2"));
+  EXPECT_TRUE(Completes(1, "00000000000000a3"));
+  ExpectNoProblems();
+}
+
 // Symptom watched for: a job is acknowledged and nowhere, records of the log
 // are passed over, or a process ends. Sequence: log and workers answer with
 // success and bytes without meaning while jobs are handed in and run. Cause
--- a/Tests/StandIns/Platform/platform_stand_in.cc
+++ b/Tests/StandIns/Platform/platform_stand_in.cc
@@ -217,7 +217,11 @@
 }
 
 auto PlatformStandIn::log_address() const -> std::string {
-  return absl::StrCat("127.0.0.1:", log_server_->port());
+  return absl::StrCat("127.0.0.1:", log_port());
+}
+
+auto PlatformStandIn::log_port() const -> int {
+  return log_server_->port();
 }
 
 auto PlatformStandIn::worker_address(int number) const -> std::string {
--- a/Tests/StandIns/Platform/platform_stand_in.h
+++ b/Tests/StandIns/Platform/platform_stand_in.h
@@ -30,6 +30,7 @@
   ~PlatformStandIn();
 
   auto log_address() const -> std::string;
+  auto log_port() const -> int;
   auto worker_address(int number) const -> std::string;
   // Publishes a configuration with one queue, /jobs/ at host "queue.example".
   auto Configure(uint64_t version) -> void;
--- a/Tests/Support/silent_relay.cc
+++ b/Tests/Support/silent_relay.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <string_view>
 
 namespace rhubarbhaven::test {
 namespace {
@@ -75,6 +76,34 @@
   }
 }
 
+auto SilentRelay::ResetOnAnswerTo(const std::string& start) -> void {
+  const std::lock_guard lock(mutex_);
+  awaited_ = start;
+}
+
+auto SilentRelay::ListenAgain() -> void {
+  listen(listener_, SOMAXCONN);
+}
+
+auto SilentRelay::TakeAwaited(const char* data, std::size_t size) -> bool {
+  const std::lock_guard lock(mutex_);
+  const std::string_view bytes(data, size);
+  if (awaited_.empty() || bytes.substr(0, awaited_.size()) != awaited_) {
+    return false;
+  }
+  awaited_.clear();
+  return true;
+}
+
+auto SilentRelay::ResetAll() -> void {
+  // The socket stays bound, and connections to it are refused.
+  shutdown(listener_, SHUT_RD);
+  const std::lock_guard lock(mutex_);
+  for (auto& connection : connections_) {
+    connection.reset = true;
+  }
+}
+
 auto SilentRelay::Run() -> void {
   while (!stop_) {
     pollfd waiting{listener_, POLLIN, 0};
@@ -87,6 +116,7 @@
 auto SilentRelay::Accept() -> void {
   const int near = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
   if (near < 0) {
+    usleep(kPollMs * 1000);
     return;
   }
   const int far = Open();
@@ -111,7 +141,7 @@
 auto SilentRelay::Pump(Connection* connection) -> void {
   std::array<char, kBufferBytes> buffer;
   bool open = true;
-  while (open && !stop_) {
+  while (open && !connection->reset && !stop_) {
     std::array<pollfd, 2> ends = {pollfd{connection->near, POLLIN, 0},
                                   pollfd{connection->far, POLLIN, 0}};
     poll(ends.data(), ends.size(), kPollMs);
@@ -126,11 +156,22 @@
         if (connection->silent) {
           usleep(kPollMs * 1000);
         }
+      } else if (i == 1 && connection->resets_on_answer) {
+        ResetAll();
+        open = false;
       } else if (!connection->silent) {
+        connection->resets_on_answer =
+            connection->resets_on_answer ||
+            (i == 0 && TakeAwaited(buffer.data(), size));
         open = WriteAll(ends[1 - i].fd, buffer.data(), size);
       }
     }
   }
+  if (connection->reset) {
+    const linger at_once{1, 0};
+    setsockopt(connection->near, SOL_SOCKET, SO_LINGER, &at_once,
+               sizeof(at_once));
+  }
   close(connection->near);
   close(connection->far);
 }
--- a/Tests/Support/silent_relay.h
+++ b/Tests/Support/silent_relay.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <list>
 #include <mutex>
+#include <string>
 #include <thread>
 
 namespace rhubarbhaven::test {
@@ -22,6 +23,11 @@
   auto SilenceOpenConnections() -> void;
   // Refuses new connections and silences the open ones: a cut.
   auto Cut(bool cut) -> void;
+  // Passes on the next request that begins with `start`. In place of its
+  // answer it resets all open connections, and refuses new ones until
+  // `ListenAgain`.
+  auto ResetOnAnswerTo(const std::string& start) -> void;
+  auto ListenAgain() -> void;
   auto accepted() const -> int { return accepted_; }
 
  private:
@@ -29,12 +35,18 @@
     int near = -1;
     int far = -1;
     std::atomic<bool> silent = false;
+    std::atomic<bool> reset = false;
+    // Only its pump uses it.
+    bool resets_on_answer = false;
     std::thread thread;
   };
 
   auto Run() -> void;
   auto Accept() -> void;
   auto Pump(Connection* connection) -> void;
+  // Whether the bytes begin the request that was waited for.
+  auto TakeAwaited(const char* data, std::size_t size) -> bool;
+  auto ResetAll() -> void;
 
   int target_port_;
   int listener_ = -1;
@@ -43,6 +55,8 @@
   std::atomic<int> accepted_ = 0;
   std::mutex mutex_;
   std::list<Connection> connections_;
+  // Start of the request whose answer is cut off; empty for none.
+  std::string awaited_;
   std::thread thread_;
 };
 
--- a/Tests/Transport/http_test.cc
+++ b/Tests/Transport/http_test.cc
@@ -11,19 +11,25 @@
 namespace rhubarbhaven {
 namespace {
 
+// A listening socket on a free port of loopback.
+auto ListenOnLoopback(int* port) -> int {
+  const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  EXPECT_EQ(bind(listener, reinterpret_cast<sockaddr*>(&address), size), 0);
+  getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+  *port = ntohs(address.sin_port);
+  listen(listener, SOMAXCONN);
+  return listener;
+}
+
 // Answers each connection with fixed bytes and closes it.
 class RawServer {
  public:
   explicit RawServer(std::string answer) : answer_(std::move(answer)) {
-    listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    EXPECT_EQ(bind(listener_, reinterpret_cast<sockaddr*>(&address), size), 0);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
-    port_ = ntohs(address.sin_port);
-    listen(listener_, SOMAXCONN);
+    listener_ = ListenOnLoopback(&port_);
     thread_ = std::thread([this]() -> void { Run(); });
   }
   RawServer(const RawServer&) = delete;
@@ -132,6 +138,127 @@
   EXPECT_EQ(answer.reason, schema::ENDPOINT_CONNECT_FAILED);
 }
 
+// Keeps connections open: answers the first request, reads the second one
+// whole, and then resets its connection without an answer. What is sent again
+// after that is counted, and answered.
+class ResettingServer {
+ public:
+  // `refuses_afterwards`: no connection can be opened after the reset.
+  explicit ResettingServer(bool refuses_afterwards)
+      : refuses_afterwards_(refuses_afterwards),
+        listener_(ListenOnLoopback(&port_)) {
+    thread_ = std::thread([this]() -> void { Run(); });
+  }
+  ResettingServer(const ResettingServer&) = delete;
+  auto operator=(const ResettingServer&) -> ResettingServer& = delete;
+  ~ResettingServer() {
+    stop_ = true;
+    thread_.join();
+    CloseListener();
+  }
+  auto url() const -> std::string {
+    return "http://127.0.0.1:" + std::to_string(port_) + "/";
+  }
+  auto received() const -> int { return received_; }
+
+ private:
+  auto Run() -> void {
+    while (!stop_) {
+      if (listener_ >= 0 && Readable(listener_)) {
+        Serve(accept(listener_, nullptr, nullptr));
+      }
+    }
+  }
+
+  auto Serve(int peer) -> void {
+    while (!stop_) {
+      if (!Readable(peer)) {
+        continue;
+      }
+      char buffer[4096];
+      if (read(peer, buffer, sizeof(buffer)) <= 0) {
+        break;
+      }
+      ++received_;
+      if (received_ == kLostRequest) {
+        Reset(peer);
+        return;
+      }
+      const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+      static_cast<void>(!write(peer, answer.data(), answer.size()));
+    }
+    close(peer);
+  }
+
+  auto Reset(int peer) -> void {
+    if (refuses_afterwards_) {
+      CloseListener();
+    }
+    const linger at_once{1, 0};
+    setsockopt(peer, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+    close(peer);
+  }
+
+  auto CloseListener() -> void {
+    if (listener_ >= 0) {
+      close(listener_);
+    }
+    listener_ = -1;
+  }
+
+  static auto Readable(int socket) -> bool {
+    constexpr int kPollMs = 10;
+    pollfd waiting{socket, POLLIN, 0};
+    return poll(&waiting, 1, kPollMs) > 0;
+  }
+
+  static constexpr int kLostRequest = 2;
+
+  bool refuses_afterwards_;
+  int port_ = 0;
+  int listener_;
+  std::atomic<int> received_ = 0;
+  std::atomic<bool> stop_ = false;
+  std::thread thread_;
+};
+
+struct ResetCase {
+  std::string name;
+  bool refuses_afterwards;
+};
+
+class ResetAfterRequest : public testing::TestWithParam<ResetCase> {};
+
+// Symptom: callers are told that a request has not run, and it has; or it runs
+// twice. Sequence: a request goes out on a kept connection and is carried out;
+// the connection is reset before the answer. The client library takes the
+// connection for one that had died while idle and sends the request again on a
+// new one. Cause: if the new one cannot be opened, only that is reported, as if
+// nothing had been sent; if it can, the request has been sent twice.
+TEST_P(ResetAfterRequest, IsSentOnceAndMayHaveRun) {
+  const ResettingServer server(GetParam().refuses_afterwards);
+  HttpClient http;
+  HttpClientRequest request;
+  request.method = "POST";
+  request.url = server.url();
+  request.body = "records";
+  ASSERT_TRUE(http.Call(request).complete);
+  const auto answer = http.Call(request);
+  EXPECT_FALSE(answer.complete);
+  EXPECT_TRUE(answer.handed_over) << answer.error;
+  EXPECT_EQ(answer.reason, schema::ENDPOINT_CONNECTION_LOST);
+  EXPECT_EQ(server.received(), 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    ResetAfterRequest,
+    testing::Values(ResetCase{"NothingListensAfterwards", true},
+                    ResetCase{"NewConnectionsWork", false}),
+    [](const testing::TestParamInfo<ResetCase>& info) -> std::string {
+      return info.param.name;
+    });
+
 // Symptom: the process hangs or crashes on a stop with requests in progress.
 // Cause: a connection that waits for an answer when its server ends.
 TEST(HttpServerTest, StopAnswersWhatIsInProgress) {
