Transport: Send a call once, also when a kept connection breaks

An append that the log had carried out counted as never sent.

Now the library is stopped when it is about to send a second time: a call is sent once, and it counts as handed over from then on. Its caller decides whether to repeat it, as all callers of it already do: appends under their sequence number, starts under their run's number, calls to endpoints by the router.

Every use of "not handed over" was read: appends of both log clients (a refusal that gives the sequence number back), starts, stops and pacing at workers (taken for an unhealthy worker that did nothing), calls to endpoints (told as not run), calls of the older workers. All of them rest on this one place.

Ruled out: counting "couldn't connect" as sent, which tells callers of a log that is down that nobody knows, where it is certain that nothing was sent.

--- a/Source/Daemon/endpoint_caller.cc
+++ b/Source/Daemon/endpoint_caller.cc
@@ -37,8 +37,9 @@
   attempt.set_name(kAttemptHeader);
   attempt.set_value(absl::StrCat(call.attempt_id));
   request.timeout = call.timeout;
-  // The client library sends again when a kept connection turns out dead;
-  // a request that may run once only goes on a connection of its own.
+  // A kept connection may turn out dead only when the request has been sent,
+  // and one that may run once only cannot be tried again then: it goes on a
+  // connection of its own.
   request.fresh_connection = !call.repeatable;
   const uint64_t attempt_id = call.attempt_id;
   const TimePoint begun = Clock::now();
--- a/Source/Daemon/worker_caller.cc
+++ b/Source/Daemon/worker_caller.cc
@@ -73,7 +73,8 @@
     request.timeout =
         std::chrono::ceil<std::chrono::milliseconds>(call.not_after - now);
   }
-  // A kept connection that turned out dead makes the library send again.
+  // On a kept connection that turned out dead, the start may have been sent or
+  // not, and its fate would have to be found out first.
   request.fresh_connection = call.kind == CallWorker::Kind::kStart;
   const bool is_status = call.kind == CallWorker::Kind::kStatus;
   if (!is_status) {
--- a/Source/Transport/http_client.cc
+++ b/Source/Transport/http_client.cc
@@ -76,6 +76,8 @@
     curl_easy_setopt(handle_, CURLOPT_WRITEDATA, this);
     curl_easy_setopt(handle_, CURLOPT_HEADERFUNCTION, &Transfer::OnHeader);
     curl_easy_setopt(handle_, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(handle_, CURLOPT_PREREQFUNCTION, &Transfer::OnSending);
+    curl_easy_setopt(handle_, CURLOPT_PREREQDATA, this);
     SetMethod();
     for (const auto& header : request_.headers) {
       AddHeader(absl::StrCat(header.name(), ": ", header.value()));
@@ -108,22 +110,12 @@
   }
 
   auto Fail(CURLcode code) -> void {
-    answer_.error = curl_easy_strerror(code);
-    answer_.handed_over = SentAnything(code);
+    answer_.error = resend_stopped_ ? "The connection broke before the answer"
+                                    : curl_easy_strerror(code);
+    answer_.handed_over = sending_begun_;
     answer_.reason = ReasonOf(code);
   }
 
-  auto SentAnything(CURLcode code) const -> bool {
-    if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
-        code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL) {
-      return false;
-    }
-    curl_off_t before_transfer_us = 0;
-    curl_easy_getinfo(handle_, CURLINFO_PRETRANSFER_TIME_T,
-                      &before_transfer_us);
-    return before_transfer_us != 0;
-  }
-
   auto ReasonOf(CURLcode code) const -> schema::Reason {
     if (too_large_) {
       return schema::ENDPOINT_ANSWER_TOO_LARGE;
@@ -141,6 +133,20 @@
     }
   }
 
+  // Called when a connection is open and the request is about to be sent on it.
+  // The library takes a kept connection that breaks before the answer for one
+  // that died while idle, and sends the request again by itself. Its server may
+  // have carried it out by then: callers would learn only what became of the
+  // second sending (that no connection could be opened, say, as if nothing had
+  // been sent), and what may run once would be sent twice. So a call is sent
+  // once; whether to repeat it is its caller's decision.
+  static auto OnSending(void* cls, char*, char*, int, int) -> int {
+    auto* self = static_cast<Transfer*>(cls);
+    self->resend_stopped_ = self->sending_begun_;
+    self->sending_begun_ = true;
+    return self->resend_stopped_ ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+  }
+
   static auto OnBody(char* data, std::size_t, std::size_t size, void* cls)
       -> std::size_t {
     auto* self = static_cast<Transfer*>(cls);
@@ -183,6 +189,8 @@
   curl_slist* headers_ = nullptr;
   bool length_known_ = false;
   bool too_large_ = false;
+  bool sending_begun_ = false;
+  bool resend_stopped_ = false;
 };
 
 }  // namespace
--- a/Source/Transport/http_client.h
+++ b/Source/Transport/http_client.h
@@ -25,8 +25,8 @@
   bool fresh_connection = false;
 };
 
-// What became of a call. `handed_over` is false only if not one byte of the
-// request was sent, so that it cannot have run.
+// What became of a call, which is sent once at most. `handed_over` is false
+// only if not one byte of the request was sent, so that it cannot have run.
 struct HttpClientAnswer {
   bool complete = false;
   bool handed_over = true;
