Jobs: Never use a sequence number again that was given back

Cause: an append that was taken for refused gave its sequence number back, and the next append went out under it. If the log has stored the first one all the same, it takes the next one for a repeat, answers with success, and stores nothing: an accepted job is unknown.

Now a producer that gives an append back goes on under its next epoch, under which the log takes no repeat for an answer. Costs nothing on the way of a job.

Ruled out: going on with the next number in the same epoch, which the log refuses as out of order if the first append was really not stored.

Before: the test of the batcher on the model of the log red ("second" is not in the log); after: green, and the tests of jobs and the process test on the stand-in of the platform.

--- a/Source/Jobs/append_batcher.cc
+++ b/Source/Jobs/append_batcher.cc
@@ -65,8 +65,10 @@
       refused_ = true;
       BackOff(now);
       if (options_.give_back_refused && !maybe_stored_) {
-        // The sequence number was not used.
-        --sequence_;
+        // Had the log stored the batch all the same, it would take the next one
+        // under the same number for a repeat and answer without storing it: an
+        // accepted job would be unknown. Under a new epoch it cannot.
+        ++options_.epoch;
         return Settle(AppendFate::kNotStored);
       }
       return {};
