Tests: Show how an agent that registers again drops out of the roster

Sequence: an agent is silent until the owner forgets it and drops its registration; the drop waits for the log. The agent registers again, is polled and gets tasks. Then the drop is stored, behind the registration. The next owner's fold lacks the agent: it takes its census without it, so tasks that run there may be started elsewhere, and the worker is empty until the agent, polled by nobody, registers once more (3 s).

It was not seen in operation.

--- a/Tests/Jobs/job_owner_test.cc
+++ b/Tests/Jobs/job_owner_test.cc
@@ -253,6 +253,69 @@
   EXPECT_EQ(polls_["agent-0"], 1);
 }
 
+// An owner that forgets a silent agent drops its registration from the log. The
+// agent may register again before the drop is in the log.
+class ForgottenAgentTest : public JobOwnerTest {
+ protected:
+  // Agent 1 is silent until the owner forgets it.
+  auto ForgetAgent1() -> void {
+    Begin();
+    ReportAll();
+    for (int second = 0; second < 60; ++second) {
+      now_ += seconds(1);
+      Report("agent-0", ReportOf("agent-0"));
+    }
+  }
+
+  auto RegisterAgent1() -> void {
+    AgentEntry entry;
+    entry.set_name("agent-1");
+    entry.set_link_endpoint("agent-1");
+    Put(MakeRecord(RecordKind::kAgent, "agent-1", entry));
+    owner_.Tick(now_);
+    Report("agent-1", ReportOf("agent-1"));
+  }
+
+  auto StoreBatch() -> void {
+    for (const auto& record : owner_.TakeBatch()) {
+      Put(record);
+    }
+    owner_.OnBatchStored();
+  }
+};
+
+// Symptom: after a takeover tasks run in two places, or a worker is left empty
+// until its agent registers once more. Sequence: an agent is silent for so long
+// that the owner drops its registration; while the drop waits for the log,
+// which is away, the agent registers again and gets tasks; then the drop is
+// stored. Cause: the drop, decided before the registration, came after it in
+// the log, so the next owner did not know the agent and took its census without
+// it.
+TEST_F(ForgottenAgentTest, DropThatWaitsDoesNotUndoANewRegistration) {
+  ForgetAgent1();
+  RegisterAgent1();
+  StoreBatch();
+  EXPECT_TRUE(fold_.agents().contains("agent-1"));
+}
+
+// As above, with the drop on its way to the log when the agent registers: it is
+// given nothing until it has registered behind the drop.
+TEST_F(ForgottenAgentTest, AgentIsNotUsedUntilItsDropIsInTheLog) {
+  ForgetAgent1();
+  const auto dropped = owner_.TakeBatch();
+  polls_.clear();
+  RegisterAgent1();
+  EXPECT_EQ(polls_["agent-1"], 0);
+  for (const auto& record : dropped) {
+    Put(record);
+  }
+  owner_.OnBatchStored();
+  RegisterAgent1();
+  EXPECT_GT(polls_["agent-1"], 0);
+  StoreBatch();
+  EXPECT_TRUE(fold_.agents().contains("agent-1"));
+}
+
 // A job of before the claim may run on an agent that has not answered; one
 // accepted later cannot.
 TEST_F(JobOwnerTest, TasksOfBeforeTheClaimWaitForTheCensus) {
