Jobs: Keep an agent that registers again in the roster

The next owner's census did not know the agent.

Now a registration takes back a drop that has not been sent; while one is on its way the agent is not used until it has registered behind it; and if a drop is read late, of an agent in use, its registration is written again.

Ruled out: writing it again in all cases, which leaves a moment in which a takeover finds runs on an agent that the roster lacks; waiting for the log's answer alone, since a registration of before the drop may be read after it.

--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -55,6 +55,8 @@
   over_since_.clear();
   tickets_.Clear();
   keys_to_drop_.clear();
+  agents_in_drop_.clear();
+  agents_to_restore_.clear();
   batch_out_ = false;
   batch_ends_.clear();
   next_order_ = 1;
@@ -93,13 +95,9 @@
       }
       break;
     }
-    case RecordKind::kAgent: {
-      const auto found = fold_->agents().find(change.name);
-      if (found != fold_->agents().end()) {
-        AddAgent(now, found->second);
-      }
+    case RecordKind::kAgent:
+      OnAgentRecord(now, change.name);
       break;
-    }
     default:
       break;
   }
@@ -171,32 +169,55 @@
           MakeRecord(RecordKind::kProgress, id, work->Progress()));
     }
   }
+  AddEnds(&records);
+  AddRoster(&records);
+  for (const auto& key : keys_to_drop_) {
+    records.push_back({key, "", 0});
+  }
+  keys_to_drop_.clear();
+  if (pressures_due_) {
+    pressures_due_ = false;
+    records.push_back(
+        MakeRecord(RecordKind::kPressures, "", interference_.Learned()));
+  }
+  batch_out_ = !records.empty();
+  return records;
+}
+
+auto JobOwner::AddEnds(std::vector<KeyedRecord>* records) -> void {
   batch_ends_.clear();
   for (const auto& [name, worker] : workers_) {
     if (worker->ends_taken > worker->ends_logged) {
       WorkerEnds ends;
       ends.set_worker_id(worker->worker_id);
       ends.set_last_end(worker->ends_taken);
-      records.push_back(
+      records->push_back(
           MakeRecord(RecordKind::kWorkerEnds, worker->worker_id, ends));
       batch_ends_[worker->worker_id] = worker->ends_taken;
     }
   }
+}
+
+auto JobOwner::AddRoster(std::vector<KeyedRecord>* records) -> void {
   for (const auto& key : keys_to_drop_) {
-    records.push_back({key, "", 0});
+    const RecordKey parsed = ParseKey(key);
+    if (parsed.kind == RecordKind::kAgent) {
+      agents_in_drop_.insert(parsed.name);
+    }
   }
-  keys_to_drop_.clear();
-  if (pressures_due_) {
-    pressures_due_ = false;
-    records.push_back(
-        MakeRecord(RecordKind::kPressures, "", interference_.Learned()));
+  for (const auto& name : agents_to_restore_) {
+    const auto found = workers_.find(name);
+    if (found != workers_.end()) {
+      records->push_back(
+          MakeRecord(RecordKind::kAgent, name, found->second->registration));
+    }
   }
-  batch_out_ = !records.empty();
-  return records;
+  agents_to_restore_.clear();
 }
 
 auto JobOwner::OnBatchStored() -> void {
   batch_out_ = false;
+  agents_in_drop_.clear();
   for (const auto& [name, worker] : workers_) {
     const auto found = batch_ends_.find(worker->worker_id);
     if (found != batch_ends_.end()) {
@@ -212,6 +233,7 @@
     return;
   }
   LoseSilentWorkers(now);
+  ForgetSilentAgents(now);
   FinishCensus(now);
   if (due_at_ <= now) {
     due_at_ = TimePoint::max();
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -122,7 +123,10 @@
   auto SetState(JobWork& work, JobState state) -> void;
 
   // Agents and their workers.
+  auto OnAgentRecord(TimePoint now, const std::string& name) -> void;
+  auto OnRegistrationGone(const std::string& name) -> void;
   auto AddAgent(TimePoint now, const AgentEntry& entry) -> void;
+  auto ForgetSilentAgents(TimePoint now) -> void;
   auto UpdateWorker(TimePoint now,
                     WorkerView& worker,
                     const AgentReport& report) -> void;
@@ -187,6 +191,10 @@
   auto StopOrphan(WorkerView& worker, const RunningTask& row) -> void;
   auto NewRun() -> uint64_t;
 
+  // Records for the log.
+  auto AddEnds(std::vector<KeyedRecord>* records) -> void;
+  auto AddRoster(std::vector<KeyedRecord>* records) -> void;
+
   // Messages.
   auto Poll(TimePoint now, WorkerView& worker) -> void;
   auto PollAll(TimePoint now) -> void;
@@ -223,6 +231,10 @@
   // Jobs that are over, since when.
   std::map<std::string, TimePoint> over_since_;
   std::vector<std::string> keys_to_drop_;
+  // Agents whose registrations the batch under way drops.
+  std::set<std::string> agents_in_drop_;
+  // Agents in use whose registrations are to be written again.
+  std::set<std::string> agents_to_restore_;
   uint64_t next_order_ = 1;
   uint64_t next_run_ = 1;
   bool place_due_ = false;
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -14,6 +14,34 @@
 
 }  // namespace
 
+auto JobOwner::OnAgentRecord(TimePoint now, const std::string& name) -> void {
+  const auto found = fold_->agents().find(name);
+  if (found == fold_->agents().end()) {
+    OnRegistrationGone(name);
+    return;
+  }
+  // The next owner's census asks the agents of the log's roster. An agent that
+  // has registered ahead of the drop of its earlier registration is about to
+  // leave the roster: tasks given to it now might be started elsewhere after a
+  // takeover. Polled by nobody, it registers again behind the drop.
+  if (!agents_in_drop_.contains(name)) {
+    std::erase(keys_to_drop_, MakeKey(RecordKind::kAgent, name));
+    AddAgent(now, found->second);
+  }
+}
+
+auto JobOwner::OnRegistrationGone(const std::string& name) -> void {
+  const auto found = workers_.find(name);
+  if (found == workers_.end()) {
+    return;
+  }
+  if (found->second->confirmed) {
+    agents_to_restore_.insert(name);
+  } else {
+    workers_.erase(found);
+  }
+}
+
 auto JobOwner::AddAgent(TimePoint now, const AgentEntry& entry) -> void {
   auto& worker = workers_[entry.name()];
   if (worker == nullptr) {
@@ -21,7 +49,7 @@
     worker->agent = entry.name();
     worker->lease_bound = silent_until_;
   }
-  worker->link_endpoint = entry.link_endpoint();
+  worker->registration = entry;
   worker->registered_at = now;
   worker->poll_due = true;
 }
@@ -240,6 +268,9 @@
       worker->confirmed = false;
     }
   }
+}
+
+auto JobOwner::ForgetSilentAgents(TimePoint now) -> void {
   std::erase_if(workers_, [this, now](const auto& item) -> bool {
     const auto& worker = *item.second;
     // An agent that has just registered has not reported yet. Taken for silent
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -296,7 +296,7 @@
       AddOrder(order, now, &orders);
     }
   }
-  hooks_.send(worker.link_endpoint, std::move(orders));
+  hooks_.send(worker.registration.link_endpoint(), std::move(orders));
 }
 
 auto JobOwner::AddPressures(const WorkerView& worker, AgentOrders* orders) const
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -48,7 +48,8 @@
 // A worker and its agent, as the owner knows them.
 struct WorkerView {
   std::string agent;
-  std::string link_endpoint;
+  // Where the agent is reached, as it said in the log.
+  AgentEntry registration;
   // Life of the worker; empty while it is not known.
   std::string worker_id;
   std::string service;
--- a/Tests/Jobs/job_owner_test.cc
+++ b/Tests/Jobs/job_owner_test.cc
@@ -316,6 +316,23 @@
   EXPECT_TRUE(fold_.agents().contains("agent-1"));
 }
 
+// As above, with the drop read late: the agent is in use already, and its
+// registration is written again.
+TEST_F(ForgottenAgentTest, RegistrationOfAnAgentInUseIsRestored) {
+  ForgetAgent1();
+  const auto dropped = owner_.TakeBatch();
+  owner_.OnBatchStored();
+  RegisterAgent1();
+  EXPECT_GT(polls_["agent-1"], 0);
+  for (const auto& record : dropped) {
+    Put(record);
+  }
+  ASSERT_FALSE(fold_.agents().contains("agent-1"));
+  StoreBatch();
+  ASSERT_TRUE(fold_.agents().contains("agent-1"));
+  EXPECT_EQ(fold_.agents().at("agent-1").link_endpoint(), "agent-1");
+}
+
 // A job of before the claim may run on an agent that has not answered; one
 // accepted later cannot.
 TEST_F(JobOwnerTest, TasksOfBeforeTheClaimWaitForTheCensus) {
