Tests: Show how a worker that was set aside is not taken back

Found while the reported symptom (a task that lasts doesn't run, with room for it) was looked for elsewhere in the owner.

Sequence: the only worker with room fails a task three times and is set aside for 3 s, the task itself for 50 ms. The owner keeps one time to look again, the earliest; when it has come the other one is forgotten.

--- a/Tests/Jobs/job_owner_test.cc
+++ b/Tests/Jobs/job_owner_test.cc
@@ -376,6 +376,46 @@
   EXPECT_EQ(starts_[other].size(), 1U);
 }
 
+// Symptom: a task that lasts stays down although a worker has room, until
+// something else happens in the cell. Sequence: the only worker fails the task
+// three times and is set aside for 3 s; the task may be tried again after 50
+// ms, which finds no worker; nothing else runs. Cause: the owner kept one time
+// to look again, the earliest, and forgot that the worker would be taken back.
+TEST_F(JobOwnerTest, WorkerThatWasSetAsideIsTakenBackWithoutAnotherEvent) {
+  Begin();
+  auto drains = ReportOf("agent-1");
+  drains.set_draining(true);
+  Report("agent-0", ReportOf("agent-0"));
+  Report("agent-1", drains);
+  auto step = Step(1);
+  step.set_long_running(true);
+  PutJob({step});
+  owner_.Tick(now_);
+  constexpr uint64_t kFailures = 3;
+  for (uint64_t failure = 1; failure <= kFailures; ++failure) {
+    now_ += milliseconds(100);
+    Report("agent-0", ReportOf("agent-0"));
+    ASSERT_EQ(starts_["agent-0"].size(), failure);
+    auto report = ReportOf("agent-0");
+    const auto& start = starts_["agent-0"].rbegin()->second;
+    auto* result = report.add_results();
+    result->set_order(start.order());
+    result->set_outcome(ORDER_DONE);
+    auto* end = report.add_ended();
+    end->set_number(failure);
+    *end->mutable_task() = start.task();
+    end->set_run(start.run());
+    end->set_end(RUN_FAILED);
+    Report("agent-0", report);
+  }
+  const TimePoint failed_at = now_;
+  while (now_ < failed_at + seconds(5)) {
+    now_ += milliseconds(100);
+    Report("agent-0", ReportOf("agent-0"));
+  }
+  EXPECT_EQ(starts_["agent-0"].size(), kFailures + 1);
+}
+
 TEST_F(JobOwnerTest, ProgressKeepsARunWhereItIs) {
   PutJob({Step(1)});
   Begin();
