Jobs: Take back every worker that was set aside

Now the next return of a worker is looked up whenever one wait is over; tasks that wait for a time of their own note it each time they are looked at, as before.

Ruled out: looking again when a report shows a worker usable that was not at its last report, which misses a pause that begins and ends between two reports.

--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -242,7 +242,7 @@
     }
   }
   if (retry_at_ <= now) {
-    retry_at_ = TimePoint::max();
+    retry_at_ = NextTakeBack(now);
     place_due_ = true;
   }
   if (tickets_.TakeNews()) {
@@ -287,6 +287,16 @@
   return wake;
 }
 
+auto JobOwner::NextTakeBack(TimePoint now) const -> TimePoint {
+  TimePoint next = TimePoint::max();
+  for (const auto& [name, worker] : workers_) {
+    if (worker->set_aside_until > now) {
+      next = std::min(next, worker->set_aside_until);
+    }
+  }
+  return next;
+}
+
 auto JobOwner::AddJob(TimePoint now, const StoredJob& entry) -> void {
   if (entry.over()) {
     over_since_[entry.job.id()] = now;
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -190,6 +190,9 @@
       -> void;
   auto StopOrphan(WorkerView& worker, const RunningTask& row) -> void;
   auto NewRun() -> uint64_t;
+  // When the next worker that is set aside may be used again. Looking again
+  // only at the earliest time would leave tasks down that wait for a later one.
+  auto NextTakeBack(TimePoint now) const -> TimePoint;
 
   // Records for the log.
   auto AddEnds(std::vector<KeyedRecord>* records) -> void;
