Jobs: Say in the log why a task waits, and which agents the owner knows

The record of the reported incident could not tell two hypotheses apart: the owner took the cell for full, or it did not know of a worker that had room. A task that found no worker left no line, and neither did an agent that came into the owner's roster or left it.

Now a task that has waited for 3 s says how many workers refuse it, by reason, once in 5 s a step; and each agent that is taken in or forgotten is a line. The reasons are those by which the choice is made: one function gives them.

The test failed before there was such a line (0 in place of 2). Costs nothing where workers take the task.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -367,6 +367,11 @@
                                {"agent", decision.agent},
                                {"why", decision.why}});
   };
+  hooks.log_agent = [this](const std::string& what,
+                           const std::string& agent) -> void {
+    log_.Write(what,
+               {{"agent", agent}, {"fence", absl::StrCat(election_.fence())}});
+  };
   hooks.rules = [this](const std::string& queue) -> const QueueRules* {
     const auto* found = queues_.FindByName(queue);
     return found == nullptr ? nullptr : &found->rules;
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -67,6 +67,9 @@
   // Over the link, to the agent at the endpoint.
   std::function<auto(const std::string& link_endpoint, AgentOrders)->void> send;
   std::function<auto(const OwnerDecision&)->void> log;
+  // A decision about an agent as a whole: "agent_known" or "agent_forgotten".
+  std::function<auto(const std::string& what, const std::string& agent)->void>
+      log_agent;
   // The queue's rules by the newest configuration; null if it has none.
   std::function<auto(const std::string& queue)->const QueueRules*> rules;
   // Since 1970.
@@ -180,6 +183,10 @@
   // the queue has no policy.
   auto TicketsFor(TimePoint now, const TaskPlace& place)
       -> std::optional<StepTickets>;
+  // No worker takes the task: says why in the log once it has lasted.
+  auto NoteWaiting(TimePoint now,
+                   const TaskPlace& place,
+                   const PlaceLimits& limits) -> void;
   auto MayStart(TimePoint now, const TaskPlace& place) -> bool;
   auto Start(TimePoint now,
              const TaskPlace& place,
--- a/Source/Jobs/job_work.h
+++ b/Source/Jobs/job_work.h
@@ -54,6 +54,8 @@
 struct StepWork {
   std::vector<TaskWork> tasks;
   uint32_t done = 0;
+  // When the log was last told that its tasks wait for a worker.
+  TimePoint told_waiting_at;
 
   auto complete() const -> bool { return done == tasks.size(); }
 };
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -48,6 +48,7 @@
     worker = std::make_unique<WorkerView>();
     worker->agent = entry.name();
     worker->lease_bound = silent_until_;
+    hooks_.log_agent("agent_known", entry.name());
   }
   worker->registration = entry;
   worker->registered_at = now;
@@ -282,6 +283,7 @@
         now - last < options_.forget_agent_after || !census_done_) {
       return false;
     }
+    hooks_.log_agent("agent_forgotten", worker.agent);
     keys_to_drop_.push_back(MakeKey(RecordKind::kAgent, worker.agent));
     return true;
   });
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -8,6 +8,12 @@
 namespace rhubarbhaven::jobs {
 namespace {
 
+// Tasks wait for a second or two whenever the cell is busy. A task that lasts
+// must be back 6 s after its worker is lost.
+constexpr std::chrono::milliseconds kTellWaitingAfter{3000};
+// A step that waits on costs one line in this time.
+constexpr std::chrono::milliseconds kTellWaitingAgain{5000};
+
 // Gives an order for the first time, or again.
 auto AddOrder(PendingOrder& order, TimePoint now, AgentOrders* orders) -> void {
   if (order.start) {
@@ -102,6 +108,7 @@
     WorkerView* worker =
         ChoosePlace(now, workers_, place, interference_, limits);
     if (worker == nullptr) {
+      NoteWaiting(now, place, limits);
       return;
     }
     Start(now, place, *worker, NewRun(),
@@ -109,6 +116,19 @@
   }
 }
 
+auto JobOwner::NoteWaiting(TimePoint now,
+                           const TaskPlace& place,
+                           const PlaceLimits& limits) -> void {
+  const auto waited = now - place.task().waiting_since;
+  auto& told_at = place.step_work().told_waiting_at;
+  if (waited < kTellWaitingAfter || now - told_at < kTellWaitingAgain) {
+    return;
+  }
+  told_at = now;
+  Log("waits", place, 0, nullptr,
+      DescribeRefusals(now, workers_, place, limits));
+}
+
 auto JobOwner::TicketsFor(TimePoint now, const TaskPlace& place)
     -> std::optional<StepTickets> {
   if (!place.work->rules.needs_ticket()) {
@@ -154,7 +174,14 @@
     limits.rack = *rack;
     best = PlacesOfGang(now, place, limits);
   }
-  const uint64_t run = best.empty() ? 0 : NewRun();
+  if (best.empty()) {
+    place.index = 0;
+    PlaceLimits limits;
+    limits.tickets = tickets ? &*tickets : nullptr;
+    NoteWaiting(now, place, limits);
+    return;
+  }
+  const uint64_t run = NewRun();
   for (place.index = 0; place.index < best.size(); ++place.index) {
     WorkerView& worker = *best[place.index];
     Start(now, place, worker, run,
--- a/Source/Jobs/place_choice.cc
+++ b/Source/Jobs/place_choice.cc
@@ -1,5 +1,8 @@
 #include "Jobs/place_choice.h"
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
 #include <algorithm>
 #include <limits>
 
@@ -37,36 +40,92 @@
   return worker.Free().Holds(need);
 }
 
-auto MayRun(TimePoint now,
-            const WorkerView& worker,
-            const TaskPlace& place,
-            const PlaceLimits& limits) -> bool {
-  const auto& step = place.spec();
-  if (!worker.Accepts(now) || worker.service != place.work->rules.service()) {
+auto RefusalByState(TimePoint now, const WorkerView& worker) -> PlaceRefusal {
+  if (worker.Accepts(now)) {
+    return PlaceRefusal::kNone;
+  }
+  if (!worker.confirmed) {
+    return PlaceRefusal::kNotHeard;
+  }
+  if (worker.draining) {
+    return PlaceRefusal::kDraining;
+  }
+  if (worker.silent) {
+    return PlaceRefusal::kSilent;
+  }
+  return now < worker.set_aside_until ? PlaceRefusal::kSetAside
+                                      : PlaceRefusal::kNotHeard;
+}
+
+auto AtStepLimit(const WorkerView& worker,
+                 const TaskPlace& place,
+                 const PlaceLimits& limits) -> bool {
+  const uint32_t limit = place.spec().max_per_worker();
+  if (limit == 0) {
     return false;
   }
+  const auto planned = limits.planned.find(&worker);
+  return worker.CountOf(place) +
+             (planned == limits.planned.end() ? 0 : planned->second) >=
+         limit;
+}
+
+auto RefusalOf(TimePoint now,
+               const WorkerView& worker,
+               const TaskPlace& place,
+               const PlaceLimits& limits) -> PlaceRefusal {
+  const auto& step = place.spec();
+  const PlaceRefusal by_state = RefusalByState(now, worker);
+  if (by_state != PlaceRefusal::kNone) {
+    return by_state;
+  }
+  if (worker.service != place.work->rules.service()) {
+    return PlaceRefusal::kOtherService;
+  }
   if (!limits.rack.empty() && worker.rack != limits.rack) {
-    return false;
+    return PlaceRefusal::kOtherRack;
   }
   if (limits.tickets != nullptr &&
       !limits.tickets->contains(worker.worker_id)) {
-    return false;
+    return PlaceRefusal::kNoTicket;
   }
   if (!step.required_label().empty() &&
       !worker.HasLabel(step.required_label())) {
-    return false;
+    return PlaceRefusal::kNoLabel;
   }
   if (!Fits(worker, step)) {
-    return false;
+    return PlaceRefusal::kNoRoom;
   }
-  if (step.max_per_worker() == 0) {
-    return true;
+  return AtStepLimit(worker, place, limits) ? PlaceRefusal::kStepLimit
+                                            : PlaceRefusal::kNone;
+}
+
+auto NameOf(PlaceRefusal refusal) -> const char* {
+  switch (refusal) {
+    case PlaceRefusal::kNone:
+      return "too disturbing";
+    case PlaceRefusal::kNotHeard:
+      return "not heard";
+    case PlaceRefusal::kDraining:
+      return "draining";
+    case PlaceRefusal::kSilent:
+      return "silent";
+    case PlaceRefusal::kSetAside:
+      return "set aside";
+    case PlaceRefusal::kOtherService:
+      return "other service";
+    case PlaceRefusal::kOtherRack:
+      return "other rack";
+    case PlaceRefusal::kNoTicket:
+      return "no ticket";
+    case PlaceRefusal::kNoLabel:
+      return "no label";
+    case PlaceRefusal::kNoRoom:
+      return "no room";
+    case PlaceRefusal::kStepLimit:
+      return "limit of the step";
   }
-  const auto planned = limits.planned.find(&worker);
-  const uint32_t count =
-      worker.CountOf(place) +
-      (planned == limits.planned.end() ? 0 : planned->second);
-  return count < step.max_per_worker();
+  return "";
 }
 
 auto UsedShare(const WorkerView& worker) -> double {
@@ -113,6 +172,20 @@
 
 }  // namespace
 
+auto DescribeRefusals(TimePoint now,
+                      const WorkerViews& workers,
+                      const TaskPlace& place,
+                      const PlaceLimits& limits) -> std::string {
+  std::map<PlaceRefusal, int> counts;
+  for (const auto& [name, worker] : workers) {
+    ++counts[RefusalOf(now, *worker, place, limits)];
+  }
+  return absl::StrJoin(
+      counts, ", ", [](std::string* out, const auto& item) -> void {
+        absl::StrAppend(out, NameOf(item.first), " ", item.second);
+      });
+}
+
 auto ChoosePlace(TimePoint now,
                  const WorkerViews& workers,
                  const TaskPlace& place,
@@ -121,7 +194,7 @@
   WorkerView* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
   for (const auto& [name, worker] : workers) {
-    if (!MayRun(now, *worker, place, limits)) {
+    if (RefusalOf(now, *worker, place, limits) != PlaceRefusal::kNone) {
       continue;
     }
     const double cost = Cost(*worker, place, interference);
--- a/Source/Jobs/place_choice.h
+++ b/Source/Jobs/place_choice.h
@@ -26,6 +26,32 @@
   std::map<const WorkerView*, uint32_t> planned;
 };
 
+// Why a worker does not take a task, the first reason that holds.
+enum class PlaceRefusal {
+  kNone,
+  // Its agent has not listed its runs, or has not reported lately.
+  kNotHeard,
+  kDraining,
+  kSilent,
+  // It failed or refused runs a moment ago.
+  kSetAside,
+  kOtherService,
+  kOtherRack,
+  kNoTicket,
+  kNoLabel,
+  kNoRoom,
+  // Enough tasks of the step run there.
+  kStepLimit,
+};
+
+// How many workers refuse the task, by reason, for the log: "draining 1, no
+// room 4". Tells a cell that is full from one whose workers the owner does not
+// know.
+auto DescribeRefusals(TimePoint now,
+                      const WorkerViews& workers,
+                      const TaskPlace& place,
+                      const PlaceLimits& limits) -> std::string;
+
 // The worker on which a task should start, or null if none may take it now.
 auto ChoosePlace(TimePoint now,
                  const WorkerViews& workers,
--- a/Tests/Jobs/job_owner_test.cc
+++ b/Tests/Jobs/job_owner_test.cc
@@ -42,7 +42,12 @@
         stops_[agent][stop.order()] = stop;
       }
     };
-    hooks.log = [](const OwnerDecision&) {};
+    hooks.log = [this](const OwnerDecision& decision) {
+      if (decision.what == "waits") {
+        waits_.push_back(decision.why);
+      }
+    };
+    hooks.log_agent = [](const std::string&, const std::string&) {};
     hooks.rules = [this](const std::string&) { return &rules_; };
     hooks.wall_clock = [this]() -> milliseconds { return wall_; };
     hooks.ask_advice = [this](const AdviceCall& call, const auto& done) {
@@ -138,6 +143,8 @@
   std::map<std::string, int> polls_;
   std::map<std::string, std::map<uint64_t, StartOrder>> starts_;
   std::map<std::string, std::map<uint64_t, StopOrder>> stops_;
+  // Why tasks wait, as told to the log.
+  std::vector<std::string> waits_;
   std::vector<AdviceCall> advice_calls_;
   std::function<auto(TimePoint, AdviceResult)->void> on_advice_;
   JobOwner owner_;
@@ -416,6 +423,26 @@
   EXPECT_EQ(starts_["agent-0"].size(), kFailures + 1);
 }
 
+// Symptom: a task stays down, and the log does not say whether the cell is full
+// or the owner does not know of the room. Cause: a task that found no worker
+// left no line.
+TEST_F(JobOwnerTest, LogSaysWhyATaskWaitsOnAndNotTooOften) {
+  Begin();
+  auto drains = ReportOf("agent-1");
+  drains.set_draining(true);
+  Report("agent-0", ReportOf("agent-0"));
+  Report("agent-1", drains);
+  PutJob({Step(5)});
+  for (int round = 0; round < 110; ++round) {
+    now_ += milliseconds(100);
+    Report("agent-0", ReportOf("agent-0"));
+    Report("agent-1", drains);
+    owner_.OnRules();
+  }
+  EXPECT_EQ(waits_, (std::vector<std::string>{"draining 1, no room 1",
+                                              "draining 1, no room 1"}));
+}
+
 TEST_F(JobOwnerTest, ProgressKeepsARunWhereItIs) {
   PutJob({Step(1)});
   Begin();
