--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -1,5 +1,3 @@
-#include <absl/strings/str_cat.h>
-
 #include <algorithm>
 
 #include "Jobs/job_owner.h"
@@ -14,47 +12,6 @@
 
 }  // namespace
 
-auto JobOwner::OnAgentRecord(TimePoint now, const std::string& name) -> void {
-  const auto found = fold_->agents().find(name);
-  if (found == fold_->agents().end()) {
-    OnRegistrationGone(name);
-    return;
-  }
-  // The next owner's census asks the agents of the log's roster. An agent that
-  // has registered ahead of the drop of its earlier registration is about to
-  // leave the roster: tasks given to it now might be started elsewhere after a
-  // takeover. Polled by nobody, it registers again behind the drop.
-  if (!agents_in_drop_.contains(name)) {
-    std::erase(keys_to_drop_, MakeKey(RecordKind::kAgent, name));
-    AddAgent(now, found->second);
-  }
-}
-
-auto JobOwner::OnRegistrationGone(const std::string& name) -> void {
-  const auto found = workers_.find(name);
-  if (found == workers_.end()) {
-    return;
-  }
-  if (found->second->confirmed) {
-    agents_to_restore_.insert(name);
-  } else {
-    workers_.erase(found);
-  }
-}
-
-auto JobOwner::AddAgent(TimePoint now, const AgentEntry& entry) -> void {
-  auto& worker = workers_[entry.name()];
-  if (worker == nullptr) {
-    worker = std::make_unique<WorkerView>();
-    worker->agent = entry.name();
-    worker->lease_bound = silent_until_;
-    hooks_.log_agent("agent_known", entry.name());
-  }
-  worker->registration = entry;
-  worker->registered_at = now;
-  worker->poll_due = true;
-}
-
 auto JobOwner::EndLife(TimePoint now, WorkerView& worker) -> void {
   LoseRuns(now, worker, "its worker has a new life or has left");
   keys_to_drop_.push_back(MakeKey(RecordKind::kWorkerEnds, worker.worker_id));
@@ -271,22 +228,4 @@
   }
 }
 
-auto JobOwner::ForgetSilentAgents(TimePoint now) -> void {
-  std::erase_if(workers_, [this, now](const auto& item) -> bool {
-    const auto& worker = *item.second;
-    // An agent that has just registered has not reported yet. Taken for silent
-    // since the claim, it would be forgotten before its first poll, and its
-    // worker would stay empty.
-    const auto last =
-        std::max({worker.registered_at, worker.reported_at, silent_until_});
-    if (worker.confirmed || now < worker.lease_bound ||
-        now - last < options_.forget_agent_after || !census_done_) {
-      return false;
-    }
-    hooks_.log_agent("agent_forgotten", worker.agent);
-    keys_to_drop_.push_back(MakeKey(RecordKind::kAgent, worker.agent));
-    return true;
-  });
-}
-
 }  // namespace rhubarbhaven::jobs
--- /dev/null
+++ b/Source/Jobs/owner_jobs.cc
@@ -0,0 +1,126 @@
+#include <algorithm>
+#include <utility>
+
+#include "Jobs/job_owner.h"
+
+// Jobs, from the log's record until nothing of them is left.
+namespace rhubarbhaven::jobs {
+
+auto JobOwner::AddJob(TimePoint now, const StoredJob& entry) -> void {
+  if (entry.over()) {
+    over_since_[entry.job.id()] = now;
+    return;
+  }
+  auto work = std::make_unique<JobWork>();
+  work->entry = &entry;
+  const auto* rules = hooks_.rules(entry.job.queue());
+  work->rules = rules != nullptr ? *rules : entry.job.rules();
+  // An earlier owner may have started tasks of jobs that it read before the
+  // claim, on agents that have not answered yet.
+  const bool uncertain = !census_done_ && entry.accepted_at < claim_at_;
+  work->Restore(now, uncertain);
+  JobWork& added = *work;
+  jobs_[entry.job.id()] = std::move(work);
+  OpenDue(now, added);
+}
+
+auto JobOwner::EndJob(JobWork& work, const std::string& why) -> void {
+  for (auto& [number, occurrence] : work.occurrences) {
+    for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      auto& tasks = occurrence.steps[step].tasks;
+      for (uint32_t index = 0; index < tasks.size(); ++index) {
+        const TaskPlace place{&work, number, step, index};
+        for (auto& run : tasks[index].runs) {
+          StopRun(place, run, why);
+        }
+      }
+    }
+  }
+}
+
+auto JobOwner::ForgetJobIfIdle(TimePoint now, const std::string& id) -> void {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end() || !found->second->entry->over() ||
+      found->second->dirty) {
+    return;
+  }
+  for (const auto& [number, occurrence] : found->second->occurrences) {
+    for (const auto& step : occurrence.steps) {
+      for (const auto& task : step.tasks) {
+        if (!task.runs.empty()) {
+          return;
+        }
+      }
+    }
+  }
+  over_since_.emplace(id, now);
+  tickets_.Forget(id);
+  jobs_.erase(found);
+}
+
+auto JobOwner::DropJob(TimePoint now, const std::string& id) -> void {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) {
+    return;
+  }
+  for (auto& [number, occurrence] : found->second->occurrences) {
+    for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      auto& tasks = occurrence.steps[step].tasks;
+      for (uint32_t index = 0; index < tasks.size(); ++index) {
+        const TaskPlace place{found->second.get(), number, step, index};
+        while (!tasks[index].runs.empty()) {
+          const auto run = tasks[index].runs.front();
+          RemoveRun(now, place, run.run, run.worker);
+        }
+      }
+    }
+  }
+  jobs_.erase(found);
+}
+
+auto JobOwner::OpenDue(TimePoint now, JobWork& work) -> void {
+  const bool uncertain = !census_done_ && work.entry->accepted_at < claim_at_;
+  const auto wall = hooks_.wall_clock();
+  const uint32_t total = work.total_occurrences();
+  while (work.opened < total) {
+    std::chrono::milliseconds left{0};
+    if (work.job().occurrences() > 0) {
+      const std::chrono::milliseconds due(work.job().first_due_unix_ms() +
+                                          work.opened *
+                                              work.job().interval_ms());
+      left = due - wall;
+    }
+    if (left.count() > 0) {
+      due_at_ = std::min(due_at_, now + left);
+      return;
+    }
+    work.Open(now, work.opened, uncertain);
+    place_due_ = true;
+  }
+}
+
+auto JobOwner::Locate(const TaskName& name) -> std::optional<TaskPlace> {
+  const auto found = jobs_.find(name.job());
+  if (found == jobs_.end()) {
+    return std::nullopt;
+  }
+  JobWork& work = *found->second;
+  if (name.occurrence() >= work.total_occurrences() ||
+      name.step() >= static_cast<uint32_t>(work.job().steps_size()) ||
+      name.index() >= work.job().steps(static_cast<int>(name.step())).count()) {
+    return std::nullopt;
+  }
+  if (!work.occurrences.contains(name.occurrence())) {
+    return std::nullopt;
+  }
+  return TaskPlace{&work, name.occurrence(), name.step(), name.index()};
+}
+
+auto JobOwner::SetState(JobWork& work, JobState state) -> void {
+  if (work.state != state) {
+    work.state = state;
+    work.dirty = true;
+  }
+}
+
+}  // namespace rhubarbhaven::jobs
--- /dev/null
+++ b/Source/Jobs/owner_records.cc
@@ -0,0 +1,79 @@
+#include <algorithm>
+
+#include "Jobs/job_owner.h"
+
+// What the owner writes into the log.
+namespace rhubarbhaven::jobs {
+
+auto JobOwner::TakeBatch() -> std::vector<KeyedRecord> {
+  std::vector<KeyedRecord> records;
+  if (!active() || batch_out_) {
+    return records;
+  }
+  for (auto& [id, work] : jobs_) {
+    if (work->dirty) {
+      work->dirty = false;
+      records.push_back(
+          MakeRecord(RecordKind::kProgress, id, work->Progress()));
+    }
+  }
+  AddEnds(&records);
+  AddRoster(&records);
+  for (const auto& key : keys_to_drop_) {
+    records.push_back({key, "", 0});
+  }
+  keys_to_drop_.clear();
+  if (pressures_due_) {
+    pressures_due_ = false;
+    records.push_back(
+        MakeRecord(RecordKind::kPressures, "", interference_.Learned()));
+  }
+  batch_out_ = !records.empty();
+  return records;
+}
+
+auto JobOwner::AddEnds(std::vector<KeyedRecord>* records) -> void {
+  batch_ends_.clear();
+  for (const auto& [name, worker] : workers_) {
+    if (worker->ends_taken > worker->ends_logged) {
+      WorkerEnds ends;
+      ends.set_worker_id(worker->worker_id);
+      ends.set_last_end(worker->ends_taken);
+      records->push_back(
+          MakeRecord(RecordKind::kWorkerEnds, worker->worker_id, ends));
+      batch_ends_[worker->worker_id] = worker->ends_taken;
+    }
+  }
+}
+
+auto JobOwner::AddRoster(std::vector<KeyedRecord>* records) -> void {
+  for (const auto& key : keys_to_drop_) {
+    const RecordKey parsed = ParseKey(key);
+    if (parsed.kind == RecordKind::kAgent) {
+      agents_in_drop_.insert(parsed.name);
+    }
+  }
+  for (const auto& name : agents_to_restore_) {
+    const auto found = workers_.find(name);
+    if (found != workers_.end()) {
+      records->push_back(
+          MakeRecord(RecordKind::kAgent, name, found->second->registration));
+    }
+  }
+  agents_to_restore_.clear();
+}
+
+auto JobOwner::OnBatchStored() -> void {
+  batch_out_ = false;
+  agents_in_drop_.clear();
+  for (const auto& [name, worker] : workers_) {
+    const auto found = batch_ends_.find(worker->worker_id);
+    if (found != batch_ends_.end()) {
+      worker->ends_logged = std::max(worker->ends_logged, found->second);
+      worker->poll_due = true;
+    }
+  }
+  batch_ends_.clear();
+}
+
+}  // namespace rhubarbhaven::jobs
