Jobs: Keep an agent that answers without a worker in the roster

Cause: only reports of a worker counted as a sign of life. An agent whose worker had left was forgotten after 12 s although it answered every poll, and came back only with its next registration: its next worker stayed empty for up to 3 s, and for as long as the log was away.

Now whatever an agent answers is a sign of life.

--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -24,6 +24,7 @@
 auto JobOwner::UpdateWorker(TimePoint now,
                             WorkerView& worker,
                             const AgentReport& report) -> void {
+  worker.heard_at = now;
   const bool left =
       !worker.worker_id.empty() && worker.worker_id == report.left_worker_id();
   const bool other_life = !worker.worker_id.empty() &&
--- a/Source/Jobs/owner_roster.cc
+++ b/Source/Jobs/owner_roster.cc
@@ -54,7 +54,7 @@
     // since the claim, it would be forgotten before its first poll, and its
     // worker would stay empty.
     const auto last =
-        std::max({worker.registered_at, worker.reported_at, silent_until_});
+        std::max({worker.registered_at, worker.heard_at, silent_until_});
     if (worker.confirmed || now < worker.lease_bound ||
         now - last < options_.forget_agent_after || !census_done_) {
       return false;
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -64,7 +64,9 @@
   bool confirmed = false;
   // When the agent last made itself known in the log.
   TimePoint registered_at;
-  // The latest report; its agent's clock is echoed in grants.
+  // When the agent last answered, also without a worker.
+  TimePoint heard_at;
+  // The latest report of a worker; its agent's clock is echoed in grants.
   TimePoint reported_at;
   uint64_t reported_us = 0;
   // Nothing that rests on this owner's grants runs after this.
--- a/Tests/Jobs/job_owner_test.cc
+++ b/Tests/Jobs/job_owner_test.cc
@@ -111,6 +111,13 @@
     }
   }
 
+  auto StoreBatch() -> void {
+    for (const auto& record : owner_.TakeBatch()) {
+      Put(record);
+    }
+    owner_.OnBatchStored();
+  }
+
   auto Starts() const -> std::size_t {
     std::size_t count = 0;
     for (const auto& [agent, starts] : starts_) {
@@ -260,6 +267,29 @@
   EXPECT_EQ(polls_["agent-0"], 1);
 }
 
+// Symptom: a worker that comes back stays empty for up to 3 s. Sequence: a
+// worker leaves, and its agent goes on answering without one; a while later the
+// next worker comes. Cause: only reports of a worker counted as a sign of life,
+// so the agent was forgotten, again after each of its registrations.
+TEST_F(JobOwnerTest, AgentThatAnswersWithoutAWorkerStaysKnown) {
+  Begin();
+  ReportAll();
+  AgentReport idle;
+  idle.set_fence(kFence);
+  idle.set_left_worker_id("life-of-agent-1");
+  for (int second = 0; second < 60; ++second) {
+    now_ += seconds(1);
+    Report("agent-0", ReportOf("agent-0"));
+    Report("agent-1", idle);
+  }
+  polls_.clear();
+  now_ += seconds(1);
+  owner_.Tick(now_);
+  EXPECT_EQ(polls_["agent-1"], 1);
+  StoreBatch();
+  EXPECT_TRUE(fold_.agents().contains("agent-1"));
+}
+
 // An owner that forgets a silent agent drops its registration from the log. The
 // agent may register again before the drop is in the log.
 class ForgottenAgentTest : public JobOwnerTest {
@@ -282,13 +312,6 @@
     owner_.Tick(now_);
     Report("agent-1", ReportOf("agent-1"));
   }
-
-  auto StoreBatch() -> void {
-    for (const auto& record : owner_.TakeBatch()) {
-      Put(record);
-    }
-    owner_.OnBatchStored();
-  }
 };
 
 // Symptom: after a takeover tasks run in two places, or a worker is left empty
