Tests: Show how a worker that is gone holds up a takeover

The agents of the two workers answer its polls, but cannot list a worker that does not answer.

Cause: the census waits for a listing of every worker, or until leases of the earlier owner must be over on agents that do not answer: 16 s without a renewal and a lease of 5.4 s. An agent whose worker has left, or whose lease has certainly run out, is the only caller of that worker and has answered; nothing runs there.

2 of 32 tests of the owner fail, and 1 of 11 of the agent, which did not tell a new owner that its worker had left.

--- a/Tests/Jobs/job_owner_test.cc
+++ b/Tests/Jobs/job_owner_test.cc
@@ -382,6 +382,51 @@
   EXPECT_EQ(Starts(), 1U);
 }
 
+struct CensusCase {
+  std::string name;
+  // What agent 1 answers to the new owner; its worker cannot be listed.
+  bool knows_worker = false;
+  bool nothing_runs = false;
+  std::size_t starts = 0;
+};
+
+class CensusTest : public JobOwnerTest,
+                   public testing::WithParamInterface<CensusCase> {};
+
+// Symptom: tasks of before a takeover, also those that last, stay down for 20 s
+// with most of the cell free, and come up all at once. Sequence: a worker
+// leaves or crashes for good, its agent lives on; then the owner changes.
+// Cause: the census waited for a listing of each worker until leases of the
+// earlier owner must be over, although the agent, the only caller of its
+// worker, had answered that nothing runs there.
+TEST_P(CensusTest, TakesAWorkerOnWhichNothingRunsForListed) {
+  PutJob({Step(1)});
+  OwnerClaim claim;
+  claim.set_fence(kFence);
+  Put(MakeRecord(RecordKind::kClaim, "", claim));
+  Begin();
+  Report("agent-0", ReportOf("agent-0"));
+  AgentReport report;
+  report.set_fence(kFence);
+  report.set_sent_us(++sent_us_);
+  report.set_worker_id(GetParam().knows_worker ? "life-of-agent-1" : "");
+  report.set_worker_silent(GetParam().knows_worker);
+  report.set_worker_lapsed(GetParam().nothing_runs);
+  Report("agent-1", report);
+  EXPECT_EQ(Starts(), GetParam().starts);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    CensusTest,
+    testing::Values(CensusCase{"worker_has_left", false, true, 1},
+                    CensusCase{"lease_of_a_silent_worker_is_over", true, true,
+                               1},
+                    // What it may hold is not known.
+                    CensusCase{"silent_worker", true, false, 0},
+                    CensusCase{"agent_has_just_started", false, false, 0}),
+    [](const auto& info) { return info.param.name; });
+
 // Symptom: a job hangs on a worker whose tasks stand still.
 TEST_F(JobOwnerTest, RunWithoutProgressIsStoppedAndStartedElsewhere) {
   PutJob({Step(1)});
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -107,6 +107,44 @@
   TaskAgent agent_;
 };
 
+struct LeaveCase {
+  std::string name;
+  // Lives of the worker that the agent has heard of, and the one that leaves.
+  std::vector<std::string> heard;
+  std::string leaves;
+  bool nothing_runs = false;
+};
+
+class LeaveTest : public TaskAgentTest,
+                  public testing::WithParamInterface<LeaveCase> {};
+
+// Symptom: after a takeover no task of before runs for 20 s. Cause: an agent
+// whose worker had left told the new owner nothing about it, so that the census
+// waited. It may only say so of the life that it knew last: a process that has
+// just started may hear an older life leave, late, before it hears of the
+// worker on which tasks run.
+TEST_P(LeaveTest, SaysThatNothingRunsOnlyOfTheLifeItKnew) {
+  agent_.OnOrders(now_, "owner", Orders(1));
+  for (const auto& life : GetParam().heard) {
+    Beat(life);
+  }
+  agent_.OnLeave(now_, GetParam().leaves);
+  agent_.OnOrders(now_, "owner", Orders(2));
+  EXPECT_EQ(reports_.back().fence(), 2U);
+  EXPECT_EQ(reports_.back().worker_lapsed(), GetParam().nothing_runs);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    LeaveTest,
+    testing::Values(LeaveCase{"life_that_it_knew", {kWorker}, kWorker, true},
+                    LeaveCase{"life_unknown_after_a_start", {}, kWorker, false},
+                    LeaveCase{"earlier_life_after_the_next_came",
+                              {kWorker, "life-2"},
+                              kWorker,
+                              false}),
+    [](const auto& info) { return info.param.name; });
+
 // Symptom: a task runs in two places. Sequence: the agent starts a run and is
 // killed before the owner hears of it; the next process gets the order again,
 // before the worker's first heartbeat. Cause: the process took the order for
