Jobs: Take a worker that is gone for listed in the census

Now an agent that tells a new owner that nothing runs at its worker counts as having answered: when the lease of a silent worker has certainly run out, by the same reckoning by which the owner in office takes its runs for lost, or when the life that the agent knew last has left. An agent that has just started, and one whose silent worker may still hold a lease, are waited for as before.

Ruled out: waiting less for agents that do not answer at all, which an earlier owner may still lease to; taking any report of a leave for proof, since a process that has just started may hear an older life leave, late (a case of the test).

--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -228,9 +228,12 @@
   if (census_done_ || !active()) {
     return;
   }
+  // A worker that is gone cannot be listed. Waiting for it until leases of the
+  // earlier owner must be over would keep all tasks down for 20 s.
   const bool all_answered = std::all_of(
-      workers_.begin(), workers_.end(),
-      [](const auto& item) -> bool { return item.second->confirmed; });
+      workers_.begin(), workers_.end(), [](const auto& item) -> bool {
+        return item.second->confirmed || item.second->emptied;
+      });
   if (!all_answered && now < silent_until_) {
     return;
   }
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -25,6 +25,7 @@
                             WorkerView& worker,
                             const AgentReport& report) -> void {
   worker.heard_at = now;
+  worker.emptied = worker.emptied || report.worker_lapsed();
   const bool left =
       !worker.worker_id.empty() && worker.worker_id == report.left_worker_id();
   const bool other_life = !worker.worker_id.empty() &&
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -75,6 +75,7 @@
     ended_lives_.insert(heartbeat_.worker_id);
   }
   heartbeat_ = heartbeat;
+  worker_left_ = false;
   ResetWorker(now);
   ListIfDue(now);
   return true;
@@ -85,6 +86,7 @@
   left_worker_id_ = worker_id;
   if (worker_id == heartbeat_.worker_id) {
     heartbeat_ = WorkerHeartbeat();
+    worker_left_ = true;
     ResetWorker(now);
     Report(now, /*with_running=*/true);
   }
@@ -230,6 +232,15 @@
          std::max(WorkerTime(1), std::chrono::floor<WorkerTime>(left));
 }
 
+auto TaskAgent::LeaseLapsed(TimePoint now) const -> bool {
+  if (!silent_since_ || !worker_lease_until_) {
+    return false;
+  }
+  const auto drift = std::chrono::duration_cast<Duration>(
+      (*worker_lease_until_ - *silent_since_) * options_.worker_clock_drift);
+  return now > *worker_lease_until_ + drift + kLeaseMargin;
+}
+
 auto TaskAgent::Report(TimePoint now, bool with_running) -> void {
   if (owner_peer_.empty()) {
     return;
@@ -251,11 +262,7 @@
   report.set_pacing_version(pacing_version_);
   report.set_worker_silent(silent_since_ &&
                            now - *silent_since_ > options_.silent_after);
-  if (silent_since_ && worker_lease_until_) {
-    const auto drift = std::chrono::duration_cast<Duration>(
-        (*worker_lease_until_ - *silent_since_) * options_.worker_clock_drift);
-    report.set_worker_lapsed(now > *worker_lease_until_ + drift + kLeaseMargin);
-  }
+  report.set_worker_lapsed(worker_left_ || LeaseLapsed(now));
   // What was listed before the worker fell silent is no longer known to be so:
   // an owner that has taken its runs for lost would take them back.
   const bool listed = listed_ && !silent_since_;
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -114,6 +114,8 @@
   auto Pace(TimePoint now) -> void;
   auto LeaseHolds(TimePoint now) const -> bool { return now < lease_until_; }
   auto WorkerDeadline() const -> WorkerTime;
+  // The lease of a silent worker has run out, also by its own clock.
+  auto LeaseLapsed(TimePoint now) const -> bool;
   auto Report(TimePoint now, bool with_running) -> void;
 
   TaskAgentOptions options_;
@@ -135,6 +137,8 @@
   WorkerHeartbeat heartbeat_;
   std::set<std::string> ended_lives_;
   std::string left_worker_id_;
+  // The life that was known last has left, and no other was heard of since.
+  bool worker_left_ = false;
   // Grows when the worker's life or the fence changes, so that answers to
   // earlier calls are told apart.
   uint64_t epoch_ = 0;
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -62,6 +62,8 @@
   bool silent = false;
   // The agent has listed what runs under this owner's fence.
   bool confirmed = false;
+  // The agent has told this owner that nothing of earlier owners runs there.
+  bool emptied = false;
   // When the agent last made itself known in the log.
   TimePoint registered_at;
   // When the agent last answered, also without a worker.
