Jobs: Let no wait of the owner end without a look

Found by a review of this series: places where a task stays down until something else happens in the cell, and two other slips.

- A question to the policy that gives tickets, whose answer was lost, was marked as to be asked again, but nobody looked; nor after the least pause between two questions, when a worker had joined or had refused its ticket within it.
- A worker whose room grows within its life woke nobody.
- A registration read behind the drop of an earlier one, but ahead of the log's answer to the append with the drop, was passed over until the next one, 3 s.
- The owner echoed the highest time it had heard from an agent as the beginning of a lease, also after the instance was started anew with a clock at zero: such a lease would have held far too long.

Each has a test of the owner.

--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -172,7 +172,7 @@
     retry_at_ = NextTakeBack(now);
     place_due_ = true;
   }
-  if (tickets_.TakeNews()) {
+  if (tickets_.TakeNews(now)) {
     place_due_ = true;
   }
   if (place_due_) {
@@ -204,7 +204,7 @@
   if (place_due_) {
     return TimePoint();
   }
-  TimePoint wake = std::min({due_at_, retry_at_});
+  TimePoint wake = std::min({due_at_, retry_at_, tickets_.ask_again_at()});
   if (!census_done_) {
     wake = std::min(wake, silent_until_);
   }
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -16,6 +16,9 @@
   LoseRuns(now, worker, "its worker has a new life or has left");
   keys_to_drop_.push_back(MakeKey(RecordKind::kWorkerEnds, worker.worker_id));
   worker.worker_id.clear();
+  // An instance that was started anew counts its time from zero. A lease that
+  // begins by the time of before would last until the new clock gets there.
+  worker.reported_us = 0;
   worker.confirmed = false;
   worker.failures_in_row = 0;
   worker.set_aside_until = TimePoint();
@@ -48,6 +51,7 @@
     worker.ends_taken = worker.ends_logged;
   }
   const bool accepted = worker.Accepts(now);
+  const Room capacity = worker.capacity;
   worker.reported_at = now;
   worker.reported_us = std::max(worker.reported_us, report.sent_us());
   worker.service = report.service();
@@ -61,7 +65,9 @@
   worker.draining = report.draining();
   worker.silent = report.worker_silent();
   worker.agent_pacing_version = report.pacing_version();
-  if (!accepted && worker.Accepts(now)) {
+  const bool begins = !accepted && worker.Accepts(now);
+  const bool grows = !capacity.Holds(worker.capacity);
+  if (begins || grows) {
     place_due_ = true;
   }
 }
--- a/Source/Jobs/owner_roster.cc
+++ b/Source/Jobs/owner_roster.cc
@@ -23,6 +23,7 @@
 }
 
 auto JobOwner::OnRegistrationGone(const std::string& name) -> void {
+  agents_in_drop_.erase(name);
   const auto found = workers_.find(name);
   if (found == workers_.end()) {
     return;
--- a/Source/Jobs/ticket_book.cc
+++ b/Source/Jobs/ticket_book.cc
@@ -3,6 +3,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace rhubarbhaven::jobs {
@@ -51,10 +52,15 @@
 auto TicketBook::Clear() -> void {
   entries_.clear();
   ++generation_;
+  ask_again_at_ = TimePoint::max();
 }
 
-auto TicketBook::TakeNews() -> bool {
-  return std::exchange(news_, false);
+auto TicketBook::TakeNews(TimePoint now) -> bool {
+  const bool ask_again = ask_again_at_ <= now;
+  if (ask_again) {
+    ask_again_at_ = TimePoint::max();
+  }
+  return std::exchange(news_, false) || ask_again;
 }
 
 auto TicketBook::Key(const TaskName& step) -> std::string {
@@ -69,8 +75,11 @@
   const bool still_valid = now + kWayToWorker < entry.valid_until;
   const bool recent =
       entry.asked_at != TimePoint() && now - entry.asked_at < kAskAgain;
-  if (entry.asking || recent || (same_workers && still_valid) ||
-      workers.empty()) {
+  if (entry.asking || (same_workers && still_valid) || workers.empty()) {
+    return;
+  }
+  if (recent) {
+    ask_again_at_ = std::min(ask_again_at_, entry.asked_at + kAskAgain);
     return;
   }
   entry.asking = true;
@@ -91,7 +100,9 @@
          }
          found->second.asking = false;
          if (!result.answered) {
+           // Without another event in the cell nobody would ask again.
            found->second.asked_about.clear();
+           ask_again_at_ = std::min(ask_again_at_, asked + kAskAgain);
            return;
          }
          found->second.tickets.clear();
--- a/Source/Jobs/ticket_book.h
+++ b/Source/Jobs/ticket_book.h
@@ -56,8 +56,11 @@
   // The job is over.
   auto Forget(const std::string& job) -> void;
   auto Clear() -> void;
-  // Tickets that came since this was last called.
-  auto TakeNews() -> bool;
+  // Whether tickets came since this was last called, or a question that had to
+  // wait may be asked now: the tasks that need them are to be looked at.
+  auto TakeNews(TimePoint now) -> bool;
+  // When a question that has to wait may be asked.
+  auto ask_again_at() const -> TimePoint { return ask_again_at_; }
 
  private:
   struct Entry {
@@ -78,6 +81,7 @@
   // Answers to calls of before `Clear` are told apart by this.
   uint64_t generation_ = 0;
   bool news_ = false;
+  TimePoint ask_again_at_ = TimePoint::max();
 };
 
 }  // namespace rhubarbhaven::jobs
--- a/Tests/Jobs/job_owner_test.cc
+++ b/Tests/Jobs/job_owner_test.cc
@@ -346,6 +346,18 @@
   EXPECT_TRUE(fold_.agents().contains("agent-1"));
 }
 
+// The other way round: the drop and a registration behind it are read before
+// the log's answer to the append that held the drop.
+TEST_F(ForgottenAgentTest, RegistrationBehindTheDropIsTaken) {
+  ForgetAgent1();
+  for (const auto& record : owner_.TakeBatch()) {
+    Put(record);
+  }
+  polls_.clear();
+  RegisterAgent1();
+  EXPECT_GT(polls_["agent-1"], 0);
+}
+
 // As above, with the drop read late: the agent is in use already, and its
 // registration is written again.
 TEST_F(ForgottenAgentTest, RegistrationOfAnAgentInUseIsRestored) {
@@ -600,6 +612,99 @@
   EXPECT_EQ(starts_["agent-1"].size(), 2U);
 }
 
+// A policy that is asked for tickets, with a cell in which nothing else
+// happens.
+class TicketWaitTest : public JobOwnerTest {
+ protected:
+  auto AskFirst(const JobStep& step) -> void {
+    rules_.set_needs_ticket(true);
+    PutJob({step});
+    Begin();
+    Report("agent-0", ReportOf("agent-0"));
+    ASSERT_EQ(advice_calls_.size(), 1U);
+  }
+
+  // Both workers report for a while and nothing else happens.
+  auto Wait() -> void {
+    for (int round = 0; round < 20; ++round) {
+      now_ += milliseconds(100);
+      ReportAll();
+    }
+  }
+};
+
+// Symptom: a task that needs a ticket waits until something else happens in the
+// cell. Sequence: the policy's answer is lost, for one with the connection.
+// Cause: the question was marked as to be asked again, but nobody looked.
+TEST_F(TicketWaitTest, AsksAgainAfterAnAnswerWasLost) {
+  AskFirst(Step(1));
+  on_advice_(now_, {});
+  Wait();
+  EXPECT_EQ(advice_calls_.size(), 2U);
+}
+
+// As above. Sequence: a worker joins less than the least pause between two
+// questions after the last one.
+TEST_F(TicketWaitTest, AsksAboutAWorkerThatJoinsRightAfterAQuestion) {
+  AskFirst(Step(5));
+  on_advice_(now_, {true, {{"life-of-agent-0", "ticket"}}, seconds(9)});
+  owner_.Tick(now_);
+  now_ += milliseconds(100);
+  ReportAll();
+  Wait();
+  EXPECT_EQ(advice_calls_.size(), 2U);
+}
+
+// As above. Sequence: a worker refuses a ticket right after it was given.
+TEST_F(TicketWaitTest, AsksAgainAfterATicketWasRefused) {
+  AskFirst(Step(1));
+  on_advice_(now_, {true, {{"life-of-agent-0", "ticket"}}, seconds(9)});
+  owner_.Tick(now_);
+  ASSERT_EQ(starts_["agent-0"].size(), 1U);
+  auto report = ReportOf("agent-0");
+  auto* result = report.add_results();
+  result->set_order(starts_["agent-0"].begin()->first);
+  result->set_outcome(ORDER_BAD_TICKET);
+  Report("agent-0", report);
+  Wait();
+  EXPECT_EQ(advice_calls_.size(), 2U);
+}
+
+// Symptom: a task waits beside room until something else happens. Sequence: a
+// worker tells of more room than before. Cause: only a worker that begins to
+// take runs made the owner look again.
+TEST_F(JobOwnerTest, RoomThatGrowsIsUsedAtOnce) {
+  Begin();
+  for (const char* agent : {"agent-0", "agent-1"}) {
+    auto small = ReportOf(agent);
+    small.mutable_capacity()->set_millicores(500);
+    Report(agent, small);
+  }
+  PutJob({Step(1)});
+  owner_.Tick(now_);
+  ASSERT_EQ(Starts(), 0U);
+  Report("agent-0", ReportOf("agent-0"));
+  EXPECT_EQ(Starts(), 1U);
+}
+
+// Symptom: an agent keeps its lease long after its owner is gone, and tasks
+// started elsewhere run in two places. Sequence: an instance is started anew,
+// so that its clock begins at zero, and its worker's next life reports. Cause:
+// the owner echoed the highest time it had heard from the agent, now far ahead
+// of the agent's clock, as the beginning of the lease.
+TEST_F(JobOwnerTest, LeaseBeginsByTheClockOfTheWorkersPresentLife) {
+  Begin();
+  ReportAll();
+  auto old = ReportOf("agent-1");
+  old.set_sent_us(900'000'000);
+  Report("agent-1", old);
+  auto next = ReportOf("agent-1");
+  next.set_worker_id("next-life");
+  next.set_sent_us(1000);
+  Report("agent-1", next);
+  EXPECT_EQ(owner_.workers().at("agent-1")->reported_us, 1000U);
+}
+
 struct GangCase {
   std::string name;
   uint32_t members = 0;
