Jobs: Pass over records that say nothing, and keep what earlier ones said

Another writer may put a record whose bytes cannot be read, that lacks fields, or that names what is not there.

Cause: the fold kept whatever had been read of such a record. An agent's entry without its name or endpoint became an agent: it was polled, could take over the endpoint of a real agent, and a new owner's census waited for its answer until the leases were over. Progress indexed steps and occurrences unchecked (the owner ended); a step listed twice counted its tasks twice, so that its job never completed; an unknown state counted as over. A claim without a fence or with the largest one, pressures that are no number, keys such as "o/other", jobs under another key or with a step that waits for itself were all believed.

Now each value is read into a message of its own and checked (record_reader); a record that fails leaves the fold as it was, changes nothing for the owner or the election, is counted, and is logged with its key and reason once in ten minutes, 100 lines at most in that time. An empty value drops its key as before, but for the claim: the next one would begin again at the lowest fence. Only the content that cancellations have cancels a job. The endpoint's form is told by the link. A worker that names no service gets no task, also of a queue that names none. The owner's test of the census now names the claim's owner, as every entry does; it is as strict as before.

Ruled out: checking only where the fold is used. Other readers (the election, a new owner, callers) would each need the same checks.

Not covered: an entry that is whole but where nobody answers is like an agent that is cut off, and the census waits for it; two entries with one endpoint.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -54,6 +54,7 @@
       hooks_(std::move(hooks)),
       metrics_(metrics),
       log_("jobs"),
+      fold_(hooks_.is_link_endpoint),
       election_(ElectionOptions(options_)),
       owner_(OwnerOptions(options_), MakeOwnerHooks()),
       job_follower_(FollowerOptions(LogTopic::kJobs),
@@ -170,6 +171,9 @@
 auto EntryDecisions::OnJobRecord(TimePoint now, const KeyedRecord& record)
     -> void {
   const auto change = fold_.Apply(record);
+  if (!change.passed_over.empty()) {
+    NotePassedOver(now, record, change.passed_over);
+  }
   if (change.kind == RecordKind::kClaim) {
     election_.OnClaimRead(now, fold_.claim());
     if (owner_.active() && !election_.owner(now)) {
@@ -179,6 +183,18 @@
   owner_.OnChange(now, change);
 }
 
+auto EntryDecisions::NotePassedOver(TimePoint now,
+                                    const KeyedRecord& record,
+                                    const std::string& why) -> void {
+  metrics_->Add("rhubarbhaven_records_passed_over_total");
+  // Read again and again while it stays in the log.
+  if (passed_over_.IsNew(now, record.key, why)) {
+    log_.Write("record_passed_over", {{"key", ForLog(record.key)},
+                                      {"offset", absl::StrCat(record.offset)},
+                                      {"why", ForLog(why)}});
+  }
+}
+
 auto EntryDecisions::OnOperatorRecord(const KeyedRecord& record) -> void {
   auto configuration = hooks_.read_configuration(record);
   if (!configuration) {
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "Jobs/append_batcher.h"
+#include "Jobs/complaint_book.h"
 #include "Jobs/job_check.h"
 #include "Jobs/job_fold.h"
 #include "Jobs/job_owner.h"
@@ -29,6 +30,8 @@
   KeyedLogPort log;
   // Over the link, to an agent.
   std::function<auto(const std::string& link_endpoint, AgentOrders)->void> send;
+  // Whether a link can be made to an agent's endpoint; null if to any.
+  IsLinkEndpoint is_link_endpoint;
   // Since 1970.
   std::function<auto()->std::chrono::milliseconds> wall_clock;
   // The policy that gives tickets; answers on the thread of the decisions.
@@ -93,6 +96,9 @@
 
   auto FollowerHooksFor(LogTopic topic) -> KeyedLogFollowerHooks;
   auto OnJobRecord(TimePoint now, const KeyedRecord& record) -> void;
+  auto NotePassedOver(TimePoint now,
+                      const KeyedRecord& record,
+                      const std::string& why) -> void;
   auto OnOperatorRecord(const KeyedRecord& record) -> void;
   auto OnCaughtUp(TimePoint now) -> void;
 
@@ -115,6 +121,7 @@
   bool ready_ = false;
 
   JobFold fold_;
+  ComplaintBook passed_over_;
   // The fold holds everything up to some place in the log.
   bool fold_current_ = false;
   QueueDirectory queues_;
--- a/Source/Jobs/job_check.cc
+++ b/Source/Jobs/job_check.cc
@@ -14,16 +14,6 @@
   return absl::InvalidArgumentError(text);
 }
 
-auto CheckId(const std::string& id) -> absl::Status {
-  const bool well_formed =
-      id.size() == kIdDigits &&
-      std::all_of(id.begin(), id.end(), [](unsigned char c) -> bool {
-        return absl::ascii_isxdigit(c);
-      });
-  return well_formed ? absl::OkStatus()
-                     : Problem("the job's id must have 16 hexadecimal digits");
-}
-
 auto CheckStep(const Job& job, int number) -> absl::Status {
   const auto& step = job.steps(number);
   if (step.count() < 1 || step.count() > kMostTasksPerStep) {
@@ -42,8 +32,18 @@
 
 }  // namespace
 
+auto CheckJobId(const std::string& id) -> absl::Status {
+  const bool well_formed =
+      id.size() == kIdDigits &&
+      std::all_of(id.begin(), id.end(), [](unsigned char c) -> bool {
+        return absl::ascii_isxdigit(c);
+      });
+  return well_formed ? absl::OkStatus()
+                     : Problem("the job's id must have 16 hexadecimal digits");
+}
+
 auto CheckJob(const Job& job) -> absl::Status {
-  auto status = CheckId(job.id());
+  auto status = CheckJobId(job.id());
   if (!status.ok()) {
     return status;
   }
--- a/Source/Jobs/job_check.h
+++ b/Source/Jobs/job_check.h
@@ -3,6 +3,8 @@
 
 #include <absl/status/status.h>
 
+#include <string>
+
 #include "Base/base.h"
 
 namespace rhubarbhaven::jobs {
@@ -15,6 +17,7 @@
 inline constexpr uint32_t kMostTasksPerStep = 10000;
 inline constexpr uint32_t kMostOccurrences = 100000;
 
+auto CheckJobId(const std::string& id) -> absl::Status;
 // An error says what is wrong with the job, where, and what is allowed.
 auto CheckJob(const Job& job) -> absl::Status;
 
--- a/Source/Jobs/job_fold.cc
+++ b/Source/Jobs/job_fold.cc
@@ -1,5 +1,9 @@
 #include "Jobs/job_fold.h"
 
+#include <absl/strings/str_cat.h>
+
+#include "Jobs/record_reader.h"
+
 namespace rhubarbhaven::jobs {
 
 auto StoredJob::state() const -> JobState {
@@ -17,42 +21,39 @@
 
 auto JobFold::Apply(const KeyedRecord& record) -> FoldChange {
   const RecordKey key = ParseKey(record.key);
+  FoldChange change{key.kind, key.name, ""};
+  const auto taken = Take(key, record, &change.passed_over);
+  if (!taken.ok()) {
+    // Named to nobody: an owner would look for what is not there, and a claim
+    // that cannot be read would count as a sign of life of the one before.
+    change.kind = RecordKind::kUnknown;
+    change.passed_over = std::string(taken.message());
+  }
+  return change;
+}
+
+auto JobFold::Take(const RecordKey& key,
+                   const KeyedRecord& record,
+                   std::string* earlier_passed_over) -> absl::Status {
   switch (key.kind) {
     case RecordKind::kJob:
-      ApplyJob(key.name, record);
-      break;
+      return TakeJob(key.name, record, earlier_passed_over);
     case RecordKind::kProgress:
-      ApplyProgress(key.name, record);
-      break;
+      return TakeProgress(key.name, record);
     case RecordKind::kCancellation:
-      if (!record.value.empty() && !EntryOf(key.name).cancelled_at) {
-        EntryOf(key.name).cancelled_at = record.offset;
-      }
-      break;
+      return TakeCancellation(key.name, record);
     case RecordKind::kAgent:
-      if (record.value.empty()) {
-        agents_.erase(key.name);
-      } else {
-        agents_[key.name].ParseFromString(record.value);
-      }
-      break;
+      return TakeAgent(key.name, record);
     case RecordKind::kWorkerEnds:
-      if (record.value.empty()) {
-        worker_ends_.erase(key.name);
-      } else {
-        worker_ends_[key.name].ParseFromString(record.value);
-      }
-      break;
+      return TakeWorkerEnds(key.name, record);
     case RecordKind::kClaim:
-      ApplyClaim(record);
-      break;
+      return TakeClaim(key.name, record);
     case RecordKind::kPressures:
-      pressures_.ParseFromString(record.value);
-      break;
+      return TakePressures(key.name, record);
     case RecordKind::kUnknown:
       break;
   }
-  return {key.kind, key.name};
+  return absl::InvalidArgumentError("no such key belongs to this system");
 }
 
 auto JobFold::Find(const std::string& job) const -> const StoredJob* {
@@ -79,42 +80,133 @@
   return pending;
 }
 
-auto JobFold::ApplyJob(const std::string& id, const KeyedRecord& record)
-    -> void {
+auto JobFold::TakeJob(const std::string& id,
+                      const KeyedRecord& record,
+                      std::string* earlier_passed_over) -> absl::Status {
   if (record.value.empty()) {
     jobs_.erase(id);
-    return;
+    return absl::OkStatus();
+  }
+  auto job = ReadJob(id, record.value);
+  if (!job.ok()) {
+    return job.status();
   }
   StoredJob& entry = EntryOf(id);
   // The first record of an id counts: a caller that heard no answer hands its
   // job in again, also at other entries.
   if (!entry.job.id().empty()) {
-    return;
+    return absl::OkStatus();
   }
-  if (entry.job.ParseFromString(record.value)) {
-    entry.accepted_at = record.offset;
+  entry.job = *std::move(job);
+  entry.accepted_at = record.offset;
+  auto status = CheckProgress(entry.job, entry.progress);
+  if (!status.ok()) {
+    *earlier_passed_over =
+        absl::StrCat("of its progress, read before: ", status.message());
+    entry.progress.Clear();
+    entry.progress_at = 0;
   }
+  return absl::OkStatus();
 }
 
-auto JobFold::ApplyProgress(const std::string& id, const KeyedRecord& record)
-    -> void {
+auto JobFold::TakeProgress(const std::string& id, const KeyedRecord& record)
+    -> absl::Status {
   if (record.value.empty()) {
-    return;
+    return absl::OkStatus();
+  }
+  auto progress = ReadProgress(id, record.value);
+  if (!progress.ok()) {
+    return progress.status();
+  }
+  const auto* known = Find(id);
+  if (known != nullptr) {
+    auto status = CheckProgress(known->job, *progress);
+    if (!status.ok()) {
+      return status;
+    }
   }
   StoredJob& entry = EntryOf(id);
   if (record.offset >= entry.progress_at) {
-    entry.progress.ParseFromString(record.value);
+    entry.progress = *std::move(progress);
     entry.progress_at = record.offset;
   }
+  return absl::OkStatus();
+}
+
+auto JobFold::TakeCancellation(const std::string& id, const KeyedRecord& record)
+    -> absl::Status {
+  if (record.value.empty()) {
+    return absl::OkStatus();
+  }
+  auto status = CheckCancellation(id, record.value);
+  if (!status.ok()) {
+    return status;
+  }
+  StoredJob& entry = EntryOf(id);
+  if (!entry.cancelled_at) {
+    entry.cancelled_at = record.offset;
+  }
+  return absl::OkStatus();
+}
+
+auto JobFold::TakeAgent(const std::string& name, const KeyedRecord& record)
+    -> absl::Status {
+  if (record.value.empty()) {
+    agents_.erase(name);
+    return absl::OkStatus();
+  }
+  // Symptom: the owner polls an agent that is none, and a new owner starts
+  // nothing of before its claim until the leases are over, as its census waits
+  // for that agent's answer. So only what can be asked is an agent.
+  auto entry = ReadAgent(name, record.value);
+  if (!entry.ok()) {
+    return entry.status();
+  }
+  if (is_endpoint_ != nullptr && !is_endpoint_(entry->link_endpoint())) {
+    return absl::InvalidArgumentError(
+        absl::StrCat("\"", entry->link_endpoint(), "\" is no endpoint"));
+  }
+  agents_[name] = *std::move(entry);
+  return absl::OkStatus();
 }
 
-auto JobFold::ApplyClaim(const KeyedRecord& record) -> void {
+auto JobFold::TakeWorkerEnds(const std::string& worker_id,
+                             const KeyedRecord& record) -> absl::Status {
+  if (record.value.empty()) {
+    worker_ends_.erase(worker_id);
+    return absl::OkStatus();
+  }
+  auto ends = ReadWorkerEnds(worker_id, record.value);
+  if (!ends.ok()) {
+    return ends.status();
+  }
+  worker_ends_[worker_id] = *std::move(ends);
+  return absl::OkStatus();
+}
+
+auto JobFold::TakeClaim(const std::string& name, const KeyedRecord& record)
+    -> absl::Status {
   if (claim_known_ && record.offset <= claim_at_) {
-    return;
+    return absl::OkStatus();
   }
-  claim_.ParseFromString(record.value);
+  auto claim = ReadClaim(name, record.value);
+  if (!claim.ok()) {
+    return claim.status();
+  }
+  claim_ = *std::move(claim);
   claim_at_ = record.offset;
   claim_known_ = true;
+  return absl::OkStatus();
+}
+
+auto JobFold::TakePressures(const std::string& name, const KeyedRecord& record)
+    -> absl::Status {
+  auto learned = ReadPressures(name, record.value);
+  if (!learned.ok()) {
+    return learned.status();
+  }
+  pressures_ = *std::move(learned);
+  return absl::OkStatus();
 }
 
 auto JobFold::EntryOf(const std::string& id) -> StoredJob& {
--- a/Source/Jobs/job_fold.h
+++ b/Source/Jobs/job_fold.h
@@ -1,11 +1,15 @@
 #ifndef RHUBARBHAVEN_JOBS_JOB_FOLD_H_
 #define RHUBARBHAVEN_JOBS_JOB_FOLD_H_
 
+#include <absl/status/status.h>
+
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Base/base.h"
@@ -31,18 +35,31 @@
 
 // Changes that one record made, for whoever acts on them.
 struct FoldChange {
+  // kUnknown if nothing was changed.
   RecordKind kind = RecordKind::kUnknown;
   std::string name;
+  // Why the record, or the progress that waited for it, was passed over; empty
+  // if all was taken.
+  std::string passed_over;
 };
 
+// Whether a link can be made to an endpoint of this form.
+using IsLinkEndpoint = std::function<auto(const std::string& endpoint)->bool>;
+
 // The state of all jobs, agents and of the ownership, folded from the records
 // of the keyed log. Every entry keeps one; two entries that have read to the
 // same place have the same.
 class JobFold {
  public:
+  // Any endpoint will do if `is_endpoint` is null.
+  explicit JobFold(IsLinkEndpoint is_endpoint = nullptr)
+      : is_endpoint_(std::move(is_endpoint)) {}
+
   // Records of one key must come in the order of their offsets; an older one
   // than the newest applied is ignored, so pages of newest records and the
-  // records behind them may overlap.
+  // records behind them may overlap. A record of another writer that cannot be
+  // read, or names what is not there, leaves what an earlier one of its key
+  // said; an empty value drops the key.
   auto Apply(const KeyedRecord& record) -> FoldChange;
 
   auto Find(const std::string& job) const -> const StoredJob*;
@@ -65,11 +82,29 @@
   auto PendingIn(const std::string& queue) const -> uint64_t;
 
  private:
-  auto ApplyJob(const std::string& id, const KeyedRecord& record) -> void;
-  auto ApplyProgress(const std::string& id, const KeyedRecord& record) -> void;
-  auto ApplyClaim(const KeyedRecord& record) -> void;
+  // Takes one record; an error says why it was passed over.
+  auto Take(const RecordKey& key,
+            const KeyedRecord& record,
+            std::string* earlier_passed_over) -> absl::Status;
+  // Says of progress that was read ahead of the job why it is not the job's.
+  auto TakeJob(const std::string& id,
+               const KeyedRecord& record,
+               std::string* earlier_passed_over) -> absl::Status;
+  auto TakeProgress(const std::string& id, const KeyedRecord& record)
+      -> absl::Status;
+  auto TakeCancellation(const std::string& id, const KeyedRecord& record)
+      -> absl::Status;
+  auto TakeAgent(const std::string& name, const KeyedRecord& record)
+      -> absl::Status;
+  auto TakeWorkerEnds(const std::string& worker_id, const KeyedRecord& record)
+      -> absl::Status;
+  auto TakeClaim(const std::string& name, const KeyedRecord& record)
+      -> absl::Status;
+  auto TakePressures(const std::string& name, const KeyedRecord& record)
+      -> absl::Status;
   auto EntryOf(const std::string& id) -> StoredJob&;
 
+  IsLinkEndpoint is_endpoint_;
   absl::flat_hash_map<std::string, std::unique_ptr<StoredJob>> jobs_;
   std::map<std::string, AgentEntry> agents_;
   std::map<std::string, WorkerEnds> worker_ends_;
--- a/Source/Jobs/job_work.cc
+++ b/Source/Jobs/job_work.cc
@@ -38,6 +38,22 @@
   return progress;
 }
 
+auto RestoreStep(const StepProgress& known, StepWork* work) -> void {
+  for (uint32_t index = 0; index < work->tasks.size(); ++index) {
+    // Counted once, also if two rows tell of it: a step with more done than it
+    // has would never count as complete.
+    if (BitIsSet(known.done(), index) && !work->tasks[index].done) {
+      work->tasks[index].done = true;
+      ++work->done;
+    }
+  }
+  for (const auto& [index, failures] : known.failures()) {
+    if (index < work->tasks.size()) {
+      work->tasks[index].failures = failures;
+    }
+  }
+}
+
 }  // namespace
 
 auto OccurrenceWork::complete() const -> bool {
@@ -80,17 +96,14 @@
 auto JobWork::Restore(TimePoint now, bool uncertain) -> void {
   state = entry->progress.state();
   for (const auto& known : entry->progress.occurrences()) {
+    // Beyond the job's own are rows of another writer; see `CheckProgress`.
+    if (known.number() >= total_occurrences()) {
+      continue;
+    }
     auto& occurrence = Open(now, known.number(), uncertain);
     for (const auto& step : known.steps()) {
-      auto& work = occurrence.steps[step.number()];
-      for (uint32_t index = 0; index < work.tasks.size(); ++index) {
-        work.tasks[index].done = BitIsSet(step.done(), index);
-        work.done += work.tasks[index].done ? 1 : 0;
-      }
-      for (const auto& [index, failures] : step.failures()) {
-        if (index < work.tasks.size()) {
-          work.tasks[index].failures = failures;
-        }
+      if (step.number() < occurrence.steps.size()) {
+        RestoreStep(step, &occurrence.steps[step.number()]);
       }
     }
   }
--- a/Source/Jobs/place_choice.cc
+++ b/Source/Jobs/place_choice.cc
@@ -37,12 +37,17 @@
   return worker.Free().Holds(need);
 }
 
+// A worker that names no service is none to use, also for a queue without one.
+auto IsOfService(const WorkerView& worker, const QueueRules& rules) -> bool {
+  return !worker.service.empty() && worker.service == rules.service();
+}
+
 auto MayRun(TimePoint now,
             const WorkerView& worker,
             const TaskPlace& place,
             const PlaceLimits& limits) -> bool {
   const auto& step = place.spec();
-  if (!worker.Accepts(now) || worker.service != place.work->rules.service()) {
+  if (!worker.Accepts(now) || !IsOfService(worker, place.work->rules)) {
     return false;
   }
   if (!limits.rack.empty() && worker.rack != limits.rack) {
--- a/Source/Transport/link.cc
+++ b/Source/Transport/link.cc
@@ -1,7 +1,11 @@
 #include "Transport/link.h"
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/strip.h>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <thread>
@@ -11,6 +15,7 @@
 namespace {
 
 constexpr char kTcp[] = "tcp://";
+constexpr int kLargestPort = 65535;
 constexpr int kQueuedMessages = 1000;
 constexpr std::chrono::milliseconds kReconnect{100};
 constexpr std::chrono::milliseconds kReconnectLongest{1000};
@@ -22,6 +27,12 @@
   return static_cast<int>(time.count());
 }
 
+// In names of hosts, and in addresses of either family.
+auto IsHostByte(unsigned char c) -> bool {
+  return absl::ascii_isalnum(c) || c == '.' || c == '-' || c == '_' ||
+         c == ':' || c == '[' || c == ']';
+}
+
 }  // namespace
 
 class Link::Impl {
@@ -291,6 +302,21 @@
   std::thread thread_;
 };
 
+auto IsTcpEndpoint(const std::string& endpoint) -> bool {
+  absl::string_view rest(endpoint);
+  const bool is_tcp = absl::ConsumePrefix(&rest, kTcp);
+  const auto colon = rest.rfind(':');
+  if (!is_tcp || colon == absl::string_view::npos || colon == 0) {
+    return false;
+  }
+  const auto host = rest.substr(0, colon);
+  const auto digits = rest.substr(colon + 1);
+  int port = 0;
+  return std::all_of(host.begin(), host.end(), IsHostByte) &&
+         std::all_of(digits.begin(), digits.end(), absl::ascii_isdigit) &&
+         absl::SimpleAtoi(digits, &port) && port > 0 && port <= kLargestPort;
+}
+
 Link::Link(LinkOptions options)
     : impl_(std::make_unique<Impl>(std::move(options))) {}
 Link::~Link() = default;
--- a/Source/Transport/link.h
+++ b/Source/Transport/link.h
@@ -45,6 +45,9 @@
       on_unsent;
 };
 
+// Whether a link can be made to an endpoint of this form: "tcp://HOST:PORT".
+auto IsTcpEndpoint(const std::string& endpoint) -> bool;
+
 // ZeroMQ between the system's processes, on one thread that owns all sockets.
 // The listening side addresses a peer by its id, the connecting side by the
 // endpoint that it connected to.
--- a/Tests/Jobs/job_owner_test.cc
+++ b/Tests/Jobs/job_owner_test.cc
@@ -258,6 +258,7 @@
 TEST_F(JobOwnerTest, TasksOfBeforeTheClaimWaitForTheCensus) {
   PutJob({Step(1)});
   OwnerClaim claim;
+  claim.set_owner("entry");
   claim.set_fence(kFence);
   Put(MakeRecord(RecordKind::kClaim, "", claim));
   Begin();
@@ -475,5 +476,128 @@
             0}),
     [](const auto& info) { return info.param.name; });
 
+struct StrangeRecord {
+  std::string name;
+  KeyedRecord record;
+};
+
+auto AgentRecord(const std::string& key,
+                 const std::string& name,
+                 const std::string& endpoint) -> KeyedRecord {
+  AgentEntry entry;
+  entry.set_name(name);
+  entry.set_link_endpoint(endpoint);
+  return MakeRecord(RecordKind::kAgent, key, entry);
+}
+
+// Progress that calls the first task of these steps done.
+auto ProgressOf(const std::vector<uint32_t>& steps, uint32_t occurrence)
+    -> KeyedRecord {
+  JobProgress progress;
+  progress.set_state(JOB_RUNNING);
+  auto* known = progress.add_occurrences();
+  known->set_number(occurrence);
+  for (const uint32_t number : steps) {
+    auto* step = known->add_steps();
+    step->set_number(number);
+    step->set_done("\x01");
+  }
+  return MakeRecord(RecordKind::kProgress, kId, progress);
+}
+
+class StrangeRecordTest : public JobOwnerTest,
+                          public testing::WithParamInterface<StrangeRecord> {};
+
+// Symptom: after a takeover nothing starts for up to 20 s. Sequence: another
+// writer puts an entry that names no agent; a new owner begins. Cause: the
+// entry was taken for an agent, whose listing the census waited for. Likewise
+// progress that the job cannot have made ended the owner, or hung its job.
+TEST_P(StrangeRecordTest, HoldsNothingUp) {
+  Put(GetParam().record);
+  PutJob({Step(2)});
+  Put(GetParam().record);
+  OwnerClaim claim;
+  claim.set_owner("entry");
+  claim.set_fence(kFence);
+  Put(MakeRecord(RecordKind::kClaim, "", claim));
+  Begin();
+  ReportAll();
+  EXPECT_EQ(Starts(), 2U);
+  EXPECT_TRUE(owner_.census_done());
+  Put(GetParam().record);
+  now_ += milliseconds(300);
+  ReportAll();
+  EXPECT_EQ(Starts(), 2U);
+  EXPECT_EQ(owner_.workers().size(), 2U);
+  EXPECT_EQ(polls_.size(), 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    StrangeRecordTest,
+    testing::Values(
+        StrangeRecord{"agent_garbage",
+                      {MakeKey(RecordKind::kAgent, "ghost"), "\xff\xff", 0}},
+        StrangeRecord{"agent_cut",
+                      {MakeKey(RecordKind::kAgent, "ghost"),
+                       std::string("\x0a\x05ghost\x12\x09tcp", 12), 0}},
+        StrangeRecord{"agent_without_name", AgentRecord("ghost", "", "there")},
+        StrangeRecord{"agent_of_another_name",
+                      AgentRecord("ghost", "phantom", "there")},
+        StrangeRecord{"agent_of_a_name_in_use",
+                      AgentRecord("ghost", "agent-0", "there")},
+        StrangeRecord{"agent_without_endpoint",
+                      AgentRecord("ghost", "ghost", "")},
+        StrangeRecord{"good_agent_overwritten",
+                      {MakeKey(RecordKind::kAgent, "agent-0"), "{}", 0}},
+        StrangeRecord{"progress_of_an_unknown_step", ProgressOf({9}, 0)},
+        StrangeRecord{"progress_of_an_absurd_step",
+                      ProgressOf({UINT32_MAX}, 0)},
+        StrangeRecord{"progress_of_a_step_twice", ProgressOf({0, 0}, 0)},
+        StrangeRecord{"progress_of_an_unknown_occurrence", ProgressOf({0}, 5)},
+        StrangeRecord{"progress_of_an_absurd_occurrence",
+                      ProgressOf({0}, UINT32_MAX)},
+        StrangeRecord{"claim_garbage",
+                      {MakeKey(RecordKind::kClaim), "\xff\xff", 0}},
+        StrangeRecord{"ends_of_another_worker",
+                      {MakeKey(RecordKind::kWorkerEnds, "life-of-agent-0"),
+                       std::string("\x0a\x01x\x10\x7f", 5), 0}}),
+    [](const auto& info) { return info.param.name; });
+
+struct ServiceCase {
+  std::string name;
+  // Of the queue's rules, and of what the workers report.
+  std::string of_queue;
+  std::string of_workers;
+  std::size_t starts = 0;
+};
+
+class ServiceTest : public JobOwnerTest,
+                    public testing::WithParamInterface<ServiceCase> {};
+
+// Symptom watched for: a task at a worker of no service that a queue names.
+TEST_P(ServiceTest, OnlyWorkersOfTheQueuesServiceRunItsTasks) {
+  rules_.set_service(GetParam().of_queue);
+  PutJob({Step(2)});
+  Begin();
+  for (const char* agent : {"agent-0", "agent-1"}) {
+    auto report = ReportOf(agent);
+    report.set_service(GetParam().of_workers);
+    Report(agent, report);
+  }
+  EXPECT_EQ(Starts(), GetParam().starts);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    ServiceTest,
+    testing::Values(ServiceCase{"same", "service", "service", 2},
+                    ServiceCase{"other", "service", "other", 0},
+                    ServiceCase{"longer", "service", "service-2", 0},
+                    ServiceCase{"none_of_the_worker", "service", "", 0},
+                    ServiceCase{"none_of_the_queue", "", "service", 0},
+                    ServiceCase{"none_at_all", "", "", 0}),
+    [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
