Platform: Refuse heartbeats that name no worker to use

Cause: fields that were missing, of another type or out of range were read as empty, zero or the nearest value, a state that is not known as ready, and an empty id as that of a worker which is not known yet. Such a heartbeat took the place of the worker's own: with another service or capacity the worker got none of its tasks or ones that it cannot hold, and an id of bytes that are no text makes the agent's reports unreadable to the owner.

Now a heartbeat is read whole or not at all: Service, Address, Zone, State, Sequence, Labels and Capacity must be there and of their type; what the platform leaves out when it is zero (Gpu, RemainingMs) may be missing, and fields that are not used may be anything. Bounds of amounts and ids are decided in Jobs. The answer is a 400 that names the field; the agent does not see the heartbeat, so what is known of the worker stays and the next good one counts.

The stand-in and the body of the test of damaged bodies now name an Address, and the latter a Zone, as workers do; the test asks for no less than before.

Ruled out: taking what can be used of a heartbeat and keeping the rest of the one before. A mixture of two writers is a worker that nobody described.

--- /dev/null
+++ b/Source/Jobs/heartbeat_check.cc
@@ -0,0 +1,76 @@
+#include "Jobs/heartbeat_check.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace rhubarbhaven::jobs {
+namespace {
+
+auto Problem(const std::string& text) -> absl::Status {
+  return absl::InvalidArgumentError(text);
+}
+
+auto CheckAmount(const char* name,
+                 uint64_t amount,
+                 uint64_t least,
+                 uint64_t most) -> absl::Status {
+  if (amount >= least && amount <= most) {
+    return absl::OkStatus();
+  }
+  return Problem(absl::StrCat("the capacity has ", amount, " ", name,
+                              ", allowed is ", least, " to ", most));
+}
+
+auto CheckCapacity(const schema::Resources& capacity) -> absl::Status {
+  // A worker without processors would get fillers, which need none of their
+  // own.
+  auto status =
+      CheckAmount("millicores", capacity.millicores(), 1, kMostMillicores);
+  if (status.ok()) {
+    status =
+        CheckAmount("MB of memory", capacity.memory_mb(), 1, kMostMemoryMb);
+  }
+  if (status.ok()) {
+    status = CheckAmount("accelerators", capacity.accelerators(), 0,
+                         kMostAccelerators);
+  }
+  return status;
+}
+
+}  // namespace
+
+auto CheckWorkerId(const std::string& id) -> absl::Status {
+  // An empty id means that no worker is known, and bytes that are no text
+  // would make the agent's report unreadable to the owner.
+  const bool well_formed =
+      !id.empty() && id.size() <= kLongestWorkerId &&
+      std::all_of(id.begin(), id.end(), [](unsigned char c) -> bool {
+        return absl::ascii_isgraph(c) && c != '/';
+      });
+  return well_formed ? absl::OkStatus()
+                     : Problem(absl::StrCat(
+                           "the worker's id must have 1 to ", kLongestWorkerId,
+                           " printable characters and no \"/\""));
+}
+
+auto CheckHeartbeat(const WorkerHeartbeat& heartbeat) -> absl::Status {
+  auto status = CheckWorkerId(heartbeat.worker_id);
+  if (!status.ok()) {
+    return status;
+  }
+  if (heartbeat.service.empty()) {
+    return Problem("the service is empty");
+  }
+  if (heartbeat.failure_domain.empty()) {
+    return Problem("the failure domain is empty");
+  }
+  if (heartbeat.labels.size() > kMostLabels) {
+    return Problem(absl::StrCat("there are ", heartbeat.labels.size(),
+                                " labels, allowed are ", kMostLabels));
+  }
+  return CheckCapacity(heartbeat.capacity);
+}
+
+}  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/jobs.h
+++ b/Source/Jobs/jobs.h
@@ -6,8 +6,10 @@
 // No I/O, no locks, no clock, no threads.
 
 #include "Jobs/append_batcher.h"
+#include "Jobs/complaint_book.h"
 #include "Jobs/entry_decisions.h"
 #include "Jobs/filler_pacing.h"
+#include "Jobs/heartbeat_check.h"
 #include "Jobs/image_interference.h"
 #include "Jobs/job_check.h"
 #include "Jobs/job_fold.h"
--- /dev/null
+++ b/Tests/Platform/heartbeat_server_test.cc
@@ -0,0 +1,135 @@
+// The address at which a worker reports itself, over loopback HTTP.
+
+#include "platform/heartbeat_server.h"
+
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "Tests/Support/deployment.h"
+
+namespace rhubarbhaven::platform {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr char kGood[] =
+    R"({"Service":"service","Address":"10.0.0.1:80","Zone":"zone",)"
+    R"("State":"ready","Sequence":%,"Labels":["kind","rack"],)"
+    R"("Capacity":{"Cpu":16000,"MemMb":64000}})";
+constexpr char kRefused[] =
+    "rhubarbhaven_refused_total{reason=\"bad_request\"}";
+
+auto Good(int sequence) -> std::string {
+  std::string body = kGood;
+  return body.replace(body.find('%'), 1, absl::StrCat(sequence));
+}
+
+class HeartbeatServerTest : public testing::Test {
+ protected:
+  HeartbeatServerTest() : port_(test::FreePort()) {
+    HeartbeatHooks hooks;
+    hooks.on_heartbeat = [this](const jobs::WorkerHeartbeat& heartbeat,
+                                const HeartbeatHooks::Respond& respond) {
+      const std::lock_guard lock(mutex_);
+      heartbeats_.push_back(heartbeat);
+      respond(true);
+    };
+    hooks.on_leave = [this](const std::string& worker_id,
+                            const HeartbeatHooks::Respond& respond) {
+      const std::lock_guard lock(mutex_);
+      left_.push_back(worker_id);
+      respond(true);
+    };
+    server_ = std::make_unique<HeartbeatServer>(
+        absl::StrCat("127.0.0.1:", port_), hooks, &metrics_);
+    EXPECT_TRUE(server_->Start().ok());
+  }
+
+  auto Send(const std::string& call,
+            const std::string& id,
+            const std::string& body) -> schema::HttpAnswer {
+    HttpClientRequest request;
+    request.method = "POST";
+    request.url = absl::StrCat("http://127.0.0.1:", port_,
+                               "/rhubarbhaven/Instances.", call, "/", id);
+    request.body = body;
+    request.timeout = seconds(5);
+    return client_.Call(std::move(request)).http;
+  }
+
+  int port_;
+  Metrics metrics_;
+  std::mutex mutex_;
+  std::vector<jobs::WorkerHeartbeat> heartbeats_;
+  std::vector<std::string> left_;
+  std::unique_ptr<HeartbeatServer> server_;
+  HttpClient client_;
+};
+
+struct BadCall {
+  std::string name;
+  std::string call;
+  std::string id;
+  std::string body;
+};
+
+class BadCallTest : public HeartbeatServerTest,
+                    public testing::WithParamInterface<BadCall> {};
+
+// Symptom watched for: a worker's tasks are lost, or it gets none, after
+// somebody else's heartbeat. Sequence: a good one, a bad one, a good one.
+TEST_P(BadCallTest, ChangesNothingAndTheNextGoodOneCounts) {
+  ASSERT_EQ(Send("Heartbeat", "i-1", Good(1)).status(), 200U);
+  for (uint64_t round = 1; round <= 3; ++round) {
+    const auto answer = Send(GetParam().call, GetParam().id, GetParam().body);
+    EXPECT_EQ(answer.status(), 400U);
+    EXPECT_NE(answer.body().find("Error"), std::string::npos);
+    EXPECT_EQ(metrics_.counter(kRefused), round);
+  }
+  EXPECT_EQ(Send("Heartbeat", "i-1", Good(2)).status(), 200U);
+  const std::lock_guard lock(mutex_);
+  ASSERT_EQ(heartbeats_.size(), 2U);
+  EXPECT_EQ(heartbeats_[0].sequence, 1U);
+  EXPECT_EQ(heartbeats_[1].sequence, 2U);
+  EXPECT_TRUE(left_.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    BadCallTest,
+    testing::Values(BadCall{"bytes", "Heartbeat", "i-1", "\xff\xfe\x01"},
+                    BadCall{"list", "Heartbeat", "i-1", "[1,2]"},
+                    BadCall{"no_fields", "Heartbeat", "i-1", "{}"},
+                    BadCall{"no_body", "Heartbeat", "i-1", ""},
+                    BadCall{"no_id", "Heartbeat", "", Good(9)},
+                    BadCall{"unknown_state", "Heartbeat", "i-1",
+                            R"({"Service":"service","Address":"a","Zone":"z",)"
+                            R"("State":"asleep","Sequence":9,"Labels":[],)"
+                            R"("Capacity":{"Cpu":1,"MemMb":1}})"},
+                    BadCall{"negative_capacity", "Heartbeat", "i-1",
+                            R"({"Service":"service","Address":"a","Zone":"z",)"
+                            R"("State":"ready","Sequence":9,"Labels":[],)"
+                            R"("Capacity":{"Cpu":-1,"MemMb":1}})"},
+                    BadCall{"leave_without_id", "Leave", "", "{}"},
+                    BadCall{"leave_of_two_parts", "Leave", "i-1/2", "{}"}),
+    [](const auto& info) { return info.param.name; });
+
+TEST_F(HeartbeatServerTest, OtherPathsAreNotFound) {
+  EXPECT_EQ(Send("Other", "i-1", Good(1)).status(), 404U);
+  EXPECT_TRUE(heartbeats_.empty());
+}
+
+TEST_F(HeartbeatServerTest, WorkerLeaves) {
+  EXPECT_EQ(Send("Leave", "i-1", "").status(), 200U);
+  ASSERT_EQ(left_.size(), 1U);
+  EXPECT_EQ(left_.front(), "i-1");
+}
+
+}  // namespace
+}  // namespace rhubarbhaven::platform
--- a/Tests/Platform/wire_test.cc
+++ b/Tests/Platform/wire_test.cc
@@ -40,7 +40,8 @@
      R"("Stretch":1.5}],"Services":[{"Name":"s","RejectsOverload":true}]})",
      [](const std::string& body) { return DecodeConfiguration(body).ok(); }},
     {"heartbeat",
-     R"({"Service":"s","State":"ready","Sequence":4,"Labels":["a","r1"],)"
+     R"({"Service":"s","Address":"10.0.0.1:80","Zone":"z","State":"ready",)"
+     R"("Sequence":4,"Labels":["a","r1"],)"
      R"("Capacity":{"Cpu":16000,"MemMb":64000}})",
      [](const std::string& body) { return DecodeHeartbeat("i", body).ok(); }},
     {"listing",
@@ -128,5 +129,152 @@
   EXPECT_EQ(job->steps(0).need().millicores(), 0U);
 }
 
+auto GoodHeartbeat() -> Json {
+  return {{"Service", "service"},
+          {"Address", "10.0.0.1:80"},
+          {"Zone", "zone"},
+          {"State", "ready"},
+          {"Sequence", 4},
+          {"Labels", {"kind", "rack"}},
+          {"Capacity", {{"Cpu", 16000}, {"MemMb", 64000}, {"Gpu", 2}}}};
+}
+
+struct HeartbeatCase {
+  std::string name;
+  std::string id;
+  std::string body;
+  // Part of the message.
+  std::string message;
+};
+
+auto With(const std::string& field, const Json& value) -> std::string {
+  Json heartbeat = GoodHeartbeat();
+  heartbeat[field] = value;
+  return heartbeat.dump();
+}
+
+auto WithCapacity(const std::string& field, const Json& value) -> std::string {
+  Json heartbeat = GoodHeartbeat();
+  heartbeat["Capacity"][field] = value;
+  return heartbeat.dump();
+}
+
+auto Without(const std::string& field) -> std::string {
+  Json heartbeat = GoodHeartbeat();
+  heartbeat.erase(field);
+  return heartbeat.dump();
+}
+
+auto BadHeartbeats() -> std::vector<HeartbeatCase> {
+  std::vector<HeartbeatCase> cases = {
+      {"empty_body", "i", "", "JSON"},
+      {"bytes", "i", "\xff\xfe", "JSON"},
+      {"cut", "i", GoodHeartbeat().dump().substr(0, 40), "JSON"},
+      {"list", "i", "[]", "object"},
+      {"text", "i", "\"ready\"", "object"},
+      {"null", "i", "null", "object"},
+      {"empty_object", "i", "{}", "Service"},
+      {"empty_id", "", GoodHeartbeat().dump(), "id"},
+      {"id_of_bytes", "\xff\xfe", GoodHeartbeat().dump(), "id"},
+      {"id_with_a_blank", "i 1", GoodHeartbeat().dump(), "id"},
+      {"id_of_two_parts", "i/1", GoodHeartbeat().dump(), "id"},
+      {"long_id", std::string(5000, 'i'), GoodHeartbeat().dump(), "id"},
+      {"empty_service", "i", With("Service", ""), "Service"},
+      {"empty_zone", "i", With("Zone", ""), "Zone"},
+      {"empty_address", "i", With("Address", ""), "Address"},
+      {"unknown_state", "i", With("State", "resting"), "State"},
+      {"state_in_capitals", "i", With("State", "READY"), "State"},
+      {"negative_sequence", "i", With("Sequence", -1), "Sequence"},
+      {"broken_sequence", "i", With("Sequence", 1.5), "Sequence"},
+      {"absurd_sequence", "i", With("Sequence", 1e300), "Sequence"},
+      {"label_of_another_type", "i", With("Labels", {"kind", 7}), "Labels"},
+      {"many_labels", "i", With("Labels", std::vector<std::string>(5000, "a")),
+       "labels"},
+      {"remaining_as_text", "i", With("RemainingMs", "soon"), "RemainingMs"},
+      {"negative_remaining", "i", With("RemainingMs", -5), "RemainingMs"},
+      {"capacity_without_processors", "i", With("Capacity", {{"MemMb", 64}}),
+       "Cpu"},
+      {"capacity_without_memory", "i", With("Capacity", {{"Cpu", 64}}),
+       "MemMb"}};
+  for (const char* field : {"Service", "Address", "Zone", "State", "Sequence",
+                            "Labels", "Capacity"}) {
+    const std::string name = field;
+    cases.push_back({"no_" + name, "i", Without(name), name});
+    cases.push_back({"null_" + name, "i", With(name, nullptr), name});
+    cases.push_back({"flag_as_" + name, "i", With(name, true), name});
+    if (name != "Sequence") {
+      cases.push_back({"number_as_" + name, "i", With(name, 7), name});
+    }
+    if (name != "Labels") {
+      cases.push_back({"list_as_" + name, "i", With(name, {"ready"}), name});
+    }
+    if (name != "Capacity") {
+      const Json object = {{"Cpu", 1}};
+      cases.push_back({"object_as_" + name, "i", With(name, object), name});
+    }
+    if (name == "Sequence" || name == "Labels" || name == "Capacity") {
+      cases.push_back({"text_as_" + name, "i", With(name, "7"), name});
+    }
+  }
+  for (const char* field : {"Cpu", "MemMb", "Gpu"}) {
+    const std::string name = field;
+    cases.push_back({"negative_" + name, "i", WithCapacity(name, -1), name});
+    cases.push_back({"absurd_" + name, "i", WithCapacity(name, 1e15), ""});
+    cases.push_back({"endless_" + name, "i", WithCapacity(name, 1e300), name});
+    cases.push_back({"text_as_" + name, "i", WithCapacity(name, "9"), name});
+    cases.push_back({"list_as_" + name, "i", WithCapacity(name, {9}), name});
+    if (name != "Gpu") {
+      cases.push_back({"zero_" + name, "i", WithCapacity(name, 0), ""});
+    }
+  }
+  return cases;
+}
+
+// Symptom: a worker gets tasks that it cannot run, or loses its own. Sequence:
+// another writer sends a heartbeat with fields that are missing, of another
+// type or out of range. Cause: such fields were read as empty, zero or the
+// nearest value, and a state that is not known as ready.
+class BadHeartbeatTest : public testing::TestWithParam<HeartbeatCase> {};
+
+TEST_P(BadHeartbeatTest, IsRefusedWithItsReason) {
+  const auto heartbeat = DecodeHeartbeat(GetParam().id, GetParam().body);
+  ASSERT_FALSE(heartbeat.ok());
+  EXPECT_NE(std::string(heartbeat.status().message()).find(GetParam().message),
+            std::string::npos)
+      << heartbeat.status();
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         BadHeartbeatTest,
+                         testing::ValuesIn(BadHeartbeats()),
+                         [](const auto& info) { return info.param.name; });
+
+// Fields that the platform leaves out when they are zero, and those that are
+// not used here, are no reason to refuse.
+TEST(HeartbeatTest, WhatMayBeMissingMayBeMissing) {
+  Json heartbeat = GoodHeartbeat();
+  heartbeat["Capacity"].erase("Gpu");
+  heartbeat["Labels"] = Json::array();
+  heartbeat["Slots"] = "of another type";
+  const auto read = DecodeHeartbeat("i-1", heartbeat.dump());
+  ASSERT_TRUE(read.ok()) << read.status();
+  EXPECT_EQ(read->worker_id, "i-1");
+  EXPECT_EQ(read->service, "service");
+  EXPECT_EQ(read->failure_domain, "zone");
+  EXPECT_EQ(read->sequence, 4U);
+  EXPECT_EQ(read->capacity.millicores(), 16000U);
+  EXPECT_FALSE(read->draining);
+}
+
+TEST(HeartbeatTest, DrainingWorkerSaysWhatIsLeft) {
+  Json heartbeat = GoodHeartbeat();
+  heartbeat["State"] = "draining";
+  heartbeat["RemainingMs"] = 1500;
+  const auto read = DecodeHeartbeat("i-1", heartbeat.dump());
+  ASSERT_TRUE(read.ok()) << read.status();
+  EXPECT_TRUE(read->draining);
+  EXPECT_EQ(read->remaining, std::chrono::milliseconds(1500));
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::platform
--- a/Tests/StandIns/Platform/platform_stand_in.cc
+++ b/Tests/StandIns/Platform/platform_stand_in.cc
@@ -313,6 +313,7 @@
       absl::StrCat("http://", place.heartbeat_address,
                    "/rhubarbhaven/Instances.Heartbeat/", heartbeat.worker_id);
   request.body = Json{{"Service", heartbeat.service},
+                      {"Address", place.heartbeat_address},
                       {"Zone", "zone"},
                       {"State", "ready"},
                       {"Sequence", heartbeat.sequence},
