Jobs: Give no task to a worker whose service the configuration does not name

Cause: only the names of the queue's service and the worker's were compared.

Now an entry takes the service out of a report when the configuration names services, but not this one. The worker then gets no tasks; its listing, its runs and their ends count as before, so the census does not wait and no run is lost. A configuration that lists no services says nothing of them.

Ruled out: refusing the heartbeat at the agent, which knows no configuration.

--- a/Source/Daemon/job_service.cc
+++ b/Source/Daemon/job_service.cc
@@ -61,8 +61,8 @@
 auto JobService::OnReport(const std::string& agent, jobs::AgentReport report)
     -> void {
   duty_.PostOrWait(
-      [this, agent, report = std::move(report)](TimePoint now) -> void {
-        decisions_.OnReport(now, agent, report);
+      [this, agent, report = std::move(report)](TimePoint now) mutable -> void {
+        decisions_.OnReport(now, agent, std::move(report));
       });
 }
 
--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -81,8 +81,13 @@
 
 auto EntryDecisions::OnReport(TimePoint now,
                               const std::string& agent,
-                              const AgentReport& report) -> void {
+                              AgentReport report) -> void {
   metrics_->Add("rhubarbhaven_agent_reports_total");
+  if (!queues_.MayUseService(report.service())) {
+    // A worker whose service is none gets no tasks, also of a job whose queue
+    // named that service once. What it runs and has ended counts.
+    report.clear_service();
+  }
   if (!owner_.OnReport(now, agent, report)) {
     Resign(absl::StrCat("agent ", agent, " has seen fence ", report.fence()));
   }
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -54,9 +54,8 @@
   auto Start() -> void;
   // Answers once.
   auto Call(TimePoint now, JobCall call, const JobResponder& respond) -> void;
-  auto OnReport(TimePoint now,
-                const std::string& agent,
-                const AgentReport& report) -> void;
+  auto OnReport(TimePoint now, const std::string& agent, AgentReport report)
+      -> void;
   // Gives the ownership up, so that another entry takes over at once.
   auto Release(TimePoint now) -> void;
   auto Tick(TimePoint now) -> void;
--- a/Source/Jobs/queue_directory.cc
+++ b/Source/Jobs/queue_directory.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/match.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace rhubarbhaven::jobs {
@@ -47,4 +48,13 @@
   return nullptr;
 }
 
+auto QueueDirectory::MayUseService(const std::string& name) const -> bool {
+  const auto& services = configuration_.services;
+  const bool names_some = std::any_of(services.begin(), services.end(),
+                                      [](const WorkerService& service) -> bool {
+                                        return !service.name.empty();
+                                      });
+  return !names_some || FindService(name) != nullptr;
+}
+
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/queue_directory.h
+++ b/Source/Jobs/queue_directory.h
@@ -45,6 +45,8 @@
       -> const Queue*;
   auto FindByName(const std::string& name) const -> const Queue*;
   auto FindService(const std::string& name) const -> const WorkerService*;
+  // False if the configuration names services, but not this one.
+  auto MayUseService(const std::string& name) const -> bool;
 
  private:
   QueueConfiguration configuration_;
--- a/Tests/Jobs/job_fold_test.cc
+++ b/Tests/Jobs/job_fold_test.cc
@@ -1,5 +1,6 @@
 // The state of jobs as folded from the log's records.
 
+#include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 
 #include <functional>
@@ -194,7 +195,7 @@
   parts["pressures"] = fold.pressures().ShortDebugString();
   std::string text;
   for (const auto& [part, value] : parts) {
-    text += part + ": " + value + "\n";
+    absl::StrAppend(&text, part, ": ", value, "\n");
   }
   return text;
 }
@@ -253,7 +254,7 @@
     for (const auto& [name, value] : values) {
       // The first field of progress is a number, and 1 a state.
       if (kind != "progress" || name != "other_type") {
-        bad.push_back({kind + "_" + name, {key, value, 0}});
+        bad.push_back({absl::StrCat(kind, "_", name), {key, value, 0}});
       }
     }
   }
--- a/Tests/Jobs/job_world.cc
+++ b/Tests/Jobs/job_world.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <iostream>
+#include <utility>
 
 namespace rhubarbhaven::jobs {
 namespace {
@@ -19,7 +20,8 @@
 constexpr std::chrono::milliseconds kHeartbeat{500};
 constexpr std::chrono::milliseconds kRegisterAgain{3000};
 
-auto Configuration() -> QueueConfiguration {
+auto Configuration(const std::vector<std::string>& services)
+    -> QueueConfiguration {
   QueueConfiguration configuration;
   configuration.version = 1;
   Queue queue;
@@ -30,13 +32,16 @@
   queue.rules.set_max_attempts(kAttempts);
   queue.rules.set_stretch(2.0);
   configuration.queues.push_back(queue);
+  for (const auto& name : services) {
+    configuration.services.push_back({name});
+  }
   return configuration;
 }
 
 }  // namespace
 
 JobWorld::JobWorld(JobWorldOptions options)
-    : options_(options), time_(options.seed), log_(&time_) {
+    : options_(std::move(options)), time_(options_.seed), log_(&time_) {
   const bool trace = std::getenv("EXPLORER_TRACE") != nullptr;
   spdlog::set_level(trace ? spdlog::level::info : spdlog::level::off);
   log_.Put(LogTopic::kOperators, {"config", "1", 0});
@@ -207,8 +212,8 @@
         time_.now().time_since_epoch());
   };
   hooks.ask_advice = [](const AdviceCall&, const auto&) {};
-  hooks.read_configuration = [](const KeyedRecord&) {
-    return std::optional(Configuration());
+  hooks.read_configuration = [this](const KeyedRecord&) {
+    return std::optional(Configuration(options_.services));
   };
   process->entry = std::make_unique<EntryDecisions>(
       EntryOptions{process->name, process->generation}, hooks, &metrics_);
--- a/Tests/Jobs/job_world.h
+++ b/Tests/Jobs/job_world.h
@@ -21,6 +21,8 @@
   int agents = 3;
   // Share of runs that end failed; a task fails at most twice.
   double failing_runs = 0.0;
+  // That the configuration lists; the workers are of "service".
+  std::vector<std::string> services;
 };
 
 // Entries, agents, workers and callers over virtual time, with their faults.
--- a/Tests/Platform/heartbeat_server_test.cc
+++ b/Tests/Platform/heartbeat_server_test.cc
@@ -60,7 +60,7 @@
                                "/rhubarbhaven/Instances.", call, "/", id);
     request.body = body;
     request.timeout = seconds(5);
-    return client_.Call(std::move(request)).http;
+    return client_.Call(request).http;
   }
 
   int port_;
