--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -54,6 +54,7 @@
       hooks_(std::move(hooks)),
       metrics_(metrics),
       log_("jobs"),
+      fold_(hooks_.is_link_endpoint),
       election_(ElectionOptions(options_)),
       owner_(OwnerOptions(options_), MakeOwnerHooks()),
       job_follower_(FollowerOptions(LogTopic::kJobs),
@@ -80,8 +81,13 @@
 
 auto EntryDecisions::OnReport(TimePoint now,
                               const std::string& agent,
-                              const AgentReport& report) -> void {
+                              AgentReport report) -> void {
   metrics_->Add("rhubarbhaven_agent_reports_total");
+  if (!queues_.MayUseService(report.service())) {
+    // A worker whose service is none gets no tasks, also of a job whose queue
+    // named that service once. What it runs and has ended counts.
+    report.clear_service();
+  }
   if (!owner_.OnReport(now, agent, report)) {
     Resign(absl::StrCat("agent ", agent, " has seen fence ", report.fence()));
   }
@@ -170,6 +176,9 @@
 auto EntryDecisions::OnJobRecord(TimePoint now, const KeyedRecord& record)
     -> void {
   const auto change = fold_.Apply(record);
+  if (!change.passed_over.empty()) {
+    NotePassedOver(now, record, change.passed_over);
+  }
   if (change.kind == RecordKind::kClaim) {
     election_.OnClaimRead(now, fold_.claim());
     if (owner_.active() && !election_.owner(now)) {
@@ -179,6 +188,18 @@
   owner_.OnChange(now, change);
 }
 
+auto EntryDecisions::NotePassedOver(TimePoint now,
+                                    const KeyedRecord& record,
+                                    const std::string& why) -> void {
+  metrics_->Add("rhubarbhaven_records_passed_over_total");
+  // Read again and again while it stays in the log.
+  if (passed_over_.IsNew(now, record.key, why)) {
+    log_.Write("record_passed_over", {{"key", ForLog(record.key)},
+                                      {"offset", absl::StrCat(record.offset)},
+                                      {"why", ForLog(why)}});
+  }
+}
+
 auto EntryDecisions::OnOperatorRecord(const KeyedRecord& record) -> void {
   auto configuration = hooks_.read_configuration(record);
   if (!configuration) {
--- a/Source/Jobs/place_choice.cc
+++ b/Source/Jobs/place_choice.cc
@@ -40,6 +40,11 @@
   return worker.Free().Holds(need);
 }
 
+// A worker that names no service is none to use, also for a queue without one.
+auto IsOfService(const WorkerView& worker, const QueueRules& rules) -> bool {
+  return !worker.service.empty() && worker.service == rules.service();
+}
+
 auto RefusalByState(TimePoint now, const WorkerView& worker) -> PlaceRefusal {
   if (worker.Accepts(now)) {
     return PlaceRefusal::kNone;
@@ -79,7 +84,7 @@
   if (by_state != PlaceRefusal::kNone) {
     return by_state;
   }
-  if (worker.service != place.work->rules.service()) {
+  if (!IsOfService(worker, place.work->rules)) {
     return PlaceRefusal::kOtherService;
   }
   if (!limits.rack.empty() && worker.rack != limits.rack) {
