Tests: Explore tasks that last and agents that come and go

The explorer gets tasks that last, agents that are added late, vanish, leave or drain, and freezes so long that the owner forgets the agent, also into an outage of the log. A task that lasts must run again within 10 s of calm with room for it at a worker; the census of a new owner may wait for an agent that is gone, for 22 s at most.

--- a/Tests/Jobs/explorer_test.cc
+++ b/Tests/Jobs/explorer_test.cc
@@ -7,15 +7,11 @@
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
-#include <string>
-
-#include "Tests/Jobs/job_world.h"
+#include "Tests/Jobs/explorer_faults.h"
 
 namespace rhubarbhaven::jobs {
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 auto InjectFault(JobWorld& world, const JobWorldOptions& options) -> void {
@@ -23,59 +19,8 @@
   const auto entry = static_cast<int>(time.Pick(0, options.entries - 1));
   const auto agent = static_cast<int>(time.Pick(0, options.agents - 1));
   const auto span = time.Milliseconds(300, 9000);
-  const auto fault = time.Pick(0, 14);
-  world.Trace("FAULT " + std::to_string(fault) + " entry " +
-              std::to_string(entry) + " agent " + std::to_string(agent) +
-              " ms " + std::to_string(span.count()));
-  switch (fault) {
-    case 0:
-      world.KillEntry(entry, time.Milliseconds(200, 4000));
-      break;
-    case 1:
-      world.KillAgent(agent, time.Milliseconds(200, 8000));
-      break;
-    case 2:
-      world.FreezeEntry(entry, span);
-      break;
-    case 3:
-      world.FreezeAgent(agent, span);
-      break;
-    case 4:
-      world.CutLink(entry, agent, span);
-      break;
-    case 5:
-      for (int number = 0; number < options.entries; ++number) {
-        world.CutLink(number, agent, span);
-      }
-      break;
-    case 6:
-      world.log().SetMode(VirtualLog::Mode::kRefuses);
-      break;
-    case 7:
-      world.log().SetModeFor("entry-" + std::to_string(entry),
-                             VirtualLog::Mode::kSilent);
-      break;
-    case 8:
-      world.log().LoseAnswers(0.3);
-      break;
-    case 9:
-      world.log().Compact();
-      break;
-    case 10:
-      world.log().SetLatency(milliseconds(240));
-      break;
-    case 11:
-      world.worker(agent).Crash();
-      break;
-    case 12:
-      world.worker(agent).SetUnanswered(0.2);
-      break;
-    case 13:
-      world.worker(agent).SetSilent(true);
-      break;
-    default:
-      world.StopEntry(entry);
-  }
+  const auto fault = time.Pick(0, kLastPlainFault);
+  MakeFault(world, fault, {entry, agent, span});
 }
 
 // Seeds that once showed a fault come first, with their cause.
@@ -115,17 +60,7 @@
   }
 }
 
-auto Seeds() -> testing::internal::ParamGenerator<uint64_t> {
-  const char* first = std::getenv("EXPLORER_FIRST");
-  const char* count = std::getenv("EXPLORER_COUNT");
-  const uint64_t begin =
-      first == nullptr ? 1 : std::strtoull(first, nullptr, 10);
-  const uint64_t size =
-      count == nullptr ? 150 : std::strtoull(count, nullptr, 10);
-  return testing::Range(begin, begin + size);
-}
-
-INSTANTIATE_TEST_SUITE_P(Seeds, ExplorerTest, Seeds());
+INSTANTIATE_TEST_SUITE_P(Seeds, ExplorerTest, ExplorerSeeds(150));
 
 // Seeds that once showed a fault.
 INSTANTIATE_TEST_SUITE_P(
--- a/Tests/Jobs/job_world.cc
+++ b/Tests/Jobs/job_world.cc
@@ -18,6 +18,19 @@
 constexpr int kFailuresOfATask = 2;
 constexpr std::chrono::milliseconds kHeartbeat{500};
 constexpr std::chrono::milliseconds kRegisterAgain{3000};
+// Tasks that last must run again within this, once the world has been calm for
+// that long.
+constexpr std::chrono::seconds kRunsAgainWithin{10};
+constexpr std::chrono::seconds kCalmAfter{4};
+constexpr std::chrono::milliseconds kLookAtLasting{100};
+// A new owner waits this long for agents that do not answer: the limit of the
+// owner before it without a renewal, and its lease.
+constexpr std::chrono::milliseconds kLongestCensus{22000};
+// A run of a task that lasts goes on, or ends by itself all the same.
+constexpr std::chrono::hours kLastingWork{24};
+constexpr double kLastingEnds = 0.2;
+// From the word that a worker has left to the end of its agent.
+constexpr std::chrono::milliseconds kLastWords{50};
 
 auto Configuration() -> QueueConfiguration {
   QueueConfiguration configuration;
@@ -41,18 +54,16 @@
   spdlog::set_level(trace ? spdlog::level::info : spdlog::level::off);
   log_.Put(LogTopic::kOperators, {"config", "1", 0});
   for (int number = 0; number < options_.agents; ++number) {
-    workers_.push_back(std::make_unique<VirtualWorker>(
-        &time_, absl::StrCat("worker-", number), Watch()));
-    agents_.push_back(std::make_unique<Process>());
-    agents_.back()->name = absl::StrCat("agent-", number);
-    StartAgent(number);
-    Beat(number);
+    AddAgent();
   }
   for (int number = 0; number < options_.entries; ++number) {
     entries_.push_back(std::make_unique<Process>());
     entries_.back()->name = absl::StrCat("entry-", number);
     StartEntry(number);
   }
+  if (options_.check_lasting) {
+    CheckLastingLater();
+  }
 }
 
 JobWorld::~JobWorld() = default;
@@ -70,7 +81,7 @@
   for (uint32_t number = 0; number < steps.size(); ++number) {
     auto* step = job.add_steps();
     step->set_count(steps[number]);
-    step->mutable_need()->set_millicores(1000);
+    step->mutable_need()->set_millicores(kTaskMillicores);
     step->set_estimated_ms(500);
     if (number > 0) {
       step->add_after(number - 1);
@@ -81,12 +92,26 @@
   return id;
 }
 
+auto JobWorld::SubmitLasting(uint32_t tasks) -> std::string {
+  std::string id = absl::StrFormat("%016x", ++next_job_);
+  Job job;
+  job.set_payload(id);
+  auto* step = job.add_steps();
+  step->set_count(tasks);
+  step->mutable_need()->set_millicores(kTaskMillicores);
+  step->set_long_running(true);
+  submitted_[id].job = job;
+  TrySubmit(id);
+  return id;
+}
+
 auto JobWorld::Cancel(const std::string& job) -> void {
   const int number = static_cast<int>(time_.Pick(0, options_.entries - 1));
   Process* process = entries_[number].get();
   if (!process->up) {
     return;
   }
+  submitted_.at(job).cancel_asked = true;
   Deliver(process, [this, process, job]() -> void {
     JobCall call{JobCallKind::kCancel, kHost, kPrefix + job, {}, {}};
     call.deadline = std::chrono::milliseconds(3000);
@@ -132,6 +157,48 @@
   });
 }
 
+auto JobWorld::AddAgent() -> int {
+  const int number = static_cast<int>(agents_.size());
+  workers_.push_back(std::make_unique<VirtualWorker>(
+      &time_, absl::StrCat("worker-", number), Watch()));
+  agents_.push_back(std::make_unique<Process>());
+  agents_.back()->name = absl::StrCat("agent-", number);
+  StartAgent(number);
+  Beat(number);
+  return number;
+}
+
+auto JobWorld::RemoveAgent(int number, bool planned) -> void {
+  Process* process = agents_.at(number).get();
+  if (process->gone) {
+    return;
+  }
+  const std::string life = workers_.at(number)->Heartbeat().worker_id;
+  workers_.at(number)->Vanish();
+  process->gone = true;
+  const auto end = [this, number]() -> void { KillAgent(number, Duration(0)); };
+  if (!planned) {
+    end();
+    return;
+  }
+  if (process->up) {
+    Deliver(process, [this, process, life]() -> void {
+      process->agent->OnLeave(time_.now(), life);
+    });
+  }
+  time_.After(kLastWords, end);
+}
+
+auto JobWorld::Agents() const -> std::vector<int> {
+  std::vector<int> numbers;
+  for (int number = 0; number < static_cast<int>(agents_.size()); ++number) {
+    if (!agents_[number]->gone) {
+      numbers.push_back(number);
+    }
+  }
+  return numbers;
+}
+
 auto JobWorld::HealAll() -> void {
   log_.HealAll();
   cuts_.clear();
@@ -217,7 +284,11 @@
 
 auto JobWorld::StartAgent(int number) -> void {
   Process* process = agents_.at(number).get();
+  if (process->gone) {
+    return;
+  }
   process->up = true;
+  process->registered_at = TimePoint();
   const uint64_t generation = process->generation;
   const auto in_process =
       [this, process,
@@ -274,13 +345,15 @@
   AgentEntry entry;
   entry.set_name(process->name);
   entry.set_link_endpoint(absl::StrCat(kEndpoint, number));
-  const auto ordered = process->agent->ordered_at();
-  if ((ordered == TimePoint() || time_.now() - ordered > kRegisterAgain) &&
-      process->registration->idle()) {
+  if (RegistrationDue(*process)) {
+    process->registered_at = time_.now();
     process->registration->Enqueue(
         1, {MakeRecord(RecordKind::kAgent, process->name, entry)});
   }
-  auto call = process->registration->Next(time_.now());
+  std::optional<AppendCall> call;
+  if (!Sleeps(*process)) {
+    call = process->registration->Next(time_.now());
+  }
   if (call) {
     log_.PortFor(
             process->name,
@@ -297,6 +370,22 @@
               });
 }
 
+auto JobWorld::RegistrationDue(const Process& process) const -> bool {
+  const auto ordered = process.agent->ordered_at();
+  const bool unordered =
+      ordered == TimePoint() || time_.now() - ordered > kRegisterAgain;
+  if (!unordered || !process.registration->idle()) {
+    return false;
+  }
+  return !options_.paced_registration ||
+         (!Sleeps(process) &&
+          time_.now() - process.registered_at >= kRegisterAgain);
+}
+
+auto JobWorld::Sleeps(const Process& process) const -> bool {
+  return options_.paced_registration && process.frozen_until > time_.now();
+}
+
 auto JobWorld::Kill(Process* process,
                     Duration down,
                     std::function<auto()->void> start) -> void {
@@ -306,6 +395,7 @@
   ++process->generation;
   process->up = false;
   process->frozen_until = TimePoint();
+  process->inbox.clear();
   process->wake_at = TimePoint::max();
   process->entry.reset();
   process->agent.reset();
@@ -314,6 +404,11 @@
 
 auto JobWorld::Deliver(Process* process,
                        const std::function<auto()->void>& event) -> void {
+  if (options_.keep_order) {
+    process->inbox.push_back(event);
+    HandleInbox(process);
+    return;
+  }
   const uint64_t generation = process->generation;
   // Through the queue of events always: so nothing of a process runs inside a
   // call that the process makes.
@@ -331,6 +426,24 @@
   });
 }
 
+auto JobWorld::HandleInbox(Process* process) -> void {
+  const uint64_t generation = process->generation;
+  const TimePoint when = std::max(time_.now(), process->frozen_until);
+  time_.At(when, [this, process, generation]() -> void {
+    if (process->generation != generation || process->inbox.empty()) {
+      return;
+    }
+    if (process->frozen_until > time_.now()) {
+      HandleInbox(process);
+      return;
+    }
+    const auto event = std::move(process->inbox.front());
+    process->inbox.pop_front();
+    event();
+    WakeLater(process);
+  });
+}
+
 auto JobWorld::WakeLater(Process* process) -> void {
   const TimePoint wished = process->entry != nullptr
                                ? process->entry->next_wake()
@@ -401,10 +514,15 @@
 
 auto JobWorld::Beat(int number) -> void {
   Process* process = agents_.at(number).get();
+  if (process->gone) {
+    return;
+  }
   const auto heartbeat = workers_.at(number)->Heartbeat();
   if (process->up) {
     Deliver(process, [this, process, heartbeat]() -> void {
-      process->agent->OnHeartbeat(time_.now(), heartbeat);
+      if (!process->agent->OnHeartbeat(time_.now(), heartbeat)) {
+        Trace(absl::StrCat(process->name, " refuses ", heartbeat.worker_id));
+      }
     });
   }
   time_.After(kHeartbeat, [this, number]() -> void { Beat(number); });
@@ -433,8 +551,15 @@
 
 auto JobWorld::OnReply(const std::string& id, const JobReply& reply) -> void {
   if (reply.verdict == JobVerdict::kAccepted) {
-    submitted_[id].accepted = true;
+    auto& submitted = submitted_[id];
+    submitted.accepted = true;
     accepted_.insert(id);
+    if (IsLasting(id)) {
+      for (uint32_t index = 0; index < submitted.job.steps(0).count();
+           ++index) {
+        lasting_.emplace(absl::StrCat(id, ".0.0.", index), time_.now());
+      }
+    }
   }
 }
 
@@ -449,11 +574,18 @@
     ++done_runs_[DescribeTask(task)];
     Trace(absl::StrCat("DONE ", DescribeTask(task)));
   };
-  watch.work = [this](const TaskName&) -> std::chrono::milliseconds {
+  watch.work = [this](const TaskName& task) -> std::chrono::milliseconds {
+    if (Lasts(task)) {
+      return time_.Chance(kLastingEnds) ? time_.Milliseconds(500, 8000)
+                                        : kLastingWork;
+    }
     return time_.Milliseconds(200, 2500);
   };
   watch.fails = [this](const TaskName& task) -> bool {
     const std::string name = DescribeTask(task);
+    if (Lasts(task)) {
+      return time_.Chance(0.5);
+    }
     const bool fails = failed_runs_[name] < kFailuresOfATask &&
                        time_.Chance(options_.failing_runs);
     failed_runs_[name] += fails ? 1 : 0;
@@ -484,6 +616,13 @@
           absl::StrCat(name, " runs at ", worker, " and at ", other->name()));
     }
   }
+  if (Lasts(task)) {
+    lasting_restarts_ += lasting_starts_[name]++ > 0 ? 1 : 0;
+    if (lasting_.contains(name)) {
+      lasting_[name] = time_.now();
+    }
+    return;
+  }
   if (noted_done_.contains(name)) {
     Problem(absl::StrCat(name, " starts after its end was noted"));
   }
@@ -499,7 +638,7 @@
   const std::string name = DescribeTask(task);
   Trace(absl::StrCat("FORGOTTEN ", name, " ", RunEnd_Name(end),
                      noted ? " noted" : " lapsed"));
-  if (!noted) {
+  if (!noted || Lasts(task)) {
     // The worker's lease ran out before the end was noted: the task may have
     // been started again meanwhile.
     return;
@@ -538,6 +677,144 @@
   }
 }
 
+auto JobWorld::lasting() const -> std::vector<std::string> {
+  std::vector<std::string> jobs;
+  for (const auto& [id, submitted] : submitted_) {
+    if (IsLasting(id) && !submitted.cancel_asked) {
+      jobs.push_back(id);
+    }
+  }
+  return jobs;
+}
+
+auto JobWorld::lasting_tasks() const -> std::size_t {
+  std::size_t tasks = 0;
+  for (const auto& [id, submitted] : submitted_) {
+    const bool open = IsLasting(id) && !cancelled_.contains(id);
+    tasks += open ? submitted.job.steps(0).count() : 0;
+  }
+  return tasks;
+}
+
+auto JobWorld::IsLasting(const std::string& job) const -> bool {
+  const auto found = submitted_.find(job);
+  return found != submitted_.end() && found->second.job.steps(0).long_running();
+}
+
+auto JobWorld::Lasts(const TaskName& task) const -> bool {
+  return IsLasting(task.job());
+}
+
+auto JobWorld::Disturbed() const -> bool {
+  const auto fails = [this](const auto& process) -> bool {
+    return !process->gone &&
+           (!process->up || process->frozen_until > time_.now());
+  };
+  return log_.disturbed() ||
+         std::any_of(entries_.begin(), entries_.end(), fails) ||
+         std::any_of(agents_.begin(), agents_.end(), fails) ||
+         std::any_of(workers_.begin(), workers_.end(),
+                     [](const auto& worker) -> bool {
+                       return !worker->gone() && worker->disturbed();
+                     }) ||
+         std::any_of(cuts_.begin(), cuts_.end(),
+                     [this](const auto& cut) -> bool {
+                       return time_.now() < cut.second &&
+                              !agents_.at(cut.first.second)->gone;
+                     });
+}
+
+auto JobWorld::HasRoom() const -> bool {
+  const auto agents = Agents();
+  return std::any_of(agents.begin(), agents.end(), [this](int number) -> bool {
+    return workers_.at(number)->HasRoom();
+  });
+}
+
+auto JobWorld::CensusWaits() const -> bool {
+  const int owner = Owner();
+  return owner >= 0 && !entries_[owner]->entry->owner().census_done() &&
+         std::any_of(agents_.begin(), agents_.end(),
+                     [](const auto& agent) -> bool { return agent->gone; });
+}
+
+auto JobWorld::RunsAnywhere(const std::string& task) const -> bool {
+  return std::any_of(
+      workers_.begin(), workers_.end(),
+      [&task](const auto& worker) -> bool { return worker->Runs(task); });
+}
+
+auto JobWorld::CheckLasting() -> void {
+  if (Disturbed()) {
+    NoteFault();
+  }
+  if (!CensusWaits()) {
+    no_census_at_ = time_.now();
+  }
+  const bool census = options_.allow_census && CensusWaits() &&
+                      time_.now() - no_census_at_ < kLongestCensus;
+  const bool startable =
+      time_.now() - disturbed_at_ >= kCalmAfter && HasRoom() && !census;
+  for (auto& [task, since] : lasting_) {
+    const auto& job = submitted_.at(task.substr(0, task.find('.')));
+    if (job.cancel_asked || !startable || RunsAnywhere(task)) {
+      since = time_.now();
+    } else if (time_.now() - since >= kRunsAgainWithin) {
+      Problem(absl::StrCat(task, " lasts and does not run, with room for it"));
+      since = time_.now();
+    }
+  }
+}
+
+auto JobWorld::CheckLastingLater() -> void {
+  time_.After(kLookAtLasting, [this]() -> void {
+    CheckLasting();
+    NoteCompleted();
+    CheckLastingLater();
+  });
+}
+
+auto JobWorld::NoteCompleted() -> void {
+  for (const auto& id : accepted_) {
+    for (int entry = 0; entry < options_.entries; ++entry) {
+      if (!completed_.contains(id) && StateOf(entry, id) == JOB_COMPLETED) {
+        completed_.insert(id);
+      }
+    }
+  }
+}
+
+auto JobWorld::CheckJobs() -> void {
+  NoteCompleted();
+  for (const auto& id : accepted_) {
+    for (int entry = 0; entry < options_.entries; ++entry) {
+      CheckStateOf(id, entry);
+    }
+  }
+  for (const auto& [task, since] : lasting_) {
+    const std::string id = task.substr(0, task.find('.'));
+    if (cancelled_.contains(id) && RunsAnywhere(task)) {
+      Problem(absl::StrCat(task, " runs, but its job is cancelled"));
+    }
+  }
+}
+
+auto JobWorld::CheckStateOf(const std::string& job, int entry) -> void {
+  const auto state = StateOf(entry, job);
+  bool as_told = state && *state < JOB_COMPLETED;
+  if (cancelled_.contains(job)) {
+    as_told = !state || *state == JOB_CANCELLED;
+  } else if (submitted_.at(job).cancel_asked) {
+    as_told = as_told || !state || *state == JOB_CANCELLED;
+  } else if (!IsLasting(job)) {
+    as_told = state ? *state == JOB_COMPLETED : completed_.contains(job);
+  }
+  if (!as_told) {
+    Problem(absl::StrCat(job, " is ", state ? JobState_Name(*state) : "unknown",
+                         " at entry ", entry));
+  }
+}
+
 auto JobWorld::Problem(const std::string& text) -> void {
   problems_.push_back(
       absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/Tests/Jobs/job_world.h
+++ b/Tests/Jobs/job_world.h
@@ -1,6 +1,8 @@
 #ifndef RHUBARBHAVEN_TESTS_JOBS_JOB_WORLD_H_
 #define RHUBARBHAVEN_TESTS_JOBS_JOB_WORLD_H_
 
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -21,6 +23,17 @@
   int agents = 3;
   // Share of runs that end failed; a task fails at most twice.
   double failing_runs = 0.0;
+  // Agents register as their daemon does: not while they are frozen, and not
+  // again before the owner had time to call them.
+  bool paced_registration = false;
+  // What reaches a frozen process is handled in the order in which it came.
+  // Without, a second freeze changes the order.
+  bool keep_order = false;
+  // Checks over time that tasks that last run again; see `CheckLasting`.
+  bool check_lasting = false;
+  // Allows a new owner to wait for an agent that is gone for as long as leases
+  // of the owner before it may hold.
+  bool allow_census = true;
 };
 
 // Entries, agents, workers and callers over virtual time, with their faults.
@@ -28,6 +41,8 @@
 // what was broken.
 class JobWorld {
  public:
+  static constexpr uint32_t kTaskMillicores = 1000;
+
   explicit JobWorld(JobWorldOptions options);
   JobWorld(const JobWorld&) = delete;
   auto operator=(const JobWorld&) -> JobWorld& = delete;
@@ -36,11 +51,14 @@
   auto RunFor(Duration span) -> void;
   auto time() -> VirtualTime& { return time_; }
   auto log() -> VirtualLog& { return log_; }
+  auto entries() const -> int { return options_.entries; }
   auto worker(int number) -> VirtualWorker& { return *workers_.at(number); }
 
   // A job of steps with these numbers of tasks, each after the one before,
   // handed in again until an entry accepts it. Returns its id.
   auto Submit(const std::vector<uint32_t>& steps) -> std::string;
+  // A job of so many tasks that last until it is cancelled.
+  auto SubmitLasting(uint32_t tasks) -> std::string;
   auto Cancel(const std::string& job) -> void;
 
   auto KillEntry(int number, Duration down) -> void;
@@ -50,11 +68,23 @@
   // Cuts the link between the two for a while.
   auto CutLink(int entry, int agent, Duration span) -> void;
   auto StopEntry(int number) -> void;
+  // One more agent with an empty worker. Returns its number.
+  auto AddAgent() -> int;
+  // Agent and worker are gone for good. `planned`: the agent still tells that
+  // its worker has left.
+  auto RemoveAgent(int number, bool planned) -> void;
+  // Numbers of the agents that are not gone.
+  auto Agents() const -> std::vector<int>;
+  // A fault has begun that does not show in the state of the world.
+  auto NoteFault() -> void { disturbed_at_ = time_.now(); }
   auto HealAll() -> void;
   // Prints what happens if EXPLORER_TRACE is set in the environment.
   auto Trace(const std::string& text) -> void;
   // Whether every task of each completed job has ended as it should.
   auto CheckCompleted() -> void;
+  // Whether jobs that last are open, or cancelled and without a run, and all
+  // others are completed. Owners drop from the log what has long been over.
+  auto CheckJobs() -> void;
 
   // The entry that decides; -1 if none or several do.
   auto Owner() const -> int;
@@ -62,6 +92,13 @@
       -> std::optional<JobState>;
   auto accepted() const -> const std::set<std::string>& { return accepted_; }
   auto cancelled() const -> const std::set<std::string>& { return cancelled_; }
+  // Jobs that last and were not asked to be cancelled.
+  auto lasting() const -> std::vector<std::string>;
+  // Tasks that last and are not known to be cancelled.
+  auto lasting_tasks() const -> std::size_t;
+  auto IsLasting(const std::string& job) const -> bool;
+  // Runs of tasks that last beyond their first ones.
+  auto lasting_restarts() const -> int { return lasting_restarts_; }
   auto starts() const -> int { return starts_; }
   auto problems() const -> const std::vector<std::string>& { return problems_; }
 
@@ -71,6 +108,10 @@
     // Grows with each restart; events for earlier ones are dropped.
     uint64_t generation = 1;
     bool up = true;
+    bool gone = false;
+    TimePoint registered_at;
+    // With `keep_order`: events that have come.
+    std::deque<std::function<auto()->void>> inbox;
     TimePoint frozen_until;
     TimePoint wake_at = TimePoint::max();
     std::unique_ptr<EntryDecisions> entry;
@@ -82,6 +123,7 @@
     bool accepted = false;
     bool refused_only = true;
     int tries = 0;
+    bool cancel_asked = false;
   };
 
   auto StartEntry(int number) -> void;
@@ -92,6 +134,7 @@
   // Runs `event` in the process, if it is still the same; later, if frozen.
   auto Deliver(Process* process, const std::function<auto()->void>& event)
       -> void;
+  auto HandleInbox(Process* process) -> void;
   auto WakeLater(Process* process) -> void;
   auto Alive(Process* process) -> std::function<auto()->bool>;
   auto SendOrders(int entry,
@@ -101,6 +144,23 @@
       -> void;
   auto IsCut(int entry, int agent) const -> bool;
   auto Beat(int number) -> void;
+  auto RegistrationDue(const Process& process) const -> bool;
+  // Whether it is frozen and, as its daemon would, appends nothing.
+  auto Sleeps(const Process& process) const -> bool;
+  auto Lasts(const TaskName& task) const -> bool;
+  // Whether a fault is in force now.
+  auto Disturbed() const -> bool;
+  // Whether a worker whose agent is alive has room for one more task.
+  auto HasRoom() const -> bool;
+  // Whether the owner may still wait for runs at an agent that is gone.
+  auto CensusWaits() const -> bool;
+  auto RunsAnywhere(const std::string& task) const -> bool;
+  // A task that lasts, whose job is accepted and not cancelled, runs again
+  // within a while in which no fault was in force and there was room.
+  auto CheckLasting() -> void;
+  auto CheckLastingLater() -> void;
+  auto NoteCompleted() -> void;
+  auto CheckStateOf(const std::string& job, int entry) -> void;
   auto TrySubmit(const std::string& id) -> void;
   auto OnReply(const std::string& id, const JobReply& reply) -> void;
   auto Watch() -> WorkerWatch;
@@ -126,6 +186,15 @@
   std::map<std::string, int> failed_runs_;
   // Runs that ended well.
   std::map<std::string, int> done_runs_;
+  // Tasks that last, and since when each could have been started.
+  std::map<std::string, TimePoint> lasting_;
+  std::map<std::string, int> lasting_starts_;
+  // Jobs that were seen completed at some time.
+  std::set<std::string> completed_;
+  int lasting_restarts_ = 0;
+  TimePoint disturbed_at_;
+  // When there was last no owner whose census was open.
+  TimePoint no_census_at_;
   int starts_ = 0;
   int next_job_ = 0;
   std::vector<std::string> problems_;
--- a/Tests/Jobs/virtual_log.h
+++ b/Tests/Jobs/virtual_log.h
@@ -34,7 +34,12 @@
     mode_ = Mode::kServes;
     client_modes_.clear();
     lose_answers_ = 0;
-    latency_ = std::chrono::milliseconds(4);
+    latency_ = kLatency;
+  }
+  // Whether it fails in any way at present.
+  auto disturbed() const -> bool {
+    return mode_ != Mode::kServes || !client_modes_.empty() ||
+           lose_answers_ > 0 || latency_ != kLatency;
   }
   // Share of appends that are done, some of them late, and not answered.
   auto LoseAnswers(double share) -> void { lose_answers_ = share; }
@@ -47,6 +52,8 @@
   auto Put(LogTopic topic, KeyedRecord record) -> void;
 
  private:
+  static constexpr std::chrono::milliseconds kLatency{4};
+
   struct Producer {
     uint64_t epoch = 0;
     uint64_t sequence = 0;
@@ -80,7 +87,7 @@
   Mode mode_ = Mode::kServes;
   std::map<std::string, Mode> client_modes_;
   double lose_answers_ = 0;
-  std::chrono::milliseconds latency_{4};
+  std::chrono::milliseconds latency_ = kLatency;
   uint64_t first_kept_ = 0;
   std::map<LogTopic, Topic> topics_;
   std::map<std::string, Producer> producers_;
--- a/Tests/Jobs/virtual_worker.cc
+++ b/Tests/Jobs/virtual_worker.cc
@@ -68,7 +68,7 @@
         done(now, listing);
       }
     };
-    if (silent_) {
+    if (silent_ || gone_) {
       time_->After(call.wait + kCallTimeout, [this, guarded]() -> void {
         guarded(time_->now(), WorkerListing());
       });
@@ -104,6 +104,17 @@
   draining_ = false;
 }
 
+auto VirtualWorker::Vanish() -> void {
+  // Orders on their way come to another life, and are refused.
+  Crash();
+  gone_ = true;
+}
+
+auto VirtualWorker::HasRoom() const -> bool {
+  return !gone_ && !draining_ &&
+         (runs_.size() + 1) * kTaskMillicores <= kMillicores;
+}
+
 auto VirtualWorker::Runs(const std::string& task) const -> bool {
   return runs_.contains(task);
 }
@@ -261,8 +272,9 @@
     const Call& call,
     std::function<auto(const Call&)->WorkerCallOutcome> act,
     const WorkerPort::OnCall& done) -> void {
-  if (silent_ || time_->Chance(unanswered_)) {
-    if (!silent_ && time_->Chance(0.5)) {
+  const bool unheard = silent_ || gone_;
+  if (unheard || time_->Chance(unanswered_)) {
+    if (!unheard && time_->Chance(0.5)) {
       time_->After(time_->Milliseconds(500, 9000),
                    [call, act]() -> void { act(call); });
     }
--- a/Tests/Jobs/virtual_worker.h
+++ b/Tests/Jobs/virtual_worker.h
@@ -36,6 +36,8 @@
   auto Heartbeat() -> WorkerHeartbeat;
   // Loses all runs and comes back as a new life.
   auto Crash() -> void;
+  // Is gone for good, with all its runs.
+  auto Vanish() -> void;
   auto SetSilent(bool silent) -> void { silent_ = silent; }
   // Share of orders that get no answer; half of them are carried out late.
   auto SetUnanswered(double share) -> void { unanswered_ = share; }
@@ -44,6 +46,12 @@
   auto name() const -> const std::string& { return name_; }
   auto Runs(const std::string& task) const -> bool;
   auto running() const -> std::size_t { return runs_.size(); }
+  auto draining() const -> bool { return draining_; }
+  auto gone() const -> bool { return gone_; }
+  // Whether calls to it fail at present.
+  auto disturbed() const -> bool { return silent_ || unanswered_ > 0; }
+  // Whether it would start one more run now.
+  auto HasRoom() const -> bool;
   static constexpr uint32_t kMillicores = 4000;
 
  private:
@@ -83,6 +91,7 @@
   uint64_t heartbeats_ = 0;
   bool silent_ = false;
   bool draining_ = false;
+  bool gone_ = false;
   double unanswered_ = 0;
   uint64_t fence_ = 0;
   WorkerTime lease_until_{0};
