Jobs: Bound leases of a census by what each agent has answered

Now it waits for this owner's own leases, too, unless the agent has listed its runs or said that there are none.

--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -206,7 +206,7 @@
   }
   TimePoint wake = std::min({due_at_, retry_at_, tickets_.ask_again_at()});
   if (!census_done_) {
-    wake = std::min(wake, silent_until_);
+    wake = std::min(wake, CensusEnd());
   }
   for (const auto& [name, worker] : workers_) {
     wake = std::min(wake, NextPoll(*worker));
@@ -224,17 +224,25 @@
   return next;
 }
 
+auto JobOwner::CensusEnd() const -> TimePoint {
+  TimePoint end;
+  for (const auto& [name, worker] : workers_) {
+    // A worker that is gone cannot be listed: to wait for it until leases of
+    // the earlier owner must be over would keep all tasks down for 20 s. One
+    // that is only silent may come back, and its agent, leased to by this
+    // owner, may then renew the runs of before.
+    if (!worker->confirmed && !worker->emptied) {
+      end = std::max(end, worker->lease_bound);
+    }
+  }
+  return end;
+}
+
 auto JobOwner::FinishCensus(TimePoint now) -> void {
   if (census_done_ || !active()) {
     return;
   }
-  // A worker that is gone cannot be listed. Waiting for it until leases of the
-  // earlier owner must be over would keep all tasks down for 20 s.
-  const bool all_answered = std::all_of(
-      workers_.begin(), workers_.end(), [](const auto& item) -> bool {
-        return item.second->confirmed || item.second->emptied;
-      });
-  if (!all_answered && now < silent_until_) {
+  if (now < CensusEnd()) {
     return;
   }
   census_done_ = true;
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -148,6 +148,8 @@
   auto LoseRuns(TimePoint now, WorkerView& worker, const std::string& why)
       -> void;
   auto LoseSilentWorkers(TimePoint now) -> void;
+  // When nothing of earlier owners runs on the workers that are not listed.
+  auto CensusEnd() const -> TimePoint;
   auto FinishCensus(TimePoint now) -> void;
 
   // Ends and results.
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -76,9 +76,12 @@
                             WorkerView& worker,
                             const AgentReport& report) -> void {
   worker.confirmed = true;
-  // It is granted its first lease with the next poll. Until then the end of the
-  // census, long past for an agent that has just come, would make it lost.
-  worker.lease_bound = std::max(worker.lease_bound, LeaseBound(now));
+  // It has answered under this fence, so no other owner leases to it any more,
+  // and what one did before began before now. The end of the census is no bound
+  // for it: that may be long past, and the worker would be taken for lost at
+  // once, or far ahead, and the runs of an agent that vanishes would be missed
+  // for as long.
+  worker.lease_bound = LeaseBound(now);
   for (const auto& row : report.running()) {
     AdoptRun(now, worker, row);
   }
