--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -355,7 +355,8 @@
   const TimePoint silent_until =
       seen ? *seen + OwnerElectionOptions().unverified_limit + lease
            : now + lease;
-  log_.Write("owner_begin", {{"fence", absl::StrCat(election_.fence())}});
+  log_.Write("owner_begin", {{"fence", absl::StrCat(election_.fence())},
+                             {"agents", absl::StrCat(fold_.agents().size())}});
   metrics_->Add("rhubarbhaven_owner_terms_total");
   owner_.Begin(now, election_.fence(), &fold_, silent_until);
 }
--- a/Source/Jobs/owner_roster.cc
+++ b/Source/Jobs/owner_roster.cc
@@ -18,6 +18,9 @@
   // takeover. Polled by nobody, it registers again behind the drop.
   if (!agents_in_drop_.contains(name)) {
     std::erase(keys_to_drop_, MakeKey(RecordKind::kAgent, name));
+    if (!workers_.contains(name)) {
+      hooks_.log_agent("agent_known", name);
+    }
     AddAgent(now, found->second);
   }
 }
@@ -41,7 +44,6 @@
     worker = std::make_unique<WorkerView>();
     worker->agent = entry.name();
     worker->lease_bound = silent_until_;
-    hooks_.log_agent("agent_known", entry.name());
   }
   worker->registration = entry;
   worker->registered_at = now;
