Jobs: Let a census end sooner for owners that are dead and workers that left

The claim now says for how long grants of earlier owners may hold, so that an entry that follows its own dead process waits for a lease only and still for owners before that one. An agent whose worker has ended as planned leaves the roster when it falls silent.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -30,6 +30,7 @@
   OwnerElectionOptions election;
   election.name = options.name;
   election.incarnation = options.incarnation;
+  election.lease = JobOwnerOptions().LongestLease();
   return election;
 }
 
@@ -347,18 +348,10 @@
       !election_.owner(now)) {
     return;
   }
-  const JobOwnerOptions defaults = OwnerOptions(options_);
-  const auto lease = std::chrono::duration_cast<Duration>(
-                         defaults.lease_ttl * (1.0 + defaults.clock_drift)) +
-                     defaults.lease_margin;
-  const auto seen = election_.predecessor_seen();
-  const TimePoint silent_until =
-      seen ? *seen + OwnerElectionOptions().unverified_limit + lease
-           : now + lease;
   log_.Write("owner_begin", {{"fence", absl::StrCat(election_.fence())},
                              {"agents", absl::StrCat(fold_.agents().size())}});
   metrics_->Add("rhubarbhaven_owner_terms_total");
-  owner_.Begin(now, election_.fence(), &fold_, silent_until);
+  owner_.Begin(now, election_.fence(), &fold_, election_.silent_until());
 }
 
 auto EntryDecisions::Resign(const std::string& why) -> void {
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -53,7 +53,16 @@
   // the roster. It registers again when it lives. Longer: the census of a next
   // owner waits for agents of which this one knows that nothing runs there, and
   // tasks that last stay down for as long, some 20 s. A lease and its margin.
-  std::chrono::seconds forget_agent_after{6};
+  std::chrono::milliseconds forget_agent_after{6000};
+  // The same for an agent whose worker has ended as planned: five polls.
+  std::chrono::milliseconds forget_left_after{1500};
+
+  // How long a lease may hold after the report that it was granted for.
+  auto LongestLease() const -> Duration {
+    return std::chrono::duration_cast<Duration>(lease_ttl *
+                                                (1.0 + clock_drift)) +
+           lease_margin;
+  }
 };
 
 // A decision of the owner about one task, for the log.
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -37,6 +37,7 @@
   if (left || other_life) {
     EndLife(now, worker);
   }
+  worker.left = (worker.left || left) && report.worker_id().empty();
   if (report.worker_id().empty()) {
     // An agent that has just started knows no worker yet. Its runs go on under
     // the lease of the process before it: taken for lost, they would be
@@ -89,9 +90,7 @@
 }
 
 auto JobOwner::LeaseBound(TimePoint granted_from) const -> TimePoint {
-  const auto ttl = std::chrono::duration_cast<Duration>(
-      options_.lease_ttl * (1.0 + options_.clock_drift));
-  return granted_from + ttl + options_.lease_margin;
+  return granted_from + options_.LongestLease();
 }
 
 auto JobOwner::AdoptRun(TimePoint now,
--- a/Source/Jobs/owner_election.cc
+++ b/Source/Jobs/owner_election.cc
@@ -9,6 +9,8 @@
 // A reader that has not heard from the log for this long starts anew to count
 // the owner's silence: nobody could renew while nobody could read.
 constexpr std::chrono::milliseconds kReadingGap{1500};
+// The clocks of two entries may differ in speed by this share.
+constexpr double kClockDrift = 0.02;
 
 }  // namespace
 
@@ -53,10 +55,7 @@
     }
     fence_ = newest_.fence() + 1;
     renewal_ = 0;
-    predecessor_seen_ = std::nullopt;
-    if (any_claim_ && !newest_.released()) {
-      predecessor_seen_ = newest_read_;
-    }
+    silent_until_ = GrantsOver(now);
   } else if (now < claim_due_) {
     return std::nullopt;
   }
@@ -66,9 +65,28 @@
   claim.set_incarnation(options_.incarnation);
   claim.set_fence(fence_);
   claim.set_renewal(++renewal_);
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+      std::max(Duration(0), silent_until_ - now));
+  claim.set_earlier_grants_ms(static_cast<uint64_t>(left.count()));
   return claim;
 }
 
+// A dead or released owner grants nothing from now on; one that may only be cut
+// off from the log goes on for a while. Owners before it may be cut off still.
+auto OwnerElection::GrantsOver(TimePoint now) const -> TimePoint {
+  TimePoint over = now + options_.lease;
+  if (!any_claim_) {
+    return over;
+  }
+  if (!newest_.released() && !predecessor_is_dead()) {
+    over = newest_read_ + options_.unverified_limit + options_.lease;
+  }
+  const auto earlier = std::chrono::duration_cast<Duration>(
+      std::chrono::milliseconds(newest_.earlier_grants_ms()) *
+      (1.0 + kClockDrift));
+  return std::max(over, newest_read_ + earlier);
+}
+
 auto OwnerElection::Release() -> std::optional<OwnerClaim> {
   if (fence_ == 0) {
     return std::nullopt;
@@ -79,6 +97,8 @@
   claim.set_fence(fence_);
   claim.set_renewal(++renewal_);
   claim.set_released(true);
+  // As the latest renewal had it, which is longer than what is left.
+  claim.set_earlier_grants_ms(newest_.earlier_grants_ms());
   OnClaimLost();
   return claim;
 }
@@ -94,9 +114,7 @@
   if (!reading) {
     return false;
   }
-  // A process of the same name that holds the claim is a dead predecessor.
-  const bool predecessor_is_dead = newest_.owner() == options_.name;
-  if (!any_claim_ || newest_.released() || predecessor_is_dead) {
+  if (!any_claim_ || newest_.released() || predecessor_is_dead()) {
     return true;
   }
   const auto own_part =
@@ -106,6 +124,12 @@
   return now - std::max(newest_read_, reading_since_) > wait;
 }
 
+// A process of the same name that holds the claim is gone, or is this one and
+// has given up: an entry runs once.
+auto OwnerElection::predecessor_is_dead() const -> bool {
+  return newest_.owner() == options_.name;
+}
+
 auto OwnerElection::mine(const OwnerClaim& claim) const -> bool {
   return claim.owner() == options_.name &&
          claim.incarnation() == options_.incarnation;
--- a/Source/Jobs/owner_election.h
+++ b/Source/Jobs/owner_election.h
@@ -24,6 +24,8 @@
   // 13 s that the platform announces. A successor that cannot reach an agent
   // waits this long for its tasks, see `JobOwner`.
   std::chrono::milliseconds unverified_limit{16000};
+  // How long a grant to an agent may hold, by any clock.
+  Duration lease{0};
 };
 
 // Decides when this entry claims the cell, and whether it may decide for it.
@@ -52,14 +54,15 @@
   auto owner(TimePoint now) const -> bool;
   // The fence of this entry's claim; zero if it has none.
   auto fence() const -> uint64_t { return fence_; }
-  // When the claim before this entry's own was last seen renewed; none if it
-  // had been released.
-  auto predecessor_seen() const -> std::optional<TimePoint> {
-    return predecessor_seen_;
-  }
+  // When grants of all owners before this entry's claim are over, also to
+  // agents that do not answer.
+  auto silent_until() const -> TimePoint { return silent_until_; }
 
  private:
   auto MayClaim(TimePoint now) const -> bool;
+  // Whether the newest claim is of an earlier process of this entry.
+  auto predecessor_is_dead() const -> bool;
+  auto GrantsOver(TimePoint now) const -> TimePoint;
   auto mine(const OwnerClaim& claim) const -> bool;
 
   OwnerElectionOptions options_;
@@ -74,7 +77,7 @@
   bool confirmed_ = false;
   TimePoint claim_due_;
   TimePoint verified_;
-  std::optional<TimePoint> predecessor_seen_;
+  TimePoint silent_until_;
 };
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/owner_roster.cc
+++ b/Source/Jobs/owner_roster.cc
@@ -57,8 +57,12 @@
     // since the claim, it would be forgotten before its first poll, and its
     // worker would stay empty.
     const auto last = std::max(worker.registered_at, worker.heard_at);
-    if (worker.confirmed || now < worker.lease_bound ||
-        now - last < options_.forget_agent_after) {
+    // An agent without a worker has nothing that a lease could keep.
+    const bool leased =
+        worker.confirmed || (now < worker.lease_bound && !worker.left);
+    const auto silence =
+        worker.left ? options_.forget_left_after : options_.forget_agent_after;
+    if (leased || now - last < silence) {
       return false;
     }
     hooks_.log_agent("agent_forgotten", worker.agent);
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -64,6 +64,8 @@
   bool confirmed = false;
   // The agent has told this owner that nothing of earlier owners runs there.
   bool emptied = false;
+  // The worker has ended as planned, and the agent has no other.
+  bool left = false;
   // When the agent last made itself known in the log.
   TimePoint registered_at;
   // When the agent last answered, also without a worker.
--- a/Tests/Jobs/owner_election_test.cc
+++ b/Tests/Jobs/owner_election_test.cc
@@ -75,6 +75,65 @@
                   milliseconds(0), true}),
     [](const auto& info) { return info.param.name; });
 
+constexpr milliseconds kLease{5000};
+constexpr milliseconds kUnverified{16000};
+
+struct GrantsCase {
+  std::string name;
+  OwnerClaim before;
+  milliseconds earlier_grants{0};
+  // After the claim before was read, and after this entry's own claim.
+  milliseconds after_read{0};
+  milliseconds after_claim{0};
+};
+
+// Symptom: tasks that last stay down for 20 s and more when an entry is started
+// anew again and again. Cause: each of its processes waited for the one before
+// it as for an owner that is only cut off and goes on.
+class GrantsTest : public testing::TestWithParam<GrantsCase> {};
+
+TEST_P(GrantsTest, SaysWhenEarlierOwnersAreSilent) {
+  const auto& param = GetParam();
+  auto options = Options("me");
+  options.lease = kLease;
+  OwnerElection election(options);
+  auto before = param.before;
+  before.set_earlier_grants_ms(
+      static_cast<uint64_t>(param.earlier_grants.count()));
+  election.OnCaughtUp(kStart);
+  election.OnClaimRead(kStart, before);
+  TimePoint now = kStart;
+  std::optional<OwnerClaim> claim;
+  while (!claim) {
+    now += milliseconds(500);
+    election.OnCaughtUp(now);
+    claim = election.ClaimDue(now);
+  }
+  EXPECT_EQ(election.silent_until(),
+            std::max(kStart + param.after_read, now + param.after_claim));
+  EXPECT_EQ(
+      claim->earlier_grants_ms(),
+      std::chrono::duration_cast<milliseconds>(election.silent_until() - now)
+          .count());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    GrantsTest,
+    testing::Values(
+        GrantsCase{"released", ClaimOf("other", 3, true), milliseconds(0),
+                   milliseconds(0), kLease},
+        GrantsCase{"silent", ClaimOf("other", 3, false), milliseconds(0),
+                   kUnverified + kLease, milliseconds(0)},
+        GrantsCase{"own_predecessor", ClaimOf("me", 3, false), milliseconds(0),
+                   milliseconds(0), kLease},
+        // One before the dead process may be cut off and go on. Clocks differ.
+        GrantsCase{"own_predecessor_after_another", ClaimOf("me", 3, false),
+                   milliseconds(20000), milliseconds(20400), kLease},
+        GrantsCase{"released_after_another", ClaimOf("other", 3, true),
+                   milliseconds(20000), milliseconds(20400), kLease}),
+    [](const auto& info) { return info.param.name; });
+
 // Symptom: every entry claims the cell when the log is back after an outage.
 // Cause: nobody could renew while nobody could read.
 TEST(OwnerElectionTest, OutageOfTheLogIsNoSilenceOfTheOwner) {
