Jobs: Say in the log which owner grants to an agent

An owner now notes in the log that it grants to an agent before its first grant to it, one append for all agents that answer together, and the claim tells how long grants of the owners before may hold. So a census waits for an agent by the owner that granted to it last.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -97,7 +97,7 @@
 auto EntryDecisions::Release(TimePoint now) -> void {
   releasing_ = true;
   ready_ = false;
-  const auto claim = election_.Release();
+  const auto claim = election_.Release(now);
   owner_.End();
   if (claim && owner_appends_ != nullptr) {
     log_.Write("owner_release", {{"fence", absl::StrCat(claim->fence())}});
@@ -351,7 +351,7 @@
   log_.Write("owner_begin", {{"fence", absl::StrCat(election_.fence())},
                              {"agents", absl::StrCat(fold_.agents().size())}});
   metrics_->Add("rhubarbhaven_owner_terms_total");
-  owner_.Begin(now, election_.fence(), &fold_, election_.silent_until());
+  owner_.Begin(now, election_.fence(), &fold_, election_.earlier_grants());
 }
 
 auto EntryDecisions::Resign(const std::string& why) -> void {
--- a/Source/Jobs/job_fold.cc
+++ b/Source/Jobs/job_fold.cc
@@ -46,6 +46,8 @@
       return TakeCancellation(key.name, record);
     case RecordKind::kAgent:
       return TakeAgent(key.name, record);
+    case RecordKind::kAgentGrants:
+      return TakeAgentGrants(key.name, record);
     case RecordKind::kWorkerEnds:
       return TakeWorkerEnds(key.name, record);
     case RecordKind::kClaim:
@@ -66,6 +68,13 @@
   return known ? found->second.get() : nullptr;
 }
 
+auto JobFold::granted_by(const std::string& agent) const
+    -> std::optional<uint64_t> {
+  const auto found = granted_by_.find(agent);
+  return found == granted_by_.end() ? std::nullopt
+                                    : std::optional(found->second);
+}
+
 auto JobFold::ends_logged(const std::string& worker_id) const -> uint64_t {
   const auto found = worker_ends_.find(worker_id);
   return found == worker_ends_.end() ? 0 : found->second.last_end();
@@ -151,6 +160,22 @@
   return absl::OkStatus();
 }
 
+auto JobFold::TakeAgentGrants(const std::string& name,
+                              const KeyedRecord& record) -> absl::Status {
+  if (record.value.empty()) {
+    granted_by_.erase(name);
+    return absl::OkStatus();
+  }
+  auto grants = ReadAgentGrants(name, record.value);
+  if (!grants.ok()) {
+    return grants.status();
+  }
+  // An earlier owner than was read before is none that wrote later.
+  auto& fence = granted_by_[name];
+  fence = std::max(fence, grants->fence());
+  return absl::OkStatus();
+}
+
 auto JobFold::TakeAgent(const std::string& name, const KeyedRecord& record)
     -> absl::Status {
   if (record.value.empty()) {
--- a/Source/Jobs/job_fold.h
+++ b/Source/Jobs/job_fold.h
@@ -70,6 +70,9 @@
   auto agents() const -> const std::map<std::string, AgentEntry>& {
     return agents_;
   }
+  // Fence of the newest owner that may have granted something to the agent;
+  // none if no owner has said so.
+  auto granted_by(const std::string& agent) const -> std::optional<uint64_t>;
   // The last end in the log of a worker's life; zero if there is none.
   auto ends_logged(const std::string& worker_id) const -> uint64_t;
   // The newest claim; its place in the log.
@@ -96,6 +99,8 @@
       -> absl::Status;
   auto TakeAgent(const std::string& name, const KeyedRecord& record)
       -> absl::Status;
+  auto TakeAgentGrants(const std::string& name, const KeyedRecord& record)
+      -> absl::Status;
   auto TakeWorkerEnds(const std::string& worker_id, const KeyedRecord& record)
       -> absl::Status;
   auto TakeClaim(const std::string& name, const KeyedRecord& record)
@@ -111,6 +116,7 @@
   // it once more when it is told of the change.
   std::unique_ptr<StoredJob> dropped_job_;
   std::map<std::string, AgentEntry> agents_;
+  std::map<std::string, uint64_t> granted_by_;
   std::map<std::string, WorkerEnds> worker_ends_;
   LearnedPressures pressures_;
   OwnerClaim claim_;
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -24,12 +24,12 @@
 auto JobOwner::Begin(TimePoint now,
                      uint64_t fence,
                      const JobFold* fold,
-                     TimePoint silent_until) -> void {
+                     const EarlierGrants& earlier) -> void {
   End();
   fence_ = fence;
   fold_ = fold;
   claim_at_ = fold->claim_at();
-  silent_until_ = silent_until;
+  earlier_ = earlier;
   begun_at_ = now;
   interference_.Load(fold->pressures());
   pressures_stored_at_ = now;
@@ -55,6 +55,8 @@
   keys_to_drop_.clear();
   agents_in_drop_.clear();
   agents_to_restore_.clear();
+  agents_to_note_.clear();
+  batch_grants_.clear();
   batch_out_ = false;
   batch_ends_.clear();
   next_order_ = 1;
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -15,6 +15,7 @@
 #include "Jobs/image_interference.h"
 #include "Jobs/job_fold.h"
 #include "Jobs/job_work.h"
+#include "Jobs/owner_election.h"
 #include "Jobs/place_choice.h"
 #include "Jobs/ticket_book.h"
 #include "Jobs/worker_view.h"
@@ -99,12 +100,12 @@
   auto operator=(const JobOwner&) -> JobOwner& = delete;
   ~JobOwner();
 
-  // `silent_until`: when runs of earlier owners are over even on agents that
-  // do not answer.
+  // `earlier`: when runs of earlier owners are over even on agents that do not
+  // answer.
   auto Begin(TimePoint now,
              uint64_t fence,
              const JobFold* fold,
-             TimePoint silent_until) -> void;
+             const EarlierGrants& earlier) -> void;
   auto End() -> void;
   auto active() const -> bool { return fence_ != 0; }
 
@@ -223,6 +224,8 @@
   // Records for the log.
   auto AddEnds(std::vector<KeyedRecord>* records) -> void;
   auto AddRoster(std::vector<KeyedRecord>* records) -> void;
+  auto AddGrants(std::vector<KeyedRecord>* records) -> void;
+  auto OnGrantsNoted() -> void;
 
   // Messages.
   auto Poll(TimePoint now, WorkerView& worker) -> void;
@@ -246,7 +249,7 @@
   uint64_t fence_ = 0;
   const JobFold* fold_ = nullptr;
   uint64_t claim_at_ = 0;
-  TimePoint silent_until_;
+  EarlierGrants earlier_;
   TimePoint begun_at_;
   bool census_done_ = false;
 
@@ -264,6 +267,10 @@
   std::set<std::string> agents_in_drop_;
   // Agents in use whose registrations are to be written again.
   std::set<std::string> agents_to_restore_;
+  // Agents that have listed their runs, until the log says that this owner
+  // grants to them; those of the batch under way.
+  std::set<std::string> agents_to_note_;
+  std::set<std::string> batch_grants_;
   uint64_t next_order_ = 1;
   uint64_t next_run_ = 1;
   bool place_due_ = false;
--- a/Source/Jobs/job_records.cc
+++ b/Source/Jobs/job_records.cc
@@ -10,11 +10,12 @@
   char letter;
 };
 
-constexpr std::array<KeyPrefix, 7> kPrefixes = {{
+constexpr std::array<KeyPrefix, 8> kPrefixes = {{
     {RecordKind::kJob, 'j'},
     {RecordKind::kProgress, 'p'},
     {RecordKind::kCancellation, 'c'},
     {RecordKind::kAgent, 'a'},
+    {RecordKind::kAgentGrants, 'g'},
     {RecordKind::kWorkerEnds, 'e'},
     {RecordKind::kClaim, 'o'},
     {RecordKind::kPressures, 'i'},
--- a/Source/Jobs/job_records.h
+++ b/Source/Jobs/job_records.h
@@ -22,6 +22,7 @@
   kProgress,
   kCancellation,
   kAgent,
+  kAgentGrants,
   kWorkerEnds,
   kClaim,
   kPressures,
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -77,6 +77,9 @@
                             WorkerView& worker,
                             const AgentReport& report) -> void {
   worker.confirmed = true;
+  if (!worker.grants_noted) {
+    agents_to_note_.insert(worker.agent);
+  }
   // It has answered under this fence, so no other owner leases to it any more,
   // and what one did before began before now. The end of the census is no bound
   // for it: that may be long past, and the worker would be taken for lost at
--- a/Source/Jobs/owner_election.cc
+++ b/Source/Jobs/owner_election.cc
@@ -55,7 +55,7 @@
     }
     fence_ = newest_.fence() + 1;
     renewal_ = 0;
-    silent_until_ = GrantsOver(now);
+    earlier_ = GrantsBefore(now);
   } else if (now < claim_due_) {
     return std::nullopt;
   }
@@ -65,29 +65,37 @@
   claim.set_incarnation(options_.incarnation);
   claim.set_fence(fence_);
   claim.set_renewal(++renewal_);
-  const auto left = std::chrono::ceil<std::chrono::milliseconds>(
-      std::max(Duration(0), silent_until_ - now));
-  claim.set_earlier_grants_ms(static_cast<uint64_t>(left.count()));
+  claim.set_earlier_grants_ms(EarlierGrantsLeft(now));
   return claim;
 }
 
+auto OwnerElection::EarlierGrantsLeft(TimePoint now) const -> uint64_t {
+  const Duration left =
+      std::max(earlier_.last_owner, earlier_.before_last_owner) - now;
+  return static_cast<uint64_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(std::max(Duration(0), left))
+          .count());
+}
+
 // A dead or released owner grants nothing from now on; one that may only be cut
 // off from the log goes on for a while. Owners before it may be cut off still.
-auto OwnerElection::GrantsOver(TimePoint now) const -> TimePoint {
-  TimePoint over = now + options_.lease;
+auto OwnerElection::GrantsBefore(TimePoint now) const -> EarlierGrants {
+  EarlierGrants grants{now + options_.lease, TimePoint()};
   if (!any_claim_) {
-    return over;
+    return grants;
   }
   if (!newest_.released() && !predecessor_is_dead()) {
-    over = newest_read_ + options_.unverified_limit + options_.lease;
+    grants.last_owner =
+        newest_read_ + options_.unverified_limit + options_.lease;
   }
   const auto earlier = std::chrono::duration_cast<Duration>(
       std::chrono::milliseconds(newest_.earlier_grants_ms()) *
       (1.0 + kClockDrift));
-  return std::max(over, newest_read_ + earlier);
+  grants.before_last_owner = newest_read_ + earlier;
+  return grants;
 }
 
-auto OwnerElection::Release() -> std::optional<OwnerClaim> {
+auto OwnerElection::Release(TimePoint now) -> std::optional<OwnerClaim> {
   if (fence_ == 0) {
     return std::nullopt;
   }
@@ -97,8 +105,7 @@
   claim.set_fence(fence_);
   claim.set_renewal(++renewal_);
   claim.set_released(true);
-  // As the latest renewal had it, which is longer than what is left.
-  claim.set_earlier_grants_ms(newest_.earlier_grants_ms());
+  claim.set_earlier_grants_ms(EarlierGrantsLeft(now));
   OnClaimLost();
   return claim;
 }
--- a/Source/Jobs/owner_election.h
+++ b/Source/Jobs/owner_election.h
@@ -28,6 +28,14 @@
   Duration lease{0};
 };
 
+// When grants of owners before this one are over, also to agents that do not
+// answer.
+struct EarlierGrants {
+  // Of the owner just before, and of all others.
+  TimePoint last_owner;
+  TimePoint before_last_owner;
+};
+
 // Decides when this entry claims the cell, and whether it may decide for it.
 // The log makes sure that one claim wins: claims are appended by one producer
 // with the fence as epoch.
@@ -47,22 +55,22 @@
   // A claim to append now: a first one, or a renewal by the owner.
   auto ClaimDue(TimePoint now) -> std::optional<OwnerClaim>;
   // A release to append, if this entry owns the cell or claims it.
-  auto Release() -> std::optional<OwnerClaim>;
+  auto Release(TimePoint now) -> std::optional<OwnerClaim>;
 
   // True if this entry's claim is the newest in the log, and was verified
   // within the limit.
   auto owner(TimePoint now) const -> bool;
   // The fence of this entry's claim; zero if it has none.
   auto fence() const -> uint64_t { return fence_; }
-  // When grants of all owners before this entry's claim are over, also to
-  // agents that do not answer.
-  auto silent_until() const -> TimePoint { return silent_until_; }
+  auto earlier_grants() const -> const EarlierGrants& { return earlier_; }
 
  private:
   auto MayClaim(TimePoint now) const -> bool;
   // Whether the newest claim is of an earlier process of this entry.
   auto predecessor_is_dead() const -> bool;
-  auto GrantsOver(TimePoint now) const -> TimePoint;
+  // In milliseconds, of all owners before this one.
+  auto EarlierGrantsLeft(TimePoint now) const -> uint64_t;
+  auto GrantsBefore(TimePoint now) const -> EarlierGrants;
   auto mine(const OwnerClaim& claim) const -> bool;
 
   OwnerElectionOptions options_;
@@ -77,7 +85,7 @@
   bool confirmed_ = false;
   TimePoint claim_due_;
   TimePoint verified_;
-  TimePoint silent_until_;
+  EarlierGrants earlier_;
 };
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -301,7 +301,7 @@
   AgentOrders orders;
   orders.set_fence(fence_);
   orders.set_owner_incarnation(options_.incarnation);
-  if (worker.reported_us > 0) {
+  if (worker.reported_us > 0 && worker.grants_noted) {
     orders.set_granted_from_us(worker.reported_us);
     orders.set_lease_ttl_ms(static_cast<uint64_t>(options_.lease_ttl.count()));
     worker.lease_bound =
--- a/Source/Jobs/owner_records.cc
+++ b/Source/Jobs/owner_records.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "Jobs/job_owner.h"
 
@@ -19,6 +20,7 @@
   }
   AddEnds(&records);
   AddRoster(&records);
+  AddGrants(&records);
   for (const auto& key : keys_to_drop_) {
     records.push_back({key, "", 0});
   }
@@ -63,8 +65,31 @@
   agents_to_restore_.clear();
 }
 
+auto JobOwner::AddGrants(std::vector<KeyedRecord>* records) -> void {
+  batch_grants_ = std::exchange(agents_to_note_, {});
+  for (const auto& name : batch_grants_) {
+    AgentGrants grants;
+    grants.set_name(name);
+    grants.set_fence(fence_);
+    records->push_back(MakeRecord(RecordKind::kAgentGrants, name, grants));
+  }
+}
+
+auto JobOwner::OnGrantsNoted() -> void {
+  for (const auto& name : batch_grants_) {
+    const auto found = workers_.find(name);
+    if (found != workers_.end()) {
+      found->second->grants_noted = true;
+      found->second->poll_due = true;
+      place_due_ = true;
+    }
+  }
+  batch_grants_.clear();
+}
+
 auto JobOwner::OnBatchStored() -> void {
   batch_out_ = false;
+  OnGrantsNoted();
   agents_in_drop_.clear();
   for (const auto& [name, worker] : workers_) {
     const auto found = batch_ends_.find(worker->worker_id);
--- a/Source/Jobs/owner_roster.cc
+++ b/Source/Jobs/owner_roster.cc
@@ -18,6 +18,7 @@
   // takeover. Polled by nobody, it registers again behind the drop.
   if (!agents_in_drop_.contains(name)) {
     std::erase(keys_to_drop_, MakeKey(RecordKind::kAgent, name));
+    std::erase(keys_to_drop_, MakeKey(RecordKind::kAgentGrants, name));
     if (!workers_.contains(name)) {
       hooks_.log_agent("agent_known", name);
     }
@@ -43,7 +44,12 @@
   if (worker == nullptr) {
     worker = std::make_unique<WorkerView>();
     worker->agent = entry.name();
-    worker->lease_bound = silent_until_;
+    // The owner before wrote down to whom it grants: what it has not granted
+    // to runs no longer than grants of those before it.
+    const auto granted_by = fold_->granted_by(entry.name());
+    const bool by_earlier = granted_by && *granted_by + 1 < fence_;
+    worker->lease_bound =
+        by_earlier ? earlier_.before_last_owner : earlier_.last_owner;
   }
   worker->registration = entry;
   worker->registered_at = now;
@@ -67,6 +73,7 @@
     }
     hooks_.log_agent("agent_forgotten", worker.agent);
     keys_to_drop_.push_back(MakeKey(RecordKind::kAgent, worker.agent));
+    keys_to_drop_.push_back(MakeKey(RecordKind::kAgentGrants, worker.agent));
     return true;
   });
 }
--- a/Source/Jobs/record_reader.cc
+++ b/Source/Jobs/record_reader.cc
@@ -144,6 +144,22 @@
   return entry;
 }
 
+auto ReadAgentGrants(const std::string& name, const std::string& value)
+    -> absl::StatusOr<AgentGrants> {
+  auto grants = Parse<AgentGrants>(value);
+  if (!grants.ok()) {
+    return grants;
+  }
+  auto status = CheckName(name, grants->name());
+  if (!status.ok()) {
+    return status;
+  }
+  if (grants->fence() < 1) {
+    return Problem("it names no owner");
+  }
+  return grants;
+}
+
 auto ReadWorkerEnds(const std::string& worker_id, const std::string& value)
     -> absl::StatusOr<WorkerEnds> {
   auto ends = Parse<WorkerEnds>(value);
--- a/Source/Jobs/record_reader.h
+++ b/Source/Jobs/record_reader.h
@@ -28,6 +28,8 @@
 // Whether the endpoint can be reached is not looked at.
 auto ReadAgent(const std::string& name, const std::string& value)
     -> absl::StatusOr<AgentEntry>;
+auto ReadAgentGrants(const std::string& name, const std::string& value)
+    -> absl::StatusOr<AgentGrants>;
 auto ReadWorkerEnds(const std::string& worker_id, const std::string& value)
     -> absl::StatusOr<WorkerEnds>;
 // There is one claim and one record of pressures, whose keys have no name.
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -62,6 +62,9 @@
   bool silent = false;
   // The agent has listed what runs under this owner's fence.
   bool confirmed = false;
+  // The log says that this owner grants to the agent. Only then it may: the
+  // next owner counts on it.
+  bool grants_noted = false;
   // The agent has told this owner that nothing of earlier owners runs there.
   bool emptied = false;
   // The worker has ended as planned, and the agent has no other.
--- a/Tests/Jobs/job_fold_test.cc
+++ b/Tests/Jobs/job_fold_test.cc
@@ -169,11 +169,19 @@
   return learned;
 }
 
+auto GoodGrants() -> AgentGrants {
+  AgentGrants grants;
+  grants.set_name(kAgent);
+  grants.set_fence(3);
+  return grants;
+}
+
 // One good record of each kind.
 auto GoodRecords() -> std::vector<KeyedRecord> {
   return {MakeRecord(RecordKind::kJob, kId, GoodJob()),
           MakeRecord(RecordKind::kProgress, kId, GoodProgress()),
           MakeRecord(RecordKind::kAgent, kAgent, GoodAgent()),
+          MakeRecord(RecordKind::kAgentGrants, kAgent, GoodGrants()),
           MakeRecord(RecordKind::kWorkerEnds, kLife, GoodEnds()),
           MakeRecord(RecordKind::kClaim, "", GoodClaim()),
           MakeRecord(RecordKind::kPressures, "", GoodPressures())};
@@ -190,6 +198,7 @@
   for (const auto& [name, entry] : fold.agents()) {
     parts["agent " + name] = entry.ShortDebugString();
   }
+  parts["granted"] = std::to_string(fold.granted_by(kAgent).value_or(0));
   parts["ends"] = std::to_string(fold.ends_logged(kLife));
   parts["claim"] = fold.claim().ShortDebugString();
   parts["pressures"] = fold.pressures().ShortDebugString();
@@ -332,6 +341,7 @@
 
 auto BadOthers() -> std::vector<BadRecord> {
   using ChangeAgent = std::function<auto(AgentEntry*)->void>;
+  using ChangeGrants = std::function<auto(AgentGrants*)->void>;
   using ChangeEnds = std::function<auto(WorkerEnds*)->void>;
   using ChangeClaim = std::function<auto(OwnerClaim*)->void>;
   using ChangePressures = std::function<auto(LearnedPressures*)->void>;
@@ -340,6 +350,10 @@
     return Bad<AgentEntry>("agent_" + name, RecordKind::kAgent, key,
                            GoodAgent(), change);
   };
+  const auto grants = [](const std::string& name, const ChangeGrants& change) {
+    return Bad<AgentGrants>("grants_" + name, RecordKind::kAgentGrants, kAgent,
+                            GoodGrants(), change);
+  };
   const auto ends = [](const std::string& name, const ChangeEnds& change) {
     return Bad<WorkerEnds>("ends_" + name, RecordKind::kWorkerEnds, kLife,
                            GoodEnds(), change);
@@ -364,6 +378,11 @@
       agent("without_key", "", [](AgentEntry* entry) { entry->clear_name(); }),
       agent("without_endpoint", kAgent,
             [](AgentEntry* entry) { entry->clear_link_endpoint(); }),
+      Cut("grants_cut", RecordKind::kAgentGrants, kAgent, GoodGrants()),
+      grants("without_name", [](AgentGrants* made) { made->clear_name(); }),
+      grants("of_another_agent",
+             [](AgentGrants* made) { made->set_name("agent-9"); }),
+      grants("without_fence", [](AgentGrants* made) { made->clear_fence(); }),
       Cut("ends_cut", RecordKind::kWorkerEnds, kLife, GoodEnds()),
       ends("without_worker", [](WorkerEnds* made) { made->clear_worker_id(); }),
       ends("of_another_worker",
--- a/Tests/Jobs/lasting_explorer_test.cc
+++ b/Tests/Jobs/lasting_explorer_test.cc
@@ -220,6 +220,29 @@
   }
 }
 
+// The same with two more owners, of which the first never heard the agent.
+TEST(VanishedAgentTest, HoldsUpNoOwnerAfterTheNext) {
+  JobWorldOptions options;
+  options.check_lasting = true;
+  options.allow_census = false;
+  JobWorld world(options);
+  world.RunFor(seconds(4));
+  world.SubmitLasting(6);
+  world.RunFor(seconds(2));
+  world.RemoveAgent(0, /*planned=*/false);
+  // An owner that is cut off from the log is replaced, and may go on.
+  for (const auto span : {seconds(8), seconds(4)}) {
+    const auto owner = "entry-" + std::to_string(std::max(world.Owner(), 0));
+    world.log().SetModeFor(owner, VirtualLog::Mode::kRefuses);
+    world.RunFor(span);
+    world.log().SetModeFor(owner, VirtualLog::Mode::kServes);
+  }
+  world.RunFor(seconds(20));
+  for (const auto& problem : world.problems()) {
+    ADD_FAILURE() << problem;
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, ForgottenAgentTest, ExplorerSeeds(8));
 
 INSTANTIATE_TEST_SUITE_P(Seeds, LastingExplorerTest, ExplorerSeeds(60));
