Jobs: Move fillers that are slowed for long

Hypothesis: late jobs of tasks that fill wait for one or two tasks that stand nearly still.

Change: a run on spare processors that would end a second sooner elsewhere, the move included, is stopped and started there, with its checkpoint if it has one.

--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -182,6 +182,7 @@
     place_due_ = false;
     PlaceAll(now);
   }
+  MoveSlowedFillers(now);
   for (auto over = over_since_.begin(); over != over_since_.end();) {
     if (now - over->second < options_.keep_over) {
       ++over;
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -128,6 +128,13 @@
   auto census_done() const -> bool { return census_done_; }
 
  private:
+  struct SlowedFiller {
+    TaskPlace place;
+    uint64_t run = 0;
+    // How much sooner it would end.
+    std::chrono::duration<double> gain{0};
+  };
+
   // Jobs.
   auto AddJob(TimePoint now, const StoredJob& entry) -> void;
   auto EndJob(JobWork& work, const std::string& why) -> void;
@@ -207,6 +214,10 @@
   auto NoteWaiting(TimePoint now,
                    const TaskPlace& place,
                    const PlaceLimits& limits) -> void;
+  // Runs on spare processors that would end sooner elsewhere at full speed,
+  // those of jobs that can be in time first.
+  auto SlowedFillers(TimePoint now) -> std::vector<SlowedFiller>;
+  auto MoveSlowedFillers(TimePoint now) -> void;
   auto MayStart(TimePoint now, const TaskPlace& place) -> bool;
   auto Start(TimePoint now,
              const TaskPlace& place,
@@ -273,6 +284,7 @@
   std::set<std::string> batch_grants_;
   uint64_t next_order_ = 1;
   uint64_t next_run_ = 1;
+  TimePoint moved_at_;
   bool place_due_ = false;
   bool batch_out_ = false;
   std::map<std::string, uint64_t> batch_ends_;
--- a/Source/Jobs/job_work.h
+++ b/Source/Jobs/job_work.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,9 @@
   // Percent of its work done, and when that last changed.
   uint32_t percent = 0;
   TimePoint progress_at;
+  // Of a run on spare processors: the share of its processors that it used
+  // lately; none while that is not known.
+  std::optional<double> speed;
   // Its end is to be ignored: the task is done, or its job is over.
   bool unwanted = false;
 };
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -156,6 +156,10 @@
     if (!row.checkpoint().empty()) {
       place->task().checkpoint = row.checkpoint();
     }
+    const auto& step = place->spec();
+    if (step.uses_spare_processors() && step.need().millicores() > 0) {
+      run.speed = static_cast<double>(row.load()) / step.need().millicores();
+    }
   }
 }
 
--- a/Tests/Jobs/job_owner_test.cc
+++ b/Tests/Jobs/job_owner_test.cc
@@ -608,6 +608,62 @@
                                               "draining 1, no room 1"}));
 }
 
+struct SlowedCase {
+  std::string name;
+  // As told of a run that wants 1000 millicores.
+  uint32_t millicores = 0;
+  uint32_t percent = 0;
+  bool checkpointing = false;
+  bool other_worker = true;
+  bool moves = false;
+};
+
+class SlowedFillerTest : public JobOwnerTest,
+                         public testing::WithParamInterface<SlowedCase> {};
+
+// The load: tasks of 3 s that fill beside serving ones. Symptom: jobs are late
+// by one task that took 10 s, while others of its step took 3. Cause: its agent
+// slowed it to a tenth for the runs beside it, and it stayed there although
+// another worker would have let it run.
+TEST_P(SlowedFillerTest, MovesIfItEndsSoonerElsewhere) {
+  const auto& param = GetParam();
+  auto step = Step(1);
+  step.set_uses_spare_processors(true);
+  step.set_estimated_ms(3000);
+  step.set_checkpointing(param.checkpointing);
+  PutJob({step});
+  Begin();
+  ReportAll();
+  const std::string agent = starts_.begin()->first;
+  const std::string other = agent == "agent-0" ? "agent-1" : "agent-0";
+  for (int round = 0; round < 5; ++round) {
+    auto report = Started(agent, param.percent);
+    report.mutable_running(0)->set_load(param.millicores);
+    Report(agent, report);
+    if (param.other_worker) {
+      Report(other, ReportOf(other));
+    }
+    now_ += milliseconds(300);
+  }
+  EXPECT_EQ(stops_[agent].size(), param.moves ? 1U : 0U);
+  EXPECT_EQ(Starts(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    SlowedFillerTest,
+    testing::Values(SlowedCase{"slowed_to_a_tenth", 100, 10, true, true, true},
+                    SlowedCase{"stands_still", 0, 10, true, true, true},
+                    SlowedCase{"at_full_speed", 1000, 10, true, true, false},
+                    SlowedCase{"nearly_done", 200, 96, true, true, false},
+                    // It would begin again.
+                    SlowedCase{"half_done_without_checkpoints", 500, 50, false,
+                               true, false},
+                    SlowedCase{"slowed_without_checkpoints", 100, 10, false,
+                               true, true},
+                    SlowedCase{"no_other_worker", 100, 10, true, false, false}),
+    [](const auto& info) { return info.param.name; });
+
 TEST_F(JobOwnerTest, ProgressKeepsARunWhereItIs) {
   PutJob({Step(1)});
   Begin();
