Jobs: Trust what a claim says of earlier grants only where it says it

An owner of the version before writes nothing down of its grants. Between owners of this version, as while entries are upgraded in turn, its agents would be taken for free. A claim now says whether its owner notes grants; if not, a successor waits as before. Claims of another writer cannot make a census longer than grants can hold.

--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -148,6 +148,8 @@
   auto OnAgentRecord(TimePoint now, const std::string& name) -> void;
   auto OnRegistrationGone(const std::string& name) -> void;
   auto AddAgent(TimePoint now, const AgentEntry& entry) -> void;
+  // When grants of earlier owners to the agent are over.
+  auto EarlierGrantsEnd(const std::string& agent) const -> TimePoint;
   auto ForgetSilentAgents(TimePoint now) -> void;
   auto UpdateWorker(TimePoint now,
                     WorkerView& worker,
--- a/Source/Jobs/owner_election.cc
+++ b/Source/Jobs/owner_election.cc
@@ -9,6 +9,8 @@
 // A reader that has not heard from the log for this long starts anew to count
 // the owner's silence: nobody could renew while nobody could read.
 constexpr std::chrono::milliseconds kReadingGap{1500};
+// Numbers beyond any lease, which would not fit a time.
+constexpr std::chrono::milliseconds kLongestTold{600000};
 // The clocks of two entries may differ in speed by this share.
 constexpr double kClockDrift = 0.02;
 
@@ -66,6 +68,7 @@
   claim.set_fence(fence_);
   claim.set_renewal(++renewal_);
   claim.set_earlier_grants_ms(EarlierGrantsLeft(now));
+  claim.set_notes_grants(true);
   return claim;
 }
 
@@ -80,18 +83,29 @@
 // A dead or released owner grants nothing from now on; one that may only be cut
 // off from the log goes on for a while. Owners before it may be cut off still.
 auto OwnerElection::GrantsBefore(TimePoint now) const -> EarlierGrants {
+  const Duration longest = options_.unverified_limit + options_.lease;
   EarlierGrants grants{now + options_.lease, TimePoint()};
   if (!any_claim_) {
     return grants;
   }
-  if (!newest_.released() && !predecessor_is_dead()) {
+  if (!newest_.notes_grants()) {
+    // An owner of a version that says nothing of those before it.
     grants.last_owner =
-        newest_read_ + options_.unverified_limit + options_.lease;
+        newest_.released() ? now + options_.lease : newest_read_ + longest;
+    grants.before_last_owner = grants.last_owner;
+    return grants;
+  }
+  if (!newest_.released() && !predecessor_is_dead()) {
+    grants.last_owner = newest_read_ + longest;
   }
-  const auto earlier = std::chrono::duration_cast<Duration>(
-      std::chrono::milliseconds(newest_.earlier_grants_ms()) *
-      (1.0 + kClockDrift));
-  grants.before_last_owner = newest_read_ + earlier;
+  // A claim of another writer may say anything; no grants hold for longer.
+  const Duration earlier = std::min<Duration>(
+      std::chrono::milliseconds(std::min<uint64_t>(newest_.earlier_grants_ms(),
+                                                   kLongestTold.count())),
+      longest);
+  grants.before_last_owner =
+      newest_read_ +
+      std::chrono::duration_cast<Duration>(earlier * (1.0 + kClockDrift));
   return grants;
 }
 
@@ -106,6 +120,7 @@
   claim.set_renewal(++renewal_);
   claim.set_released(true);
   claim.set_earlier_grants_ms(EarlierGrantsLeft(now));
+  claim.set_notes_grants(true);
   OnClaimLost();
   return claim;
 }
--- a/Source/Jobs/owner_roster.cc
+++ b/Source/Jobs/owner_roster.cc
@@ -44,18 +44,25 @@
   if (worker == nullptr) {
     worker = std::make_unique<WorkerView>();
     worker->agent = entry.name();
-    // The owner before wrote down to whom it grants: what it has not granted
-    // to runs no longer than grants of those before it.
-    const auto granted_by = fold_->granted_by(entry.name());
-    const bool by_earlier = granted_by && *granted_by + 1 < fence_;
-    worker->lease_bound =
-        by_earlier ? earlier_.before_last_owner : earlier_.last_owner;
+    worker->lease_bound = EarlierGrantsEnd(entry.name());
   }
   worker->registration = entry;
   worker->registered_at = now;
   worker->poll_due = true;
 }
 
+// Owners write down to whom they grant, and an agent that follows one refuses
+// those before it.
+auto JobOwner::EarlierGrantsEnd(const std::string& agent) const -> TimePoint {
+  const auto granted_by = fold_->granted_by(agent);
+  if (!granted_by) {
+    // Perhaps by an owner of a version that did not write it down.
+    return std::max(earlier_.last_owner, earlier_.before_last_owner);
+  }
+  return *granted_by + 1 < fence_ ? earlier_.before_last_owner
+                                  : earlier_.last_owner;
+}
+
 auto JobOwner::ForgetSilentAgents(TimePoint now) -> void {
   std::erase_if(workers_, [this, now](const auto& item) -> bool {
     const auto& worker = *item.second;
--- a/Tests/Jobs/owner_election_test.cc
+++ b/Tests/Jobs/owner_election_test.cc
@@ -86,6 +86,7 @@
   bool goes_on = false;
   // After the claim before was read; clocks differ.
   milliseconds before_last{0};
+  bool notes_grants = true;
 };
 
 // Symptom: tasks that last stay down for 20 s and more when an entry is started
@@ -99,6 +100,7 @@
   options.lease = kLease;
   OwnerElection election(options);
   auto before = param.before;
+  before.set_notes_grants(param.notes_grants);
   before.set_earlier_grants_ms(
       static_cast<uint64_t>(param.earlier_grants.count()));
   election.OnCaughtUp(kStart);
@@ -131,7 +133,15 @@
         GrantsCase{"released_after_another", ClaimOf("other", 3, true),
                    milliseconds(20000), false, milliseconds(20400)},
         GrantsCase{"silent_after_another", ClaimOf("other", 3, false),
-                   milliseconds(9000), true, milliseconds(9180)}),
+                   milliseconds(9000), true, milliseconds(9180)},
+        // Of another writer: no grant holds for an hour.
+        GrantsCase{"absurd", ClaimOf("me", 3, false), milliseconds(3600000),
+                   false, milliseconds(21420)},
+        // Of a version that does not say to whom it grants.
+        GrantsCase{"silent_and_says_nothing", ClaimOf("other", 3, false),
+                   milliseconds(0), true, kUnverified + kLease, false},
+        GrantsCase{"own_predecessor_says_nothing", ClaimOf("me", 3, false),
+                   milliseconds(0), true, kUnverified + kLease, false}),
     [](const auto& info) { return info.param.name; });
 
 // Symptom: every entry claims the cell when the log is back after an outage.
