Tests: Split the owner's tests by duty

What an owner knows of agents and what a takeover waits for is owner_agents_test.cc now; both use the fixture of job_owner_fixture.h.

--- /dev/null
+++ b/Tests/Jobs/owner_agents_test.cc
@@ -0,0 +1,359 @@
+// Which agents an owner knows, what their silence means, and what a new owner
+// waits for before it starts tasks of before its claim.
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Tests/Jobs/job_owner_fixture.h"
+
+namespace rhubarbhaven::jobs {
+namespace {
+
+// Symptom: tasks run in two places after an agent restarts. Sequence: the
+// agent's process is killed; the next one reports before its worker's first
+// heartbeat. Cause: no worker was taken for a worker that has left.
+TEST_F(JobOwnerTest, ReportWithoutAWorkerLosesNoRuns) {
+  PutJob({Step(1)});
+  Begin();
+  ReportAll();
+  ASSERT_EQ(Starts(), 1U);
+  const std::string agent = starts_.begin()->first;
+  Report(agent, Started(agent, 10));
+  AgentReport restarted;
+  restarted.set_fence(kFence);
+  restarted.set_sent_us(++sent_us_);
+  Report(agent, restarted);
+  ReportAll();
+  EXPECT_EQ(Starts(), 1U);
+}
+
+TEST_F(JobOwnerTest, WorkerThatLeftLosesItsRuns) {
+  PutJob({Step(1)});
+  Begin();
+  ReportAll();
+  const std::string agent = starts_.begin()->first;
+  Report(agent, Started(agent, 10));
+  AgentReport left;
+  left.set_fence(kFence);
+  left.set_sent_us(++sent_us_);
+  left.set_left_worker_id("life-of-" + agent);
+  Report(agent, left);
+  EXPECT_EQ(Starts(), 2U);
+}
+
+// Symptom: a takeover takes 0.3 s longer than it must. Cause: the first poll of
+// an agent is lost while its connection is made, and the next came 0.3 s later.
+TEST_F(JobOwnerTest, AgentsAreAskedOftenUntilTheyAnswer) {
+  Begin();
+  owner_.Tick(now_);
+  EXPECT_LE(owner_.next_wake(), now_ + milliseconds(50));
+  ReportAll();
+  owner_.Tick(now_);
+  EXPECT_GT(owner_.next_wake(), now_ + milliseconds(50));
+}
+
+// Symptom: workers that are added to the cell stay empty until the owner
+// changes, and tasks that lost their worker wait for room. Sequence: an agent
+// registers when the owner has been one for longer than it keeps silent agents.
+// Cause: an agent that had never reported counted as silent since the claim, so
+// that it was forgotten before it was polled for the first time.
+TEST_F(JobOwnerTest, AgentsThatComeLateAreAskedAndUsed) {
+  Begin();
+  ReportAll();
+  for (int second = 0; second < 60; ++second) {
+    now_ += seconds(1);
+    ReportAll();
+  }
+  AgentEntry entry;
+  entry.set_name("agent-late");
+  entry.set_link_endpoint("agent-late");
+  Put(MakeRecord(RecordKind::kAgent, "agent-late", entry));
+  owner_.Tick(now_);
+  EXPECT_EQ(polls_["agent-late"], 1);
+  Report("agent-late", ReportOf("agent-late"));
+  PutJob({Step(12)});
+  owner_.Tick(now_);
+  EXPECT_EQ(starts_["agent-late"].size(), 4U);
+}
+
+// Symptom: the list of agents grows for good. Cause: agents that never
+// answered were kept.
+TEST_F(JobOwnerTest, AgentsThatNeverAnswerAreForgotten) {
+  Begin();
+  ReportAll();
+  AgentEntry entry;
+  entry.set_name("agent-late");
+  entry.set_link_endpoint("agent-late");
+  Put(MakeRecord(RecordKind::kAgent, "agent-late", entry));
+  for (int second = 0; second < 60; ++second) {
+    now_ += seconds(1);
+    ReportAll();
+  }
+  polls_.clear();
+  now_ += seconds(1);
+  owner_.Tick(now_);
+  EXPECT_EQ(polls_["agent-late"], 0);
+  EXPECT_EQ(polls_["agent-0"], 1);
+}
+
+// Symptom: a worker that comes back stays empty for up to 3 s. Sequence: a
+// worker leaves, and its agent goes on answering without one; a while later the
+// next worker comes. Cause: only reports of a worker counted as a sign of life,
+// so the agent was forgotten, again after each of its registrations.
+TEST_F(JobOwnerTest, AgentThatAnswersWithoutAWorkerStaysKnown) {
+  Begin();
+  ReportAll();
+  AgentReport idle;
+  idle.set_fence(kFence);
+  idle.set_left_worker_id("life-of-agent-1");
+  for (int second = 0; second < 60; ++second) {
+    now_ += seconds(1);
+    Report("agent-0", ReportOf("agent-0"));
+    Report("agent-1", idle);
+  }
+  polls_.clear();
+  now_ += seconds(1);
+  owner_.Tick(now_);
+  EXPECT_EQ(polls_["agent-1"], 1);
+  StoreBatch();
+  EXPECT_TRUE(fold_.agents().contains("agent-1"));
+}
+
+// An owner that forgets a silent agent drops its registration from the log. The
+// agent may register again before the drop is in the log.
+class ForgottenAgentTest : public JobOwnerTest {
+ protected:
+  // Agent 1 is silent until the owner forgets it.
+  auto ForgetAgent1() -> void {
+    Begin();
+    ReportAll();
+    for (int second = 0; second < 60; ++second) {
+      now_ += seconds(1);
+      Report("agent-0", ReportOf("agent-0"));
+    }
+  }
+
+  auto RegisterAgent1() -> void {
+    AgentEntry entry;
+    entry.set_name("agent-1");
+    entry.set_link_endpoint("agent-1");
+    Put(MakeRecord(RecordKind::kAgent, "agent-1", entry));
+    owner_.Tick(now_);
+    Report("agent-1", ReportOf("agent-1"));
+  }
+};
+
+// Symptom: after a takeover tasks run in two places, or a worker is left empty
+// until its agent registers once more. Sequence: an agent is silent for so long
+// that the owner drops its registration; while the drop waits for the log,
+// which is away, the agent registers again and gets tasks; then the drop is
+// stored. Cause: the drop, decided before the registration, came after it in
+// the log, so the next owner did not know the agent and took its census without
+// it.
+TEST_F(ForgottenAgentTest, DropThatWaitsDoesNotUndoANewRegistration) {
+  ForgetAgent1();
+  RegisterAgent1();
+  StoreBatch();
+  EXPECT_TRUE(fold_.agents().contains("agent-1"));
+}
+
+// As above, with the drop on its way to the log when the agent registers: it is
+// given nothing until it has registered behind the drop.
+TEST_F(ForgottenAgentTest, AgentIsNotUsedUntilItsDropIsInTheLog) {
+  ForgetAgent1();
+  const auto dropped = owner_.TakeBatch();
+  polls_.clear();
+  RegisterAgent1();
+  EXPECT_EQ(polls_["agent-1"], 0);
+  for (const auto& record : dropped) {
+    Put(record);
+  }
+  owner_.OnBatchStored();
+  RegisterAgent1();
+  EXPECT_GT(polls_["agent-1"], 0);
+  StoreBatch();
+  EXPECT_TRUE(fold_.agents().contains("agent-1"));
+}
+
+// The other way round: the drop and a registration behind it are read before
+// the log's answer to the append that held the drop.
+TEST_F(ForgottenAgentTest, RegistrationBehindTheDropIsTaken) {
+  ForgetAgent1();
+  for (const auto& record : owner_.TakeBatch()) {
+    Put(record);
+  }
+  polls_.clear();
+  RegisterAgent1();
+  EXPECT_GT(polls_["agent-1"], 0);
+}
+
+// As above, with the drop read late: the agent is in use already, and its
+// registration is written again.
+TEST_F(ForgottenAgentTest, RegistrationOfAnAgentInUseIsRestored) {
+  ForgetAgent1();
+  const auto dropped = owner_.TakeBatch();
+  owner_.OnBatchStored();
+  RegisterAgent1();
+  EXPECT_GT(polls_["agent-1"], 0);
+  for (const auto& record : dropped) {
+    Put(record);
+  }
+  ASSERT_FALSE(fold_.agents().contains("agent-1"));
+  StoreBatch();
+  ASSERT_TRUE(fold_.agents().contains("agent-1"));
+  EXPECT_EQ(fold_.agents().at("agent-1").link_endpoint(), "agent-1");
+}
+
+// A job of before the claim may run on an agent that has not answered; one
+// accepted later cannot.
+TEST_F(JobOwnerTest, TasksOfBeforeTheClaimWaitForTheCensus) {
+  PutJob({Step(1)});
+  OwnerClaim claim;
+  claim.set_owner("entry");
+  claim.set_fence(kFence);
+  Put(MakeRecord(RecordKind::kClaim, "", claim));
+  Begin();
+  Report("agent-0", ReportOf("agent-0"));
+  for (int round = 0; round < 60; ++round) {
+    EXPECT_EQ(Starts(), 0U) << round;
+    now_ += milliseconds(300);
+    Report("agent-0", ReportOf("agent-0"));
+  }
+  now_ += seconds(3);
+  Report("agent-0", ReportOf("agent-0"));
+  EXPECT_EQ(Starts(), 1U);
+}
+
+struct CensusCase {
+  std::string name;
+  // What agent 1 answers to the new owner; its worker cannot be listed.
+  bool knows_worker = false;
+  bool nothing_runs = false;
+  std::size_t starts = 0;
+};
+
+class CensusTest : public JobOwnerTest,
+                   public testing::WithParamInterface<CensusCase> {};
+
+// Symptom: tasks of before a takeover, also those that last, stay down for 20 s
+// with most of the cell free, and come up all at once. Sequence: a worker
+// leaves or crashes for good, its agent lives on; then the owner changes.
+// Cause: the census waited for a listing of each worker until leases of the
+// earlier owner must be over, although the agent, the only caller of its
+// worker, had answered that nothing runs there.
+TEST_P(CensusTest, TakesAWorkerOnWhichNothingRunsForListed) {
+  PutJob({Step(1)});
+  OwnerClaim claim;
+  claim.set_owner("entry");
+  claim.set_fence(kFence);
+  Put(MakeRecord(RecordKind::kClaim, "", claim));
+  Begin();
+  Report("agent-0", ReportOf("agent-0"));
+  AgentReport report;
+  report.set_fence(kFence);
+  report.set_sent_us(++sent_us_);
+  report.set_worker_id(GetParam().knows_worker ? "life-of-agent-1" : "");
+  report.set_worker_silent(GetParam().knows_worker);
+  report.set_worker_lapsed(GetParam().nothing_runs);
+  Report("agent-1", report);
+  EXPECT_EQ(Starts(), GetParam().starts);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    CensusTest,
+    testing::Values(CensusCase{"worker_has_left", false, true, 1},
+                    CensusCase{"lease_of_a_silent_worker_is_over", true, true,
+                               1},
+                    // What it may hold is not known.
+                    CensusCase{"silent_worker", true, false, 0},
+                    CensusCase{"agent_has_just_started", false, false, 0}),
+    [](const auto& info) { return info.param.name; });
+
+struct GrantedByCase {
+  std::string name;
+  // Of the owner that the log names as the last to grant to agent 1; zero if it
+  // names none.
+  uint64_t fence = 0;
+  seconds starts_after{0};
+};
+
+class GrantedByTest : public JobOwnerTest,
+                      public testing::WithParamInterface<GrantedByCase> {};
+
+// Symptom: tasks that last stay down for 30 s with room for them. Sequence:
+// many workers leave for good; the owner is cut off, and 12 s later the next
+// one. Cause: the third owner waited for the agents that had left until grants
+// of the second could be over, although that one had never heard them.
+TEST_P(GrantedByTest, WaitsForGrantsOfTheLastOwnerOfTheAgent) {
+  PutJob({Step(1)});
+  OwnerClaim claim;
+  claim.set_owner("entry");
+  claim.set_fence(kFence);
+  Put(MakeRecord(RecordKind::kClaim, "", claim));
+  if (GetParam().fence > 0) {
+    AgentGrants grants;
+    grants.set_name("agent-1");
+    grants.set_fence(GetParam().fence);
+    Put(MakeRecord(RecordKind::kAgentGrants, "agent-1", grants));
+  }
+  Begin();
+  const TimePoint begun = now_;
+  while (Starts() == 0 && now_ < begun + seconds(60)) {
+    now_ += milliseconds(100);
+    Report("agent-0", ReportOf("agent-0"));
+  }
+  EXPECT_NEAR(std::chrono::duration<double>(now_ - begun).count(),
+              static_cast<double>(GetParam().starts_after.count()), 0.2);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    GrantedByTest,
+    testing::Values(GrantedByCase{"unknown", 0, seconds(20)},
+                    GrantedByCase{"last_owner", kFence - 1, seconds(20)},
+                    GrantedByCase{"earlier_owner", kFence - 2, kEarlierGrants}),
+    [](const auto& info) { return info.param.name; });
+
+// What goes wrong without: a next owner takes an agent for one that this owner
+// has granted nothing, and starts elsewhere what runs there.
+TEST_F(JobOwnerTest, GrantsNothingBeforeTheLogSaysSo) {
+  PutJob({Step(1)});
+  Begin();
+  for (const char* agent : {"agent-0", "agent-1"}) {
+    EXPECT_TRUE(owner_.OnReport(now_, agent, ReportOf(agent)));
+  }
+  owner_.Tick(now_);
+  EXPECT_EQ(Starts(), 0U);
+  EXPECT_EQ(granted_, 0);
+  StoreBatch();
+  EXPECT_EQ(fold_.granted_by("agent-0"), kFence);
+  EXPECT_EQ(fold_.granted_by("agent-1"), kFence);
+  owner_.Tick(now_);
+  EXPECT_EQ(Starts(), 1U);
+  EXPECT_EQ(granted_, 2);
+}
+
+// Symptom: an agent keeps its lease long after its owner is gone, and tasks
+// started elsewhere run in two places. Sequence: an instance is started anew,
+// so that its clock begins at zero, and its worker's next life reports. Cause:
+// the owner echoed the highest time it had heard from the agent, now far ahead
+// of the agent's clock, as the beginning of the lease.
+TEST_F(JobOwnerTest, LeaseBeginsByTheClockOfTheWorkersPresentLife) {
+  Begin();
+  ReportAll();
+  auto old = ReportOf("agent-1");
+  old.set_sent_us(900'000'000);
+  Report("agent-1", old);
+  auto next = ReportOf("agent-1");
+  next.set_worker_id("next-life");
+  next.set_sent_us(1000);
+  Report("agent-1", next);
+  EXPECT_EQ(owner_.workers().at("agent-1")->reported_us, 1000U);
+}
+
+}  // namespace
+}  // namespace rhubarbhaven::jobs
