Jobs: Let a silent worker's lease run out although starts to it are repeated

Callers saw tasks that last, and all others of a worker, stay down for as long as it was silent, if a start to it was open when it fell silent. Listings granted a silent worker no more time, but each repeat of a start carried the deadline of the agent's own lease, so the agent could never be sure that the worker's lease had run out, and the owner kept the starts and the runs.

A call to a silent worker now carries no later deadline than the lease that it has.

--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -149,13 +149,10 @@
   call.fence = fence_;
   call.forget_through = forget_through_;
   call.worker_id = heartbeat_.worker_id;
-  // A silent worker is not granted more time: so its lease runs out, and its
-  // tasks can be started elsewhere.
   if (listed_ && !silent_since_ && LeaseHolds(now)) {
     call.deadline = WorkerDeadline();
     call.wait = options_.list_wait;
-    worker_lease_until_ =
-        std::max(worker_lease_until_.value_or(now), lease_until_);
+    NoteGranted(now);
   }
   listing_under_way_ = true;
   hooks_.worker.list(call,
@@ -226,8 +223,19 @@
   }
 }
 
+auto TaskAgent::GrantUntil() const -> TimePoint {
+  return silent_since_ && worker_lease_until_
+             ? std::min(lease_until_, *worker_lease_until_)
+             : lease_until_;
+}
+
+auto TaskAgent::NoteGranted(TimePoint now) -> void {
+  worker_lease_until_ =
+      std::max(worker_lease_until_.value_or(now), GrantUntil());
+}
+
 auto TaskAgent::WorkerDeadline() const -> WorkerTime {
-  const auto left = lease_until_ - kLeaseMargin - worker_clock_at_;
+  const auto left = GrantUntil() - kLeaseMargin - worker_clock_at_;
   return worker_clock_ +
          std::max(WorkerTime(1), std::chrono::floor<WorkerTime>(left));
 }
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -117,7 +117,13 @@
   auto SettleVerified(TimePoint asked) -> void;
   auto Pace(TimePoint now) -> void;
   auto LeaseHolds(TimePoint now) const -> bool { return now < lease_until_; }
+  // Until when a call that is made now may extend the worker's lease. A silent
+  // worker is granted no more time: its lease has to run out for its tasks to
+  // be started elsewhere, and calls without an answer are made again and again.
+  auto GrantUntil() const -> TimePoint;
+  // The same by the worker's clock.
   auto WorkerDeadline() const -> WorkerTime;
+  auto NoteGranted(TimePoint now) -> void;
   // The lease of a silent worker has run out, also by its own clock.
   auto LeaseLapsed(TimePoint now) const -> bool;
   auto Report(TimePoint now, bool with_running) -> void;
--- a/Source/Jobs/task_agent_orders.cc
+++ b/Source/Jobs/task_agent_orders.cc
@@ -165,8 +165,7 @@
   call.ticket = order->start.ticket();
   call.deadline = WorkerDeadline();
   call.worker_id = heartbeat_.worker_id;
-  worker_lease_until_ =
-      std::max(worker_lease_until_.value_or(now), lease_until_);
+  NoteGranted(now);
   hooks_.worker.start(call,
                       [this, order, epoch = epoch_](
                           TimePoint then, WorkerCallResult result) -> void {
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Jobs/jobs.h"
@@ -264,6 +265,45 @@
   EXPECT_TRUE(reports_.back().running().empty());
 }
 
+// Symptom: a task stays down for as long as its worker is silent, with room for
+// it elsewhere. Sequence: a worker falls silent; a start to it gets no answer
+// and is made again. Cause: the owner keeps a start without a result, and the
+// agent never gave one: each repeat carried a later deadline, so that the
+// worker's lease did not run out for sure. Repeats carry no later deadline than
+// the lease that the worker has.
+TEST_F(TaskAgentTest, StartToASilentWorkerIsRefusedOnceItsLeaseIsOver) {
+  Beat(kWorker);
+  // Until no lease can hold that an earlier process of the agent has renewed.
+  const TimePoint known = now_ + TaskAgentOptions().longest_lease;
+  while (now_ <= known) {
+    agent_.OnOrders(now_, "owner", Orders(1));
+    now_ += milliseconds(300);
+    AnswerList();
+  }
+  const TimePoint silent_since = now_;
+  constexpr milliseconds kTimeout{400};
+  // A lease of 5 s, what clocks may differ in it, and a call under way.
+  constexpr milliseconds kSettledWithin{6000};
+  while (now_ < silent_since + kSettledWithin) {
+    agent_.OnOrders(now_, "owner", WithStart(Orders(1), now_ > silent_since));
+    now_ += kTimeout;
+    const auto unanswered = std::exchange(on_start_, nullptr);
+    if (unanswered) {
+      unanswered(now_, {WorkerCallOutcome::kUnknown});
+    }
+    const auto list = on_list_;
+    list(now_, WorkerListing());
+    agent_.Tick(now_);
+  }
+  EXPECT_EQ(Result(), ORDER_REFUSED);
+  EXPECT_TRUE(reports_.back().worker_lapsed());
+  ASSERT_GT(starts_.size(), 2U);
+  // The first was called before the silence was known.
+  for (const auto& start : starts_) {
+    EXPECT_LE(start.deadline, starts_.front().deadline);
+  }
+}
+
 TEST_F(TaskAgentTest, HeartbeatOfALifeThatIsOverIsNotTaken) {
   Beat("life-1");
   Beat("life-2");
