Jobs: Say in the log for whom a census waits, and how long

A new owner that starts nothing of before its claim for 17 s left no line: neither which agents it waits for, nor until when. Lines census_waits (after 1 s, then each 5 s: agents missing, some of their names, the longest wait left) and census_done, and the histogram rhubarbhaven_census_seconds. At most 5 lines a takeover; none for one that takes under a second but its end.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -1,6 +1,7 @@
 #include "Jobs/entry_decisions.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <utility>
@@ -40,6 +41,11 @@
   return owner;
 }
 
+auto Milliseconds(Duration span) -> std::string {
+  return absl::StrCat(
+      std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
 auto FollowerOptions(LogTopic topic) -> KeyedLogFollowerOptions {
   KeyedLogFollowerOptions options;
   options.topic = topic;
@@ -372,6 +378,19 @@
            now - read_at < kReadyFor;
 }
 
+auto EntryDecisions::LogCensus(const CensusState& state) -> void {
+  if (state.done) {
+    metrics_->RecordLatency("rhubarbhaven_census_seconds", state.waited);
+  }
+  log_.Write(state.done ? "census_done" : "census_waits",
+             {{"fence", absl::StrCat(election_.fence())},
+              {"waited_ms", Milliseconds(state.waited)},
+              {"at_most_ms", Milliseconds(state.longest)},
+              {"agents", absl::StrCat(state.agents)},
+              {"missing", absl::StrCat(state.missing)},
+              {"names", absl::StrJoin(state.missing_names, " ")}});
+}
+
 auto EntryDecisions::MakeOwnerHooks() -> JobOwnerHooks {
   JobOwnerHooks hooks;
   hooks.send = hooks_.send;
@@ -387,6 +406,9 @@
     log_.Write(what,
                {{"agent", agent}, {"fence", absl::StrCat(election_.fence())}});
   };
+  hooks.log_census = [this](const CensusState& state) -> void {
+    LogCensus(state);
+  };
   hooks.rules = [this](const std::string& queue) -> const QueueRules* {
     const auto* found = queues_.FindByName(queue);
     return found == nullptr ? nullptr : &found->rules;
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -112,6 +112,7 @@
   auto Resign(const std::string& why) -> void;
   auto UpdateReady(TimePoint now) -> void;
   auto MakeOwnerHooks() -> JobOwnerHooks;
+  auto LogCensus(const CensusState& state) -> void;
 
   EntryOptions options_;
   EntryHooks hooks_;
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -41,7 +41,7 @@
       AddJob(now, *entry);
     }
   }
-  FinishCensus(now);
+  BeginCensus(now);
   place_due_ = true;
 }
 
@@ -228,40 +228,6 @@
   return next;
 }
 
-auto JobOwner::CensusEnd() const -> TimePoint {
-  TimePoint end;
-  for (const auto& [name, worker] : workers_) {
-    // A worker that is gone cannot be listed: to wait for it until leases of
-    // the earlier owner must be over would keep all tasks down for 20 s. One
-    // that is only silent may come back, and its agent, leased to by this
-    // owner, may then renew the runs of before.
-    if (!worker->confirmed && !worker->emptied) {
-      end = std::max(end, worker->lease_bound);
-    }
-  }
-  return end;
-}
-
-auto JobOwner::FinishCensus(TimePoint now) -> void {
-  if (census_done_ || !active()) {
-    return;
-  }
-  if (now < CensusEnd()) {
-    return;
-  }
-  census_done_ = true;
-  for (auto& [id, work] : jobs_) {
-    for (auto& [number, occurrence] : work->occurrences) {
-      for (auto& step : occurrence.steps) {
-        for (auto& task : step.tasks) {
-          task.uncertain = false;
-        }
-      }
-    }
-  }
-  place_due_ = true;
-}
-
 auto JobOwner::NewRun() -> uint64_t {
   return (fence_ << kRunBits) + next_run_++;
 }
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -75,6 +75,19 @@
   std::string why;
 };
 
+// How far a new owner's census is. Tasks of before its claim wait for it.
+struct CensusState {
+  bool done = false;
+  // Since the owner began.
+  Duration waited{0};
+  // How long it still waits at most, if no missing agent answers.
+  Duration longest{0};
+  std::size_t agents = 0;
+  // Agents for which it waits; the names of some of them.
+  std::size_t missing = 0;
+  std::vector<std::string> missing_names;
+};
+
 struct JobOwnerHooks {
   // Over the link, to the agent at the endpoint.
   std::function<auto(const std::string& link_endpoint, AgentOrders)->void> send;
@@ -82,6 +95,8 @@
   // A decision about an agent as a whole: "agent_known" or "agent_forgotten".
   std::function<auto(const std::string& what, const std::string& agent)->void>
       log_agent;
+  // The census waits on, or is done.
+  std::function<auto(const CensusState&)->void> log_census;
   // The queue's rules by the newest configuration; null if it has none.
   std::function<auto(const std::string& queue)->const QueueRules*> rules;
   // Since 1970.
@@ -175,9 +190,12 @@
                         WorkerView& worker,
                         const std::string& why) -> void;
   auto LoseSilentWorkers(TimePoint now) -> void;
+  auto BeginCensus(TimePoint now) -> void;
   // When nothing of earlier owners runs on the workers that are not listed.
   auto CensusEnd() const -> TimePoint;
   auto FinishCensus(TimePoint now) -> void;
+  auto NoteCensusWaits(TimePoint now) -> void;
+  auto DescribeCensus(TimePoint now) const -> CensusState;
 
   // Ends and results.
   auto OnEnd(TimePoint now,
@@ -265,6 +283,8 @@
   EarlierGrants earlier_;
   TimePoint begun_at_;
   bool census_done_ = false;
+  // When the log is told next that the census waits.
+  TimePoint tell_census_at_;
 
   std::map<std::string, std::unique_ptr<JobWork>> jobs_;
   // Workers by their agents' names.
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -54,6 +54,9 @@
       }
     };
     hooks.log_agent = [](const std::string&, const std::string&) {};
+    hooks.log_census = [this](const CensusState& state) {
+      census_told_.push_back(state);
+    };
     hooks.rules = [this](const std::string&) { return &rules_; };
     hooks.wall_clock = [this]() -> milliseconds { return wall_; };
     hooks.ask_advice = [this](const AdviceCall& call, const auto& done) {
@@ -171,6 +174,8 @@
   int granted_ = 0;
   std::map<std::string, std::map<uint64_t, StartOrder>> starts_;
   std::map<std::string, std::map<uint64_t, StopOrder>> stops_;
+  // What the log was told of the census.
+  std::vector<CensusState> census_told_;
   // Why tasks wait, as told to the log.
   std::vector<std::string> waits_;
   std::vector<AdviceCall> advice_calls_;
--- a/Tests/Jobs/owner_agents_test.cc
+++ b/Tests/Jobs/owner_agents_test.cc
@@ -347,6 +347,27 @@
   EXPECT_EQ(starts_[other].size(), 1U);
 }
 
+// Symptom: tasks of before a takeover stay down, and the log does not say for
+// whom their owner waits, or until when. Cause: a census left no line.
+TEST_F(JobOwnerTest, LogSaysForWhomACensusWaits) {
+  Begin();
+  Report("agent-0", ReportOf("agent-0"));
+  const TimePoint begun = now_;
+  while (!owner_.census_done() && now_ < begun + seconds(60)) {
+    now_ += milliseconds(100);
+    Report("agent-0", ReportOf("agent-0"));
+  }
+  // Once after a second, then each 5 s of 20, and its end.
+  ASSERT_EQ(census_told_.size(), 5U);
+  EXPECT_EQ(census_told_.front().missing_names,
+            std::vector<std::string>{"agent-1"});
+  EXPECT_EQ(census_told_.front().agents, 2U);
+  EXPECT_EQ(census_told_.front().waited, seconds(1));
+  EXPECT_EQ(census_told_.front().longest, seconds(19));
+  EXPECT_FALSE(census_told_.front().done);
+  EXPECT_TRUE(census_told_.back().done);
+}
+
 // What goes wrong without: a next owner takes an agent for one that this owner
 // has granted nothing, and starts elsewhere what runs there.
 TEST_F(JobOwnerTest, GrantsNothingBeforeTheLogSaysSo) {
