Tests: Hold the mend of agents that stay in the roster

Callers saw tasks that last down for 16 to 20 s after a change of the owner: the next owner waited for agents that had gone for good and still stood in the log's roster.

The sequence is written out in events (TakeoverTest): with forget_agent_after back at 12 s, tasks of gone_without_a_word_before do not run for 10 calm seconds; tables of the owner hold both numbers, with bounds from the lease. Seen failing on today's code with each number back at 12 s.

--- a/Tests/Jobs/owner_agents_test.cc
+++ b/Tests/Jobs/owner_agents_test.cc
@@ -347,6 +347,49 @@
   EXPECT_EQ(starts_[other].size(), 1U);
 }
 
+struct SilentAgentCase {
+  std::string name;
+  // The agent's last words are that its worker has left.
+  bool left = false;
+  // A lease of 5 s with its margins and a second, or five polls and as much.
+  seconds dropped_within{0};
+};
+
+class SilentAgentTest : public JobOwnerTest,
+                        public testing::WithParamInterface<SilentAgentCase> {};
+
+// Symptom: tasks that last stay down for 20 s with room for them. Sequence: a
+// worker and its agent are gone for good; some seconds later the owner is cut
+// off from the log, and another entry takes over. Cause: the agent still stood
+// in the log's roster, although nothing could run there any more, and the new
+// owner's census waited for it until leases of the owner before must be over.
+TEST_P(SilentAgentTest, LeavesTheRosterOnceNothingCanRunThere) {
+  Begin();
+  ReportAll();
+  if (GetParam().left) {
+    AgentReport left;
+    left.set_fence(kFence);
+    left.set_left_worker_id("life-of-agent-1");
+    left.set_worker_lapsed(true);
+    Report("agent-1", left);
+  }
+  const TimePoint silent_since = now_;
+  while (now_ < silent_since + GetParam().dropped_within) {
+    now_ += milliseconds(100);
+    Report("agent-0", ReportOf("agent-0"));
+    StoreBatch();
+  }
+  EXPECT_FALSE(fold_.agents().contains("agent-1"));
+  EXPECT_TRUE(fold_.agents().contains("agent-0"));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    SilentAgentTest,
+    testing::Values(SilentAgentCase{"gone_without_a_word", false, seconds(7)},
+                    SilentAgentCase{"its_worker_has_left", true, seconds(3)}),
+    [](const auto& info) { return info.param.name; });
+
 // Symptom: tasks of before a takeover stay down, and the log does not say for
 // whom their owner waits, or until when. Cause: a census left no line.
 TEST_F(JobOwnerTest, LogSaysForWhomACensusWaits) {
--- /dev/null
+++ b/Tests/Jobs/takeover_test.cc
@@ -0,0 +1,95 @@
+// Tasks of before a takeover, with workers that go for good around it. The
+// events are written out with their times, so that a test stays the same
+// sequence whatever else changes.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+
+#include "Tests/Jobs/job_world.h"
+
+namespace rhubarbhaven::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr uint32_t kTasks = 6;
+constexpr int kLostWorker = 0;
+constexpr int kCrashedWorker = 1;
+// The owner is down for so long, and another entry claims the cell after 1.6 to
+// 2 s of silence. To that one it may as well be cut off from the log only, and
+// go on.
+constexpr milliseconds kDown{4000};
+// After the owner's end, and before the next one.
+constexpr milliseconds kCrash{1000};
+
+struct TakeoverCase {
+  std::string name;
+  // The worker leaves as planned, and its agent tells so before it ends.
+  bool planned = false;
+  // When worker and agent go; the owner ends at zero.
+  milliseconds lost_at{0};
+};
+
+class TakeoverTest : public testing::TestWithParam<TakeoverCase> {
+ protected:
+  TakeoverTest() : world_(Options()) {}
+
+  static auto Options() -> JobWorldOptions {
+    JobWorldOptions options;
+    options.paced_registration = true;
+    options.keep_order = true;
+    options.check_lasting = true;
+    options.allow_census = false;
+    return options;
+  }
+
+  auto RunUntil(TimePoint when) -> void {
+    world_.RunFor(when - world_.time().now());
+  }
+
+  JobWorld world_;
+};
+
+// Symptom: tasks that last stay down for some 20 s although workers have room.
+// Sequence: a worker and its agent go for good; the owner ends, and another
+// entry takes over; a worker whose tasks have to be started again crashes
+// between the two. Cause: the log's roster still named the
+// agent that was gone, and nothing in the log said that nothing runs there any
+// more, so the next owner waited until no lease of the owner before could hold.
+TEST_P(TakeoverTest, HoldsUpNoTasksForAWorkerThatIsGone) {
+  world_.RunFor(seconds(4));
+  world_.SubmitLasting(kTasks);
+  world_.RunFor(seconds(2));
+  const auto lost_at = GetParam().lost_at;
+  const TimePoint end =
+      world_.time().now() - std::min(lost_at, milliseconds(0));
+  world_.time().At(end + lost_at, [this]() -> void {
+    world_.RemoveAgent(kLostWorker, GetParam().planned);
+  });
+  world_.time().At(end + kCrash,
+                   [this]() -> void { world_.worker(kCrashedWorker).Crash(); });
+  RunUntil(end);
+  const int owner = world_.Owner();
+  ASSERT_GE(owner, 0);
+  world_.KillEntry(owner, kDown);
+  world_.RunFor(seconds(25));
+  EXPECT_GE(world_.Owner(), 0);
+  EXPECT_NE(world_.Owner(), owner);
+  for (const auto& problem : world_.problems()) {
+    ADD_FAILURE() << problem;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    TakeoverTest,
+    testing::Values(TakeoverCase{"gone_without_a_word_before", false,
+                                 seconds(-8)},
+                    TakeoverCase{"left_before", true, seconds(-3)}),
+    [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace rhubarbhaven::jobs
