Jobs: Write into the log that a worker has left, so that no owner waits for it

Callers saw tasks of before a takeover stand still for 17 s after workers had left as planned. Their agents told the owner in office and ended; the next owner found them in the roster and waited until no lease of the owner before could hold.

The agent writes it into its entry at once (AgentRegistration, which the daemon and the explorers' world share now). It counts only for the life that an owner granted for last; owners name that life in their note and grant nothing to a next one before the log names it, except after a crash that the same process saw.

TakeoverTest left_just_before and left_between_two_owners fail with the word left out, late or not used.

--- a/Source/Daemon/job_agent.cc
+++ b/Source/Daemon/job_agent.cc
@@ -12,25 +12,23 @@
 
 constexpr std::chrono::milliseconds kLookInterval{250};
 
-auto AppendOptions(const JobAgentOptions& options)
-    -> jobs::AppendBatcherOptions {
-  jobs::AppendBatcherOptions appends;
-  appends.producer =
-      absl::StrCat("agent-", options.name, "-", options.incarnation);
-  return appends;
+auto AgentOptions(const jobs::AgentRegistrationOptions& options)
+    -> jobs::TaskAgentOptions {
+  jobs::TaskAgentOptions agent;
+  agent.incarnation = options.incarnation;
+  return agent;
 }
 
 }  // namespace
 
-JobAgent::JobAgent(JobAgentOptions options,
+JobAgent::JobAgent(jobs::AgentRegistrationOptions options,
                    JobAgentHooks hooks,
                    Metrics* metrics)
-    : options_(std::move(options)),
-      hooks_(std::move(hooks)),
+    : hooks_(std::move(hooks)),
       metrics_(metrics),
       log_("agent"),
-      agent_({}, MakeAgentHooks()),
-      appends_(AppendOptions(options_)),
+      agent_(AgentOptions(options), MakeAgentHooks()),
+      registration_(std::move(options)),
       duty_({.on_tick = [this](TimePoint now) -> void { Tick(now); },
              .next_wake = [this]() -> TimePoint { return NextWake(); }}) {}
 
@@ -80,6 +78,7 @@
         log_.Write("worker_leaves", {{"worker", worker_id}});
         agent_.OnLeave(now, worker_id);
         respond(true);
+        Register(now);
       });
   if (!posted) {
     respond(false);
@@ -89,42 +88,28 @@
 auto JobAgent::Tick(TimePoint now) -> void {
   looked_at_ = now;
   agent_.Tick(now);
-  RegisterIfDue(now);
-  SendRegistration(now);
+  Register(now);
 }
 
 auto JobAgent::NextWake() const -> TimePoint {
-  return std::min(
-      {looked_at_ + kLookInterval, agent_.next_wake(), appends_.next_wake()});
+  return std::min({looked_at_ + kLookInterval, agent_.next_wake(),
+                   registration_.next_wake()});
 }
 
-auto JobAgent::RegisterIfDue(TimePoint now) -> void {
-  const bool ordered = agent_.ordered_at() != TimePoint() &&
-                       now - agent_.ordered_at() < options_.register_again;
-  const bool registered = registered_at_ != TimePoint() &&
-                          now - registered_at_ < options_.register_again;
-  if (ordered || registered || !appends_.idle()) {
-    return;
+auto JobAgent::Register(TimePoint now) -> void {
+  const std::string left_worker = agent_.left_worker();
+  if (registration_.RegisterIfDue(now, {agent_.ordered_at(), left_worker})) {
+    log_.Write("register", {{"endpoint", registration_.link_endpoint()},
+                            {"left_worker", left_worker}});
   }
-  registered_at_ = now;
-  jobs::AgentEntry entry;
-  entry.set_name(options_.name);
-  entry.set_link_endpoint(options_.link_endpoint);
-  entry.set_incarnation(options_.incarnation);
-  log_.Write("register", {{"endpoint", options_.link_endpoint}});
-  appends_.Enqueue(
-      1, {MakeRecord(jobs::RecordKind::kAgent, options_.name, entry)});
-}
-
-auto JobAgent::SendRegistration(TimePoint now) -> void {
-  auto call = appends_.Next(now);
+  auto call = registration_.Next(now);
   if (!call) {
     return;
   }
   OnThread(hooks_.log, &duty_)
       .append(*call,
               [this](TimePoint then, const jobs::AppendResult& result) -> void {
-                appends_.OnResult(then, result);
+                registration_.OnResult(then, result);
               });
 }
 
--- a/Source/Daemon/job_agent.h
+++ b/Source/Daemon/job_agent.h
@@ -11,16 +11,6 @@
 
 namespace rhubarbhaven {
 
-struct JobAgentOptions {
-  std::string name;
-  uint64_t incarnation = 0;
-  // Where this agent listens to the owner.
-  std::string link_endpoint;
-  // An agent that gets no orders registers again after this: the owner may
-  // have forgotten it.
-  std::chrono::milliseconds register_again{3000};
-};
-
 struct JobAgentHooks {
   jobs::KeyedLogPort log;
   // Over the link; false if it was not sent.
@@ -33,7 +23,9 @@
 // and the agent's registration in the log.
 class JobAgent {
  public:
-  JobAgent(JobAgentOptions options, JobAgentHooks hooks, Metrics* metrics);
+  JobAgent(jobs::AgentRegistrationOptions options,
+           JobAgentHooks hooks,
+           Metrics* metrics);
   JobAgent(const JobAgent&) = delete;
   auto operator=(const JobAgent&) -> JobAgent& = delete;
 
@@ -50,18 +42,15 @@
  private:
   auto Tick(TimePoint now) -> void;
   auto NextWake() const -> TimePoint;
-  auto RegisterIfDue(TimePoint now) -> void;
-  auto SendRegistration(TimePoint now) -> void;
+  auto Register(TimePoint now) -> void;
   auto WorkerOnThread(const jobs::WorkerPort& port) -> jobs::WorkerPort;
   auto MakeAgentHooks() -> jobs::TaskAgentHooks;
 
-  JobAgentOptions options_;
   JobAgentHooks hooks_;
   Metrics* metrics_;
   EventLog log_;
   jobs::TaskAgent agent_;
-  jobs::AppendBatcher appends_;
-  TimePoint registered_at_;
+  jobs::AgentRegistration registration_;
   TimePoint looked_at_;
   DutyThread duty_;
 };
--- a/Source/Jobs/job_fold.cc
+++ b/Source/Jobs/job_fold.cc
@@ -70,9 +70,17 @@
 
 auto JobFold::granted_by(const std::string& agent) const
     -> std::optional<uint64_t> {
-  const auto found = granted_by_.find(agent);
-  return found == granted_by_.end() ? std::nullopt
-                                    : std::optional(found->second);
+  const auto found = grants_.find(agent);
+  return found == grants_.end() ? std::nullopt
+                                : std::optional(found->second.fence());
+}
+
+auto JobFold::worker_has_left(const std::string& agent) const -> bool {
+  const auto entry = agents_.find(agent);
+  const auto grants = grants_.find(agent);
+  return entry != agents_.end() && grants != grants_.end() &&
+         !entry->second.left_worker_id().empty() &&
+         entry->second.left_worker_id() == grants->second.worker_id();
 }
 
 auto JobFold::ends_logged(const std::string& worker_id) const -> uint64_t {
@@ -163,7 +171,7 @@
 auto JobFold::TakeAgentGrants(const std::string& name,
                               const KeyedRecord& record) -> absl::Status {
   if (record.value.empty()) {
-    granted_by_.erase(name);
+    grants_.erase(name);
     return absl::OkStatus();
   }
   auto grants = ReadAgentGrants(name, record.value);
@@ -171,8 +179,10 @@
     return grants.status();
   }
   // An earlier owner than was read before is none that wrote later.
-  auto& fence = granted_by_[name];
-  fence = std::max(fence, grants->fence());
+  auto& newest = grants_[name];
+  if (grants->fence() >= newest.fence()) {
+    newest = *std::move(grants);
+  }
   return absl::OkStatus();
 }
 
--- a/Source/Jobs/job_fold.h
+++ b/Source/Jobs/job_fold.h
@@ -73,6 +73,10 @@
   // Fence of the newest owner that may have granted something to the agent;
   // none if no owner has said so.
   auto granted_by(const std::string& agent) const -> std::optional<uint64_t>;
+  // Whether the agent has registered that its worker has left, in the very life
+  // that an owner granted to last: nothing of any owner runs there. An owner
+  // grants nothing to a worker's next life before the log says so.
+  auto worker_has_left(const std::string& agent) const -> bool;
   // The last end in the log of a worker's life; zero if there is none.
   auto ends_logged(const std::string& worker_id) const -> uint64_t;
   // The newest claim; its place in the log.
@@ -116,7 +120,7 @@
   // it once more when it is told of the change.
   std::unique_ptr<StoredJob> dropped_job_;
   std::map<std::string, AgentEntry> agents_;
-  std::map<std::string, uint64_t> granted_by_;
+  std::map<std::string, AgentGrants> grants_;
   std::map<std::string, WorkerEnds> worker_ends_;
   LearnedPressures pressures_;
   OwnerClaim claim_;
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -162,6 +162,8 @@
   // Agents and their workers.
   auto OnAgentRecord(TimePoint now, const std::string& name) -> void;
   auto OnRegistrationGone(const std::string& name) -> void;
+  // Takes what the log says of a worker that has left for its agent's word.
+  auto NoteLeft(TimePoint now, WorkerView& worker) -> void;
   auto AddAgent(TimePoint now, const AgentEntry& entry) -> void;
   // When grants of earlier owners to the agent are over.
   auto EarlierGrantsEnd(const std::string& agent) const -> TimePoint;
@@ -303,7 +305,8 @@
   // Agents that have listed their runs, until the log says that this owner
   // grants to them; those of the batch under way.
   std::set<std::string> agents_to_note_;
-  std::set<std::string> batch_grants_;
+  // With the life of the agent's worker.
+  std::map<std::string, std::string> batch_grants_;
   uint64_t next_order_ = 1;
   uint64_t next_run_ = 1;
   TimePoint moved_at_;
--- a/Source/Jobs/jobs.h
+++ b/Source/Jobs/jobs.h
@@ -5,6 +5,7 @@
 // decides for them, where their tasks run, and what an agent does for them.
 // No I/O, no locks, no clock, no threads.
 
+#include "Jobs/agent_registration.h"
 #include "Jobs/append_batcher.h"
 #include "Jobs/complaint_book.h"
 #include "Jobs/entry_decisions.h"
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -35,7 +35,15 @@
                           !report.worker_id().empty() &&
                           worker.worker_id != report.worker_id();
   if (left || other_life) {
+    // What the log may say of the life before must not be taken for the next
+    // one: a new owner would not wait for an agent whose worker "has left".
+    // A process that never had a worker leave has not written that.
+    const bool crashed = !left && report.left_worker_id().empty() &&
+                         report.incarnation() != 0 &&
+                         report.incarnation() == worker.agent_incarnation;
+    const bool noted = worker.grants_noted && crashed;
     EndLife(now, worker);
+    worker.grants_noted = noted;
   }
   worker.left = (worker.left || left) && report.worker_id().empty();
   if (report.worker_id().empty()) {
@@ -51,6 +59,7 @@
     worker.ends_logged = fold_->ends_logged(worker.worker_id);
     worker.ends_taken = worker.ends_logged;
   }
+  worker.agent_incarnation = report.incarnation();
   const bool accepted = worker.Accepts(now);
   const Room capacity = worker.capacity;
   worker.reported_at = now;
--- a/Source/Jobs/owner_records.cc
+++ b/Source/Jobs/owner_records.cc
@@ -66,19 +66,27 @@
 }
 
 auto JobOwner::AddGrants(std::vector<KeyedRecord>* records) -> void {
-  batch_grants_ = std::exchange(agents_to_note_, {});
-  for (const auto& name : batch_grants_) {
+  batch_grants_.clear();
+  for (const auto& name : std::exchange(agents_to_note_, {})) {
+    const auto found = workers_.find(name);
+    if (found == workers_.end()) {
+      continue;
+    }
+    const std::string& life = found->second->worker_id;
+    batch_grants_[name] = life;
     AgentGrants grants;
     grants.set_name(name);
     grants.set_fence(fence_);
+    grants.set_worker_id(life);
     records->push_back(MakeRecord(RecordKind::kAgentGrants, name, grants));
   }
 }
 
 auto JobOwner::OnGrantsNoted() -> void {
-  for (const auto& name : batch_grants_) {
+  for (const auto& [name, life] : batch_grants_) {
     const auto found = workers_.find(name);
-    if (found != workers_.end()) {
+    // A life that came meanwhile has a note of its own to wait for.
+    if (found != workers_.end() && found->second->worker_id == life) {
       found->second->grants_noted = true;
       found->second->poll_due = true;
       place_due_ = true;
--- a/Source/Jobs/owner_roster.cc
+++ b/Source/Jobs/owner_roster.cc
@@ -26,6 +26,18 @@
   }
 }
 
+auto JobOwner::NoteLeft(TimePoint now, WorkerView& worker) -> void {
+  const auto& life = worker.registration.left_worker_id();
+  if (!life.empty() && worker.worker_id == life) {
+    EndLife(now, worker);
+    worker.grants_noted = false;
+    worker.left = true;
+  } else if (worker.worker_id.empty() && fold_->worker_has_left(worker.agent)) {
+    worker.left = true;
+  }
+  worker.emptied = worker.emptied || worker.left;
+}
+
 auto JobOwner::OnRegistrationGone(const std::string& name) -> void {
   agents_in_drop_.erase(name);
   const auto found = workers_.find(name);
@@ -49,6 +61,7 @@
   worker->registration = entry;
   worker->registered_at = now;
   worker->poll_due = true;
+  NoteLeft(now, *worker);
 }
 
 // Owners write down to whom they grant, and an agent that follows one refuses
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -259,6 +259,7 @@
   report.set_sent_us(Microseconds(now));
   report.set_worker_id(heartbeat_.worker_id);
   report.set_left_worker_id(left_worker_id_);
+  report.set_incarnation(options_.incarnation);
   report.set_service(heartbeat_.service);
   report.set_failure_domain(heartbeat_.failure_domain);
   *report.mutable_capacity() = heartbeat_.capacity;
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -17,6 +17,8 @@
 namespace rhubarbhaven::jobs {
 
 struct TaskAgentOptions {
+  // Number of this start of the agent's process.
+  uint64_t incarnation = 0;
   // Longest wait of one listing; the worker's lease is renewed that often.
   std::chrono::milliseconds list_wait{400};
   // Pause between listings while ends wait for the log: the worker answers at
@@ -67,6 +69,11 @@
   auto next_wake() const -> TimePoint;
 
   auto draining() const -> bool { return heartbeat_.draining; }
+  // Life of the worker that was known last and has left; empty if there is one
+  // now, or none was known.
+  auto left_worker() const -> std::string {
+    return worker_left_ ? left_worker_id_ : "";
+  }
   auto fence() const -> uint64_t { return fence_; }
   // When orders last came.
   auto ordered_at() const -> TimePoint { return ordered_at_; }
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -60,12 +60,15 @@
   Room capacity;
   bool draining = false;
   bool silent = false;
+  // Process of the agent that reported the worker's life.
+  uint64_t agent_incarnation = 0;
   // The agent has listed what runs under this owner's fence.
   bool confirmed = false;
   // The log says that this owner grants to the agent. Only then it may: the
   // next owner counts on it.
   bool grants_noted = false;
-  // The agent has told this owner that nothing of earlier owners runs there.
+  // Nothing of earlier owners runs there: the agent has told this owner so, or
+  // the log that its worker has left.
   bool emptied = false;
   // The worker has ended as planned, and the agent has no other.
   bool left = false;
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -72,6 +72,15 @@
     owner_.OnChange(now_, change);
   }
 
+  // The agent's registration, with the word that this life of its worker left.
+  auto PutLeft(const std::string& agent, const std::string& life) -> void {
+    AgentEntry entry;
+    entry.set_name(agent);
+    entry.set_link_endpoint(agent);
+    entry.set_left_worker_id(life);
+    Put(MakeRecord(RecordKind::kAgent, agent, entry));
+  }
+
   auto PutJob(const std::vector<JobStep>& steps, uint32_t occurrences = 0)
       -> void {
     Job job;
--- a/Tests/Jobs/job_world.cc
+++ b/Tests/Jobs/job_world.cc
@@ -18,7 +18,7 @@
 constexpr uint32_t kAttempts = 4;
 constexpr int kFailuresOfATask = 2;
 constexpr std::chrono::milliseconds kHeartbeat{500};
-constexpr std::chrono::milliseconds kRegisterAgain{3000};
+constexpr std::chrono::milliseconds kLookAtRegistration{100};
 // Tasks that last must run again within this, once the world has been calm for
 // that long.
 constexpr std::chrono::seconds kRunsAgainWithin{10};
@@ -189,6 +189,7 @@
   if (process->up) {
     Deliver(process, [this, process, life]() -> void {
       process->agent->OnLeave(time_.now(), life);
+      Register(process);
     });
   }
   time_.After(kLastWords, end);
@@ -293,7 +294,6 @@
     return;
   }
   process->up = true;
-  process->registered_at = TimePoint();
   const uint64_t generation = process->generation;
   const auto in_process =
       [this, process,
@@ -338,55 +338,50 @@
     Trace(absl::StrCat(process->name, " ", what, " ", DescribeTask(task),
                        " run ", run, " ", why));
   };
-  process->agent = std::make_unique<TaskAgent>(TaskAgentOptions(), hooks);
-  AppendBatcherOptions appends;
-  appends.producer = absl::StrCat(process->name, "-", process->generation);
-  process->registration = std::make_unique<AppendBatcher>(appends);
-  Register(process, number);
+  TaskAgentOptions agent;
+  agent.incarnation = generation;
+  process->agent = std::make_unique<TaskAgent>(agent, hooks);
+  AgentRegistrationOptions registration;
+  registration.name = process->name;
+  registration.incarnation = generation;
+  registration.link_endpoint = absl::StrCat(kEndpoint, number);
+  if (!options_.paced_registration) {
+    registration.pause = std::chrono::milliseconds(0);
+  }
+  process->registration = std::make_unique<AgentRegistration>(registration);
+  KeepRegistered(process);
+}
+
+auto JobWorld::Register(Process* process) -> void {
+  if (Sleeps(*process)) {
+    return;
+  }
+  process->registration->RegisterIfDue(
+      time_.now(),
+      {process->agent->ordered_at(), process->agent->left_worker()});
+  const auto call = process->registration->Next(time_.now());
+  if (!call) {
+    return;
+  }
+  const uint64_t generation = process->generation;
+  log_.PortFor(
+          process->name,
+          [process, generation] { return process->generation == generation; })
+      .append(*call, [process](TimePoint now, const AppendResult& result) {
+        process->registration->OnResult(now, result);
+      });
 }
 
-auto JobWorld::Register(Process* process, int number) -> void {
-  const uint64_t generation = process->generation;
-  AgentEntry entry;
-  entry.set_name(process->name);
-  entry.set_link_endpoint(absl::StrCat(kEndpoint, number));
-  if (RegistrationDue(*process)) {
-    process->registered_at = time_.now();
-    process->registration->Enqueue(
-        1, {MakeRecord(RecordKind::kAgent, process->name, entry)});
-  }
-  std::optional<AppendCall> call;
-  if (!Sleeps(*process)) {
-    call = process->registration->Next(time_.now());
-  }
-  if (call) {
-    log_.PortFor(
-            process->name,
-            [process, generation] { return process->generation == generation; })
-        .append(*call, [process](TimePoint now, const AppendResult& result) {
-          process->registration->OnResult(now, result);
-        });
-  }
-  time_.After(std::chrono::milliseconds(100),
-              [this, process, number, generation]() -> void {
+auto JobWorld::KeepRegistered(Process* process) -> void {
+  Register(process);
+  time_.After(kLookAtRegistration,
+              [this, process, generation = process->generation]() -> void {
                 if (process->generation == generation) {
-                  Register(process, number);
+                  KeepRegistered(process);
                 }
               });
 }
 
-auto JobWorld::RegistrationDue(const Process& process) const -> bool {
-  const auto ordered = process.agent->ordered_at();
-  const bool unordered =
-      ordered == TimePoint() || time_.now() - ordered > kRegisterAgain;
-  if (!unordered || !process.registration->idle()) {
-    return false;
-  }
-  return !options_.paced_registration ||
-         (!Sleeps(process) &&
-          time_.now() - process.registered_at >= kRegisterAgain);
-}
-
 auto JobWorld::Sleeps(const Process& process) const -> bool {
   return options_.paced_registration && process.frozen_until > time_.now();
 }
--- a/Tests/Jobs/job_world.h
+++ b/Tests/Jobs/job_world.h
@@ -111,14 +111,13 @@
     uint64_t generation = 1;
     bool up = true;
     bool gone = false;
-    TimePoint registered_at;
     // With `keep_order`: events that have come.
     std::deque<std::function<auto()->void>> inbox;
     TimePoint frozen_until;
     TimePoint wake_at = TimePoint::max();
     std::unique_ptr<EntryDecisions> entry;
     std::unique_ptr<TaskAgent> agent;
-    std::unique_ptr<AppendBatcher> registration;
+    std::unique_ptr<AgentRegistration> registration;
   };
   struct SubmittedJob {
     Job job;
@@ -130,7 +129,9 @@
 
   auto StartEntry(int number) -> void;
   auto StartAgent(int number) -> void;
-  auto Register(Process* process, int number) -> void;
+  // Writes the agent's entry when it is due, as its daemon would.
+  auto Register(Process* process) -> void;
+  auto KeepRegistered(Process* process) -> void;
   auto Kill(Process* process, Duration down, std::function<auto()->void> start)
       -> void;
   // Runs `event` in the process, if it is still the same; later, if frozen.
@@ -146,7 +147,6 @@
       -> void;
   auto IsCut(int entry, int agent) const -> bool;
   auto Beat(int number) -> void;
-  auto RegistrationDue(const Process& process) const -> bool;
   // Whether it is frozen and, as its daemon would, appends nothing.
   auto Sleeps(const Process& process) const -> bool;
   auto Lasts(const TaskName& task) const -> bool;
--- a/Tests/Jobs/owner_agents_test.cc
+++ b/Tests/Jobs/owner_agents_test.cc
@@ -411,6 +411,152 @@
   EXPECT_TRUE(census_told_.back().done);
 }
 
+struct LeftRecordCase {
+  std::string name;
+  // Life that agent 1 has registered as left, and life for which the owner
+  // before has granted to it.
+  std::string left;
+  std::string granted;
+  bool waits = false;
+};
+
+class LeftRecordTest : public JobOwnerTest,
+                       public testing::WithParamInterface<LeftRecordCase> {};
+
+// Symptom: tasks that last stay down for 17 s with room for them. Sequence:
+// workers leave as planned, their agents tell the owner, and end; the owner
+// ends before it has dropped them from the roster. Cause: only that owner knew,
+// and the next one waited for the agents. The log says so now; it holds only
+// for the life that an owner granted to last.
+TEST_P(LeftRecordTest, EndsTheWaitOnlyForTheLifeThatWasGrantedTo) {
+  PutJob({Step(1)});
+  OwnerClaim claim;
+  claim.set_owner("entry");
+  claim.set_fence(kFence);
+  Put(MakeRecord(RecordKind::kClaim, "", claim));
+  if (!GetParam().granted.empty()) {
+    AgentGrants grants;
+    grants.set_name("agent-1");
+    grants.set_fence(kFence - 1);
+    grants.set_worker_id(GetParam().granted);
+    Put(MakeRecord(RecordKind::kAgentGrants, "agent-1", grants));
+  }
+  PutLeft("agent-1", GetParam().left);
+  Begin();
+  Report("agent-0", ReportOf("agent-0"));
+  EXPECT_EQ(Starts(), GetParam().waits ? 0U : 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    LeftRecordTest,
+    testing::Values(LeftRecordCase{"same_life", "life-1", "life-1", false},
+                    LeftRecordCase{"next_life_is_in_use", "life-1", "life-2",
+                                   true},
+                    LeftRecordCase{"has_not_left", "", "life-1", true},
+                    // Of a version that does not name the life.
+                    LeftRecordCase{"grants_name_no_life", "life-1", "", true}),
+    [](const auto& info) { return info.param.name; });
+
+// The word in the log comes while the census waits.
+TEST_F(JobOwnerTest, WorkerThatLeavesDuringTheCensusEndsTheWait) {
+  PutJob({Step(1)});
+  OwnerClaim claim;
+  claim.set_owner("entry");
+  claim.set_fence(kFence);
+  Put(MakeRecord(RecordKind::kClaim, "", claim));
+  AgentGrants grants;
+  grants.set_name("agent-1");
+  grants.set_fence(kFence - 1);
+  grants.set_worker_id("life-1");
+  Put(MakeRecord(RecordKind::kAgentGrants, "agent-1", grants));
+  Begin();
+  Report("agent-0", ReportOf("agent-0"));
+  ASSERT_EQ(Starts(), 0U);
+  PutLeft("agent-1", "life-1");
+  owner_.Tick(now_);
+  EXPECT_EQ(Starts(), 1U);
+}
+
+// Symptom: tasks of a worker that has left stay down for the 5.4 s of a lease.
+// Sequence: the agent's last report does not reach its owner. Why not here: the
+// owner reads it in the log, too.
+TEST_F(JobOwnerTest, WorkerThatLeftByTheLogLosesItsRuns) {
+  PutJob({Step(1)});
+  Begin();
+  ReportAll();
+  const std::string agent = starts_.begin()->first;
+  Report(agent, Started(agent, 10));
+  PutLeft(agent, "life-of-" + agent);
+  owner_.Tick(now_);
+  EXPECT_EQ(Starts(), 2U);
+}
+
+struct NextLifeCase {
+  std::string name;
+  // Processes of the agent that report the two lives; zero if they do not say.
+  uint64_t first_process = 0;
+  uint64_t second_process = 0;
+  // Life that the second one knows to have left.
+  std::string left;
+  bool used_at_once = false;
+};
+
+class NextLifeTest : public JobOwnerTest,
+                     public testing::WithParamInterface<NextLifeCase> {};
+
+// What goes wrong without: the log may say that the life before has left, and
+// that it is the one granted to. A next owner would take the agent for one at
+// which nothing runs, and start elsewhere what runs in the worker's next life.
+TEST_P(NextLifeTest, IsGrantedNothingBeforeTheLogNamesIt) {
+  Begin();
+  for (const char* agent : {"agent-0", "agent-1"}) {
+    auto report = ReportOf(agent);
+    report.set_incarnation(GetParam().first_process);
+    Report(agent, report);
+  }
+  ASSERT_TRUE(owner_.workers().at("agent-1")->grants_noted);
+  auto next = ReportOf("agent-1");
+  next.set_worker_id("next-life");
+  next.set_left_worker_id(GetParam().left);
+  next.set_incarnation(GetParam().second_process);
+  EXPECT_TRUE(owner_.OnReport(now_, "agent-1", next));
+  EXPECT_EQ(owner_.workers().at("agent-1")->grants_noted,
+            GetParam().used_at_once);
+  StoreBatch();
+  EXPECT_TRUE(owner_.workers().at("agent-1")->grants_noted);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    NextLifeTest,
+    testing::Values(
+        NextLifeCase{"after_one_that_left", 1, 1, "life-of-agent-1", false},
+        NextLifeCase{"after_an_earlier_one_left", 1, 1, "life-0", false},
+        // It has written nothing of the life before, and there is no need to
+        // wait for a log that may be away.
+        NextLifeCase{"after_a_crash", 1, 1, "", true},
+        NextLifeCase{"told_by_another_process", 1, 2, "", false},
+        NextLifeCase{"told_by_processes_that_do_not_say", 0, 0, "", false}),
+    [](const auto& info) { return info.param.name; });
+
+// A note that was on its way when the next life came says nothing of it.
+TEST_F(JobOwnerTest, NoteOfTheLifeBeforeAllowsNoGrants) {
+  Begin();
+  EXPECT_TRUE(owner_.OnReport(now_, "agent-1", ReportOf("agent-1")));
+  const auto under_way = owner_.TakeBatch();
+  auto next = ReportOf("agent-1");
+  next.set_worker_id("next-life");
+  EXPECT_TRUE(owner_.OnReport(now_, "agent-1", next));
+  for (const auto& record : under_way) {
+    Put(record);
+  }
+  owner_.OnBatchStored();
+  EXPECT_FALSE(owner_.workers().at("agent-1")->grants_noted);
+  StoreBatch();
+  EXPECT_TRUE(owner_.workers().at("agent-1")->grants_noted);
+}
+
 // What goes wrong without: a next owner takes an agent for one that this owner
 // has granted nothing, and starts elsewhere what runs there.
 TEST_F(JobOwnerTest, GrantsNothingBeforeTheLogSaysSo) {
--- a/Tests/Jobs/takeover_test.cc
+++ b/Tests/Jobs/takeover_test.cc
@@ -86,9 +86,12 @@
 INSTANTIATE_TEST_SUITE_P(
     Table,
     TakeoverTest,
-    testing::Values(TakeoverCase{"gone_without_a_word_before", false,
-                                 seconds(-8)},
-                    TakeoverCase{"left_before", true, seconds(-3)}),
+    testing::Values(
+        TakeoverCase{"gone_without_a_word_before", false, seconds(-8)},
+        TakeoverCase{"left_before", true, seconds(-3)},
+        TakeoverCase{"left_just_before", true, milliseconds(-300)},
+        TakeoverCase{"left_between_two_owners", true, milliseconds(600)},
+        TakeoverCase{"left_after_the_takeover", true, milliseconds(2500)}),
     [](const auto& info) { return info.param.name; });
 
 }  // namespace
