Jobs: Use no agent before the drop of its earlier registration has been read

Callers saw tasks in two places after a takeover: an agent that had been frozen registered ahead of its owner's drop; the owner took the drop for over when the append was answered, read the registration, used the agent, and was gone before it had written the entry again. The next owner's census did not know the agent.

The drop counts as under way until it has been read, or the fold is read anew. RegistrationOfAnAgentInUseIsRestored was wrong in its first half, which asked for the fault: an agent in use while the log does not name it.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -163,6 +163,7 @@
   hooks.on_begin_anew = [this, is_jobs]() -> void {
     if (is_jobs) {
       fold_current_ = false;
+      owner_.OnReadAnew();
     }
   };
   hooks.on_key_gone = [this, is_jobs](TimePoint now,
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -54,6 +54,7 @@
   tickets_.Clear();
   keys_to_drop_.clear();
   agents_in_drop_.clear();
+  batch_drops_.clear();
   agents_to_restore_.clear();
   agents_to_note_.clear();
   batch_grants_.clear();
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -137,6 +137,8 @@
   // earlier batch is under way.
   auto TakeBatch() -> std::vector<KeyedRecord>;
   auto OnBatchStored() -> void;
+  // The fold is about to be read anew, from the newest records.
+  auto OnReadAnew() -> void;
   auto Tick(TimePoint now) -> void;
   auto next_wake() const -> TimePoint;
 
@@ -300,8 +302,10 @@
   // Jobs that are over, since when.
   std::map<std::string, TimePoint> over_since_;
   std::vector<std::string> keys_to_drop_;
-  // Agents whose registrations the batch under way drops.
+  // Agents whose registrations this owner drops, until it has read the drop;
+  // those of the batch under way.
   std::set<std::string> agents_in_drop_;
+  std::set<std::string> batch_drops_;
   // Agents in use whose registrations are to be written again.
   std::set<std::string> agents_to_restore_;
   // Agents that have listed their runs, until the log says that this owner
--- a/Source/Jobs/owner_records.cc
+++ b/Source/Jobs/owner_records.cc
@@ -53,6 +53,7 @@
     const RecordKey parsed = ParseKey(key);
     if (parsed.kind == RecordKind::kAgent) {
       agents_in_drop_.insert(parsed.name);
+      batch_drops_.insert(parsed.name);
     }
   }
   for (const auto& name : agents_to_restore_) {
@@ -95,10 +96,16 @@
   batch_grants_.clear();
 }
 
+auto JobOwner::OnReadAnew() -> void {
+  // Drops that are stored already are not read any more, and what is read of
+  // their agents now stands behind them.
+  agents_in_drop_ = batch_drops_;
+}
+
 auto JobOwner::OnBatchStored() -> void {
   batch_out_ = false;
   OnGrantsNoted();
-  agents_in_drop_.clear();
+  batch_drops_.clear();
   for (const auto& [name, worker] : workers_) {
     const auto found = batch_ends_.find(worker->worker_id);
     if (found != batch_ends_.end()) {
--- a/Source/Jobs/owner_roster.cc
+++ b/Source/Jobs/owner_roster.cc
@@ -14,8 +14,9 @@
   }
   // The next owner's census asks the agents of the log's roster. An agent that
   // has registered ahead of the drop of its earlier registration is about to
-  // leave the roster: tasks given to it now might be started elsewhere after a
-  // takeover. Polled by nobody, it registers again behind the drop.
+  // leave the roster, also if the log has answered that the drop is stored,
+  // until that has been read: tasks given to it now might be started elsewhere
+  // after a takeover. Polled by nobody, it registers again behind the drop.
   if (!agents_in_drop_.contains(name)) {
     std::erase(keys_to_drop_, MakeKey(RecordKind::kAgent, name));
     std::erase(keys_to_drop_, MakeKey(RecordKind::kAgentGrants, name));
--- a/Tests/Jobs/lasting_explorer_test.cc
+++ b/Tests/Jobs/lasting_explorer_test.cc
@@ -289,7 +289,10 @@
             1383,
             // Agents whose leases were long over still stood in the roster; the
             // next owner's census waited for them.
-            1707)));
+            1707,
+            // An agent was used again before its owner had read that it had
+            // dropped its registration, which came behind the new one.
+            60126)));
 
 // Symptom: tasks that last stay down for some 20 s although workers have room.
 // Sequence: an agent and its worker are gone for good; its owner's lease to
--- a/Tests/Jobs/owner_agents_test.cc
+++ b/Tests/Jobs/owner_agents_test.cc
@@ -190,17 +190,53 @@
   EXPECT_GT(polls_["agent-1"], 0);
 }
 
-// As above, with the drop read late: the agent is in use already, and its
-// registration is written again.
-TEST_F(ForgottenAgentTest, RegistrationOfAnAgentInUseIsRestored) {
+// As above, with the drop stored and answered before it is read: the agent's
+// registration, read first, is still the one ahead of the drop. Used now, the
+// agent would have tasks while the log's roster does not name it, and a next
+// owner would start them elsewhere.
+TEST_F(ForgottenAgentTest, AgentIsNotUsedUntilItsDropHasBeenRead) {
   ForgetAgent1();
   const auto dropped = owner_.TakeBatch();
   owner_.OnBatchStored();
+  polls_.clear();
   RegisterAgent1();
-  EXPECT_GT(polls_["agent-1"], 0);
+  EXPECT_EQ(polls_["agent-1"], 0);
   for (const auto& record : dropped) {
     Put(record);
   }
+  RegisterAgent1();
+  EXPECT_GT(polls_["agent-1"], 0);
+  EXPECT_TRUE(fold_.agents().contains("agent-1"));
+}
+
+// As above, with a log that has forgotten its history: the drop is never read,
+// and what is read of the agent stands behind it.
+TEST_F(ForgottenAgentTest, DropThatIsNeverReadKeepsNobodyOut) {
+  ForgetAgent1();
+  owner_.TakeBatch();
+  owner_.OnBatchStored();
+  owner_.OnReadAnew();
+  polls_.clear();
+  RegisterAgent1();
+  EXPECT_GT(polls_["agent-1"], 0);
+}
+
+// The same with the drop under way: it may come behind what is read anew.
+TEST_F(ForgottenAgentTest, ReadingAnewDoesNotSettleADropUnderWay) {
+  ForgetAgent1();
+  owner_.TakeBatch();
+  owner_.OnReadAnew();
+  polls_.clear();
+  RegisterAgent1();
+  EXPECT_EQ(polls_["agent-1"], 0);
+}
+
+// Another writer drops the registration of an agent in use: it is written
+// again.
+TEST_F(ForgottenAgentTest, RegistrationOfAnAgentInUseIsRestored) {
+  Begin();
+  ReportAll();
+  Put({MakeKey(RecordKind::kAgent, "agent-1"), "", 0});
   ASSERT_FALSE(fold_.agents().contains("agent-1"));
   StoreBatch();
   ASSERT_TRUE(fold_.agents().contains("agent-1"));
