Jobs: Write again that an owner resigned if the log refused it

The word of an owner that was replaced was lost for good if the log refused its append: the batcher gives refused entries back, and the word was kept until the log was taken to be there, which only another entry could show. It is now one of the entries that are tried to find that out. WordThatTheLogRefusedIsWrittenAgain failed before.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -246,13 +246,13 @@
   SendOwnerBatch(now);
 }
 
-auto EntryDecisions::WriteResignation() -> void {
+auto EntryDecisions::WriteResignation(TimePoint now) -> void {
   if (claimed_fence_ != 0 && election_.fence() == 0 && !owner_.active()) {
     resigned_fence_ = std::max(resigned_fence_, claimed_fence_);
     claimed_fence_ = 0;
   }
   if (resigned_fence_ <= resignation_told_ || releasing_ || !fold_current_ ||
-      !job_follower_.reachable() || caller_appends_.failing()) {
+      !job_follower_.reachable() || !caller_appends_.accepts(now)) {
     return;
   }
   resignation_told_ = resigned_fence_;
@@ -274,7 +274,7 @@
 }
 
 auto EntryDecisions::SendCallerBatch(TimePoint now) -> void {
-  WriteResignation();
+  WriteResignation(now);
   auto call = caller_appends_.Next(now);
   if (!call) {
     return;
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -112,7 +112,7 @@
   auto Resign(const std::string& why) -> void;
   // Says in the log that no process of this entry is an owner any more, so that
   // the owner in office needs not wait as for one that is only cut off.
-  auto WriteResignation() -> void;
+  auto WriteResignation(TimePoint now) -> void;
   auto OnResignationRead(TimePoint now, const std::string& entry) -> void;
   auto UpdateReady(TimePoint now) -> void;
   auto MakeOwnerHooks() -> JobOwnerHooks;
