--- a/Tests/Jobs/job_world.cc
+++ b/Tests/Jobs/job_world.cc
@@ -30,6 +30,8 @@
 // A run of a task that lasts goes on, or ends by itself all the same.
 constexpr std::chrono::hours kLastingWork{24};
 constexpr double kLastingEnds = 0.2;
+// Of a task that fills, at full speed; the world does not slow it.
+constexpr std::chrono::milliseconds kFillingWork{4000};
 // From the word that a worker has left to the end of its agent.
 constexpr std::chrono::milliseconds kLastWords{50};
 
@@ -110,6 +112,22 @@
   return id;
 }
 
+auto JobWorld::SubmitFilling(uint32_t tasks) -> std::string {
+  std::string id = absl::StrFormat("%016x", ++next_job_);
+  Job job;
+  job.set_payload(id);
+  auto* step = job.add_steps();
+  step->set_count(tasks);
+  step->mutable_need()->set_millicores(kTaskMillicores);
+  step->set_estimated_ms(kFillingWork.count());
+  step->set_uses_spare_processors(true);
+  step->set_checkpointing(true);
+  step->set_image("filler");
+  submitted_[id].job = job;
+  TrySubmit(id);
+  return id;
+}
+
 auto JobWorld::Cancel(const std::string& job) -> void {
   const int number = static_cast<int>(time_.Pick(0, options_.entries - 1));
   Process* process = entries_[number].get();
@@ -579,8 +597,12 @@
       return time_.Chance(kLastingEnds) ? time_.Milliseconds(500, 8000)
                                         : kLastingWork;
     }
+    if (Fills(task)) {
+      return kFillingWork;
+    }
     return time_.Milliseconds(200, 2500);
   };
+  watch.fills = [this](const TaskName& task) -> bool { return Fills(task); };
   watch.fails = [this](const TaskName& task) -> bool {
     const std::string name = DescribeTask(task);
     if (Lasts(task)) {
@@ -705,6 +727,12 @@
   return IsLasting(task.job());
 }
 
+auto JobWorld::Fills(const TaskName& task) const -> bool {
+  const auto found = submitted_.find(task.job());
+  return found != submitted_.end() &&
+         found->second.job.steps(0).uses_spare_processors();
+}
+
 auto JobWorld::Disturbed() const -> bool {
   const auto fails = [this](const auto& process) -> bool {
     return !process->gone &&
--- a/Tests/Jobs/job_world.h
+++ b/Tests/Jobs/job_world.h
@@ -61,6 +61,8 @@
   auto Submit(const std::vector<uint32_t>& steps) -> std::string;
   // A job of so many tasks that last until it is cancelled.
   auto SubmitLasting(uint32_t tasks) -> std::string;
+  // A job of so many tasks that fill, and resume where they were.
+  auto SubmitFilling(uint32_t tasks) -> std::string;
   auto Cancel(const std::string& job) -> void;
 
   auto KillEntry(int number, Duration down) -> void;
@@ -150,6 +152,7 @@
   // Whether it is frozen and, as its daemon would, appends nothing.
   auto Sleeps(const Process& process) const -> bool;
   auto Lasts(const TaskName& task) const -> bool;
+  auto Fills(const TaskName& task) const -> bool;
   // Whether a fault is in force now.
   auto Disturbed() const -> bool;
   // Whether a worker whose agent is alive has room for one more task.
--- a/Tests/Jobs/virtual_worker.cc
+++ b/Tests/Jobs/virtual_worker.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr uint32_t kTaskMillicores = 1000;
+constexpr uint32_t kSlowed = 10;
 constexpr std::chrono::milliseconds kCallTimeout{400};
 constexpr std::chrono::milliseconds kStopTime{100};
 constexpr std::chrono::milliseconds kListAgain{5};
@@ -32,6 +33,12 @@
       std::min(kAll, kAll * done.count() / Duration(run.work).count()));
 }
 
+auto VirtualWorker::RunsInRoom() const -> std::size_t {
+  return static_cast<std::size_t>(std::count_if(
+      runs_.begin(), runs_.end(),
+      [this](const auto& item) { return !watch_.fills(item.second.task); }));
+}
+
 auto VirtualWorker::PortFor(const std::function<auto()->bool>& alive)
     -> WorkerPort {
   const auto guard = [alive](const WorkerPort::OnCall& done) {
@@ -112,7 +119,7 @@
 
 auto VirtualWorker::HasRoom() const -> bool {
   return !gone_ && !draining_ &&
-         (runs_.size() + 1) * kTaskMillicores <= kMillicores;
+         (RunsInRoom() + 1) * kTaskMillicores <= kMillicores;
 }
 
 auto VirtualWorker::Runs(const std::string& task) const -> bool {
@@ -164,7 +171,8 @@
   if (over != over_.end() && call.run <= over->second) {
     return WorkerCallOutcome::kRunOver;
   }
-  if ((runs_.size() + 1) * kTaskMillicores > kMillicores) {
+  if (!watch_.fills(call.task) &&
+      (RunsInRoom() + 1) * kTaskMillicores > kMillicores) {
     return WorkerCallOutcome::kNoRoom;
   }
   const uint64_t number = ++run_numbers_;
@@ -228,6 +236,9 @@
     *row.mutable_task() = run.task;
     row.set_run(run.run);
     row.set_percent(PercentOf(run));
+    if (watch_.fills(run.task)) {
+      row.set_load(slowing_ ? kTaskMillicores / kSlowed : kTaskMillicores);
+    }
     listing.running.push_back(std::move(row));
   }
   for (const auto& end : listed_) {
--- a/Tests/Jobs/virtual_worker.h
+++ b/Tests/Jobs/virtual_worker.h
@@ -24,6 +24,8 @@
   std::function<auto(const TaskName&)->void> on_done;
   std::function<auto(const TaskName&)->std::chrono::milliseconds> work;
   std::function<auto(const TaskName&)->bool> fails;
+  // Whether the task runs on spare processors, which take no room.
+  std::function<auto(const TaskName&)->bool> fills;
 };
 
 // A worker over virtual time: fences, runs, leases, ends, and orders that are
@@ -42,6 +44,8 @@
   // Share of orders that get no answer; half of them are carried out late.
   auto SetUnanswered(double share) -> void { unanswered_ = share; }
   auto SetDraining(bool draining) -> void { draining_ = draining; }
+  // Tells of tasks that fill that they are slowed to a tenth.
+  auto SetSlowing(bool slowing) -> void { slowing_ = slowing; }
 
   auto name() const -> const std::string& { return name_; }
   auto Runs(const std::string& task) const -> bool;
@@ -70,6 +74,8 @@
 
   auto Clock() const -> WorkerTime;
   auto PercentOf(const Run& run) const -> uint32_t;
+  // Runs that take room.
+  auto RunsInRoom() const -> std::size_t;
   auto ExpireLease() -> void;
   auto ExtendLease(WorkerTime deadline) -> void;
   auto Start(const StartCall& call) -> WorkerCallOutcome;
@@ -91,6 +97,7 @@
   uint64_t heartbeats_ = 0;
   bool silent_ = false;
   bool draining_ = false;
+  bool slowing_ = false;
   bool gone_ = false;
   double unanswered_ = 0;
   uint64_t fence_ = 0;
