--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -259,12 +259,20 @@
   OwnerResignation resignation;
   resignation.set_owner(options_.name);
   resignation.set_fence(resigned_fence_);
-  log_.Write("owner_resigned", {{"fence", absl::StrCat(resigned_fence_)}});
   caller_appends_.Enqueue(
       kResignationTicket,
       {MakeRecord(RecordKind::kResignation, options_.name, resignation)});
 }
 
+auto EntryDecisions::OnResignationSettled(AppendFate fate) -> void {
+  if (fate == AppendFate::kNotStored) {
+    // Written again as soon as the log may take it.
+    resignation_told_ = 0;
+    return;
+  }
+  log_.Write("owner_resigned", {{"fence", absl::StrCat(resignation_told_)}});
+}
+
 auto EntryDecisions::OnResignationRead(TimePoint now, const std::string& entry)
     -> void {
   const uint64_t fence = fold_.resigned_fence(entry);
@@ -299,9 +307,9 @@
     settled.insert(settled.end(), waiting.begin(), waiting.end());
   }
   for (const auto& entry : settled) {
-    if (entry.ticket == kResignationTicket &&
-        entry.fate == AppendFate::kNotStored) {
-      resignation_told_ = 0;
+    if (entry.ticket == kResignationTicket) {
+      OnResignationSettled(entry.fate);
+      continue;
     }
     const auto found = submissions_.find(entry.ticket);
     if (found == submissions_.end()) {
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -113,6 +113,7 @@
   // Says in the log that no process of this entry is an owner any more, so that
   // the owner in office needs not wait as for one that is only cut off.
   auto WriteResignation(TimePoint now) -> void;
+  auto OnResignationSettled(AppendFate fate) -> void;
   auto OnResignationRead(TimePoint now, const std::string& entry) -> void;
   auto UpdateReady(TimePoint now) -> void;
   auto MakeOwnerHooks() -> JobOwnerHooks;
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -151,9 +151,8 @@
     // Nothing can run there any more.
     kAll,
     // The worker's lease has run out. Starts without a result may be under way
-    // to an agent that hears its worker again by the time they come, and
-    // carries
-    // them out: taken for lost, their tasks would run in two places.
+    // to an agent that hears its worker again by the time they come. Taken for
+    // lost, their tasks would run in two places.
     kAnswered,
   };
 
