--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -27,10 +27,7 @@
  protected:
   JobOwnerTest() : owner_(JobOwnerOptions(), Hooks()) {
     for (const char* agent : {"agent-0", "agent-1"}) {
-      AgentEntry entry;
-      entry.set_name(agent);
-      entry.set_link_endpoint(agent);
-      Put(MakeRecord(RecordKind::kAgent, agent, entry));
+      PutAgent(agent);
     }
     rules_.set_service("service");
     rules_.set_max_attempts(2);
@@ -72,15 +69,36 @@
     owner_.OnChange(now_, change);
   }
 
-  // The agent's registration, with the word that this life of its worker left.
-  auto PutLeft(const std::string& agent, const std::string& life) -> void {
+  // The agent's registration; with the word that a life of its worker has left,
+  // if one is named.
+  auto PutAgent(const std::string& agent, const std::string& left = "")
+      -> void {
     AgentEntry entry;
     entry.set_name(agent);
     entry.set_link_endpoint(agent);
-    entry.set_left_worker_id(life);
+    entry.set_left_worker_id(left);
     Put(MakeRecord(RecordKind::kAgent, agent, entry));
   }
 
+  // The owner's own claim: jobs in the log before it are of before a takeover.
+  auto PutClaim() -> void {
+    OwnerClaim claim;
+    claim.set_owner("entry");
+    claim.set_fence(kFence);
+    Put(MakeRecord(RecordKind::kClaim, "", claim));
+  }
+
+  // The note of an owner that it grants to the agent.
+  auto PutGrants(const std::string& agent,
+                 uint64_t fence,
+                 const std::string& life = "") -> void {
+    AgentGrants grants;
+    grants.set_name(agent);
+    grants.set_fence(fence);
+    grants.set_worker_id(life);
+    Put(MakeRecord(RecordKind::kAgentGrants, agent, grants));
+  }
+
   auto PutJob(const std::vector<JobStep>& steps, uint32_t occurrences = 0)
       -> void {
     Job job;
--- a/Tests/Jobs/job_owner_test.cc
+++ b/Tests/Jobs/job_owner_test.cc
@@ -483,10 +483,7 @@
   Put(GetParam().record);
   PutJob({Step(2)});
   Put(GetParam().record);
-  OwnerClaim claim;
-  claim.set_owner("entry");
-  claim.set_fence(kFence);
-  Put(MakeRecord(RecordKind::kClaim, "", claim));
+  PutClaim();
   Begin();
   ReportAll();
   EXPECT_EQ(Starts(), 2U);
--- a/Tests/Jobs/owner_agents_test.cc
+++ b/Tests/Jobs/owner_agents_test.cc
@@ -67,10 +67,7 @@
     now_ += seconds(1);
     ReportAll();
   }
-  AgentEntry entry;
-  entry.set_name("agent-late");
-  entry.set_link_endpoint("agent-late");
-  Put(MakeRecord(RecordKind::kAgent, "agent-late", entry));
+  PutAgent("agent-late");
   owner_.Tick(now_);
   EXPECT_EQ(polls_["agent-late"], 1);
   Report("agent-late", ReportOf("agent-late"));
@@ -84,10 +81,7 @@
 TEST_F(JobOwnerTest, AgentsThatNeverAnswerAreForgotten) {
   Begin();
   ReportAll();
-  AgentEntry entry;
-  entry.set_name("agent-late");
-  entry.set_link_endpoint("agent-late");
-  Put(MakeRecord(RecordKind::kAgent, "agent-late", entry));
+  PutAgent("agent-late");
   for (int second = 0; second < 60; ++second) {
     now_ += seconds(1);
     ReportAll();
@@ -137,10 +131,7 @@
   }
 
   auto RegisterAgent1() -> void {
-    AgentEntry entry;
-    entry.set_name("agent-1");
-    entry.set_link_endpoint("agent-1");
-    Put(MakeRecord(RecordKind::kAgent, "agent-1", entry));
+    PutAgent("agent-1");
     owner_.Tick(now_);
     Report("agent-1", ReportOf("agent-1"));
   }
@@ -247,10 +238,7 @@
 // accepted later cannot.
 TEST_F(JobOwnerTest, TasksOfBeforeTheClaimWaitForTheCensus) {
   PutJob({Step(1)});
-  OwnerClaim claim;
-  claim.set_owner("entry");
-  claim.set_fence(kFence);
-  Put(MakeRecord(RecordKind::kClaim, "", claim));
+  PutClaim();
   Begin();
   Report("agent-0", ReportOf("agent-0"));
   for (int round = 0; round < 60; ++round) {
@@ -282,10 +270,7 @@
 // worker, had answered that nothing runs there.
 TEST_P(CensusTest, TakesAWorkerOnWhichNothingRunsForListed) {
   PutJob({Step(1)});
-  OwnerClaim claim;
-  claim.set_owner("entry");
-  claim.set_fence(kFence);
-  Put(MakeRecord(RecordKind::kClaim, "", claim));
+  PutClaim();
   Begin();
   Report("agent-0", ReportOf("agent-0"));
   AgentReport report;
@@ -326,15 +311,9 @@
 // of the second could be over, although that one had never heard them.
 TEST_P(GrantedByTest, WaitsForGrantsOfTheLastOwnerOfTheAgent) {
   PutJob({Step(1)});
-  OwnerClaim claim;
-  claim.set_owner("entry");
-  claim.set_fence(kFence);
-  Put(MakeRecord(RecordKind::kClaim, "", claim));
+  PutClaim();
   if (GetParam().fence > 0) {
-    AgentGrants grants;
-    grants.set_name("agent-1");
-    grants.set_fence(GetParam().fence);
-    Put(MakeRecord(RecordKind::kAgentGrants, "agent-1", grants));
+    PutGrants("agent-1", GetParam().fence);
   }
   Begin();
   const TimePoint begun = now_;
@@ -452,10 +431,7 @@
 // owners before that one as it did.
 TEST_F(JobOwnerTest, CensusIsShorterOnceTheOwnerBeforeHasResigned) {
   PutJob({Step(1)});
-  OwnerClaim claim;
-  claim.set_owner("entry");
-  claim.set_fence(kFence);
-  Put(MakeRecord(RecordKind::kClaim, "", claim));
+  PutClaim();
   Begin();
   const TimePoint begun = now_;
   constexpr seconds kTold{2};
@@ -490,18 +466,11 @@
 // for the life that an owner granted to last.
 TEST_P(LeftRecordTest, EndsTheWaitOnlyForTheLifeThatWasGrantedTo) {
   PutJob({Step(1)});
-  OwnerClaim claim;
-  claim.set_owner("entry");
-  claim.set_fence(kFence);
-  Put(MakeRecord(RecordKind::kClaim, "", claim));
+  PutClaim();
   if (!GetParam().granted.empty()) {
-    AgentGrants grants;
-    grants.set_name("agent-1");
-    grants.set_fence(kFence - 1);
-    grants.set_worker_id(GetParam().granted);
-    Put(MakeRecord(RecordKind::kAgentGrants, "agent-1", grants));
+    PutGrants("agent-1", kFence - 1, GetParam().granted);
   }
-  PutLeft("agent-1", GetParam().left);
+  PutAgent("agent-1", GetParam().left);
   Begin();
   Report("agent-0", ReportOf("agent-0"));
   EXPECT_EQ(Starts(), GetParam().waits ? 0U : 1U);
@@ -521,19 +490,12 @@
 // The word in the log comes while the census waits.
 TEST_F(JobOwnerTest, WorkerThatLeavesDuringTheCensusEndsTheWait) {
   PutJob({Step(1)});
-  OwnerClaim claim;
-  claim.set_owner("entry");
-  claim.set_fence(kFence);
-  Put(MakeRecord(RecordKind::kClaim, "", claim));
-  AgentGrants grants;
-  grants.set_name("agent-1");
-  grants.set_fence(kFence - 1);
-  grants.set_worker_id("life-1");
-  Put(MakeRecord(RecordKind::kAgentGrants, "agent-1", grants));
+  PutClaim();
+  PutGrants("agent-1", kFence - 1, "life-1");
   Begin();
   Report("agent-0", ReportOf("agent-0"));
   ASSERT_EQ(Starts(), 0U);
-  PutLeft("agent-1", "life-1");
+  PutAgent("agent-1", "life-1");
   owner_.Tick(now_);
   EXPECT_EQ(Starts(), 1U);
 }
@@ -547,7 +509,7 @@
   ReportAll();
   const std::string agent = starts_.begin()->first;
   Report(agent, Started(agent, 10));
-  PutLeft(agent, "life-of-" + agent);
+  PutAgent(agent, "life-of-" + agent);
   owner_.Tick(now_);
   EXPECT_EQ(Starts(), 2U);
 }
