--- a/Tests/Jobs/takeover_test.cc
+++ b/Tests/Jobs/takeover_test.cc
@@ -77,9 +77,9 @@
 // Symptom: tasks that last stay down for some 20 s although workers have room.
 // Sequence: a worker and its agent go for good; the owner ends, and another
 // entry takes over; a worker whose tasks have to be started again crashes
-// between the two. Cause: the log's roster still named the
-// agent that was gone, and nothing in the log said that nothing runs there any
-// more, so the next owner waited until no lease of the owner before could hold.
+// between the two. Cause: nothing in the log said that nothing runs at the
+// agent any more, or that the owner before grants nothing to it, so the next
+// owner waited until no lease of that one could hold.
 TEST_P(TakeoverTest, HoldsUpNoTasksForAWorkerThatIsGone) {
   world_.RunFor(seconds(4));
   world_.SubmitLasting(kTasks);
