--- a/Tests/Jobs/virtual_worker.h
+++ b/Tests/Jobs/virtual_worker.h
@@ -24,8 +24,10 @@
   std::function<auto(const TaskName&)->void> on_done;
   std::function<auto(const TaskName&)->std::chrono::milliseconds> work;
   std::function<auto(const TaskName&)->bool> fails;
-  // Whether the task runs on spare processors, which take no room.
-  std::function<auto(const TaskName&)->bool> fills;
+  // Whether the task runs on spare processors, which take no room; none does
+  // where nobody says so.
+  std::function<auto(const TaskName&)->bool> fills =
+      [](const TaskName&) -> bool { return false; };
 };
 
 // A worker over virtual time: fences, runs, leases, ends, and orders that are
