Transport: Read a refused body to its end before the connection closes

What callers saw: no answer in place of 413 for a body over the limit, once beside a busy machine (known failure process_bad_input_test BodyTooLarge). Cause: the server answered before it had read the body and closed; bytes that came after were met with a reset, which overtakes the answer. A body is now read and thrown away, up to 16 MiB, then refused; at once if the caller asks first, or if it says that more than that would come.

--- a/Source/Transport/http_server.cc
+++ b/Source/Transport/http_server.cc
@@ -19,6 +19,8 @@
 
 constexpr std::chrono::seconds kStopPatience{5};
 constexpr std::size_t kHeaderMemoryBytes = 32 << 10;
+// Of a refused body; a caller that sends more loses its connection.
+constexpr std::size_t kMostDiscardedBytes = 16 << 20;
 
 // One request on its way through the server. Shared between the connection
 // and the responder; the connection may only be resumed once.
@@ -44,6 +46,7 @@
   HttpServerRequest request;
   bool handed_to_handler = false;
   schema::Reason refused = schema::REASON_NONE;
+  std::size_t discarded_bytes = 0;
 
  private:
   MHD_Connection* connection_;
@@ -75,6 +78,11 @@
   return length;
 }
 
+// Whether the caller holds its body back until it is told to go on.
+auto AsksFirst(const HttpServerRequest& request) -> bool {
+  return request.headers.contains("expect");
+}
+
 }  // namespace
 
 class HttpServer::Impl {
@@ -143,9 +151,10 @@
     }
     const ExchangePtr& exchange = *static_cast<ExchangePtr*>(*state);
     if (*upload_size != 0) {
-      self->Collect(*exchange, upload_data, *upload_size);
+      const bool goes_on =
+          self->Collect(*exchange, upload_data, *upload_size);
       *upload_size = 0;
-      return MHD_YES;
+      return goes_on ? MHD_YES : MHD_NO;
     }
     return self->Continue(connection, exchange);
   }
@@ -196,21 +205,32 @@
       exchanges_.insert(exchange);
     }
     *state = new ExchangePtr(exchange);
-    if (DeclaredLength(exchange->request) > options_.max_body_bytes) {
-      // Refused before the body is read, so that it costs no memory.
-      return Refuse(connection, schema::BODY_TOO_LARGE);
+    const std::size_t declared = DeclaredLength(exchange->request);
+    if (declared <= options_.max_body_bytes) {
+      return MHD_YES;
+    }
+    exchange->refused = schema::BODY_TOO_LARGE;
+    if (declared > kMostDiscardedBytes || AsksFirst(exchange->request)) {
+      return Refuse(connection, exchange->refused);
     }
+    // Closed with its body unread, the connection would be reset, and the
+    // caller would lose the answer.
     return MHD_YES;
   }
 
-  auto Collect(Exchange& exchange, const char* data, std::size_t size) -> void {
+  // Keeps a body within the limit and discards others. False if no more is to
+  // be read.
+  auto Collect(Exchange& exchange, const char* data, std::size_t size) -> bool {
     if (exchange.request.body.size() + size > options_.max_body_bytes) {
       exchange.refused = schema::BODY_TOO_LARGE;
       exchange.request.body.clear();
     }
     if (exchange.refused == schema::REASON_NONE) {
       exchange.request.body.append(data, size);
+      return true;
     }
+    exchange.discarded_bytes += size;
+    return exchange.discarded_bytes <= kMostDiscardedBytes;
   }
 
   auto Continue(MHD_Connection* connection, const ExchangePtr& exchange)
--- a/Source/Transport/http_server.h
+++ b/Source/Transport/http_server.h
@@ -48,8 +48,9 @@
   std::function<auto(schema::Reason)->void> on_refused;
 };
 
-// An HTTP/1.1 server. Bodies over the limit are answered with 413 and are
-// never buffered beyond it.
+// An HTTP/1.1 server. Bodies over the limit are answered with 413 once they
+// have been read and thrown away; at once if the caller asks first, or if the
+// rest is too long to read. They are never buffered beyond the limit.
 class HttpServer {
  public:
   explicit HttpServer(HttpServerOptions options);
--- a/Tests/Transport/http_test.cc
+++ b/Tests/Transport/http_test.cc
@@ -25,6 +25,28 @@
   return listener;
 }
 
+auto ConnectToLoopback(int port) -> int {
+  const int caller = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<uint16_t>(port));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const timeval limit{5, 0};
+  setsockopt(caller, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  EXPECT_EQ(
+      connect(caller, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
+      0);
+  return caller;
+}
+
+// The version and status of the answer that comes, empty if none does.
+auto ReadStart(int caller) -> std::string {
+  std::string start(std::string("HTTP/1.1 413").size(), '\0');
+  const ssize_t size = recv(caller, start.data(), start.size(), MSG_WAITALL);
+  start.resize(static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+  return start;
+}
+
 // Answers each connection with fixed bytes and closes it.
 class RawServer {
  public:
@@ -308,5 +330,99 @@
             std::string::npos);
 }
 
+struct LargeBody {
+  std::string name;
+  std::string head;
+};
+
+auto PrintTo(const LargeBody& body, std::ostream* out) -> void {
+  *out << body.name;
+}
+
+class BodyOverTheLimit : public testing::TestWithParam<LargeBody> {};
+
+// Guards against a refusal that its caller never reads: a connection that is
+// closed while the caller still sends is reset, which overtakes the answer.
+TEST_P(BodyOverTheLimit, IsRefusedInAnAnswerThatArrives) {
+  constexpr std::size_t kLimit = 1000;
+  constexpr int kPieces = 20;
+  constexpr std::chrono::milliseconds kBetweenPieces{10};
+  HttpServerOptions options;
+  options.max_body_bytes = kLimit;
+  options.handler = [](const HttpServerRequest&, const HttpResponder&) -> void {
+    ADD_FAILURE() << "handed to the handler";
+  };
+  HttpServer server(options);
+  ASSERT_TRUE(server.Start().ok());
+  const int caller = ConnectToLoopback(server.port());
+  const std::string& head = GetParam().head;
+  ASSERT_EQ(send(caller, head.data(), head.size(), MSG_NOSIGNAL),
+            static_cast<ssize_t>(head.size()));
+  // "3e8" and the lines' ends are the frame of a chunk; where the length is
+  // declared they are bytes of the body as any others.
+  const std::string piece = "3e8\r\n" + std::string(kLimit, 'x') + "\r\n";
+  for (int sent = 0; sent < kPieces; ++sent) {
+    ASSERT_EQ(send(caller, piece.data(), piece.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(piece.size()))
+        << "reset after " << sent << " pieces";
+    std::this_thread::sleep_for(kBetweenPieces);
+  }
+  ASSERT_GT(send(caller, "0\r\n\r\n", 5, MSG_NOSIGNAL), 0);
+  EXPECT_EQ(ReadStart(caller), "HTTP/1.1 413");
+  close(caller);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    BodyOverTheLimit,
+    testing::Values(
+        LargeBody{
+            "Declared",
+            "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20145\r\n\r\n"},
+        LargeBody{"Chunked",
+                  "POST / HTTP/1.1\r\nHost: h\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n"}),
+    [](const testing::TestParamInfo<LargeBody>& info) -> std::string {
+      return info.param.name;
+    });
+
+struct RefusedUnread {
+  std::string name;
+  std::string head;
+};
+
+class BodyNotWorthReading : public testing::TestWithParam<RefusedUnread> {};
+
+// Guards against reading what a caller has not begun to send, or would send for
+// minutes, before it is told no.
+TEST_P(BodyNotWorthReading, IsRefusedAtOnce) {
+  HttpServerOptions options;
+  options.max_body_bytes = 1000;
+  options.handler = [](const HttpServerRequest&, const HttpResponder&) -> void {
+    ADD_FAILURE() << "handed to the handler";
+  };
+  HttpServer server(options);
+  ASSERT_TRUE(server.Start().ok());
+  const int caller = ConnectToLoopback(server.port());
+  const std::string& head = GetParam().head;
+  ASSERT_GT(send(caller, head.data(), head.size(), MSG_NOSIGNAL), 0);
+  EXPECT_EQ(ReadStart(caller), "HTTP/1.1 413");
+  close(caller);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    BodyNotWorthReading,
+    testing::Values(
+        RefusedUnread{"CallerAsksFirst",
+                      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20145\r\n"
+                      "Expect: 100-continue\r\n\r\n"},
+        RefusedUnread{"FarTooLong",
+                      "POST / HTTP/1.1\r\nHost: h\r\n"
+                      "Content-Length: 9000000000\r\n\r\n"}),
+    [](const testing::TestParamInfo<RefusedUnread>& info) -> std::string {
+      return info.param.name;
+    });
+
 }  // namespace
 }  // namespace rhubarbhaven
