--- a/Source/Base/base.h
+++ b/Source/Base/base.h
@@ -11,5 +11,6 @@
 #include "Base/metrics.h"
 #include "Base/settings_check.h"
 #include "Base/time.h"
+#include "Base/timer_queue.h"
 
 #endif  // RHUBARBHAVEN_BASE_BASE_H_
--- a/Source/Routing/timer_queue.h
+++ b/Source/Base/timer_queue.h
@@ -1,12 +1,12 @@
-#ifndef RHUBARBHAVEN_ROUTING_TIMER_QUEUE_H_
-#define RHUBARBHAVEN_ROUTING_TIMER_QUEUE_H_
+#ifndef RHUBARBHAVEN_BASE_TIMER_QUEUE_H_
+#define RHUBARBHAVEN_BASE_TIMER_QUEUE_H_
 
 #include <map>
 #include <optional>
 #include <set>
 #include <utility>
 
-#include "Base/base.h"
+#include "Base/time.h"
 
 namespace rhubarbhaven {
 
@@ -52,4 +52,4 @@
 
 }  // namespace rhubarbhaven
 
-#endif  // RHUBARBHAVEN_ROUTING_TIMER_QUEUE_H_
+#endif  // RHUBARBHAVEN_BASE_TIMER_QUEUE_H_
--- a/Source/Routing/endpoint_table.h
+++ b/Source/Routing/endpoint_table.h
@@ -11,7 +11,6 @@
 
 #include "Base/base.h"
 #include "Routing/endpoint.h"
-#include "Routing/timer_queue.h"
 
 namespace rhubarbhaven {
 
--- a/Source/Routing/entry_router_impl.h
+++ b/Source/Routing/entry_router_impl.h
@@ -14,7 +14,6 @@
 #include "Routing/pending_shares.h"
 #include "Routing/retry_budget.h"
 #include "Routing/service_directory.h"
-#include "Routing/timer_queue.h"
 
 namespace rhubarbhaven {
 
