Tests: Give a port to one process at a time

What was seen: process_request_path_test, an entry that was started anew was not ready within 60 s, once beside load. Cause: ports were numbered from the process's id by 40, modulo 500 processes, and a test that takes more than 40 went on into the next block. So another test could take the port of an entry that was down.

--- a/Tests/Support/deployment.cc
+++ b/Tests/Support/deployment.cc
@@ -5,9 +5,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
-#include <arpa/inet.h>
 #include <google/protobuf/util/json_util.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -26,18 +24,6 @@
   return absl::StrCat(kind, "-", index);
 }
 
-auto IsFree(int port) -> bool {
-  const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<uint16_t>(port));
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  const bool bound =
-      bind(probe, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
-  close(probe);
-  return bound;
-}
-
 auto ParseJsonInto(const std::string& text, google::protobuf::Message* message)
     -> void {
   static_cast<void>(google::protobuf::util::JsonStringToMessage(text, message));
@@ -45,19 +31,6 @@
 
 }  // namespace
 
-auto FreePort() -> int {
-  constexpr int kFirst = 10000;
-  constexpr int kCount = 20000;
-  constexpr int kPerProcess = 40;
-  static int next = (getpid() * kPerProcess) % kCount;
-  while (!IsFree(kFirst + next)) {
-    next = (next + 1) % kCount;
-  }
-  const int port = kFirst + next;
-  next = (next + 1) % kCount;
-  return port;
-}
-
 auto HeaderOf(const schema::HttpAnswer& answer, const std::string& name)
     -> std::string {
   for (const auto& header : answer.headers()) {
--- a/Tests/Support/deployment.h
+++ b/Tests/Support/deployment.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "Tests/Support/child_process.h"
+#include "Tests/Support/free_port.h"
 #include "Transport/transport.h"
 
 namespace rhubarbhaven::test {
@@ -88,9 +89,6 @@
   std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
 };
 
-// A free loopback port below the range that the kernel hands out.
-auto FreePort() -> int;
-
 auto HeaderOf(const schema::HttpAnswer& answer, const std::string& name)
     -> std::string;
 
