Transport: Wait for sockets by what has happened, not by how many there are

Cause: a link has one socket for each peer that it connects to. Each message in or out made its thread ask all of them, before and after the wait, several system calls each: some 460 wake-ups a second, 80 sockets. The cost grew with the square of the cell.

Sockets are now watched by their descriptors, and only those at which something happened are received from; also those just sent to, since a send may take in what announces a message.

--- a/Source/Transport/http_server.cc
+++ b/Source/Transport/http_server.cc
@@ -151,8 +151,7 @@
     }
     const ExchangePtr& exchange = *static_cast<ExchangePtr*>(*state);
     if (*upload_size != 0) {
-      const bool goes_on =
-          self->Collect(*exchange, upload_data, *upload_size);
+      const bool goes_on = self->Collect(*exchange, upload_data, *upload_size);
       *upload_size = 0;
       return goes_on ? MHD_YES : MHD_NO;
     }
--- a/Source/Transport/link.cc
+++ b/Source/Transport/link.cc
@@ -9,8 +9,12 @@
 #include <atomic>
 #include <map>
 #include <thread>
+#include <utility>
+#include <vector>
 #include <zmq.hpp>
 
+#include "Transport/socket_poller.h"
+
 namespace rhubarbhaven {
 namespace {
 
@@ -81,6 +85,16 @@
     std::string peer;
     schema::Envelope message;
   };
+  // A socket, and what is known of its use.
+  struct Channel {
+    // To which it is connected; empty for the listener.
+    std::string endpoint;
+    zmq::socket_t socket;
+    // When something was last sent there, if `Send` connected it.
+    TimePoint used_at = TimePoint::max();
+    // Something may have come.
+    bool due = false;
+  };
 
   auto SetCommonOptions(zmq::socket_t& socket) -> void {
     socket.set(zmq::sockopt::linger, 0);
@@ -101,22 +115,26 @@
 
   auto OpenSockets() -> void {
     if (!options_.bind.empty()) {
-      listener_ = zmq::socket_t(context_, zmq::socket_type::router);
-      SetCommonOptions(listener_);
+      auto& socket = listener_.socket;
+      socket = zmq::socket_t(context_, zmq::socket_type::router);
+      SetCommonOptions(socket);
       // A send to a peer that is not connected fails instead of vanishing.
-      listener_.set(zmq::sockopt::router_mandatory, true);
+      socket.set(zmq::sockopt::router_mandatory, true);
       // A peer that comes back takes over its name from its silent old
       // connection.
-      listener_.set(zmq::sockopt::router_handover, true);
-      listener_.bind(options_.bind);
+      socket.set(zmq::sockopt::router_handover, true);
+      socket.bind(options_.bind);
+      Watch(listener_);
     }
     for (const auto& endpoint : options_.connect) {
       Connect(endpoint);
     }
   }
 
-  auto Connect(const std::string& endpoint) -> void {
-    auto& socket = connected_[endpoint];
+  auto Connect(const std::string& endpoint) -> Channel& {
+    Channel& channel = connected_[endpoint];
+    channel.endpoint = endpoint;
+    auto& socket = channel.socket;
     socket = zmq::socket_t(context_, zmq::socket_type::dealer);
     SetCommonOptions(socket);
     socket.set(zmq::sockopt::routing_id, options_.id);
@@ -127,55 +145,71 @@
                Milliseconds(kReconnectLongest));
     socket.set(zmq::sockopt::connect_timeout, Milliseconds(kReconnectLongest));
     socket.connect(endpoint);
+    Watch(channel);
+    return channel;
+  }
+
+  auto Watch(Channel& channel) -> void {
+    poller_.Add(channel.socket, &channel);
+    MarkDue(channel);
+  }
+
+  auto MarkDue(Channel& channel) -> void {
+    if (!std::exchange(channel.due, true)) {
+      due_.push_back(&channel);
+    }
   }
 
   // Peers that this process no longer speaks to, as after it stopped being
   // the owner; their connections would cost heartbeats for good.
   auto LetGoOfIdle() -> void {
     const TimePoint now = Clock::now();
-    for (auto used = used_at_.begin(); used != used_at_.end();) {
-      if (now - used->second < options_.idle_limit) {
-        ++used;
+    if (now < look_for_idle_at_) {
+      return;
+    }
+    look_for_idle_at_ = now + kPollLimit;
+    for (auto item = connected_.begin(); item != connected_.end();) {
+      Channel& channel = item->second;
+      if (channel.used_at == TimePoint::max() ||
+          now - channel.used_at < options_.idle_limit) {
+        ++item;
         continue;
       }
-      connected_.erase(used->first);
-      used = used_at_.erase(used);
+      poller_.Remove(channel.socket);
+      std::erase(due_, &channel);
+      item = connected_.erase(item);
     }
   }
 
   auto Run() -> void {
+    poller_.AddWake(ring_.wake_fd());
     while (!stop_) {
-      Poll();
+      Wait();
       SendQueued();
-      ReceiveAll();
+      ReceiveDue();
       LetGoOfIdle();
     }
     SendQueued();
     const int linger = Milliseconds(linger_);
-    if (listener_) {
-      listener_.set(zmq::sockopt::linger, linger);
-      listener_.close();
+    if (listener_.socket) {
+      Close(listener_, linger);
     }
-    for (auto& [endpoint, socket] : connected_) {
-      socket.set(zmq::sockopt::linger, linger);
-      socket.close();
+    for (auto& [endpoint, channel] : connected_) {
+      Close(channel, linger);
     }
     context_.close();
   }
 
-  auto Poll() -> void {
-    std::vector<zmq::pollitem_t> items;
-    items.push_back({nullptr, ring_.wake_fd(), ZMQ_POLLIN, 0});
-    if (listener_) {
-      items.push_back({listener_.handle(), 0, ZMQ_POLLIN, 0});
-    }
-    for (auto& [endpoint, socket] : connected_) {
-      items.push_back({socket.handle(), 0, ZMQ_POLLIN, 0});
-    }
-    try {
-      zmq::poll(items, kPollLimit);
-    } catch (const zmq::error_t&) {
-      // Interrupted by a signal; the loop looks again.
+  auto Close(Channel& channel, int linger) -> void {
+    poller_.Remove(channel.socket);
+    channel.socket.set(zmq::sockopt::linger, linger);
+    channel.socket.close();
+  }
+
+  auto Wait() -> void {
+    const auto limit = due_.empty() ? kPollLimit : std::chrono::milliseconds(0);
+    for (void* name : poller_.Wait(limit)) {
+      MarkDue(*static_cast<Channel*>(name));
     }
   }
 
@@ -193,62 +227,85 @@
     outgoing.message.SerializeToString(&bytes);
     bytes_sent_ += bytes.size();
     try {
-      if (options_.connect_on_send && outgoing.peer.starts_with(kTcp)) {
-        if (!connected_.contains(outgoing.peer)) {
-          Connect(outgoing.peer);
-        }
-        used_at_[outgoing.peer] = Clock::now();
-      }
-      const auto found = connected_.find(outgoing.peer);
-      if (found != connected_.end()) {
-        return found->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait)
-            .has_value();
-      }
-      return SendToListenerPeer(outgoing.peer, bytes);
+      Channel* channel = ChannelTo(outgoing.peer);
+      return channel != nullptr ? SendBytes(*channel, bytes)
+                                : SendToListenerPeer(outgoing.peer, bytes);
     } catch (const zmq::error_t&) {
       return false;
     }
   }
 
+  // Null for a peer that has connected to the listener, or none at all.
+  auto ChannelTo(const std::string& peer) -> Channel* {
+    const auto found = connected_.find(peer);
+    const bool may_connect = options_.connect_on_send && peer.starts_with(kTcp);
+    if (found == connected_.end() && !may_connect) {
+      return nullptr;
+    }
+    Channel& channel =
+        found == connected_.end() ? Connect(peer) : found->second;
+    if (may_connect) {
+      channel.used_at = Clock::now();
+    }
+    return &channel;
+  }
+
+  auto SendBytes(Channel& channel, const std::string& bytes) -> bool {
+    MarkDue(channel);
+    return channel.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)
+        .has_value();
+  }
+
   auto SendToListenerPeer(const std::string& peer, const std::string& bytes)
       -> bool {
-    if (!listener_) {
+    if (!listener_.socket) {
       return false;
     }
+    MarkDue(listener_);
     const auto flags = zmq::send_flags::dontwait | zmq::send_flags::sndmore;
-    if (!listener_.send(zmq::buffer(peer), flags).has_value()) {
+    if (!listener_.socket.send(zmq::buffer(peer), flags).has_value()) {
       return false;
     }
-    return listener_.send(zmq::buffer(bytes), zmq::send_flags::dontwait)
+    return listener_.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)
         .has_value();
   }
 
-  auto ReceiveAll() -> void {
-    if (listener_) {
-      for (int i = 0; i < kMessagesPerTurn && ReceiveFromPeer(); ++i) {
+  auto ReceiveDue() -> void {
+    for (Channel* channel : std::exchange(due_, {})) {
+      channel->due = false;
+      int received = 0;
+      while (received < kMessagesPerTurn && Receive(*channel)) {
+        ++received;
       }
-    }
-    for (auto& [endpoint, socket] : connected_) {
-      for (int i = 0; i < kMessagesPerTurn; ++i) {
-        zmq::message_t bytes;
-        if (!socket.recv(bytes, zmq::recv_flags::dontwait).has_value()) {
-          break;
-        }
-        Deliver(endpoint, "", bytes);
+      if (received == kMessagesPerTurn) {
+        MarkDue(*channel);
       }
     }
   }
 
-  auto ReceiveFromPeer() -> bool {
+  // False if there is nothing to be received now.
+  auto Receive(Channel& channel) -> bool {
+    if (channel.endpoint.empty()) {
+      return ReceiveFromPeer(channel.socket);
+    }
+    zmq::message_t bytes;
+    if (!channel.socket.recv(bytes, zmq::recv_flags::dontwait).has_value()) {
+      return false;
+    }
+    Deliver(channel.endpoint, "", bytes);
+    return true;
+  }
+
+  auto ReceiveFromPeer(zmq::socket_t& listener) -> bool {
     zmq::message_t name;
-    if (!listener_.recv(name, zmq::recv_flags::dontwait).has_value()) {
+    if (!listener.recv(name, zmq::recv_flags::dontwait).has_value()) {
       return false;
     }
     zmq::message_t bytes;
     bool more = name.more();
     int parts = 0;
     while (more) {
-      static_cast<void>(listener_.recv(bytes, zmq::recv_flags::dontwait));
+      static_cast<void>(listener.recv(bytes, zmq::recv_flags::dontwait));
       more = bytes.more();
       ++parts;
     }
@@ -290,10 +347,12 @@
 
   LinkOptions options_;
   zmq::context_t context_;
-  zmq::socket_t listener_;
-  std::map<std::string, zmq::socket_t> connected_;
-  // Peers to which `Send` connected, and when something was last sent there.
-  std::map<std::string, TimePoint> used_at_;
+  SocketPoller poller_;
+  Channel listener_;
+  // By their endpoints.
+  std::map<std::string, Channel> connected_;
+  std::vector<Channel*> due_;
+  TimePoint look_for_idle_at_;
   BoundedRing<Outgoing> ring_;
   std::atomic<uint64_t> bytes_sent_ = 0;
   std::atomic<uint64_t> bytes_received_ = 0;
--- a/Tests/Transport/link_test.cc
+++ b/Tests/Transport/link_test.cc
@@ -1,9 +1,16 @@
-// The form of endpoints to which links are made.
+// Links: the form of their endpoints, and what messages cost.
 
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <ctime>
+#include <memory>
 #include <string>
+#include <thread>
+#include <vector>
+#include <zmq.hpp>
 
+#include "Tests/Support/free_port.h"
 #include "Transport/transport.h"
 
 namespace rhubarbhaven {
@@ -44,5 +51,119 @@
                     EndpointCase{"path", "tcp://a/b:9000", false}),
     [](const auto& info) { return info.param.name; });
 
+// Endpoints that take connections and messages, and say nothing.
+class QuietPeers {
+ public:
+  explicit QuietPeers(int count) {
+    for (int number = 0; number < count; ++number) {
+      auto& socket = sockets_.emplace_back(context_, zmq::socket_type::router);
+      socket.set(zmq::sockopt::linger, 0);
+      socket.bind("tcp://127.0.0.1:*");
+    }
+  }
+  auto Endpoint(int number) -> std::string {
+    return sockets_.at(static_cast<std::size_t>(number))
+        .get(zmq::sockopt::last_endpoint);
+  }
+
+ private:
+  zmq::context_t context_;
+  std::vector<zmq::socket_t> sockets_;
+};
+
+auto ProcessorTime() -> std::chrono::nanoseconds {
+  timespec spent{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &spent);
+  return std::chrono::seconds(spent.tv_sec) +
+         std::chrono::nanoseconds(spent.tv_nsec);
+}
+
+// Of messages to one peer, one after the other, while all are connected.
+auto TimeOfMessages(int peers) -> std::chrono::nanoseconds {
+  constexpr int kMessages = 500;
+  constexpr std::chrono::microseconds kBetween{300};
+  constexpr std::chrono::milliseconds kToConnect{500};
+  QuietPeers quiet(peers);
+  LinkOptions options;
+  options.id = "sender";
+  options.connect_on_send = true;
+  options.heartbeat_interval = std::chrono::seconds(60);
+  options.heartbeat_timeout = std::chrono::seconds(60);
+  Link link(options);
+  EXPECT_TRUE(link.Start().ok());
+  schema::Envelope message;
+  message.mutable_agent_report()->set_fence(1);
+  for (int number = 0; number < peers; ++number) {
+    link.Send(quiet.Endpoint(number), message);
+  }
+  std::this_thread::sleep_for(kToConnect);
+  const auto before = ProcessorTime();
+  for (int sent = 0; sent < kMessages; ++sent) {
+    link.Send(quiet.Endpoint(0), message);
+    std::this_thread::sleep_for(kBetween);
+  }
+  const auto spent = ProcessorTime() - before;
+  link.Stop(std::chrono::milliseconds(0));
+  return spent;
+}
+
+// Guards against an owner whose every message costs a look at each of its
+// agents' connections, so that the sum grows with the square of the cell.
+TEST(LinkTest, AMessageCostsNoMoreBesideManyPeers) {
+  constexpr int kFew = 4;
+  constexpr int kMany = 300;
+  constexpr int kMostTimes = 3;
+  const auto few = TimeOfMessages(kFew);
+  const auto many = TimeOfMessages(kMany);
+  EXPECT_LT(many, kMostTimes * few);
+}
+
+// Guards against a message that waits because a send took in its coming.
+TEST(LinkTest, EachMessageIsAnsweredAtOnce) {
+  constexpr int kMessages = 2000;
+  constexpr std::chrono::milliseconds kAtOnce{200};
+  std::atomic<int> answered = 0;
+  std::unique_ptr<Link> server;
+  LinkOptions listening;
+  listening.id = "server";
+  listening.bind = "tcp://127.0.0.1:" + std::to_string(test::FreePort());
+  listening.on_message = [&server](const std::string& peer,
+                                   schema::Envelope message) -> void {
+    server->Send(peer, std::move(message));
+  };
+  server = std::make_unique<Link>(listening);
+  ASSERT_TRUE(server->Start().ok());
+  LinkOptions options;
+  options.id = "client";
+  options.connect_on_send = true;
+  options.on_message = [&answered](const std::string&,
+                                   schema::Envelope) -> void { ++answered; };
+  Link client(options);
+  ASSERT_TRUE(client.Start().ok());
+  schema::Envelope message;
+  message.mutable_agent_report()->set_fence(1);
+  // Sends before the connection is made are not kept.
+  const TimePoint connected_by = Clock::now() + std::chrono::seconds(10);
+  while (answered == 0 && Clock::now() < connected_by) {
+    client.Send(listening.bind, message);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  std::this_thread::sleep_for(kAtOnce);
+  answered = 0;
+  std::chrono::nanoseconds longest{0};
+  for (int sent = 0; sent < kMessages; ++sent) {
+    const TimePoint begin = Clock::now();
+    client.Send(listening.bind, message);
+    while (answered <= sent && Clock::now() - begin < kAtOnce) {
+      std::this_thread::yield();
+    }
+    longest = std::max<std::chrono::nanoseconds>(longest, Clock::now() - begin);
+  }
+  EXPECT_EQ(answered, kMessages);
+  EXPECT_LT(longest, kAtOnce);
+  client.Stop(std::chrono::milliseconds(0));
+  server->Stop(std::chrono::milliseconds(0));
+}
+
 }  // namespace
 }  // namespace rhubarbhaven
