Jobs: Tell when an owner is late, and for how long

What could not be seen: whether an owner keeps up. Agents whose leases it renews late look like agents that are gone. The owner now measures how late its polls are (histogram rhubarbhaven_owner_lag_seconds, lines owner_late and owner_in_time). The check of its indexes is split; a report copies labels no more to see whether they changed.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -434,6 +434,17 @@
            now - read_at < kReadyFor;
 }
 
+auto EntryDecisions::NoteLag(Duration lag) -> void {
+  metrics_->RecordLatency("rhubarbhaven_owner_lag_seconds", lag);
+  const auto change = owner_lag_.Note(lag);
+  if (change != LagWatch::Change::kNone) {
+    log_.Write(
+        change == LagWatch::Change::kLate ? "owner_late" : "owner_in_time",
+        {{"fence", absl::StrCat(election_.fence())},
+         {"lag_ms", Milliseconds(lag)}});
+  }
+}
+
 auto EntryDecisions::LogCensus(const CensusState& state) -> void {
   if (state.done) {
     metrics_->RecordLatency("rhubarbhaven_census_seconds", state.waited);
@@ -465,6 +476,7 @@
   hooks.log_census = [this](const CensusState& state) -> void {
     LogCensus(state);
   };
+  hooks.note_lag = [this](Duration lag) -> void { NoteLag(lag); };
   hooks.rules = [this](const std::string& queue) -> const QueueRules* {
     const auto* found = queues_.FindByName(queue);
     return found == nullptr ? nullptr : &found->rules;
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -14,6 +14,7 @@
 #include "Jobs/job_owner.h"
 #include "Jobs/job_requests.h"
 #include "Jobs/keyed_log_follower.h"
+#include "Jobs/lag_watch.h"
 #include "Jobs/owner_election.h"
 #include "Jobs/queue_directory.h"
 
@@ -117,6 +118,7 @@
   auto OnResignationRead(TimePoint now, const std::string& entry) -> void;
   auto UpdateReady(TimePoint now) -> void;
   auto MakeOwnerHooks() -> JobOwnerHooks;
+  auto NoteLag(Duration lag) -> void;
   auto LogCensus(const CensusState& state) -> void;
 
   EntryOptions options_;
@@ -131,6 +133,7 @@
   bool fold_current_ = false;
   QueueDirectory queues_;
   OwnerElection election_;
+  LagWatch owner_lag_;
   JobOwner owner_;
   KeyedLogFollower job_follower_;
   KeyedLogFollower operator_follower_;
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -31,6 +31,8 @@
   claim_at_ = fold->claim_at();
   earlier_ = earlier;
   begun_at_ = now;
+  lag_told_at_ = now;
+  longest_lag_ = Duration(0);
   interference_.Load(fold->pressures());
   pressures_stored_at_ = now;
   for (const auto& [name, entry] : fold->agents()) {
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -100,6 +100,8 @@
       log_agent;
   // The census waits on, or is done.
   std::function<auto(const CensusState&)->void> log_census;
+  // How late the latest poll of an agent was lately, each second.
+  std::function<auto(Duration)->void> note_lag;
   // The queue's rules by the newest configuration; null if it has none.
   std::function<auto(const std::string& queue)->const QueueRules*> rules;
   // Since 1970.
@@ -290,10 +292,17 @@
   // Lets go of jobs that were over for long enough.
   auto DropOldJobs(TimePoint now) -> void;
 
+  auto CheckStep(TimePoint now,
+                 const TaskPlace& place,
+                 std::vector<std::string>* problems) const -> void;
+  auto CheckWorker(const WorkerView& worker,
+                   std::vector<std::string>* problems) const -> void;
+
   // Messages.
   auto PollSoon(WorkerView& worker) -> void;
   auto Poll(TimePoint now, WorkerView& worker) -> void;
   auto PollAll(TimePoint now) -> void;
+  auto NoteLag(TimePoint now) -> void;
   auto NextPoll(const WorkerView& worker) const -> TimePoint;
   auto LearnInterference(TimePoint now,
                          WorkerView& worker,
@@ -356,6 +365,9 @@
   uint64_t next_order_ = 1;
   uint64_t next_run_ = 1;
   TimePoint moved_at_;
+  // Since it was last told.
+  Duration longest_lag_{0};
+  TimePoint lag_told_at_;
   bool place_due_ = false;
   // In the turn of placement under way.
   int starts_left_ = 0;
--- a/Source/Jobs/jobs.h
+++ b/Source/Jobs/jobs.h
@@ -20,6 +20,7 @@
 #include "Jobs/job_work.h"
 #include "Jobs/keyed_log.h"
 #include "Jobs/keyed_log_follower.h"
+#include "Jobs/lag_watch.h"
 #include "Jobs/owner_election.h"
 #include "Jobs/queue_directory.h"
 #include "Jobs/task_agent.h"
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -64,8 +64,10 @@
   worker.agent_incarnation = report.incarnation();
   const bool accepted = worker.Accepts(now);
   const Room capacity = worker.capacity;
-  const std::string service = worker.service;
-  const std::vector<std::string> labels = worker.labels;
+  const bool other =
+      worker.service != report.service() ||
+      !std::equal(worker.labels.begin(), worker.labels.end(),
+                  report.labels().begin(), report.labels().end());
   worker.reported_at = now;
   worker.reported_us = std::max(worker.reported_us, report.sent_us());
   worker.service = report.service();
@@ -81,7 +83,6 @@
   worker.agent_pacing_version = report.pacing_version();
   const bool begins = !accepted && worker.Accepts(now);
   const bool grows = !capacity.Holds(worker.capacity);
-  const bool other = service != worker.service || labels != worker.labels;
   if (begins || grows || other) {
     changes_.Note(worker);
     place_due_ = true;
--- a/Source/Jobs/owner_index_check.cc
+++ b/Source/Jobs/owner_index_check.cc
@@ -20,6 +20,16 @@
   return DescribeTask(place.Name());
 }
 
+auto StandsInLine(const PlacementOrder& order, const TaskPlace& place) -> bool {
+  return std::any_of(
+      order.steps().begin(), order.steps().end(),
+      [&place](const PlacementOrder::WaitingStep& waiting) -> bool {
+        return waiting.place.work == place.work &&
+               waiting.place.occurrence == place.occurrence &&
+               waiting.place.step == place.step;
+      });
+}
+
 // A worker that has refused the step and would take it now, although nothing
 // has been noted of it since.
 auto TakerOf(TimePoint now,
@@ -44,53 +54,63 @@
 
 auto JobOwner::FalseIndexes(TimePoint now) const -> std::vector<std::string> {
   std::vector<std::string> problems;
+  // Between two turns of placement only; within one they are being kept up.
   if (!active() || place_due_ || retry_at_ <= now) {
     return problems;
   }
   for (const auto& [id, work] : jobs_) {
     for (auto& [number, occurrence] : work->occurrences) {
       for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-        const auto& state = occurrence.steps[step];
-        const TaskPlace place{work.get(), number, step, 0};
-        if (state.waiting() != CountWaiting(state)) {
-          problems.push_back(
-              absl::StrCat(Describe(place), " counts ", state.waiting()));
-        }
-        const bool placeable = work->open() && state.waiting() > 0 &&
-                               work->Ready(occurrence, step);
-        const bool stands = std::any_of(
-            order_.steps().begin(), order_.steps().end(),
-            [&place](const PlacementOrder::WaitingStep& waiting) -> bool {
-              return waiting.place.work == place.work &&
-                     waiting.place.occurrence == place.occurrence &&
-                     waiting.place.step == place.step;
-            });
-        if (placeable && !stands) {
-          problems.push_back(absl::StrCat(Describe(place), " is not in line"));
-        }
-        const auto* taker = placeable && !place.spec().gang()
-                                ? TakerOf(now, workers_, place, interference_)
-                                : nullptr;
-        if (taker != nullptr) {
-          problems.push_back(absl::StrCat(Describe(place), " is refused by ",
-                                          taker->agent, ", which takes it"));
-        }
+        CheckStep(now, {work.get(), number, step, 0}, &problems);
       }
     }
   }
   for (const auto& [name, worker] : workers_) {
-    if (worker->confirmed == unconfirmed_.contains(name)) {
-      problems.push_back(absl::StrCat(name, " is on the wrong list"));
-    }
-    const bool leased = worker->confirmed || !worker->runs.empty();
-    if (leased && leases_.next() > worker->lease_bound) {
-      problems.push_back(absl::StrCat(name, " has a lease without a timer"));
-    }
-    if (polls_.next() > NextPoll(*worker) && !worker->poll_due) {
-      problems.push_back(absl::StrCat(name, " has no poll to come"));
-    }
+    CheckWorker(*worker, &problems);
   }
   return problems;
 }
 
+auto JobOwner::CheckStep(TimePoint now,
+                         const TaskPlace& place,
+                         std::vector<std::string>* problems) const -> void {
+  const auto& state = place.step_work();
+  if (state.waiting() != CountWaiting(state)) {
+    problems->push_back(
+        absl::StrCat(Describe(place), " counts ", state.waiting()));
+  }
+  const auto& occurrence = place.work->occurrences.at(place.occurrence);
+  const bool placeable = place.work->open() && state.waiting() > 0 &&
+                         place.work->Ready(occurrence, place.step);
+  if (!placeable) {
+    return;
+  }
+  if (!StandsInLine(order_, place)) {
+    problems->push_back(absl::StrCat(Describe(place), " is not in line"));
+  }
+  // A gang is refused as a whole, so a worker may take one of its members.
+  const auto* taker = place.spec().gang()
+                          ? nullptr
+                          : TakerOf(now, workers_, place, interference_);
+  if (taker != nullptr) {
+    problems->push_back(absl::StrCat(Describe(place), " is refused by ",
+                                     taker->agent, ", which takes it"));
+  }
+}
+
+auto JobOwner::CheckWorker(const WorkerView& worker,
+                           std::vector<std::string>* problems) const -> void {
+  if (worker.confirmed == unconfirmed_.contains(worker.agent)) {
+    problems->push_back(absl::StrCat(worker.agent, " is on the wrong list"));
+  }
+  const bool leased = worker.confirmed || !worker.runs.empty();
+  if (leased && leases_.next() > worker.lease_bound) {
+    problems->push_back(
+        absl::StrCat(worker.agent, " has a lease without a timer"));
+  }
+  if (polls_.next() > NextPoll(worker) && !worker.poll_due) {
+    problems->push_back(absl::StrCat(worker.agent, " has no poll to come"));
+  }
+}
+
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "Jobs/job_owner.h"
 
@@ -14,6 +15,7 @@
 constexpr std::chrono::milliseconds kTellWaitingAgain{5000};
 // Starts in one turn. Reports that wait meanwhile may renew leases.
 constexpr int kMostStartsAtOnce = 100;
+constexpr std::chrono::seconds kTellLag{1};
 
 // Gives an order for the first time, or again.
 auto AddOrder(PendingOrder& order, TimePoint now, AgentOrders* orders) -> void {
@@ -290,7 +292,19 @@
 
 auto JobOwner::PollAll(TimePoint now) -> void {
   while (const auto number = polls_.PopDue(now)) {
-    Poll(now, *numbered_.at(*number));
+    WorkerView& worker = *numbered_.at(*number);
+    if (worker.polled_at >= begun_at_) {
+      longest_lag_ = std::max(longest_lag_, now - NextPoll(worker));
+    }
+    Poll(now, worker);
+  }
+  NoteLag(now);
+}
+
+auto JobOwner::NoteLag(TimePoint now) -> void {
+  if (now - lag_told_at_ >= kTellLag) {
+    lag_told_at_ = now;
+    hooks_.note_lag(std::exchange(longest_lag_, Duration(0)));
   }
 }
 
--- a/Tests/Benchmarks/Jobs/owner_world.cc
+++ b/Tests/Benchmarks/Jobs/owner_world.cc
@@ -81,6 +81,7 @@
   hooks.log = [](const OwnerDecision&) {};
   hooks.log_agent = [](const std::string&, const std::string&) {};
   hooks.log_census = [](const CensusState&) {};
+  hooks.note_lag = [](Duration) {};
   hooks.rules = [this](const std::string& queue) {
     return queue == kUrgentQueue ? &urgent_rules_ : &rules_;
   };
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -54,6 +54,7 @@
     hooks.log_census = [this](const CensusState& state) {
       census_told_.push_back(state);
     };
+    hooks.note_lag = [this](Duration lag) { lags_.push_back(lag); };
     hooks.rules = [this](const std::string&) { return &rules_; };
     hooks.wall_clock = [this]() -> milliseconds { return wall_; };
     hooks.ask_advice = [this](const AdviceCall& call, const auto& done) {
@@ -203,6 +204,7 @@
   std::map<std::string, std::map<uint64_t, StopOrder>> stops_;
   // What the log was told of the census.
   std::vector<CensusState> census_told_;
+  std::vector<Duration> lags_;
   // Why tasks wait, as told to the log.
   std::vector<std::string> waits_;
   std::vector<AdviceCall> advice_calls_;
--- /dev/null
+++ b/Tests/Jobs/lag_watch_test.cc
@@ -0,0 +1,47 @@
+#include "Jobs/lag_watch.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace rhubarbhaven::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using Change = LagWatch::Change;
+
+struct LagCase {
+  std::string name;
+  std::vector<milliseconds> lags;
+  std::vector<Change> changes;
+};
+
+class LagWatchTest : public testing::TestWithParam<LagCase> {};
+
+TEST_P(LagWatchTest, TellsOfBeginningAndEnd) {
+  LagWatch watch({milliseconds(1000), milliseconds(300)});
+  std::vector<Change> changes;
+  for (const auto lag : GetParam().lags) {
+    changes.push_back(watch.Note(lag));
+  }
+  EXPECT_EQ(changes, GetParam().changes);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    LagWatchTest,
+    testing::Values(
+        LagCase{"InTime",
+                {milliseconds(0), milliseconds(999)},
+                {Change::kNone, Change::kNone}},
+        LagCase{"LateOnce",
+                {milliseconds(1000), milliseconds(5000), milliseconds(299)},
+                {Change::kLate, Change::kNone, Change::kInTime}},
+        LagCase{"AboutOneBound",
+                {milliseconds(1000), milliseconds(900), milliseconds(1100)},
+                {Change::kLate, Change::kNone, Change::kNone}}),
+    [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace rhubarbhaven::jobs
--- a/Tests/Jobs/owner_agents_test.cc
+++ b/Tests/Jobs/owner_agents_test.cc
@@ -616,5 +616,18 @@
   EXPECT_EQ(owner_.workers().at("agent-1")->reported_us, 1000U);
 }
 
+// Guards against an owner that runs late without a sign of it: leases that are
+// renewed late look like agents that are gone.
+TEST_F(JobOwnerTest, TellsHowLateItsPollsAre) {
+  Begin();
+  ReportAll();
+  now_ += milliseconds(300);
+  owner_.Tick(now_);
+  now_ += milliseconds(1500);
+  owner_.Tick(now_);
+  ASSERT_FALSE(lags_.empty());
+  EXPECT_EQ(lags_.back(), milliseconds(1200));
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
--- a/Tests/Transport/http_test.cc
+++ b/Tests/Transport/http_test.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <memory>
 #include <thread>
 
 #include "Transport/transport.h"
@@ -330,6 +331,7 @@
             std::string::npos);
 }
 
+// The head of a request whose body is over the limit.
 struct LargeBody {
   std::string name;
   std::string head;
@@ -339,28 +341,34 @@
   *out << body.name;
 }
 
+constexpr std::size_t kBodyLimit = 1000;
+
+auto ServerThatHandlesNothing() -> std::unique_ptr<HttpServer> {
+  HttpServerOptions options;
+  options.max_body_bytes = kBodyLimit;
+  options.handler = [](const HttpServerRequest&, const HttpResponder&) -> void {
+    ADD_FAILURE() << "handed to the handler";
+  };
+  auto server = std::make_unique<HttpServer>(options);
+  EXPECT_TRUE(server->Start().ok());
+  return server;
+}
+
 class BodyOverTheLimit : public testing::TestWithParam<LargeBody> {};
 
 // Guards against a refusal that its caller never reads: a connection that is
 // closed while the caller still sends is reset, which overtakes the answer.
 TEST_P(BodyOverTheLimit, IsRefusedInAnAnswerThatArrives) {
-  constexpr std::size_t kLimit = 1000;
   constexpr int kPieces = 20;
   constexpr std::chrono::milliseconds kBetweenPieces{10};
-  HttpServerOptions options;
-  options.max_body_bytes = kLimit;
-  options.handler = [](const HttpServerRequest&, const HttpResponder&) -> void {
-    ADD_FAILURE() << "handed to the handler";
-  };
-  HttpServer server(options);
-  ASSERT_TRUE(server.Start().ok());
-  const int caller = ConnectToLoopback(server.port());
+  const auto server = ServerThatHandlesNothing();
+  const int caller = ConnectToLoopback(server->port());
   const std::string& head = GetParam().head;
   ASSERT_EQ(send(caller, head.data(), head.size(), MSG_NOSIGNAL),
             static_cast<ssize_t>(head.size()));
   // "3e8" and the lines' ends are the frame of a chunk; where the length is
   // declared they are bytes of the body as any others.
-  const std::string piece = "3e8\r\n" + std::string(kLimit, 'x') + "\r\n";
+  const std::string piece = "3e8\r\n" + std::string(kBodyLimit, 'x') + "\r\n";
   for (int sent = 0; sent < kPieces; ++sent) {
     ASSERT_EQ(send(caller, piece.data(), piece.size(), MSG_NOSIGNAL),
               static_cast<ssize_t>(piece.size()))
@@ -386,24 +394,13 @@
       return info.param.name;
     });
 
-struct RefusedUnread {
-  std::string name;
-  std::string head;
-};
-
-class BodyNotWorthReading : public testing::TestWithParam<RefusedUnread> {};
+class BodyNotWorthReading : public testing::TestWithParam<LargeBody> {};
 
 // Guards against reading what a caller has not begun to send, or would send for
 // minutes, before it is told no.
 TEST_P(BodyNotWorthReading, IsRefusedAtOnce) {
-  HttpServerOptions options;
-  options.max_body_bytes = 1000;
-  options.handler = [](const HttpServerRequest&, const HttpResponder&) -> void {
-    ADD_FAILURE() << "handed to the handler";
-  };
-  HttpServer server(options);
-  ASSERT_TRUE(server.Start().ok());
-  const int caller = ConnectToLoopback(server.port());
+  const auto server = ServerThatHandlesNothing();
+  const int caller = ConnectToLoopback(server->port());
   const std::string& head = GetParam().head;
   ASSERT_GT(send(caller, head.data(), head.size(), MSG_NOSIGNAL), 0);
   EXPECT_EQ(ReadStart(caller), "HTTP/1.1 413");
@@ -414,13 +411,13 @@
     Table,
     BodyNotWorthReading,
     testing::Values(
-        RefusedUnread{"CallerAsksFirst",
-                      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20145\r\n"
-                      "Expect: 100-continue\r\n\r\n"},
-        RefusedUnread{"FarTooLong",
-                      "POST / HTTP/1.1\r\nHost: h\r\n"
-                      "Content-Length: 9000000000\r\n\r\n"}),
-    [](const testing::TestParamInfo<RefusedUnread>& info) -> std::string {
+        LargeBody{"CallerAsksFirst",
+                  "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20145\r\n"
+                  "Expect: 100-continue\r\n\r\n"},
+        LargeBody{"FarTooLong",
+                  "POST / HTTP/1.1\r\nHost: h\r\n"
+                  "Content-Length: 9000000000\r\n\r\n"}),
+    [](const testing::TestParamInfo<LargeBody>& info) -> std::string {
       return info.param.name;
     });
 
