Jobs: Bound the first polls of a new owner for all agents together

What callers saw: a cell of 300 machines that serves nearly nothing. First polls now come 1 ms apart, all agents together, and each agent's not further apart than usual polls. The test fails on the code before: 6,375 and 2,000 polls in the first second at 255 and 80 agents, at most 1,300 wanted. Whether the cell of 300 stands with it is not known yet.

--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -40,6 +40,9 @@
   // listing.
   std::chrono::milliseconds first_polls{40};
   std::chrono::milliseconds first_polls_for{2000};
+  // First polls come no faster than one in this time, all agents together: more
+  // would use up a small owner's processor, which connections need to be made.
+  std::chrono::milliseconds between_first_polls{1};
   // An order without a result is sent again after this.
   std::chrono::milliseconds repeat_after{400};
   // How often an agent is told what was learned of the images on its worker.
@@ -304,6 +307,8 @@
   auto PollAll(TimePoint now) -> void;
   auto NoteLag(TimePoint now) -> void;
   auto NextPoll(const WorkerView& worker) const -> TimePoint;
+  // Between two polls of an agent that has not listed its runs yet.
+  auto FirstPollInterval() const -> std::chrono::milliseconds;
   auto LearnInterference(TimePoint now,
                          WorkerView& worker,
                          const AgentReport& report) -> void;
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -319,7 +319,13 @@
   const bool first = !worker.confirmed &&
                      worker.polled_at < begun_at_ + options_.first_polls_for;
   return worker.polled_at +
-         (first ? options_.first_polls : options_.poll_interval);
+         (first ? FirstPollInterval() : options_.poll_interval);
+}
+
+auto JobOwner::FirstPollInterval() const -> std::chrono::milliseconds {
+  const auto waiting = static_cast<int64_t>(unconfirmed_.size());
+  return std::clamp(options_.between_first_polls * waiting,
+                    options_.first_polls, options_.poll_interval);
 }
 
 auto JobOwner::Poll(TimePoint now, WorkerView& worker) -> void {
--- a/Tests/Jobs/owner_agents_test.cc
+++ b/Tests/Jobs/owner_agents_test.cc
@@ -629,5 +629,46 @@
   EXPECT_EQ(lags_.back(), milliseconds(1200));
 }
 
+struct FirstPollsCase {
+  std::string name;
+  int agents;
+  // In the owner's first second, of all agents together.
+  int least_polls;
+  int most_polls;
+};
+
+class FirstPollsTest : public JobOwnerTest,
+                       public testing::WithParamInterface<FirstPollsCase> {};
+
+// Guards against a new owner that has no processor left to make connections
+// with, since it polls all agents of a large cell again and again.
+TEST_P(FirstPollsTest, AreBoundedForAllAgentsTogether) {
+  for (int number = 2; number < GetParam().agents; ++number) {
+    PutAgent("agent-" + std::to_string(number));
+  }
+  Begin();
+  const TimePoint end = now_ + seconds(1);
+  while (now_ < end) {
+    owner_.Tick(now_);
+    now_ += milliseconds(1);
+  }
+  int polls = 0;
+  for (const auto& [agent, count] : polls_) {
+    EXPECT_GE(count, 3) << agent;
+    polls += count;
+  }
+  EXPECT_EQ(polls_.size(), static_cast<std::size_t>(GetParam().agents));
+  EXPECT_GE(polls, GetParam().least_polls);
+  EXPECT_LE(polls, GetParam().most_polls);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         FirstPollsTest,
+                         testing::Values(FirstPollsCase{"Few", 4, 90, 110},
+                                         FirstPollsCase{"Tens", 80, 900, 1300},
+                                         FirstPollsCase{"Hundreds", 255, 900,
+                                                        1300}),
+                         [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
