Daemon: Let a tick go behind all jobs that waited before it

Suspected, not shown: the owner took a worker for silent while the report with the end lay in its own queue. A turn now runs all that can have waited when it began; what comes meanwhile waits for the next. The new test failed with 256.

--- a/Source/Daemon/duty_thread.cc
+++ b/Source/Daemon/duty_thread.cc
@@ -9,8 +9,6 @@
 
 constexpr std::chrono::milliseconds kLongestWait{500};
 constexpr std::chrono::microseconds kRingFullWait{200};
-// Jobs that are run before the tick gets its turn.
-constexpr int kMostJobsInTurn = 256;
 
 }  // namespace
 
@@ -68,7 +66,10 @@
 
 auto DutyThread::RunJobs() -> bool {
   ring_.ClearWake();
-  for (int run = 0; run < kMostJobsInTurn; ++run) {
+  // All that can have waited when the turn began: a tick that decides who is
+  // silent must not go ahead of reports that lie here. What comes meanwhile
+  // waits for the next turn.
+  for (std::size_t run = 0; run < options_.ring_capacity; ++run) {
     const auto job = ring_.Pop();
     if (!job || stop_) {
       return false;
--- a/Tests/Daemon/duty_thread_test.cc
+++ b/Tests/Daemon/duty_thread_test.cc
@@ -35,5 +35,29 @@
   duty.Stop();
 }
 
+// Guards against a worker that is taken for silent while its report waits
+// behind those of others: a tick goes behind all that waited before it.
+TEST(DutyThreadTest, TicksAfterAllThatWaited) {
+  constexpr int kWaiting = 2000;
+  std::atomic<int> run = 0;
+  std::atomic<int> run_before_tick = -1;
+  DutyThread duty({.on_tick = [&](TimePoint) -> void {
+                     if (run_before_tick < 0) {
+                       run_before_tick = run.load();
+                     }
+                   },
+                   .next_wake = []() -> TimePoint { return TimePoint(); }});
+  for (int job = 0; job < kWaiting; ++job) {
+    ASSERT_TRUE(duty.Post([&run](TimePoint) -> void { ++run; }));
+  }
+  duty.Start();
+  const TimePoint end = Clock::now() + seconds(5);
+  while (run_before_tick < 0 && Clock::now() < end) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  duty.Stop();
+  EXPECT_EQ(run_before_tick, kWaiting);
+}
+
 }  // namespace
 }  // namespace rhubarbhaven
