--- a/Source/Jobs/place_choice.cc
+++ b/Source/Jobs/place_choice.cc
@@ -204,4 +204,26 @@
   return std::isinf(cost) ? std::nullopt : std::optional(cost);
 }
 
+auto ChoosePlace(TimePoint now,
+                 const WorkerChanges::Changed& workers,
+                 const TaskPlace& place,
+                 const ImageInterference& interference,
+                 const PlaceLimits& limits) -> WorkerView* {
+  WorkerView* best = nullptr;
+  double best_cost = 0;
+  for (const auto& [mark, worker] : workers) {
+    const auto cost = CostOf(now, *worker, place, interference, limits);
+    if (!cost) {
+      continue;
+    }
+    const bool better = best == nullptr || *cost < best_cost ||
+                        (*cost == best_cost && worker->agent < best->agent);
+    if (better) {
+      best_cost = *cost;
+      best = worker;
+    }
+  }
+  return best;
+}
+
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/place_choice.h
+++ b/Source/Jobs/place_choice.h
@@ -8,6 +8,7 @@
 
 #include "Base/base.h"
 #include "Jobs/image_interference.h"
+#include "Jobs/worker_changes.h"
 #include "Jobs/worker_view.h"
 
 namespace rhubarbhaven::jobs {
@@ -63,28 +64,11 @@
 
 // The worker on which a task should start, or null if none of them may take it
 // now. Of equals the first by the agents' names.
-template <typename Workers>
 auto ChoosePlace(TimePoint now,
-                 const Workers& workers,
+                 const WorkerChanges::Changed& workers,
                  const TaskPlace& place,
                  const ImageInterference& interference,
-                 const PlaceLimits& limits = {}) -> WorkerView* {
-  WorkerView* best = nullptr;
-  double best_cost = 0;
-  for (WorkerView* worker : workers) {
-    const auto cost = CostOf(now, *worker, place, interference, limits);
-    if (!cost) {
-      continue;
-    }
-    const bool better = best == nullptr || *cost < best_cost ||
-                        (*cost == best_cost && worker->agent < best->agent);
-    if (better) {
-      best_cost = *cost;
-      best = worker;
-    }
-  }
-  return best;
-}
+                 const PlaceLimits& limits = {}) -> WorkerView*;
 
 }  // namespace rhubarbhaven::jobs
 
--- a/Source/Jobs/worker_changes.h
+++ b/Source/Jobs/worker_changes.h
@@ -2,7 +2,6 @@
 #define RHUBARBHAVEN_JOBS_WORKER_CHANGES_H_
 
 #include <cstdint>
-#include <ranges>
 
 #include "Jobs/worker_view.h"
 #include "absl/container/btree_map.h"
@@ -17,6 +16,21 @@
 // stands behind that mark.
 class WorkerChanges {
  public:
+  using ByMark = absl::btree_map<uint64_t, WorkerView*>;
+
+  // Workers with their marks, until the next change.
+  class Changed {
+   public:
+    Changed(ByMark::const_iterator first, ByMark::const_iterator last)
+        : first_(first), last_(last) {}
+    auto begin() const -> ByMark::const_iterator { return first_; }
+    auto end() const -> ByMark::const_iterator { return last_; }
+
+   private:
+    ByMark::const_iterator first_;
+    ByMark::const_iterator last_;
+  };
+
   // To be called when room, state, speed or labels of the worker are for the
   // better. What takes room from it needs no call.
   auto Note(WorkerView& worker) -> void;
@@ -25,14 +39,13 @@
   // The mark of the newest change.
   auto mark() const -> uint64_t { return mark_; }
   // Those that have changed after the mark; all of them for zero.
-  auto Since(uint64_t mark) const {
-    return std::ranges::subrange(workers_.upper_bound(mark), workers_.end()) |
-           std::views::values;
+  auto Since(uint64_t mark) const -> Changed {
+    return {workers_.upper_bound(mark), workers_.end()};
   }
 
  private:
   uint64_t mark_ = 0;
-  absl::btree_map<uint64_t, WorkerView*> workers_;
+  ByMark workers_;
 };
 
 }  // namespace rhubarbhaven::jobs
