--- a/Tests/Transport/link_test.cc
+++ b/Tests/Transport/link_test.cc
@@ -137,7 +137,9 @@
   options.id = "client";
   options.connect_on_send = true;
   options.on_message = [&answered](const std::string&,
-                                   schema::Envelope) -> void { ++answered; };
+                                   const schema::Envelope&) -> void {
+    ++answered;
+  };
   Link client(options);
   ASSERT_TRUE(client.Start().ok());
   schema::Envelope message;
