Jobs: Tell a crash of a worker from its leaving in the log

Callers saw nothing of it. A "lost" line read the same for a worker that had crashed and one that was emptied as planned, so the record could not show under which tasks workers crash. The state that tells them apart was there; now the reason says which. No decision changes; tests of the owner pass as before.

--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -167,6 +167,12 @@
     kAnswered,
   };
 
+  enum class LifeEnd {
+    // It has left, or its worker drained before.
+    kPlanned,
+    kCrashed,
+  };
+
   struct SlowedFiller {
     TaskPlace place;
     uint64_t run = 0;
@@ -205,7 +211,7 @@
   auto UpdateWorker(TimePoint now,
                     WorkerView& worker,
                     const AgentReport& report) -> void;
-  auto EndLife(TimePoint now, WorkerView& worker) -> void;
+  auto EndLife(TimePoint now, WorkerView& worker, LifeEnd how) -> void;
   auto AdoptListing(TimePoint now,
                     WorkerView& worker,
                     const AgentReport& report) -> void;
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -12,9 +12,10 @@
 
 }  // namespace
 
-auto JobOwner::EndLife(TimePoint now, WorkerView& worker) -> void {
+auto JobOwner::EndLife(TimePoint now, WorkerView& worker, LifeEnd how) -> void {
   LoseRuns(now, worker, RunsToLose::kAll,
-           "its worker has a new life or has left");
+           how == LifeEnd::kCrashed ? "its worker has crashed"
+                                    : "its worker has left");
   keys_to_drop_.push_back(MakeKey(RecordKind::kWorkerEnds, worker.worker_id));
   worker.worker_id.clear();
   // An instance that was started anew counts its time from zero. A lease that
@@ -44,7 +45,9 @@
                          report.incarnation() != 0 &&
                          report.incarnation() == worker.agent_incarnation;
     const bool noted = worker.grants_noted && crashed;
-    EndLife(now, worker);
+    // A worker that drains ends as planned, with or without its last word.
+    EndLife(now, worker,
+            left || worker.draining ? LifeEnd::kPlanned : LifeEnd::kCrashed);
     worker.grants_noted = noted;
   }
   worker.left = (worker.left || left) && report.worker_id().empty();
--- a/Source/Jobs/owner_roster.cc
+++ b/Source/Jobs/owner_roster.cc
@@ -30,7 +30,7 @@
 auto JobOwner::NoteLeft(TimePoint now, WorkerView& worker) -> void {
   const auto& life = worker.registration.left_worker_id();
   if (!life.empty() && worker.worker_id == life) {
-    EndLife(now, worker);
+    EndLife(now, worker, LifeEnd::kPlanned);
     worker.grants_noted = false;
     worker.left = true;
   } else if (worker.worker_id.empty() && fold_->worker_has_left(worker.agent)) {
