--- a/Tests/Jobs/job_world.cc
+++ b/Tests/Jobs/job_world.cc
@@ -17,6 +17,10 @@
 constexpr char kEndpoint[] = "tcp://agent-";
 constexpr uint32_t kAttempts = 4;
 constexpr int kFailuresOfATask = 2;
+// A task under which so many workers have crashed may be started fewer than so
+// many times more.
+constexpr int kCrashesOfATask = 3;
+constexpr int kStartsAfterCrashes = 3;
 constexpr std::chrono::milliseconds kHeartbeat{500};
 constexpr std::chrono::milliseconds kLookAtRegistration{100};
 // Tasks that last must run again within this, once the world has been calm for
@@ -116,34 +120,40 @@
 }
 
 auto JobWorld::SubmitLasting(uint32_t tasks) -> std::string {
-  std::string id = absl::StrFormat("%016x", ++next_job_);
-  Job job;
-  job.set_payload(id);
-  auto* step = job.add_steps();
-  step->set_count(tasks);
-  step->mutable_need()->set_millicores(kTaskMillicores);
-  step->set_long_running(true);
-  submitted_[id].job = job;
-  TrySubmit(id);
-  return id;
+  JobStep step;
+  step.set_count(tasks);
+  step.set_long_running(true);
+  return SubmitStep(step);
 }
 
 auto JobWorld::SubmitFilling(uint32_t tasks) -> std::string {
+  JobStep step;
+  step.set_count(tasks);
+  step.set_estimated_ms(kFillingWork.count());
+  step.set_uses_spare_processors(true);
+  step.set_checkpointing(true);
+  step.set_image("filler");
+  return SubmitStep(step);
+}
+
+auto JobWorld::SubmitStep(const JobStep& step) -> std::string {
   std::string id = absl::StrFormat("%016x", ++next_job_);
   Job job;
   job.set_payload(id);
-  auto* step = job.add_steps();
-  step->set_count(tasks);
-  step->mutable_need()->set_millicores(kTaskMillicores);
-  step->set_estimated_ms(kFillingWork.count());
-  step->set_uses_spare_processors(true);
-  step->set_checkpointing(true);
-  step->set_image("filler");
+  *job.add_steps() = step;
+  job.mutable_steps(0)->mutable_need()->set_millicores(kTaskMillicores);
   submitted_[id].job = job;
   TrySubmit(id);
   return id;
 }
 
+auto JobWorld::SubmitCrashing(const JobStep& step,
+                              std::chrono::milliseconds after) -> std::string {
+  const std::string id = SubmitStep(step);
+  submitted_[id].crashes_after = after;
+  return id;
+}
+
 auto JobWorld::Cancel(const std::string& job) -> void {
   const int number = static_cast<int>(time_.Pick(0, options_.entries - 1));
   Process* process = entries_[number].get();
@@ -552,7 +562,7 @@
     return;
   }
   const auto heartbeat = workers_.at(number)->Heartbeat();
-  if (process->up) {
+  if (process->up && !workers_.at(number)->down()) {
     Deliver(process, [this, process, heartbeat]() -> void {
       if (!process->agent->OnHeartbeat(time_.now(), heartbeat)) {
         Trace(absl::StrCat(process->name, " refuses ", heartbeat.worker_id));
@@ -618,6 +628,13 @@
     }
     return time_.Milliseconds(200, 2500);
   };
+  watch.crashes_after =
+      [this](const TaskName& task) -> std::optional<std::chrono::milliseconds> {
+    return Crashes(task) ? submitted_.at(task.job()).crashes_after
+                         : std::nullopt;
+  };
+  watch.back_after_crash = options_.back_after_crash;
+  watch.on_crash = [this](const TaskName& task) -> void { OnCrash(task); };
   watch.fills = [this](const TaskName& task) -> bool { return Fills(task); };
   watch.fails = [this](const TaskName& task) -> bool {
     const std::string name = DescribeTask(task);
@@ -654,6 +671,9 @@
           absl::StrCat(name, " runs at ", worker, " and at ", other->name()));
     }
   }
+  if (Crashes(task)) {
+    CheckCrashBudget(name);
+  }
   if (Lasts(task)) {
     lasting_restarts_ += lasting_starts_[name]++ > 0 ? 1 : 0;
     if (lasting_.contains(name)) {
@@ -672,6 +692,24 @@
   }
 }
 
+auto JobWorld::OnCrash(const TaskName& task) -> void {
+  Trace(absl::StrCat("CRASH under ", DescribeTask(task)));
+  if (Crashes(task)) {
+    ++crashes_[DescribeTask(task)];
+  }
+}
+
+auto JobWorld::CheckCrashBudget(const std::string& task) -> void {
+  if (crashes_[task] < kCrashesOfATask) {
+    return;
+  }
+  if (++starts_after_crashes_[task] >= kStartsAfterCrashes) {
+    Problem(absl::StrCat(task, " is started ", starts_after_crashes_[task],
+                         " times more after ", kCrashesOfATask,
+                         " workers had crashed under it"));
+  }
+}
+
 auto JobWorld::OnEnd(const TaskName& task, RunEnd end, bool noted) -> void {
   const std::string name = DescribeTask(task);
   Trace(absl::StrCat("FORGOTTEN ", name, " ", RunEnd_Name(end),
@@ -749,6 +787,17 @@
          found->second.job.steps(0).uses_spare_processors();
 }
 
+auto JobWorld::Crashes(const TaskName& task) const -> bool {
+  const auto found = submitted_.find(task.job());
+  return task.index() == 0 && found != submitted_.end() &&
+         found->second.crashes_after.has_value();
+}
+
+auto JobWorld::crashes(const std::string& job) const -> int {
+  const auto found = crashes_.find(absl::StrCat(job, ".0.0.0"));
+  return found == crashes_.end() ? 0 : found->second;
+}
+
 auto JobWorld::Disturbed() const -> bool {
   const auto fails = [this](const auto& process) -> bool {
     return !process->gone &&
@@ -801,7 +850,8 @@
       time_.now() - disturbed_at_ >= kCalmAfter && HasRoom() && !census;
   for (auto& [task, since] : lasting_) {
     const auto& job = submitted_.at(task.substr(0, task.find('.')));
-    if (job.cancel_asked || !startable || RunsAnywhere(task)) {
+    if (job.cancel_asked || job.crashes_after || !startable ||
+        RunsAnywhere(task)) {
       since = time_.now();
     } else if (time_.now() - since >= kRunsAgainWithin) {
       Problem(absl::StrCat(task, " lasts and does not run, with room for it"));
@@ -850,6 +900,8 @@
     as_told = !state || *state == JOB_CANCELLED;
   } else if (submitted_.at(job).cancel_asked) {
     as_told = as_told || !state || *state == JOB_CANCELLED;
+  } else if (submitted_.at(job).crashes_after) {
+    as_told = !state || *state == JOB_FAILED;
   } else if (!IsLasting(job)) {
     as_told = state ? *state == JOB_COMPLETED : completed_.contains(job);
   }
--- a/Tests/Jobs/job_world.h
+++ b/Tests/Jobs/job_world.h
@@ -36,6 +36,8 @@
   // Allows a new owner to wait for an agent that is gone for as long as leases
   // of the owner before it may hold.
   bool allow_census = true;
+  // From a crash under a task to the worker's next life.
+  std::chrono::milliseconds back_after_crash{3300};
 };
 
 // Entries, agents, workers and callers over virtual time, with their faults.
@@ -63,6 +65,12 @@
   auto SubmitLasting(uint32_t tasks) -> std::string;
   // A job of so many tasks that fill, and resume where they were.
   auto SubmitFilling(uint32_t tasks) -> std::string;
+  // A job of one step, whose first task crashes each worker so long after its
+  // start there.
+  auto SubmitCrashing(const JobStep& step, std::chrono::milliseconds after)
+      -> std::string;
+  // A job of one step.
+  auto SubmitStep(const JobStep& step) -> std::string;
   auto Cancel(const std::string& job) -> void;
 
   auto KillEntry(int number, Duration down) -> void;
@@ -104,6 +112,8 @@
   // Runs of tasks that last beyond their first ones.
   auto lasting_restarts() const -> int { return lasting_restarts_; }
   auto starts() const -> int { return starts_; }
+  // Workers that have crashed under the task of a job that crashes them.
+  auto crashes(const std::string& job) const -> int;
   auto problems() const -> const std::vector<std::string>& { return problems_; }
 
  private:
@@ -127,6 +137,7 @@
     bool refused_only = true;
     int tries = 0;
     bool cancel_asked = false;
+    std::optional<std::chrono::milliseconds> crashes_after;
   };
 
   auto StartEntry(int number) -> void;
@@ -172,6 +183,10 @@
   auto OnStart(const std::string& worker, const TaskName& task, uint64_t run)
       -> void;
   auto OnEnd(const TaskName& task, RunEnd end, bool noted) -> void;
+  auto OnCrash(const TaskName& task) -> void;
+  // Nor is a task that crashes its workers started for ever.
+  auto CheckCrashBudget(const std::string& task) -> void;
+  auto Crashes(const TaskName& task) const -> bool;
   // What owners keep of jobs and workers is as a look at all of them finds it.
   auto CheckIndexes() -> void;
   auto Problem(const std::string& text) -> void;
@@ -191,6 +206,9 @@
   std::map<std::string, TimePoint> noted_done_;
   std::map<std::string, int> noted_failures_;
   std::map<std::string, int> failed_runs_;
+  // Of tasks that crash their workers: crashes, and starts after the third.
+  std::map<std::string, int> crashes_;
+  std::map<std::string, int> starts_after_crashes_;
   // Runs that ended well.
   std::map<std::string, int> done_runs_;
   // Tasks that last, and since when each could have been started.
--- a/Tests/Jobs/virtual_worker.cc
+++ b/Tests/Jobs/virtual_worker.cc
@@ -75,6 +75,12 @@
         done(now, listing);
       }
     };
+    if (down_) {
+      time_->After(std::chrono::milliseconds(1), [this, guarded]() -> void {
+        guarded(time_->now(), WorkerListing());
+      });
+      return;
+    }
     if (silent_ || gone_) {
       time_->After(call.wait + kCallTimeout, [this, guarded]() -> void {
         guarded(time_->now(), WorkerListing());
@@ -102,6 +108,7 @@
 
 auto VirtualWorker::Crash() -> void {
   ++life_;
+  down_ = false;
   runs_.clear();
   over_.clear();
   listed_.clear();
@@ -111,6 +118,31 @@
   draining_ = false;
 }
 
+auto VirtualWorker::CrashFor(std::chrono::milliseconds down) -> void {
+  const auto runs = runs_;
+  Crash();
+  down_ = true;
+  time_->After(down, [this, life = life_]() -> void {
+    if (life == life_) {
+      down_ = false;
+    }
+  });
+  for (const auto& [task, run] : runs) {
+    watch_.on_crash(run.task);
+  }
+}
+
+auto VirtualWorker::CrashLater(const std::string& task,
+                               uint64_t number,
+                               std::chrono::milliseconds after) -> void {
+  time_->After(after, [this, task, number]() -> void {
+    const auto run = runs_.find(task);
+    if (run != runs_.end() && run->second.number == number) {
+      CrashFor(watch_.back_after_crash);
+    }
+  });
+}
+
 auto VirtualWorker::Vanish() -> void {
   // Orders on their way come to another life, and are refused.
   Crash();
@@ -118,7 +150,7 @@
 }
 
 auto VirtualWorker::HasRoom() const -> bool {
-  return !gone_ && !draining_ &&
+  return !gone_ && !down_ && !draining_ &&
          (RunsInRoom() + 1) * kTaskMillicores <= kMillicores;
 }
 
@@ -179,6 +211,9 @@
   const auto work = watch_.work(call.task);
   runs_[task] = {call.task, call.run, false, number, time_->now(), work};
   watch_.on_start(name_, call.task, call.run);
+  if (const auto after = watch_.crashes_after(call.task)) {
+    CrashLater(task, number, *after);
+  }
   time_->After(work, [this, task, number]() -> void {
     const auto run = runs_.find(task);
     if (run != runs_.end() && run->second.number == number &&
@@ -283,6 +318,13 @@
     const Call& call,
     std::function<auto(const Call&)->WorkerCallOutcome> act,
     const WorkerPort::OnCall& done) -> void {
+  if (down_) {
+    // Its port refuses connections, so nothing was handed over.
+    time_->After(std::chrono::milliseconds(1), [this, done]() -> void {
+      done(time_->now(), {WorkerCallOutcome::kUnhealthy});
+    });
+    return;
+  }
   const bool unheard = silent_ || gone_;
   if (unheard || time_->Chance(unanswered_)) {
     if (!unheard && time_->Chance(0.5)) {
--- a/Tests/Jobs/virtual_worker.h
+++ b/Tests/Jobs/virtual_worker.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -28,6 +29,17 @@
   // where nobody says so.
   std::function<auto(const TaskName&)->bool> fills =
       [](const TaskName&) -> bool { return false; };
+  // How long after its start a run of the task crashes its worker; none for a
+  // task that does not, which all are where nobody says so.
+  std::function<auto(const TaskName&)->std::optional<std::chrono::milliseconds>>
+      crashes_after =
+          [](const TaskName&) -> std::optional<std::chrono::milliseconds> {
+    return std::nullopt;
+  };
+  // From a crash under a task to the worker's next life.
+  std::chrono::milliseconds back_after_crash{3300};
+  // A worker has crashed under the run of this task.
+  std::function<auto(const TaskName&)->void> on_crash = [](const TaskName&) {};
 };
 
 // A worker over virtual time: fences, runs, leases, ends, and orders that are
@@ -40,6 +52,9 @@
   auto Heartbeat() -> WorkerHeartbeat;
   // Loses all runs and comes back as a new life.
   auto Crash() -> void;
+  // The same, but the next life comes only after a while, as of a process that
+  // is started anew.
+  auto CrashFor(std::chrono::milliseconds down) -> void;
   // Is gone for good, with all its runs.
   auto Vanish() -> void;
   auto SetSilent(bool silent) -> void { silent_ = silent; }
@@ -54,8 +69,10 @@
   auto running() const -> std::size_t { return runs_.size(); }
   auto draining() const -> bool { return draining_; }
   auto gone() const -> bool { return gone_; }
+  // Whether no process is there at present.
+  auto down() const -> bool { return down_; }
   // Whether calls to it fail at present.
-  auto disturbed() const -> bool { return silent_ || unanswered_ > 0; }
+  auto disturbed() const -> bool { return silent_ || down_ || unanswered_ > 0; }
   // Whether it would start one more run now.
   auto HasRoom() const -> bool;
   static constexpr uint32_t kMillicores = 4000;
@@ -81,6 +98,10 @@
   auto ExpireLease() -> void;
   auto ExtendLease(WorkerTime deadline) -> void;
   auto Start(const StartCall& call) -> WorkerCallOutcome;
+  // Crashes after a while if the run is still there.
+  auto CrashLater(const std::string& task,
+                  uint64_t number,
+                  std::chrono::milliseconds after) -> void;
   auto Stop(const StopCall& call) -> WorkerCallOutcome;
   auto List(const ListCall& call) -> WorkerListing;
   auto WaitAndList(const ListCall& call,
@@ -101,6 +122,7 @@
   bool draining_ = false;
   bool slowing_ = false;
   bool gone_ = false;
+  bool down_ = false;
   double unanswered_ = 0;
   uint64_t fence_ = 0;
   WorkerTime lease_until_{0};
