Jobs: Hold crashes of workers against the tasks that cause them

Cause: an end that nobody lists was no end. A worker that crashes has a new life that lists nothing, so the owner took its runs for lost, as after a cut link, and held nothing against their tasks.

Why it holds: the agent, which outlives its worker and its owner, remembers what it started or saw there and tells it to each owner for 30 s; the owner counts each run once, in the job's progress, so a next owner goes on from there. Not to give up what only ran beside the cause: suspects are placed apart, those with two crashes only where no other suspect runs; a run of 1 s clears a task; of two tasks as suspect as each other neither is given up until one more crash tells, or the fifth.

--- /dev/null
+++ b/Source/Jobs/crash_record.cc
@@ -0,0 +1,48 @@
+#include "Jobs/crash_record.h"
+
+#include <algorithm>
+
+namespace rhubarbhaven::jobs {
+namespace {
+
+constexpr uint32_t kCrashesToAccuse = 3;
+constexpr uint32_t kCrashesToConvict = 5;
+// More than are told again by agents at once.
+constexpr std::size_t kMostRuns = 8;
+
+}  // namespace
+
+auto CrashRecord::Note(uint64_t run, Duration ran) -> bool {
+  if (std::find(runs.begin(), runs.end(), run) != runs.end()) {
+    return false;
+  }
+  if (runs.size() >= kMostRuns) {
+    runs.erase(runs.begin());
+  }
+  runs.push_back(run);
+  ++in_all;
+  in_row = ran < kSoundAfter ? in_row + 1 : 0;
+  unclear = false;
+  return true;
+}
+
+auto CrashRecord::Clear() -> void {
+  in_row = 0;
+  unclear = false;
+}
+
+auto CrashRecord::on_last_try() const -> bool {
+  return in_row + (unclear ? 1 : 0) + 1 >= kCrashesToAccuse;
+}
+
+auto CrashRecord::accused() const -> bool {
+  return in_row >= kCrashesToAccuse;
+}
+
+auto CrashRecord::convicted(bool long_running) const -> bool {
+  // What lasts meets as many crashes of others in time.
+  return in_row >= kCrashesToConvict ||
+         (!long_running && in_all >= kCrashesToConvict);
+}
+
+}  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -148,6 +148,7 @@
     return true;
   }
   WorkerView& worker = *found->second;
+  OnCrashedRuns(worker, report);
   UpdateWorker(now, worker, report);
   const bool census = !worker.confirmed && !census_done_;
   if (report.complete() && !worker.confirmed) {
@@ -156,6 +157,7 @@
     for (const auto& row : report.running()) {
       NoteProgress(now, worker, row);
     }
+    ClearSuspects(now, worker);
     StopStalled(now, worker);
     LearnInterference(now, worker, report);
   }
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -244,6 +244,21 @@
   auto OnDone(const TaskPlace& place) -> void;
   auto OnFailed(TimePoint now, WorkerView& worker, const TaskPlace& place)
       -> void;
+  // What agents tell of crashes of their workers.
+  auto OnCrashedRuns(const WorkerView& worker, const AgentReport& report)
+      -> void;
+  // The agent has started anew since, and cannot tell.
+  auto NoteUnseenCrash(const WorkerView& worker) -> void;
+  // Holds the crash against the task; false if that was done before.
+  auto NoteCrash(const WorkerView& worker,
+                 const TaskPlace& place,
+                 uint64_t run,
+                 Duration ran) -> bool;
+  // Gives up the one of these tasks, whose runs one crash has ended, that is
+  // the cause of it, as far as that can be told.
+  auto GiveUpCause(const std::vector<TaskPlace>& crashed) -> void;
+  // Lets go of the suspicion against tasks that have run for long enough.
+  auto ClearSuspects(TimePoint now, WorkerView& worker) -> void;
   auto OnOrderResult(TimePoint now,
                      WorkerView& worker,
                      const OrderResult& result) -> void;
@@ -288,6 +303,10 @@
              WorkerView& worker,
              uint64_t run,
              const std::string& ticket) -> void;
+  // The run stands there under the number from now on.
+  static auto AddRunTo(WorkerView& worker,
+                       uint64_t number,
+                       const TaskPlace& place) -> void;
   auto StopRun(const TaskPlace& place, RunWork& run, const std::string& why)
       -> void;
   auto StopOrphan(WorkerView& worker, const RunningTask& row) -> void;
--- a/Source/Jobs/job_work.cc
+++ b/Source/Jobs/job_work.cc
@@ -35,6 +35,13 @@
     if (tasks[index].failures > 0) {
       (*progress.mutable_failures())[index] = tasks[index].failures;
     }
+    const CrashRecord& crashes = tasks[index].crashes;
+    if (crashes.in_all > 0) {
+      auto& known = (*progress.mutable_crashes())[index];
+      known.set_in_row(crashes.in_row);
+      known.set_in_all(crashes.in_all);
+      known.mutable_runs()->Assign(crashes.runs.begin(), crashes.runs.end());
+    }
   }
   return progress;
 }
@@ -50,6 +57,14 @@
       work->tasks()[index].failures = failures;
     }
   }
+  for (const auto& [index, crashes] : known.crashes()) {
+    if (index < work->tasks().size()) {
+      work->tasks()[index].crashes = {
+          crashes.in_row(),
+          crashes.in_all(),
+          {crashes.runs().begin(), crashes.runs().end()}};
+    }
+  }
 }
 
 }  // namespace
@@ -181,6 +196,10 @@
   return work->occurrences.at(occurrence).steps[step];
 }
 
+auto TaskPlace::crashes() const -> CrashRecord& {
+  return spec().gang() ? step_work().tasks().front().crashes : task().crashes;
+}
+
 auto TaskPlace::spec() const -> const JobStep& {
   return work->job().steps(static_cast<int>(step));
 }
--- a/Source/Jobs/job_work.h
+++ b/Source/Jobs/job_work.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Base/base.h"
+#include "Jobs/crash_record.h"
 #include "Jobs/job_fold.h"
 
 namespace rhubarbhaven::jobs {
@@ -36,6 +37,8 @@
   // Percent of its work done, and when that last changed.
   uint32_t percent = 0;
   TimePoint progress_at;
+  // When its agent last listed it.
+  TimePoint seen_at;
   // Of a run on spare processors: the share of its processors that it used
   // lately; none while that is not known.
   std::optional<double> speed;
@@ -48,6 +51,7 @@
   // A run that an earlier owner started may still be there.
   bool uncertain = false;
   uint32_t failures = 0;
+  CrashRecord crashes;
   std::string checkpoint;
   std::vector<RunWork> runs;
   TimePoint waiting_since;
@@ -134,6 +138,8 @@
 
   auto task() const -> TaskWork&;
   auto step_work() const -> StepWork&;
+  // A gang is counted as one, by its first member.
+  auto crashes() const -> CrashRecord&;
   auto spec() const -> const JobStep&;
   auto Name() const -> TaskName;
 };
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -46,6 +46,10 @@
                          report.incarnation() == worker.agent_incarnation;
     const bool noted = worker.grants_noted && crashed;
     // A worker that drains ends as planned, with or without its last word.
+    if (other_life && !left && !worker.draining &&
+        report.incarnation() != worker.agent_incarnation) {
+      NoteUnseenCrash(worker);
+    }
     EndLife(now, worker,
             left || worker.draining ? LifeEnd::kPlanned : LifeEnd::kCrashed);
     worker.grants_noted = noted;
@@ -137,13 +141,14 @@
   run.phase = RunPhase::kRunning;
   run.ordered_at = now;
   run.progress_at = now;
+  run.seen_at = now;
   run.percent = row.percent();
   const bool wanted = !task.done && !place->work->entry->over() &&
                       (task.runs.empty() || place->spec().allow_duplicates());
   RunWork& adopted = place->step_work().AddRun(place->index, run);
   order_.Touch(*place->work);
   worker.Hold(place->spec(), row.run());
-  worker.runs[next_order_++] = *place;
+  AddRunTo(worker, next_order_++, *place);
   ++worker.pacing_version;
   if (!row.checkpoint().empty()) {
     task.checkpoint = row.checkpoint();
@@ -170,6 +175,7 @@
     if (run.worker != &worker || run.run != row.run()) {
       continue;
     }
+    run.seen_at = now;
     if (run.percent != row.percent()) {
       run.percent = row.percent();
       run.progress_at = now;
@@ -250,11 +256,13 @@
     }
     for (const uint64_t run : lost) {
       Log("lost", place, run, &worker, why);
+      place.crashes().unclear = true;
       RemoveRun(now, place, run, &worker);
     }
   }
   if (which == RunsToLose::kAll) {
     worker.runs.clear();
+    worker.suspects.clear();
     worker.orders.clear();
   }
   place_due_ = true;
--- /dev/null
+++ b/Source/Jobs/owner_crashes.cc
@@ -0,0 +1,89 @@
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Jobs/job_owner.h"
+
+// What crashes of workers say of the tasks that ran there.
+namespace rhubarbhaven::jobs {
+
+auto JobOwner::OnCrashedRuns(const WorkerView& worker,
+                             const AgentReport& report) -> void {
+  std::map<std::string, std::vector<TaskPlace>> noted;
+  for (const auto& row : report.crashed()) {
+    const auto place = Locate(row.task());
+    if (place && NoteCrash(worker, *place, row.run(),
+                           std::chrono::milliseconds(row.ran_ms()))) {
+      noted[row.worker_id()].push_back(*place);
+    }
+  }
+  for (const auto& [life, places] : noted) {
+    GiveUpCause(places);
+  }
+}
+
+auto JobOwner::NoteUnseenCrash(const WorkerView& worker) -> void {
+  std::vector<TaskPlace> noted;
+  for (const auto& [number, place] : worker.runs) {
+    for (const auto& run : place.task().runs) {
+      if (run.worker == &worker && run.phase != RunPhase::kStarting &&
+          NoteCrash(worker, place, run.run, run.seen_at - run.ordered_at)) {
+        noted.push_back(place);
+      }
+    }
+  }
+  GiveUpCause(noted);
+}
+
+auto JobOwner::NoteCrash(const WorkerView& worker,
+                         const TaskPlace& place,
+                         uint64_t run,
+                         Duration ran) -> bool {
+  auto& crashes = place.crashes();
+  if (!place.work->open() || place.task().done || !crashes.Note(run, ran)) {
+    return false;
+  }
+  NoteProgressOf(*place.work);
+  Log("crashed", place, run, &worker,
+      absl::StrCat("in a row ", crashes.in_row, ", in all ", crashes.in_all));
+  return true;
+}
+
+auto JobOwner::GiveUpCause(const std::vector<TaskPlace>& crashed) -> void {
+  const auto accused = std::count_if(
+      crashed.begin(), crashed.end(),
+      [](const TaskPlace& place) { return place.crashes().accused(); });
+  for (const auto& place : crashed) {
+    const auto& crashes = place.crashes();
+    const bool cause = crashes.convicted(place.spec().long_running()) ||
+                       (crashes.accused() && accused == 1);
+    if (cause && place.work->open()) {
+      Log("given_up", place, 0, nullptr, "it crashes its workers");
+      SetState(*place.work, JOB_FAILED);
+      EndJob(*place.work, "its job has failed");
+    }
+  }
+}
+
+auto JobOwner::ClearSuspects(TimePoint now, WorkerView& worker) -> void {
+  const auto suspects = worker.suspects;
+  for (const uint64_t number : suspects) {
+    const auto& place = worker.runs.at(number);
+    for (const auto& run : place.task().runs) {
+      const bool sound = run.worker == &worker && run.seen_at == now &&
+                         now - run.ordered_at >= kSoundAfter;
+      if (sound) {
+        place.crashes().Clear();
+        NoteProgressOf(*place.work);
+        worker.suspects.erase(number);
+        changes_.Note(worker);
+        place_due_ = true;
+      }
+    }
+  }
+}
+
+}  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/owner_ends.cc
+++ b/Source/Jobs/owner_ends.cc
@@ -136,6 +136,7 @@
           run.phase == RunPhase::kStarting) {
         run.phase = RunPhase::kRunning;
         run.progress_at = now;
+        run.seen_at = now;
       }
     }
     if (place->work->state == JOB_QUEUED) {
@@ -188,6 +189,7 @@
                             item.second.index == place.index;
                    });
   if (held != holder.runs.end()) {
+    holder.suspects.erase(held->first);
     holder.runs.erase(held);
   }
   // An order to start what is over would only be refused by the worker.
--- a/Source/Jobs/owner_index_check.cc
+++ b/Source/Jobs/owner_index_check.cc
@@ -108,6 +108,12 @@
     problems->push_back(
         absl::StrCat(worker.agent, " has a lease without a timer"));
   }
+  for (const uint64_t number : worker.suspects) {
+    if (!worker.runs.contains(number)) {
+      problems->push_back(
+          absl::StrCat(worker.agent, " lists a suspect that is gone"));
+    }
+  }
   if (polls_.next() > NextPoll(worker) && !worker.poll_due) {
     problems->push_back(absl::StrCat(worker.agent, " has no poll to come"));
   }
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -93,6 +93,11 @@
     }
     WorkerView* worker = ChoosePlace(now, changes_.Since(step.refused_at),
                                      place, interference_, limits);
+    if (worker == nullptr && place.crashes().on_last_try()) {
+      // It alone is refused for what may crash its worker.
+      NoteWaiting(now, place, limits);
+      continue;
+    }
     if (worker == nullptr) {
       // New tickets change what the same workers answer.
       step.refused_at = tickets ? 0 : changes_.mark();
@@ -232,6 +237,7 @@
   work.run = run;
   work.ordered_at = now;
   work.progress_at = now;
+  work.seen_at = now;
   --starts_left_;
   place.step_work().AddRun(place.index, work);
   if (place.step_work().waiting() == 0) {
@@ -240,7 +246,7 @@
   worker.Hold(place.spec(), run);
   // Members of a gang share their run's number; the order tells them apart.
   const uint64_t number = next_order_++;
-  worker.runs[number] = place;
+  AddRunTo(worker, number, place);
   StartOrder order;
   order.set_order(number);
   *order.mutable_task() = place.Name();
@@ -258,6 +264,15 @@
   Log("place", place, run, &worker, "");
 }
 
+auto JobOwner::AddRunTo(WorkerView& worker,
+                        uint64_t number,
+                        const TaskPlace& place) -> void {
+  worker.runs[number] = place;
+  if (place.crashes().suspected()) {
+    worker.suspects.insert(number);
+  }
+}
+
 auto JobOwner::StopRun(const TaskPlace& place,
                        RunWork& run,
                        const std::string& why) -> void {
--- a/Source/Jobs/place_choice.cc
+++ b/Source/Jobs/place_choice.cc
@@ -32,6 +32,14 @@
 // full speed on the rest.
 constexpr double kOtherImageCost = 2.0;
 constexpr double kNewImageCost = 1.0;
+// For each task on the worker that may have crashed one. Suspects are kept
+// apart before all else, so that the next crash tells which of them was the
+// cause; other tasks keep away from them if they can.
+constexpr double kSuspectBesideSuspectCost = 8.0;
+constexpr double kBesideSuspectCost = 3.0;
+// For a task that will be held to be the cause if its worker crashes again, by
+// what that worker's crash would end.
+constexpr double kLastTryCost = 4.0;
 
 auto Fits(const WorkerView& worker, const JobStep& step) -> bool {
   auto need = RoomOf(step.need());
@@ -102,8 +110,12 @@
   if (!Fits(worker, step)) {
     return PlaceRefusal::kNoRoom;
   }
-  return AtStepLimit(worker, place, limits) ? PlaceRefusal::kStepLimit
-                                            : PlaceRefusal::kNone;
+  if (AtStepLimit(worker, place, limits)) {
+    return PlaceRefusal::kStepLimit;
+  }
+  return place.crashes().on_last_try() && !worker.suspects.empty()
+             ? PlaceRefusal::kSuspects
+             : PlaceRefusal::kNone;
 }
 
 auto NameOf(PlaceRefusal refusal) -> const char* {
@@ -130,6 +142,8 @@
       return "no room";
     case PlaceRefusal::kStepLimit:
       return "limit of the step";
+    case PlaceRefusal::kSuspects:
+      return "beside suspects";
   }
   return "";
 }
@@ -153,11 +167,21 @@
   return (other ? kOtherImageCost : 0.0) + (same ? 0.0 : kNewImageCost);
 }
 
+auto CrashCost(const WorkerView& worker, const TaskPlace& place) -> double {
+  const auto& crashes = place.crashes();
+  const double beside =
+      crashes.suspected() ? kSuspectBesideSuspectCost : kBesideSuspectCost;
+  const double load =
+      crashes.on_last_try() ? kLastTryCost * UsedShare(worker) : 0.0;
+  return beside * static_cast<double>(worker.suspects.size()) + load;
+}
+
 auto Cost(WorkerView& worker,
           const TaskPlace& place,
           const ImageInterference& interference) -> double {
   const auto& step = place.spec();
-  double cost = kFailureCost * worker.failures_in_row;
+  double cost =
+      kFailureCost * worker.failures_in_row + CrashCost(worker, place);
   if (!step.data_rack().empty() && step.data_rack() != worker.rack) {
     cost += kOtherRackCost;
   }
--- a/Source/Jobs/place_choice.h
+++ b/Source/Jobs/place_choice.h
@@ -44,6 +44,8 @@
   kNoRoom,
   // Enough tasks of the step run there.
   kStepLimit,
+  // One more crash convicts the task, and what else runs there may cause it.
+  kSuspects,
 };
 
 // How many workers refuse the task, by reason, for the log: "draining 1, no
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -1,5 +1,7 @@
 #include "Jobs/task_agent.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -73,6 +75,7 @@
   }
   if (!heartbeat_.worker_id.empty()) {
     ended_lives_.insert(heartbeat_.worker_id);
+    NoteCrash(now);
   }
   heartbeat_ = heartbeat;
   worker_left_ = false;
@@ -87,6 +90,7 @@
   if (worker_id == heartbeat_.worker_id) {
     heartbeat_ = WorkerHeartbeat();
     worker_left_ = true;
+    run_watch_.Clear();
     ResetWorker(now);
     Report(now, /*with_running=*/true);
   }
@@ -116,6 +120,7 @@
 auto TaskAgent::AdoptFence(TimePoint now, uint64_t fence) -> void {
   fence_ = fence;
   ++epoch_;
+  run_watch_.OnCallsDropped(now);
   orders_.clear();
   results_seen_ = 0;
   listed_ = false;
@@ -123,6 +128,21 @@
   list_not_before_ = now;
 }
 
+auto TaskAgent::NoteCrash(TimePoint now) -> void {
+  const auto crashed = run_watch_.TakeCrashed();
+  if (heartbeat_.draining) {
+    // It was to end.
+    return;
+  }
+  for (auto run : crashed) {
+    run.set_worker_id(heartbeat_.worker_id);
+    hooks_.log("crashed", run.task(), run.run(),
+               absl::StrCat("its worker has crashed, it ran for ", run.ran_ms(),
+                            " ms"));
+    crashes_.push_back({now + options_.tell_crashes, run});
+  }
+}
+
 auto TaskAgent::ResetWorker(TimePoint now) -> void {
   ++epoch_;
   for (const auto& [number, order] : orders_) {
@@ -193,6 +213,7 @@
   const bool ends_wait = !listing_.ended.empty() &&
                          listing_.ended.back().number() > forget_through_;
   list_not_before_ = ends_wait && !first ? now + options_.list_pause : now;
+  run_watch_.OnListing(asked, now, listing_.running);
   SettleVerified(asked);
   Pace(now);
   if (first || was_silent) {
@@ -272,6 +293,12 @@
   report.set_worker_silent(silent_since_ &&
                            now - *silent_since_ > options_.silent_after);
   report.set_worker_lapsed(worker_left_ || LeaseLapsed(now));
+  while (!crashes_.empty() && crashes_.front().until < now) {
+    crashes_.pop_front();
+  }
+  for (const auto& crash : crashes_) {
+    *report.add_crashed() = crash.run;
+  }
   // What was listed before the worker fell silent is no longer known to be so:
   // an owner that has taken its runs for lost would take them back.
   const bool listed = listed_ && !silent_since_;
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -2,6 +2,7 @@
 #define RHUBARBHAVEN_JOBS_TASK_AGENT_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -12,6 +13,7 @@
 
 #include "Base/base.h"
 #include "Jobs/filler_pacing.h"
+#include "Jobs/run_watch.h"
 #include "Jobs/worker_port.h"
 
 namespace rhubarbhaven::jobs {
@@ -33,6 +35,9 @@
   std::chrono::milliseconds longest_lease{10000};
   // A worker's clock may be slow by this share.
   double worker_clock_drift = 0.02;
+  // How long owners are told what a crash of the worker ended: until the next
+  // one has taken over and stored it, also if the log is away for a while.
+  std::chrono::milliseconds tell_crashes{30000};
 };
 
 // Everything that the agent tells others.
@@ -102,6 +107,8 @@
   auto AdoptFence(TimePoint now, uint64_t fence) -> void;
   auto TakeOrders(const AgentOrders& orders) -> void;
   auto ResetWorker(TimePoint now) -> void;
+  // The worker has another life, and the one before did not leave.
+  auto NoteCrash(TimePoint now) -> void;
   auto RunOrders(TimePoint now) -> void;
   // Ends orders to a worker whose lease has run out. Calls of before are too
   // late for it by now: nothing of them is there, or will be. Left open, their
@@ -160,6 +167,14 @@
   // earlier calls are told apart.
   uint64_t epoch_ = 0;
 
+  RunWatch run_watch_;
+  // What crashes of the worker ended, oldest first.
+  struct ToldCrash {
+    TimePoint until;
+    CrashedRun run;
+  };
+  std::deque<ToldCrash> crashes_;
+
   bool listing_under_way_ = false;
   TimePoint list_not_before_;
   // The newest listing under the fence in force.
--- a/Source/Jobs/task_agent_orders.cc
+++ b/Source/Jobs/task_agent_orders.cc
@@ -165,6 +165,7 @@
   call.ticket = order->start.ticket();
   call.deadline = WorkerDeadline();
   call.worker_id = heartbeat_.worker_id;
+  run_watch_.OnCall(now, order->task, order->run);
   NoteGranted(now);
   hooks_.worker.start(call,
                       [this, order, epoch = epoch_](
@@ -197,6 +198,7 @@
   order->state = OrderState::kWaiting;
   if (result.outcome == WorkerCallOutcome::kDone) {
     hooks_.log("started", order->task, order->run, "");
+    run_watch_.OnStarted(now, order->task, order->run);
     Finish(order, ORDER_DONE);
     Report(now, /*with_running=*/false);
     return;
@@ -275,6 +277,9 @@
 auto TaskAgent::Finish(const OrderPtr& order, OrderOutcome outcome) -> void {
   order->state = OrderState::kFinished;
   order->outcome = outcome;
+  if (!order->is_stop && outcome != ORDER_DONE) {
+    run_watch_.OnRefused(order->task, order->run);
+  }
   report_due_ = true;
 }
 
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -108,6 +109,8 @@
   uint64_t load_version = 1;
   FillerSpeeds filler_speeds;
   absl::btree_map<uint64_t, TaskPlace> runs;
+  // Of these, by their numbers: runs of tasks that may have crashed a worker.
+  std::set<uint64_t> suspects;
 
   std::map<uint64_t, PendingOrder> orders;
   uint64_t results_seen = 0;
--- a/Tests/Jobs/job_world.cc
+++ b/Tests/Jobs/job_world.cc
@@ -694,9 +694,7 @@
 
 auto JobWorld::OnCrash(const TaskName& task) -> void {
   Trace(absl::StrCat("CRASH under ", DescribeTask(task)));
-  if (Crashes(task)) {
-    ++crashes_[DescribeTask(task)];
-  }
+  ++crashes_[DescribeTask(task)];
 }
 
 auto JobWorld::CheckCrashBudget(const std::string& task) -> void {
@@ -793,6 +791,13 @@
          found->second.crashes_after.has_value();
 }
 
+auto JobWorld::MayBeGivenUp(const std::string& job) const -> bool {
+  return std::any_of(
+      crashes_.begin(), crashes_.end(), [&job](const auto& item) -> bool {
+        return item.first.starts_with(job) && item.second >= kCrashesOfATask;
+      });
+}
+
 auto JobWorld::crashes(const std::string& job) const -> int {
   const auto found = crashes_.find(absl::StrCat(job, ".0.0.0"));
   return found == crashes_.end() ? 0 : found->second;
@@ -905,6 +910,9 @@
   } else if (!IsLasting(job)) {
     as_told = state ? *state == JOB_COMPLETED : completed_.contains(job);
   }
+  if (!as_told && state == JOB_FAILED) {
+    as_told = MayBeGivenUp(job);
+  }
   if (!as_told) {
     Problem(absl::StrCat(job, " is ", state ? JobState_Name(*state) : "unknown",
                          " at entry ", entry));
--- a/Tests/Jobs/job_world.h
+++ b/Tests/Jobs/job_world.h
@@ -187,6 +187,9 @@
   // Nor is a task that crashes its workers started for ever.
   auto CheckCrashBudget(const std::string& task) -> void;
   auto Crashes(const TaskName& task) const -> bool;
+  // Whether enough workers have crashed under one of the job's tasks for it to
+  // be given up, also if something beside it was the cause.
+  auto MayBeGivenUp(const std::string& job) const -> bool;
   // What owners keep of jobs and workers is as a look at all of them finds it.
   auto CheckIndexes() -> void;
   auto Problem(const std::string& text) -> void;
@@ -206,8 +209,9 @@
   std::map<std::string, TimePoint> noted_done_;
   std::map<std::string, int> noted_failures_;
   std::map<std::string, int> failed_runs_;
-  // Of tasks that crash their workers: crashes, and starts after the third.
+  // Crashes of workers under tasks, whichever of these was the cause.
   std::map<std::string, int> crashes_;
+  // Starts of tasks that crash their workers, after the third crash.
   std::map<std::string, int> starts_after_crashes_;
   // Runs that ended well.
   std::map<std::string, int> done_runs_;
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -108,6 +108,70 @@
   TaskAgent agent_;
 };
 
+struct CrashTellCase {
+  std::string name;
+  // The start's call was answered before the crash.
+  bool answered = true;
+  // A listing after the start showed no run.
+  bool listed_without = false;
+  bool drains = false;
+  // From the crash to the owner's next orders.
+  milliseconds later{300};
+  bool told = false;
+};
+
+class CrashTellTest : public TaskAgentTest,
+                      public testing::WithParamInterface<CrashTellCase> {};
+
+// Guards against a crash that no later owner hears of, since the worker's next
+// life lists nothing of it.
+TEST_P(CrashTellTest, NextOwnerIsToldWhatACrashEnded) {
+  Beat(kWorker);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  AnswerList();
+  agent_.OnOrders(now_, "owner", WithStart(Orders(1), /*repeated=*/false));
+  if (GetParam().answered) {
+    on_start_(now_, {WorkerCallOutcome::kDone});
+  }
+  now_ += milliseconds(10);
+  if (GetParam().listed_without) {
+    // The listing that was asked for before the start, then one after it.
+    AnswerList();
+    AnswerList();
+  }
+  if (GetParam().drains) {
+    WorkerHeartbeat heartbeat;
+    heartbeat.worker_id = kWorker;
+    heartbeat.sequence = ++beats_;
+    heartbeat.draining = true;
+    agent_.OnHeartbeat(now_, heartbeat);
+  }
+  Beat("life-2");
+  now_ += GetParam().later;
+  agent_.OnOrders(now_, "next", Orders(2));
+  ASSERT_EQ(reports_.back().fence(), 2U);
+  ASSERT_EQ(reports_.back().crashed_size(), GetParam().told ? 1 : 0);
+  if (GetParam().told) {
+    EXPECT_EQ(reports_.back().crashed(0).run(), 10U);
+    EXPECT_EQ(reports_.back().crashed(0).task().job(), "job");
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    CrashTellTest,
+    testing::Values(CrashTellCase{"started", true, false, false,
+                                  milliseconds(300), true},
+                    CrashTellCase{"start_without_an_answer", false, false,
+                                  false, milliseconds(300), true},
+                    CrashTellCase{"long_ago", true, false, false,
+                                  milliseconds(60000), false},
+                    CrashTellCase{"over_before", true, true, false,
+                                  milliseconds(300), false},
+                    CrashTellCase{"drained_before", true, false, true,
+                                  milliseconds(300), false}),
+    [](const auto& info) { return info.param.name; });
+
 struct LeaveCase {
   std::string name;
   // Lives of the worker that the agent has heard of, and the one that leaves.
