Tasks: Give a task up whose instances start anew soon after its start

Now the agent, which alone knows how long an attempt had run, ends it as CRASHED if that was under 10 s; the end is told until the log has it, so it survives the owner. A task is over after as many as its attempts, three at least. tasks_explorer_test and tasks_outage_test pass. Left: an instance that is away until its leases are over is LOST as before, whatever it was lost of.

--- a/Source/Tasks/cell_fold.cc
+++ b/Source/Tasks/cell_fold.cc
@@ -168,8 +168,12 @@
   if (end.outcome() == schema::FAILED) {
     state.set_failures(state.failures() + 1);
   }
+  if (end.outcome() == schema::CRASHED) {
+    state.set_crashes(state.crashes() + 1);
+  }
   if (end.outcome() == schema::EVICTED) {
     state.set_evictions(state.evictions() + 1);
+    state.set_crashes(0);
   }
   if (end.outcome() == schema::FINISHED) {
     Compact(&state);
--- a/Source/Tasks/keeper_worker.cc
+++ b/Source/Tasks/keeper_worker.cc
@@ -16,6 +16,9 @@
 constexpr int kClockReadingIntervals = 5;
 constexpr std::chrono::milliseconds kClockMargin{50};
 constexpr int kCheckpointTries = 3;
+// An attempt that has run for this long did not crash its instance by its
+// start.
+constexpr std::chrono::seconds kSoundAfter{10};
 
 }  // namespace
 
@@ -151,10 +154,29 @@
   usage_.Note(now, status);
 }
 
+auto KeeperWorker::MayHaveCrashed(const KeeperTask& task) const -> bool {
+  switch (task.phase) {
+    case KeeperTask::Phase::kStarting:
+    case KeeperTask::Phase::kUnresolved:
+      return true;
+    case KeeperTask::Phase::kRunning:
+      // Until the last status of the incarnation before.
+      return status_asked_ - task.running_since < kSoundAfter;
+    default:
+      return false;
+  }
+}
+
 auto KeeperWorker::OnNewIncarnation(uint64_t incarnation) -> void {
   incarnation_ = incarnation;
   // Nothing of the earlier incarnation runs. Its owner learns that from the
-  // new incarnation; only ends that the worker told are still reported.
+  // new incarnation; but only this agent knows what had just begun, which may
+  // be what the instance crashed of.
+  for (auto& [key, task] : table_->all()) {
+    if (MayHaveCrashed(task)) {
+      End(&task, schema::CRASHED, "the instance started anew");
+    }
+  }
   std::erase_if(table_->all(),
                 [](const auto& task) { return !task.second.over(); });
   for (auto& [key, task] : table_->all()) {
--- a/Source/Tasks/keeper_worker.h
+++ b/Source/Tasks/keeper_worker.h
@@ -57,6 +57,9 @@
                 TimePoint asked,
                 const schema::WorkerStatus& status) -> void;
   auto OnNewIncarnation(uint64_t incarnation) -> void;
+  // Whether the attempt had begun so shortly before the worker's end that it
+  // may be the cause.
+  auto MayHaveCrashed(const KeeperTask& task) const -> bool;
   auto OnWorkerTask(TimePoint now, const schema::WorkerTask& seen) -> void;
   auto NoteAbsent(TimePoint asked, const std::set<std::string>& present)
       -> void;
--- a/Source/Tasks/owner_messages.cc
+++ b/Source/Tasks/owner_messages.cc
@@ -184,6 +184,7 @@
   }
   schema::TaskOutcome outcome = ended.outcome();
   const bool stopped = outcome == schema::EVICTED || outcome == schema::LOST ||
+                       outcome == schema::CRASHED ||
                        outcome == schema::CANCELLED;
   // An agent that restarted no longer knows why it stopped a task.
   if (stopped && attempt->stop == Stop::kCancel) {
--- a/Source/Tasks/owner_scheduler.cc
+++ b/Source/Tasks/owner_scheduler.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "Tasks/resource_math.h"
@@ -14,6 +15,9 @@
 // As bad as a service slowed down by a factor e: tried elsewhere first.
 constexpr double kFailedHereCost = 1;
 
+// A task that only ran beside the cause is hardly there so often.
+constexpr uint32_t kFewestCrashes = 3;
+
 auto JobName(const std::string& partner, const std::string& job)
     -> std::string {
   return absl::StrCat(partner, "/", job);
@@ -22,9 +26,10 @@
 }  // namespace
 
 auto IsOver(const RegisterJob& job, const schema::TaskState& state) -> bool {
+  const uint32_t attempts = job.job.max_attempts();
   return job.job.cancelled() || state.last_outcome() == schema::FINISHED ||
-         (job.job.max_attempts() > 0 &&
-          state.failures() >= job.job.max_attempts());
+         (attempts > 0 && state.failures() >= attempts) ||
+         state.crashes() >= std::max(kFewestCrashes, attempts);
 }
 
 OwnerScheduler::OwnerScheduler(const OwnerOptions& options,
--- a/Source/Tasks/owner_views.cc
+++ b/Source/Tasks/owner_views.cc
@@ -90,8 +90,10 @@
     return absl::StrCat("waiting: ", scheduler_->Explain(now, task).text);
   }
   if (what == "failed") {
-    return absl::StrCat("failed: gave up after ", state->failures(),
-                        " failures, the last: ", state->detail());
+    return absl::StrCat(
+        "failed: gave up after ", state->failures(), " failures and ",
+        state->crashes(),
+        " crashes of its instance, the last: ", state->detail());
   }
   if (state != nullptr && state->placed()) {
     return absl::StrCat(what, ": attempt ", state->attempt(), " on ",
