Jobs: Tell the owner at once when a worker's capacity changes

A worker's room may shrink while it runs tasks, and some workers start what goes beyond it. The owner heard of it with its next poll, up to 0.3 s later, or after a poll that was lost; the agent's report now goes with the heartbeat, as it does for a worker that drains. ChangedCapacityIsToldAtOnce failed before. That the owner places nothing beyond the shrunk room, and counts what is being stopped, held before: the nine cases of jobs_capacity_test passed on the code as it was.

--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -19,6 +19,13 @@
           .count());
 }
 
+auto SameAmounts(const schema::Resources& left, const schema::Resources& right)
+    -> bool {
+  return left.millicores() == right.millicores() &&
+         left.memory_mb() == right.memory_mb() &&
+         left.accelerators() == right.accelerators();
+}
+
 }  // namespace
 
 TaskAgent::TaskAgent(TaskAgentOptions options, TaskAgentHooks hooks)
@@ -67,8 +74,9 @@
       return true;
     }
     const bool drains = heartbeat.draining && !heartbeat_.draining;
+    const bool resized = !SameAmounts(heartbeat.capacity, heartbeat_.capacity);
     heartbeat_ = heartbeat;
-    if (drains) {
+    if (drains || resized) {
       Report(now, /*with_running=*/true);
     }
     return true;
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -108,6 +108,24 @@
   TaskAgent agent_;
 };
 
+// Guards against starts that rest on room that the worker has no more: its
+// owner hears of the change with the heartbeat, not with the next poll.
+TEST_F(TaskAgentTest, ChangedCapacityIsToldAtOnce) {
+  agent_.OnOrders(now_, "owner", Orders(1));
+  WorkerHeartbeat heartbeat;
+  heartbeat.worker_id = kWorker;
+  for (const uint32_t millicores : {4000U, 4000U, 1000U, 4000U}) {
+    heartbeat.sequence = ++beats_;
+    heartbeat.capacity.set_millicores(millicores);
+    const auto told = reports_.size();
+    agent_.OnHeartbeat(now_, heartbeat);
+    if (beats_ > 2) {
+      ASSERT_EQ(reports_.size(), told + 1);
+      EXPECT_EQ(reports_.back().capacity().millicores(), millicores);
+    }
+  }
+}
+
 struct CrashTellCase {
   std::string name;
   // The start's call was answered before the crash.
