Jobs: Tell what a crash ended only until it is in the log

Rows of crashed runs went with every report for 30 s. A worker that crashes every 3.3 s with 66 runs would have brought some 600 rows, 40 KB, to each report, by the row's size, not by a run. The owner now says which rows its stored records cover, and the agent drops these.

--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -69,6 +69,8 @@
   agents_to_note_.clear();
   batch_grants_.clear();
   batch_out_ = false;
+  crashes_due_.clear();
+  batch_crashes_.clear();
   ends_due_.clear();
   batch_ends_.clear();
   next_order_ = 1;
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -173,6 +173,12 @@
     kCrashed,
   };
 
+  // A row of what crashes ended, by the process of the agent that numbers it.
+  struct CrashRow {
+    uint64_t incarnation = 0;
+    uint64_t number = 0;
+  };
+
   struct SlowedFiller {
     TaskPlace place;
     uint64_t run = 0;
@@ -245,8 +251,7 @@
   auto OnFailed(TimePoint now, WorkerView& worker, const TaskPlace& place)
       -> void;
   // What agents tell of crashes of their workers.
-  auto OnCrashedRuns(const WorkerView& worker, const AgentReport& report)
-      -> void;
+  auto OnCrashedRuns(WorkerView& worker, const AgentReport& report) -> void;
   // The agent has started anew since, and cannot tell.
   auto NoteUnseenCrash(const WorkerView& worker) -> void;
   // Holds the crash against the task; false if that was done before.
@@ -314,6 +319,8 @@
 
   // Records for the log.
   auto AddEnds(std::vector<KeyedRecord>* records) -> void;
+  auto AddCrashes() -> void;
+  auto OnCrashesStored() -> void;
   auto AddRoster(std::vector<KeyedRecord>* records) -> void;
   auto AddGrants(std::vector<KeyedRecord>* records) -> void;
   auto OnGrantsNoted() -> void;
@@ -406,6 +413,10 @@
   // under way.
   std::set<std::string> ends_due_;
   std::map<std::string, WorkerEnds> batch_ends_;
+  // Agents that have told of crashes; those of the batch under way, with the
+  // newest row that it covers.
+  std::set<std::string> crashes_due_;
+  std::map<std::string, CrashRow> batch_crashes_;
   TimePoint due_at_ = TimePoint::max();
   TimePoint retry_at_ = TimePoint::max();
 };
--- a/Source/Jobs/owner_crashes.cc
+++ b/Source/Jobs/owner_crashes.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Jobs/job_owner.h"
@@ -10,10 +11,20 @@
 // What crashes of workers say of the tasks that ran there.
 namespace rhubarbhaven::jobs {
 
-auto JobOwner::OnCrashedRuns(const WorkerView& worker,
-                             const AgentReport& report) -> void {
+auto JobOwner::OnCrashedRuns(WorkerView& worker, const AgentReport& report)
+    -> void {
+  if (worker.crashes_of_incarnation != report.incarnation()) {
+    worker.crashes_of_incarnation = report.incarnation();
+    worker.crashes_taken = 0;
+    worker.crashes_logged = 0;
+  }
   std::map<std::string, std::vector<TaskPlace>> noted;
   for (const auto& row : report.crashed()) {
+    if (row.number() <= worker.crashes_taken) {
+      continue;
+    }
+    worker.crashes_taken = row.number();
+    crashes_due_.insert(worker.agent);
     const auto place = Locate(row.task());
     if (place && NoteCrash(worker, *place, row.run(),
                            std::chrono::milliseconds(row.ran_ms()))) {
@@ -68,6 +79,28 @@
   }
 }
 
+auto JobOwner::AddCrashes() -> void {
+  batch_crashes_.clear();
+  for (const auto& name : std::exchange(crashes_due_, {})) {
+    const auto found = workers_.find(name);
+    if (found != workers_.end()) {
+      const WorkerView& worker = *found->second;
+      batch_crashes_[name] = {worker.crashes_of_incarnation,
+                              worker.crashes_taken};
+    }
+  }
+}
+
+auto JobOwner::OnCrashesStored() -> void {
+  for (const auto& [name, row] : std::exchange(batch_crashes_, {})) {
+    const auto found = workers_.find(name);
+    if (found != workers_.end() &&
+        found->second->crashes_of_incarnation == row.incarnation) {
+      found->second->crashes_logged = row.number;
+    }
+  }
+}
+
 auto JobOwner::ClearSuspects(TimePoint now, WorkerView& worker) -> void {
   const auto suspects = worker.suspects;
   for (const uint64_t number : suspects) {
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -359,6 +359,8 @@
   orders.set_worker_id(worker.worker_id);
   orders.set_ends_logged(worker.ends_logged);
   orders.set_results_seen(worker.results_seen);
+  orders.set_crashes_logged(worker.crashes_logged);
+  orders.set_crashes_of_incarnation(worker.crashes_of_incarnation);
   orders.set_pacing_version(worker.pacing_version);
   if (worker.agent_pacing_version != worker.pacing_version) {
     AddPacedRuns(worker, &orders);
--- a/Source/Jobs/owner_records.cc
+++ b/Source/Jobs/owner_records.cc
@@ -19,6 +19,7 @@
           MakeRecord(RecordKind::kProgress, id, found->second->Progress()));
     }
   }
+  AddCrashes();
   AddEnds(&records);
   AddRoster(&records);
   AddGrants(&records);
@@ -32,6 +33,10 @@
         MakeRecord(RecordKind::kPressures, "", interference_.Learned()));
   }
   batch_out_ = !records.empty();
+  if (!batch_out_) {
+    // Crashes of which nothing is to be stored.
+    OnCrashesStored();
+  }
   return records;
 }
 
@@ -110,6 +115,7 @@
 
 auto JobOwner::OnBatchStored() -> void {
   batch_out_ = false;
+  OnCrashesStored();
   OnGrantsNoted();
   batch_drops_.clear();
   for (const auto& [name, ends] : std::exchange(batch_ends_, {})) {
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -58,6 +58,9 @@
     lease_until_ = std::max(
         lease_until_, from + std::chrono::milliseconds(orders.lease_ttl_ms()));
   }
+  if (orders.crashes_of_incarnation() == options_.incarnation) {
+    ForgetCrashes(now, orders.crashes_logged());
+  }
   TakeOrders(orders);
   RunOrders(now);
   ListIfDue(now);
@@ -144,6 +147,7 @@
   }
   for (auto run : crashed) {
     run.set_worker_id(heartbeat_.worker_id);
+    run.set_number(next_crash_++);
     hooks_.log("crashed", run.task(), run.run(),
                absl::StrCat("its worker has crashed, it ran for ", run.ran_ms(),
                             " ms"));
@@ -151,6 +155,13 @@
   }
 }
 
+auto TaskAgent::ForgetCrashes(TimePoint now, uint64_t stored) -> void {
+  while (!crashes_.empty() && (crashes_.front().until < now ||
+                               crashes_.front().run.number() <= stored)) {
+    crashes_.pop_front();
+  }
+}
+
 auto TaskAgent::ResetWorker(TimePoint now) -> void {
   ++epoch_;
   for (const auto& [number, order] : orders_) {
@@ -301,9 +312,7 @@
   report.set_worker_silent(silent_since_ &&
                            now - *silent_since_ > options_.silent_after);
   report.set_worker_lapsed(worker_left_ || LeaseLapsed(now));
-  while (!crashes_.empty() && crashes_.front().until < now) {
-    crashes_.pop_front();
-  }
+  ForgetCrashes(now, 0);
   for (const auto& crash : crashes_) {
     *report.add_crashed() = crash.run;
   }
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -35,8 +35,8 @@
   std::chrono::milliseconds longest_lease{10000};
   // A worker's clock may be slow by this share.
   double worker_clock_drift = 0.02;
-  // How long owners are told what a crash of the worker ended: until the next
-  // one has taken over and stored it, also if the log is away for a while.
+  // How long owners are told what a crash of the worker ended, if none stores
+  // it: longer than a takeover while the log is away.
   std::chrono::milliseconds tell_crashes{30000};
 };
 
@@ -109,6 +109,8 @@
   auto ResetWorker(TimePoint now) -> void;
   // The worker has another life, and the one before did not leave.
   auto NoteCrash(TimePoint now) -> void;
+  // Those that an owner has stored, and old ones.
+  auto ForgetCrashes(TimePoint now, uint64_t stored) -> void;
   auto RunOrders(TimePoint now) -> void;
   // Ends orders to a worker whose lease has run out. Calls of before are too
   // late for it by now: nothing of them is there, or will be. Left open, their
@@ -174,6 +176,7 @@
     CrashedRun run;
   };
   std::deque<ToldCrash> crashes_;
+  uint64_t next_crash_ = 1;
 
   bool listing_under_way_ = false;
   TimePoint list_not_before_;
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -122,6 +122,10 @@
   // Newest end that was taken in, and newest that is in the log.
   uint64_t ends_taken = 0;
   uint64_t ends_logged = 0;
+  // The same of what crashes ended, as told by one process of the agent.
+  uint64_t crashes_of_incarnation = 0;
+  uint64_t crashes_taken = 0;
+  uint64_t crashes_logged = 0;
   uint64_t pacing_version = 1;
   uint64_t agent_pacing_version = 0;
 
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -37,6 +37,7 @@
     JobOwnerHooks hooks;
     hooks.send = [this](const std::string& agent, const AgentOrders& orders) {
       ++polls_[agent];
+      crashes_logged_[agent] = orders.crashes_logged();
       granted_ += orders.granted_from_us() > 0 ? 1 : 0;
       for (const auto& start : orders.starts()) {
         starts_[agent][start.order()] = start;
@@ -198,6 +199,8 @@
   QueueRules rules_;
   JobFold fold_;
   std::map<std::string, int> polls_;
+  // Of the latest poll.
+  std::map<std::string, uint64_t> crashes_logged_;
   // Orders with a lease.
   int granted_ = 0;
   std::map<std::string, std::map<uint64_t, StartOrder>> starts_;
--- a/Tests/Jobs/owner_crashes_test.cc
+++ b/Tests/Jobs/owner_crashes_test.cc
@@ -109,6 +109,7 @@
         row->set_run(start.run());
         row->set_ran_ms(static_cast<uint64_t>(ran.count()));
         row->set_worker_id("life-before");
+        row->set_number(++crash_rows_);
       }
     }
     now_ += milliseconds(100);
@@ -145,6 +146,7 @@
     ReportWorkers();
   }
 
+  uint64_t crash_rows_ = 0;
   std::map<std::string, int> lives_;
   std::map<std::string, uint64_t> incarnations_;
 };
@@ -174,6 +176,22 @@
   EXPECT_EQ(State(), JOB_FAILED);
 }
 
+// Guards against an agent that is let go of what its owner has not stored, and
+// against one that tells it for ever.
+TEST_F(OwnerCrashesTest, CrashIsAcknowledgedOnceItIsStored) {
+  Play({Step(1)});
+  const std::string agent = PlaceOf(0);
+  StoreBatch();
+  Crash(agent, /*told=*/true);
+  now_ += seconds(1);
+  owner_.Tick(now_);
+  EXPECT_EQ(crashes_logged_[agent], 0U);
+  StoreBatch();
+  now_ += seconds(1);
+  owner_.Tick(now_);
+  EXPECT_EQ(crashes_logged_[agent], crash_rows_);
+}
+
 // Guards against a gang that is given up sooner for having more members.
 TEST_F(OwnerCrashesTest, RunOfAGangCountsOnce) {
   auto step = Step(4);
@@ -237,6 +255,7 @@
       row->mutable_task()->set_index(index);
       row->set_run(run);
       row->set_worker_id("earlier-life-" + std::to_string(run));
+      row->set_number(++crash_rows_);
     }
   }
   Report(agent, report);
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -190,6 +190,25 @@
                                   milliseconds(300), false}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against reports that grow with each crash of a worker that crashes
+// again and again.
+TEST_F(TaskAgentTest, StoredCrashesAreToldNoMore) {
+  Beat(kWorker);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  AnswerList();
+  agent_.OnOrders(now_, "owner", WithStart(Orders(1), /*repeated=*/false));
+  on_start_(now_, {WorkerCallOutcome::kDone});
+  Beat("life-2");
+  auto orders = Orders(1);
+  orders.set_crashes_logged(1);
+  orders.set_crashes_of_incarnation(99);
+  agent_.OnOrders(now_, "owner", orders);
+  EXPECT_EQ(reports_.back().crashed_size(), 1) << "stored of another process";
+  orders.set_crashes_of_incarnation(0);
+  agent_.OnOrders(now_, "owner", orders);
+  EXPECT_EQ(reports_.back().crashed_size(), 0);
+}
+
 struct LeaveCase {
   std::string name;
   // Lives of the worker that the agent has heard of, and the one that leaves.
