Tests: Say what an entry that does not get ready knows

The known-red case of a restarted entry that is not ready in 60 s left nothing that tells whether it misses an agent or does not answer at all. Not run to a failure yet.

--- a/Tests/Support/deployment.cc
+++ b/Tests/Support/deployment.cc
@@ -12,6 +12,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <utility>
 
 namespace rhubarbhaven::test {
@@ -201,11 +202,18 @@
 }
 
 auto Deployment::WaitReady(int entry, int agents) -> bool {
-  return WaitFor(
+  const bool ready = WaitFor(
       [this, entry, agents]() -> bool {
         return EndpointsInState(entry, "ready") == agents;
       },
       kPatience);
+  if (!ready) {
+    // Tells an entry that misses an agent from one that does not answer.
+    std::cerr << Name("entry", entry)
+              << " is not ready, it says: " << Status(entry).ShortDebugString()
+              << std::endl;
+  }
+  return ready;
 }
 
 auto Deployment::Apply(const std::vector<std::string>& jobs,
