Jobs: Let no task wait long for a worker without suspects

A task on its last try starts only where no other suspect runs. In a small cell after many crashes each worker may run one, and a task that lasts would have stayed down with room for it. It now waits 1.5 s at most. The test fails without the bound by how it is built (a fifth task, four workers that each run a suspect); not run that way.

--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -16,6 +16,8 @@
 // Starts in one turn. Reports that wait meanwhile may renew leases.
 constexpr int kMostStartsAtOnce = 100;
 constexpr std::chrono::seconds kTellLag{1};
+// A task that waits for a worker without suspects is looked at again.
+constexpr std::chrono::milliseconds kTryApartAgain{200};
 
 // Gives an order for the first time, or again.
 auto AddOrder(PendingOrder& order, TimePoint now, AgentOrders* orders) -> void {
@@ -94,8 +96,10 @@
     WorkerView* worker = ChoosePlace(now, changes_.Since(step.refused_at),
                                      place, interference_, limits);
     if (worker == nullptr && place.crashes().on_last_try()) {
-      // It alone is refused for what may crash its worker.
+      // It alone may be refused for what could crash its worker, and only for a
+      // while.
       NoteWaiting(now, place, limits);
+      retry_at_ = std::min(retry_at_, now + kTryApartAgain);
       continue;
     }
     if (worker == nullptr) {
--- a/Source/Jobs/place_choice.cc
+++ b/Source/Jobs/place_choice.cc
@@ -40,6 +40,8 @@
 // For a task that will be held to be the cause if its worker crashes again, by
 // what that worker's crash would end.
 constexpr double kLastTryCost = 4.0;
+// It waits no longer for a worker without suspects: what lasts has to run.
+constexpr std::chrono::milliseconds kApartFor{1500};
 
 auto Fits(const WorkerView& worker, const JobStep& step) -> bool {
   auto need = RoomOf(step.need());
@@ -84,6 +86,12 @@
          limit;
 }
 
+// Whether the task still waits for a worker on which no other suspect runs.
+auto WaitsForItself(TimePoint now, const TaskPlace& place) -> bool {
+  return place.crashes().on_last_try() &&
+         now - place.task().waiting_since < kApartFor;
+}
+
 auto RefusalOf(TimePoint now,
                const WorkerView& worker,
                const TaskPlace& place,
@@ -113,7 +121,7 @@
   if (AtStepLimit(worker, place, limits)) {
     return PlaceRefusal::kStepLimit;
   }
-  return place.crashes().on_last_try() && !worker.suspects.empty()
+  return WaitsForItself(now, place) && !worker.suspects.empty()
              ? PlaceRefusal::kSuspects
              : PlaceRefusal::kNone;
 }
--- a/Tests/Jobs/owner_crashes_test.cc
+++ b/Tests/Jobs/owner_crashes_test.cc
@@ -266,6 +266,42 @@
   EXPECT_EQ(State(), JOB_FAILED);
 }
 
+// Guards against a task that lasts staying down, with room for it, as each
+// worker runs some suspect.
+TEST_F(OwnerCrashesTest, TaskOnItsLastTryWaitsForAWorkerOfItsOwnNotForLong) {
+  auto step = Step(5);
+  step.set_long_running(true);
+  PutJob({step});
+  Begin();
+  auto report = ReportOfLife("agent-0");
+  for (uint64_t run = 1; run <= 2; ++run) {
+    for (uint32_t index = 0; index < 5; ++index) {
+      auto* row = report.add_crashed();
+      row->mutable_task()->set_job(kId);
+      row->mutable_task()->set_index(index);
+      row->set_run(run);
+      row->set_worker_id("earlier-life-" + std::to_string(run));
+      row->set_number(++crash_rows_);
+    }
+  }
+  Report("agent-0", report);
+  ReportWorkers();
+  const auto running = [this]() -> std::size_t {
+    std::size_t runs = 0;
+    for (const auto& [agent, worker] : owner_.workers()) {
+      runs += worker->runs.size();
+    }
+    return runs;
+  };
+  ASSERT_EQ(running(), 4U) << "one worker for each";
+  now_ += milliseconds(700);
+  ReportWorkers();
+  EXPECT_EQ(running(), 4U);
+  now_ += milliseconds(850);
+  ReportWorkers();
+  EXPECT_EQ(running(), 5U);
+}
+
 // Guards against the end of a worker as planned being held against its tasks.
 TEST_F(OwnerCrashesTest, WorkerThatDrainedHasNotCrashed) {
   Play({Step(1)});
