--- a/Source/Jobs/crash_record.cc
+++ b/Source/Jobs/crash_record.cc
@@ -5,8 +5,8 @@
 namespace rhubarbhaven::jobs {
 namespace {
 
-constexpr uint32_t kCrashesToAccuse = 3;
-constexpr uint32_t kCrashesToConvict = 5;
+constexpr uint32_t kCrashesOfLikelyCause = 3;
+constexpr uint32_t kCrashesOfCertainCause = 5;
 // More than are told again by agents at once.
 constexpr std::size_t kMostRuns = 8;
 
@@ -32,17 +32,17 @@
 }
 
 auto CrashRecord::on_last_try() const -> bool {
-  return in_row + (unclear ? 1 : 0) + 1 >= kCrashesToAccuse;
+  return in_row + (unclear ? 1 : 0) + 1 >= kCrashesOfLikelyCause;
 }
 
-auto CrashRecord::accused() const -> bool {
-  return in_row >= kCrashesToAccuse;
+auto CrashRecord::likely_cause() const -> bool {
+  return in_row >= kCrashesOfLikelyCause;
 }
 
-auto CrashRecord::convicted(bool long_running) const -> bool {
+auto CrashRecord::certain_cause(bool long_running) const -> bool {
   // What lasts meets as many crashes of others in time.
-  return in_row >= kCrashesToConvict ||
-         (!long_running && in_all >= kCrashesToConvict);
+  return in_row >= kCrashesOfCertainCause ||
+         (!long_running && in_all >= kCrashesOfCertainCause);
 }
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/crash_record.h
+++ b/Source/Jobs/crash_record.h
@@ -29,13 +29,13 @@
   auto Clear() -> void;
   // Whether the task may be what crashed its latest worker.
   auto suspected() const -> bool { return in_row > 0 || unclear; }
-  // Whether one more crash may convict the task.
+  // Whether one more crash may show the task to be the cause.
   auto on_last_try() const -> bool;
   // Whether the crashes are enough to hold the task to be their cause, if no
   // other task is as suspect.
-  auto accused() const -> bool;
+  auto likely_cause() const -> bool;
   // Whether they are enough whatever else was there.
-  auto convicted(bool long_running) const -> bool;
+  auto certain_cause(bool long_running) const -> bool;
 };
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -322,6 +322,7 @@
 
   // Records for the log.
   auto AddEnds(std::vector<KeyedRecord>* records) -> void;
+  // Which of the crashes that were told the batch covers.
   auto AddCrashes() -> void;
   auto OnCrashesStored() -> void;
   auto AddRoster(std::vector<KeyedRecord>* records) -> void;
--- a/Source/Jobs/owner_crashes.cc
+++ b/Source/Jobs/owner_crashes.cc
@@ -64,13 +64,13 @@
 }
 
 auto JobOwner::GiveUpCause(const std::vector<TaskPlace>& crashed) -> void {
-  const auto accused = std::count_if(
+  const auto likely = std::count_if(
       crashed.begin(), crashed.end(),
-      [](const TaskPlace& place) { return place.crashes().accused(); });
+      [](const TaskPlace& place) { return place.crashes().likely_cause(); });
   for (const auto& place : crashed) {
     const auto& crashes = place.crashes();
-    const bool cause = crashes.convicted(place.spec().long_running()) ||
-                       (crashes.accused() && accused == 1);
+    const bool cause = crashes.certain_cause(place.spec().long_running()) ||
+                       (crashes.likely_cause() && likely == 1);
     if (cause && place.work->open()) {
       Log("given_up", place, 0, nullptr, "it crashes its workers");
       SetState(*place.work, JOB_FAILED);
--- a/Source/Jobs/place_choice.h
+++ b/Source/Jobs/place_choice.h
@@ -44,7 +44,7 @@
   kNoRoom,
   // Enough tasks of the step run there.
   kStepLimit,
-  // One more crash convicts the task, and what else runs there may cause it.
+  // One more crash shows the task to be the cause, unless another one is.
   kSuspects,
 };
 
--- a/Tests/Jobs/owner_crashes_test.cc
+++ b/Tests/Jobs/owner_crashes_test.cc
@@ -19,8 +19,8 @@
   // How long the runs went on before their workers crashed.
   std::vector<milliseconds> ran;
   bool long_running = false;
-  bool accused = false;
-  bool convicted = false;
+  bool likely_cause = false;
+  bool certain_cause = false;
 };
 
 class CrashRecordTest : public testing::TestWithParam<RecordCase> {};
@@ -32,8 +32,9 @@
     EXPECT_TRUE(record.Note(++run, ran));
     EXPECT_FALSE(record.Note(run, ran)) << "counts a run twice";
   }
-  EXPECT_EQ(record.accused(), GetParam().accused);
-  EXPECT_EQ(record.convicted(GetParam().long_running), GetParam().convicted);
+  EXPECT_EQ(record.likely_cause(), GetParam().likely_cause);
+  EXPECT_EQ(record.certain_cause(GetParam().long_running),
+            GetParam().certain_cause);
 }
 
 INSTANTIATE_TEST_SUITE_P(
