--- a/Tests/Jobs/job_world.cc
+++ b/Tests/Jobs/job_world.cc
@@ -149,7 +149,7 @@
 
 auto JobWorld::SubmitCrashing(const JobStep& step,
                               std::chrono::milliseconds after) -> std::string {
-  const std::string id = SubmitStep(step);
+  std::string id = SubmitStep(step);
   submitted_[id].crashes_after = after;
   return id;
 }
