Jobs: Grant a lease to one process of an agent

Cause: an owner grants from the time on the agent's clock that was reported last. An agent that comes back after a loss of power counts from zero, and the first orders that reach it still name a time of before: its lease held until the new clock would have got there, some 18 s longer than the owner reckoned.

Orders name the process that the grant is for; an agent takes none for another process, or from a time that it has not reached. Tasks/ numbers requests by process and is not concerned.

--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -68,7 +68,10 @@
     worker.ends_logged = fold_->ends_logged(worker.worker_id);
     worker.ends_taken = worker.ends_logged;
   }
-  worker.agent_incarnation = report.incarnation();
+  if (worker.agent_incarnation != report.incarnation()) {
+    worker.agent_incarnation = report.incarnation();
+    worker.reported_us = 0;
+  }
   const bool accepted = worker.Accepts(now);
   const Room capacity = worker.capacity;
   const bool other =
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -356,6 +356,7 @@
   orders.set_owner_incarnation(options_.incarnation);
   if (worker.reported_us > 0 && worker.grants_noted) {
     orders.set_granted_from_us(worker.reported_us);
+    orders.set_granted_to_incarnation(worker.agent_incarnation);
     orders.set_lease_ttl_ms(static_cast<uint64_t>(options_.lease_ttl.count()));
     worker.lease_bound =
         std::max(worker.lease_bound, LeaseBound(worker.reported_at));
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -53,11 +53,7 @@
     // it ordered before must not start under a later lease.
     ++lease_number_;
   }
-  if (orders.granted_from_us() > 0) {
-    const TimePoint from{std::chrono::microseconds(orders.granted_from_us())};
-    lease_until_ = std::max(
-        lease_until_, from + std::chrono::milliseconds(orders.lease_ttl_ms()));
-  }
+  TakeLease(now, orders);
   if (orders.crashes_of_incarnation() == options_.incarnation) {
     ForgetCrashes(now, orders.crashes_logged());
   }
@@ -67,6 +63,20 @@
   Report(now, /*with_running=*/true);
 }
 
+auto TaskAgent::TakeLease(TimePoint now, const AgentOrders& orders) -> void {
+  const TimePoint from{std::chrono::microseconds(orders.granted_from_us())};
+  // Of an earlier process, whose clock may have been far ahead of this one: the
+  // lease would outlast all that the owner reckons with.
+  const bool of_another_process =
+      orders.granted_to_incarnation() != 0 &&
+      orders.granted_to_incarnation() != options_.incarnation;
+  if (orders.granted_from_us() == 0 || of_another_process || from > now) {
+    return;
+  }
+  lease_until_ = std::max(
+      lease_until_, from + std::chrono::milliseconds(orders.lease_ttl_ms()));
+}
+
 auto TaskAgent::OnHeartbeat(TimePoint now, const WorkerHeartbeat& heartbeat)
     -> bool {
   if (ended_lives_.contains(heartbeat.worker_id)) {
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -105,6 +105,8 @@
   using OrderPtr = std::shared_ptr<Order>;
 
   auto AdoptFence(TimePoint now, uint64_t fence) -> void;
+  // Renews the lease, if the orders do and mean this process.
+  auto TakeLease(TimePoint now, const AgentOrders& orders) -> void;
   auto TakeOrders(const AgentOrders& orders) -> void;
   auto ResetWorker(TimePoint now) -> void;
   // The worker has another life, and the one before did not leave.
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -39,6 +39,7 @@
       ++polls_[agent];
       crashes_logged_[agent] = orders.crashes_logged();
       granted_ += orders.granted_from_us() > 0 ? 1 : 0;
+      latest_[agent] = orders;
       for (const auto& start : orders.starts()) {
         starts_[agent][start.order()] = start;
       }
@@ -201,6 +202,7 @@
   std::map<std::string, int> polls_;
   // Of the latest poll.
   std::map<std::string, uint64_t> crashes_logged_;
+  std::map<std::string, AgentOrders> latest_;
   // Orders with a lease.
   int granted_ = 0;
   std::map<std::string, std::map<uint64_t, StartOrder>> starts_;
--- a/Tests/Jobs/owner_agents_test.cc
+++ b/Tests/Jobs/owner_agents_test.cc
@@ -30,6 +30,30 @@
   EXPECT_EQ(Starts(), 1U);
 }
 
+// Guards against a lease by the clock of a process that is gone: after a loss of
+// power the next one counts from zero.
+TEST_F(JobOwnerTest, GrantNamesTheProcessWhoseClockItIsOf) {
+  constexpr uint64_t kFirst = 11;
+  constexpr uint64_t kSecond = 12;
+  constexpr uint64_t kLongUp = 1'000'000'000;
+  Begin();
+  auto report = ReportOf("agent-0");
+  report.set_incarnation(kFirst);
+  report.set_sent_us(kLongUp);
+  Report("agent-0", report);
+  now_ += seconds(1);
+  owner_.Tick(now_);
+  EXPECT_EQ(latest_["agent-0"].granted_from_us(), kLongUp);
+  EXPECT_EQ(latest_["agent-0"].granted_to_incarnation(), kFirst);
+  report.set_incarnation(kSecond);
+  report.set_sent_us(1);
+  Report("agent-0", report);
+  now_ += seconds(1);
+  owner_.Tick(now_);
+  EXPECT_EQ(latest_["agent-0"].granted_from_us(), 1U);
+  EXPECT_EQ(latest_["agent-0"].granted_to_incarnation(), kSecond);
+}
+
 TEST_F(JobOwnerTest, WorkerThatLeftLosesItsRuns) {
   PutJob({Step(1)});
   Begin();
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -16,11 +16,18 @@
 using std::chrono::milliseconds;
 
 constexpr char kWorker[] = "life-1";
+constexpr uint64_t kIncarnation = 5;
 
 // An agent whose calls to the worker are kept until the test answers them.
 class TaskAgentTest : public testing::Test {
  protected:
-  TaskAgentTest() : agent_(TaskAgentOptions(), Hooks()) {}
+  TaskAgentTest() : agent_(Options(), Hooks()) {}
+
+  static auto Options() -> TaskAgentOptions {
+    TaskAgentOptions options;
+    options.incarnation = kIncarnation;
+    return options;
+  }
 
   auto Hooks() -> TaskAgentHooks {
     TaskAgentHooks hooks;
@@ -108,6 +115,49 @@
   TaskAgent agent_;
 };
 
+struct LeaseCase {
+  std::string name;
+  // The process that the grant names.
+  uint64_t incarnation = 0;
+  // From the agent's time to that of the grant.
+  milliseconds ahead{0};
+  bool starts = false;
+};
+
+class LeaseTest : public TaskAgentTest,
+                  public testing::WithParamInterface<LeaseCase> {};
+
+// Guards against a lease that outlasts what the owner reckons with: after a loss
+// of power the agent's clock begins at zero, and the first orders still name the
+// time of the process before it. In a cut, the worker's tasks then went on while
+// they were started elsewhere.
+TEST_P(LeaseTest, HoldsOnlyForTheProcessThatItWasGrantedTo) {
+  Beat(kWorker);
+  auto orders = WithStart(Orders(1), /*repeated=*/false);
+  orders.set_granted_to_incarnation(GetParam().incarnation);
+  orders.set_granted_from_us(
+      orders.granted_from_us() +
+      std::chrono::microseconds(GetParam().ahead).count());
+  agent_.OnOrders(now_, "owner", orders);
+  AnswerList();
+  EXPECT_EQ(starts_.size(), GetParam().starts ? 1U : 0U);
+  EXPECT_EQ(lists_.back().deadline.count() > 0, GetParam().starts);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    LeaseTest,
+    testing::Values(
+        LeaseCase{"this_process", kIncarnation, milliseconds(0), true},
+        LeaseCase{"process_before_power_was_lost", kIncarnation + 1,
+                  milliseconds(18000), false},
+        LeaseCase{"process_before_on_the_same_clock", kIncarnation + 1,
+                  milliseconds(-100), false},
+        LeaseCase{"owner_that_names_none", 0, milliseconds(-100), true},
+        LeaseCase{"owner_that_names_none_ahead", 0, milliseconds(18000),
+                  false}),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against starts that rest on room that the worker has no more: its
 // owner hears of the change with the heartbeat, not with the next poll.
 TEST_F(TaskAgentTest, ChangedCapacityIsToldAtOnce) {
@@ -204,7 +254,7 @@
   orders.set_crashes_of_incarnation(99);
   agent_.OnOrders(now_, "owner", orders);
   EXPECT_EQ(reports_.back().crashed_size(), 1) << "stored of another process";
-  orders.set_crashes_of_incarnation(0);
+  orders.set_crashes_of_incarnation(kIncarnation);
   agent_.OnOrders(now_, "owner", orders);
   EXPECT_EQ(reports_.back().crashed_size(), 0);
 }
