Jobs: Let a claim rest on reads that were answered, and on the log as read

Each change costs a census.

Cause: a candidate counted the owner's silence on by its own clock after its reads had stopped, as long as one was answered within 1.5 s; and a claim was sent again until it was stored, whatever had been heard of the owner since.

Ways: as it stood; silence by answered reads only; that, and a claim that the store takes only while the log ends where it was read to, withdrawn once its grounds are gone. The last is kept: a claim that is carried out late cannot follow a renewal. After three claims that met another end one is made for any, so that a busy or slow log does not keep a dead owner in office. Silence of before an outage counts on after it, and a read's wait ends when the silence has lasted, so that an owner that is gone is replaced no later than before.

A log that is slow was asked again each 150 ms four times over, so the owner's renewals waited behind repeats: waits now double from the first. The owner's own waits end at 0.8 s, since an append that is lost as the log goes away must not hold renewals up when it is back.

DarkTest plays both kinds of dark and a slow log, for all and for the others.

--- a/Source/Jobs/append_batcher.h
+++ b/Source/Jobs/append_batcher.h
@@ -19,6 +19,8 @@
   uint64_t sequence = 0;
   std::vector<KeyedRecord> records;
   std::chrono::milliseconds timeout{0};
+  // The append is done only while the log ends at this place; none if anywhere.
+  std::optional<uint64_t> only_at_end;
 };
 
 enum class AppendOutcome {
@@ -31,6 +33,9 @@
   kFenced,
   // The log expects another sequence number.
   kOutOfOrder,
+  // The log does not end where the append asks. This try was not done; an
+  // earlier one may have been.
+  kEndMoved,
 };
 
 struct AppendResult {
@@ -60,9 +65,13 @@
   bool give_back_refused = false;
   std::size_t most_bytes = 1 << 20;
   std::size_t most_entries = 512;
-  // The wait for an answer is four times the usual one, within these bounds.
-  // The shorter, the sooner a lost answer is asked for again; a log that is
-  // merely slow must not be asked twice each time.
+  // Where the log has to end for the first batch to be stored; none if
+  // anywhere. A batch that finds another end is not sent again.
+  std::optional<uint64_t> first_only_at_end;
+  // The wait for an answer is four times the usual one, within these bounds,
+  // and twice as long after each failure. The shorter, the sooner a lost answer
+  // is asked for again; a log that is merely slow must not be asked twice each
+  // time.
   std::chrono::milliseconds shortest_timeout{150};
   std::chrono::milliseconds longest_timeout{2000};
   // Pause after a refusal or a lost answer; doubles up to the longest.
@@ -87,7 +96,6 @@
 
   auto next_wake() const -> TimePoint;
   auto idle() const -> bool { return batch_.empty() && waiting_.empty(); }
-  auto fenced() const -> bool { return fenced_; }
   // True while the log is taken to be away: the latest try was refused, or
   // several in a row got no answer. A single lost answer is no outage.
   auto failing() const -> bool {
@@ -122,7 +130,8 @@
   bool in_flight_ = false;
   // A try of the batch may have reached the log.
   bool maybe_stored_ = false;
-  bool fenced_ = false;
+  // Nothing of this producer is taken any more.
+  bool closed_ = false;
   int failures_ = 0;
   bool refused_ = false;
   TimePoint sent_at_;
--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -21,6 +21,9 @@
 // Of the entry's own appends; those of callers count upward.
 constexpr uint64_t kResignationTicket = std::numeric_limits<uint64_t>::max();
 constexpr char kOwnerProducer[] = "owner";
+// An append that was lost as the log went away is sent again so soon after it
+// is back that the owner's renewals are missed by nobody.
+constexpr std::chrono::milliseconds kLongestOwnerTimeout{800};
 
 auto CallerAppendOptions(const EntryOptions& options) -> AppendBatcherOptions {
   AppendBatcherOptions appends;
@@ -148,9 +151,9 @@
 auto EntryDecisions::FollowerHooksFor(LogTopic topic) -> KeyedLogFollowerHooks {
   const bool is_jobs = topic == LogTopic::kJobs;
   KeyedLogFollowerHooks hooks;
-  hooks.later = [this](std::chrono::milliseconds wait,
-                       std::function<auto(TimePoint)->void> job) -> void {
-    later_.emplace(looked_at_ + wait, std::move(job));
+  hooks.at = [this](TimePoint when,
+                    std::function<auto(TimePoint)->void> job) -> void {
+    later_.emplace(when, std::move(job));
   };
   hooks.on_record = [this, is_jobs](TimePoint now,
                                     const KeyedRecord& record) -> void {
@@ -172,11 +175,15 @@
       OnJobRecord(now, {key, "", 0});
     }
   };
-  hooks.on_caught_up = [this, is_jobs](TimePoint now) -> void {
+  hooks.on_caught_up = [this, is_jobs](TimePoint now, uint64_t end) -> void {
     if (is_jobs) {
-      OnCaughtUp(now);
+      OnCaughtUp(now, end);
     }
   };
+  if (is_jobs) {
+    hooks.read_wait = [this](std::chrono::milliseconds longest)
+        -> std::chrono::milliseconds { return election_.ReadWait(longest); };
+  }
   hooks.on_reachable = [this, is_jobs](const std::string& error) -> void {
     log_.Write(error.empty() ? "log_found" : "log_lost",
                {{"topic", is_jobs ? "jobs" : "operators"}, {"why", error}});
@@ -227,9 +234,9 @@
   }
 }
 
-auto EntryDecisions::OnCaughtUp(TimePoint now) -> void {
+auto EntryDecisions::OnCaughtUp(TimePoint now, uint64_t end) -> void {
   fold_current_ = true;
-  election_.OnCaughtUp(now);
+  election_.OnCaughtUp(now, end);
   if (!has_caught_up_) {
     // The process before this one may have been the owner of an earlier claim.
     has_caught_up_ = true;
@@ -353,7 +360,7 @@
 
 auto EntryDecisions::OnOwnerBatch(TimePoint now,
                                   uint64_t fence,
-                                  const AppendResult& result) -> void {
+                                  AppendResult result) -> void {
   if (owner_appends_ == nullptr ||
       (fence != election_.fence() && !releasing_)) {
     // The answer to an append under an earlier claim.
@@ -366,6 +373,16 @@
     Resign("the log has a later claim");
     return;
   }
+  if (result.outcome == AppendOutcome::kEndMoved &&
+      election_.claim_is_in_log()) {
+    // An earlier try was stored, and the claim itself is behind the old end.
+    result.outcome = AppendOutcome::kAppended;
+  }
+  if (result.outcome == AppendOutcome::kEndMoved) {
+    election_.OnEndMoved();
+    WithdrawClaim("the log has moved on");
+    return;
+  }
   const TimePoint sent = owner_appends_->first_sent();
   for (const auto& entry : owner_appends_->OnResult(now, result)) {
     election_.OnClaimStored(sent);
@@ -380,6 +397,9 @@
   if (releasing_) {
     return;
   }
+  if (election_.ClaimIsGroundless(now)) {
+    WithdrawClaim("reads of the log no longer show that the owner is silent");
+  }
   const bool had_claim = election_.fence() != 0;
   const auto claim = election_.ClaimDue(now);
   if (!claim) {
@@ -392,6 +412,8 @@
     AppendBatcherOptions options;
     options.producer = kOwnerProducer;
     options.epoch = claim->fence();
+    options.longest_timeout = kLongestOwnerTimeout;
+    options.first_only_at_end = election_.claim_only_at_end();
     // Two claims of the same fence must not be taken for repeats of one append.
     options.first_sequence =
         1 + StableHash(options_.name, options_.incarnation) % (1ULL << 40);
@@ -424,6 +446,15 @@
   owner_appends_.reset();
 }
 
+auto EntryDecisions::WithdrawClaim(const std::string& why) -> void {
+  log_.Write("claim_withdrawn",
+             {{"fence", absl::StrCat(claimed_fence_)}, {"why", why}});
+  metrics_->Add("rhubarbhaven_claims_withdrawn_total");
+  election_.OnClaimLost();
+  owner_appends_.reset();
+  claimed_fence_ = 0;
+}
+
 auto EntryDecisions::UpdateReady(TimePoint now) -> void {
   // The balancer sends callers to the entries of other failure domains as soon
   // as this one is not ready. Often only some entries lose the log; a caller
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -65,6 +65,8 @@
   // Whether callers are served: a configuration is known and the log is read.
   auto ready() const -> bool { return ready_; }
   auto owner() const -> const JobOwner& { return owner_; }
+  // Of this entry's claim; zero if it has none.
+  auto fence() const -> uint64_t { return election_.fence(); }
   auto fold() const -> const JobFold& { return fold_; }
 
  private:
@@ -100,17 +102,19 @@
                       const KeyedRecord& record,
                       const std::string& why) -> void;
   auto OnOperatorRecord(const KeyedRecord& record) -> void;
-  auto OnCaughtUp(TimePoint now) -> void;
+  auto OnCaughtUp(TimePoint now, uint64_t end) -> void;
 
   auto SendAppends(TimePoint now) -> void;
   auto SendCallerBatch(TimePoint now) -> void;
   auto OnCallerBatch(TimePoint now, const AppendResult& result) -> void;
   auto SendOwnerBatch(TimePoint now) -> void;
-  auto OnOwnerBatch(TimePoint now, uint64_t fence, const AppendResult& result)
+  auto OnOwnerBatch(TimePoint now, uint64_t fence, AppendResult result)
       -> void;
   auto ClaimIfDue(TimePoint now) -> void;
   auto BecomeOwnerIfClaimed(TimePoint now) -> void;
   auto Resign(const std::string& why) -> void;
+  // Lets go of a claim that is not in the log. Nothing was granted under it.
+  auto WithdrawClaim(const std::string& why) -> void;
   // Says in the log that no process of this entry is an owner any more, so that
   // the owner in office needs not wait as for one that is only cut off.
   auto WriteResignation(TimePoint now) -> void;
--- a/Source/Jobs/keyed_log_follower.cc
+++ b/Source/Jobs/keyed_log_follower.cc
@@ -28,7 +28,7 @@
 auto KeyedLogFollower::OnNewest(TimePoint now, const NewestResult& result)
     -> void {
   if (!result.answered) {
-    Failed(result.error, /*read_on=*/false);
+    Failed(now, result.error, /*read_on=*/false);
     return;
   }
   Succeeded();
@@ -65,8 +65,11 @@
 auto KeyedLogFollower::Read() -> void {
   // The first read after the newest records does not wait: its answer shows
   // that they are current, without which callers are told nothing.
-  const auto wait =
-      current_ ? options_.read_wait : std::chrono::milliseconds(0);
+  auto wait = std::chrono::milliseconds(0);
+  if (current_) {
+    wait = hooks_.read_wait ? hooks_.read_wait(options_.read_wait)
+                            : options_.read_wait;
+  }
   port_.read({options_.topic, next_, wait},
              [this](TimePoint now, const ReadResult& result) -> void {
                OnRead(now, result);
@@ -76,7 +79,7 @@
 auto KeyedLogFollower::OnRead(TimePoint now, const ReadResult& result) -> void {
   switch (result.outcome) {
     case ReadOutcome::kFailed:
-      Failed(result.error, /*read_on=*/true);
+      Failed(now, result.error, /*read_on=*/true);
       return;
     case ReadOutcome::kGone:
       // Records that were not read have been deleted; the newest of each key
@@ -99,7 +102,7 @@
   if (next_ >= result.end) {
     current_ = true;
     caught_up_at_ = now;
-    hooks_.on_caught_up(now);
+    hooks_.on_caught_up(now, next_);
   }
   Read();
 }
@@ -114,7 +117,9 @@
   hooks_.on_record(now, record);
 }
 
-auto KeyedLogFollower::Failed(const std::string& error, bool read_on) -> void {
+auto KeyedLogFollower::Failed(TimePoint now,
+                              const std::string& error,
+                              bool read_on) -> void {
   if (reachable_ || !ever_reached_) {
     hooks_.on_reachable(error);
   }
@@ -122,7 +127,7 @@
   ever_reached_ = true;
   backoff_ = std::clamp(backoff_ * 2, options_.first_backoff,
                         options_.longest_backoff);
-  hooks_.later(backoff_, [this, read_on](TimePoint) -> void {
+  hooks_.at(now + backoff_, [this, read_on](TimePoint) -> void {
     if (read_on) {
       Read();
     } else {
--- a/Source/Jobs/keyed_log_follower.h
+++ b/Source/Jobs/keyed_log_follower.h
@@ -21,11 +21,8 @@
 };
 
 struct KeyedLogFollowerHooks {
-  // Runs something later, on the thread to which the follower belongs.
-  std::function<auto(std::chrono::milliseconds,
-                     std::function<auto(TimePoint)->void>)
-                    ->void>
-      later;
+  // Runs something at that time, on the thread to which the follower belongs.
+  std::function<auto(TimePoint, std::function<auto(TimePoint)->void>)->void> at;
   std::function<auto(TimePoint, const KeyedRecord&)->void> on_record;
   // The key is no longer in the log: its deletion was not read.
   std::function<auto(TimePoint, const std::string& key)->void> on_key_gone;
@@ -33,7 +30,11 @@
   // order of their keys, and what was read of some may be older than of others.
   std::function<auto()->void> on_begin_anew;
   // Everything up to the end of the log at that time was read.
-  std::function<auto(TimePoint)->void> on_caught_up;
+  std::function<auto(TimePoint, uint64_t end)->void> on_caught_up;
+  // How long the next read waits for a record; the options' wait at most. Null
+  // if always that.
+  std::function<auto(std::chrono::milliseconds)->std::chrono::milliseconds>
+      read_wait;
   // The log was lost (with the error), or found again (empty).
   std::function<auto(const std::string& error)->void> on_reachable;
 };
@@ -61,7 +62,7 @@
   auto Read() -> void;
   auto OnRead(TimePoint now, const ReadResult& result) -> void;
   auto Deliver(TimePoint now, const KeyedRecord& record) -> void;
-  auto Failed(const std::string& error, bool read_on) -> void;
+  auto Failed(TimePoint now, const std::string& error, bool read_on) -> void;
   auto Succeeded() -> void;
 
   KeyedLogFollowerOptions options_;
--- a/Source/Jobs/owner_election.cc
+++ b/Source/Jobs/owner_election.cc
@@ -6,9 +6,12 @@
 namespace rhubarbhaven::jobs {
 namespace {
 
-// A reader that has not heard from the log for this long starts anew to count
-// the owner's silence: nobody could renew while nobody could read.
+// A time without an answer that is longer than this counts as no silence of the
+// owner: nobody could renew while nobody could read.
 constexpr std::chrono::milliseconds kReadingGap{1500};
+// Claims that found another end of the log, before one is made for any end.
+constexpr int kMostMovedInRow = 3;
+constexpr std::chrono::milliseconds kShortestReadWait{20};
 // Numbers beyond any lease, which would not fit a time.
 constexpr std::chrono::milliseconds kLongestTold{600000};
 // The clocks of two entries may differ in speed by this share.
@@ -24,8 +27,11 @@
   newest_ = claim;
   any_claim_ = true;
   newest_read_ = now;
+  silent_for_ = Duration(0);
+  moved_in_row_ = 0;
   if (mine(claim) && claim.fence() == fence_) {
     confirmed_ = !claim.released();
+    stored_ = true;
     return;
   }
   if (claim.fence() >= fence_) {
@@ -34,11 +40,13 @@
   }
 }
 
-auto OwnerElection::OnCaughtUp(TimePoint now) -> void {
-  if (caught_up_ == TimePoint() || now - caught_up_ > kReadingGap) {
-    reading_since_ = now;
+auto OwnerElection::OnCaughtUp(TimePoint now, uint64_t end) -> void {
+  const TimePoint shown_until = std::max(caught_up_, newest_read_);
+  if (shown_until != TimePoint() && now - shown_until <= kReadingGap) {
+    silent_for_ += now - shown_until;
   }
   caught_up_ = now;
+  read_end_ = end;
 }
 
 auto OwnerElection::OnResignationRead(TimePoint now,
@@ -57,11 +65,21 @@
 
 auto OwnerElection::OnClaimStored(TimePoint sent) -> void {
   verified_ = std::max(verified_, sent);
+  stored_ = true;
+  moved_from_.reset();
+  moved_in_row_ = 0;
 }
 
 auto OwnerElection::OnClaimLost() -> void {
   fence_ = 0;
   confirmed_ = false;
+  stored_ = false;
+}
+
+auto OwnerElection::OnEndMoved() -> void {
+  OnClaimLost();
+  moved_from_ = claimed_at_end_;
+  ++moved_in_row_;
 }
 
 auto OwnerElection::ClaimDue(TimePoint now) -> std::optional<OwnerClaim> {
@@ -71,6 +89,7 @@
     }
     fence_ = newest_.fence() + 1;
     renewal_ = 0;
+    claimed_at_end_ = read_end_;
     earlier_ = GrantsBefore(now);
     replaced_owner_ = newest_.owner();
   } else if (now < claim_due_) {
@@ -145,7 +164,7 @@
          now < verified_ + options_.unverified_limit;
 }
 
-auto OwnerElection::MayClaim(TimePoint now) const -> bool {
+auto OwnerElection::HasGrounds(TimePoint now) const -> bool {
   const bool reading =
       caught_up_ != TimePoint() && now - caught_up_ < kReadingGap;
   if (!reading) {
@@ -154,11 +173,38 @@
   if (!any_claim_ || newest_.released() || predecessor_is_dead()) {
     return true;
   }
+  return silent_for_ > SilenceToClaim();
+}
+
+auto OwnerElection::MayClaim(TimePoint now) const -> bool {
+  // One that has found another end waits until it has read to that.
+  return HasGrounds(now) && moved_from_ != read_end_;
+}
+
+auto OwnerElection::SilenceToClaim() const -> std::chrono::milliseconds {
   const auto own_part =
       StableHash(options_.name, newest_.fence()) %
       static_cast<uint64_t>(std::max<int64_t>(1, options_.spread.count()));
-  const auto wait = options_.silence + std::chrono::milliseconds(own_part);
-  return now - std::max(newest_read_, reading_since_) > wait;
+  return options_.silence + std::chrono::milliseconds(own_part);
+}
+
+auto OwnerElection::claim_only_at_end() const -> std::optional<uint64_t> {
+  return moved_in_row_ < kMostMovedInRow ? std::optional(claimed_at_end_)
+                                         : std::nullopt;
+}
+
+auto OwnerElection::ClaimIsGroundless(TimePoint now) const -> bool {
+  return fence_ != 0 && !stored_ && !HasGrounds(now);
+}
+
+auto OwnerElection::ReadWait(std::chrono::milliseconds longest) const
+    -> std::chrono::milliseconds {
+  if (!any_claim_ || fence_ != 0 || silent_for_ > SilenceToClaim()) {
+    return longest;
+  }
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+      SilenceToClaim() - silent_for_);
+  return std::clamp(left, kShortestReadWait, longest);
 }
 
 // A process of the same name that holds the claim is gone, or is this one and
--- a/Tests/Jobs/append_batcher_test.cc
+++ b/Tests/Jobs/append_batcher_test.cc
@@ -88,6 +88,39 @@
                              {}}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against a log that is only slow and is taken to have lost answer after
+// answer: each was asked for again before it could come.
+TEST(AppendBatcherTest, WaitsTwiceAsLongAfterEachUnansweredTry) {
+  AppendBatcher batcher(Options(false));
+  batcher.Enqueue(1, {{"key", "value", 0}});
+  TimePoint now = kStart;
+  for (const auto wait :
+       {milliseconds(150), milliseconds(300), milliseconds(600)}) {
+    const auto call = batcher.Next(now);
+    ASSERT_TRUE(call.has_value());
+    EXPECT_EQ(call->timeout, wait);
+    now += call->timeout;
+    batcher.OnResult(now, {AppendOutcome::kUnknown, 0});
+    now += seconds(1);
+  }
+}
+
+// Guards against a claim that is stored behind records that it does not know.
+TEST(AppendBatcherTest, OnlyTheFirstBatchNeedsTheEndOfTheLog) {
+  constexpr uint64_t kEnd = 9;
+  auto options = Options(false);
+  options.first_only_at_end = kEnd;
+  AppendBatcher batcher(options);
+  batcher.Enqueue(1, {{"key", "claim", 0}});
+  EXPECT_EQ(batcher.Next(kStart)->only_at_end, kEnd);
+  batcher.OnResult(kStart, {AppendOutcome::kUnknown, 0});
+  const TimePoint later = kStart + seconds(1);
+  EXPECT_EQ(batcher.Next(later)->only_at_end, kEnd);
+  batcher.OnResult(later, {AppendOutcome::kAppended, 0});
+  batcher.Enqueue(2, {{"key", "renewal", 0}});
+  EXPECT_EQ(batcher.Next(later)->only_at_end, std::nullopt);
+}
+
 // Symptom: an entry that was refused once refuses all callers for good.
 // Sequence: the log refuses an append; the log is back. Cause: callers were
 // refused while the last append had failed, and without a caller there was no
--- a/Tests/Jobs/job_world.cc
+++ b/Tests/Jobs/job_world.cc
@@ -269,6 +269,11 @@
   return std::max(owner, -1);
 }
 
+auto JobWorld::FenceOf(int entry) const -> uint64_t {
+  const auto& process = entries_.at(entry);
+  return process->up ? process->entry->fence() : 0;
+}
+
 auto JobWorld::StateOf(int entry, const std::string& job) const
     -> std::optional<JobState> {
   const auto& process = entries_.at(entry);
--- a/Tests/Jobs/job_world.h
+++ b/Tests/Jobs/job_world.h
@@ -100,6 +100,8 @@
 
   // The entry that decides; -1 if none or several do.
   auto Owner() const -> int;
+  // The fence of the entry's claim; zero if it has none.
+  auto FenceOf(int entry) const -> uint64_t;
   auto StateOf(int entry, const std::string& job) const
       -> std::optional<JobState>;
   auto accepted() const -> const std::set<std::string>& { return accepted_; }
--- a/Tests/Jobs/owner_election_test.cc
+++ b/Tests/Jobs/owner_election_test.cc
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "Jobs/jobs.h"
 
@@ -11,8 +12,11 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 const TimePoint kStart{std::chrono::seconds(100)};
+// Place behind the last record of the log.
+constexpr uint64_t kEnd = 9;
 
 auto Options(const std::string& name) -> OwnerElectionOptions {
   OwnerElectionOptions options;
@@ -45,14 +49,14 @@
 TEST_P(ClaimTest, IsMadeWhenTheOwnerIsGone) {
   OwnerElection election(Options("me"));
   TimePoint now = kStart;
-  election.OnCaughtUp(now);
+  election.OnCaughtUp(now, kEnd);
   if (GetParam().any) {
     election.OnClaimRead(now, GetParam().newest);
   }
   const TimePoint end = now + GetParam().silence;
   while (now < end) {
     now += milliseconds(100);
-    election.OnCaughtUp(now);
+    election.OnCaughtUp(now, kEnd);
   }
   const auto claim = election.ClaimDue(now);
   EXPECT_EQ(claim.has_value(), GetParam().claims);
@@ -104,13 +108,13 @@
   before.set_notes_grants(param.notes_grants);
   before.set_earlier_grants_ms(
       static_cast<uint64_t>(param.earlier_grants.count()));
-  election.OnCaughtUp(kStart);
+  election.OnCaughtUp(kStart, kEnd);
   election.OnClaimRead(kStart, before);
   TimePoint now = kStart;
   std::optional<OwnerClaim> claim;
   while (!claim) {
     now += milliseconds(500);
-    election.OnCaughtUp(now);
+    election.OnCaughtUp(now, kEnd);
     claim = election.ClaimDue(now);
   }
   const auto& grants = election.earlier_grants();
@@ -163,14 +167,14 @@
   auto options = Options("me");
   options.lease = kLease;
   OwnerElection election(options);
-  election.OnCaughtUp(kStart);
+  election.OnCaughtUp(kStart, kEnd);
   auto before = ClaimOf("other", 3, false);
   before.set_notes_grants(true);
   election.OnClaimRead(kStart, before);
   TimePoint now = kStart;
   while (!election.ClaimDue(now)) {
     now += milliseconds(500);
-    election.OnCaughtUp(now);
+    election.OnCaughtUp(now, kEnd);
   }
   const TimePoint waits_until = election.earlier_grants().last_owner;
   now += milliseconds(2000);
@@ -195,17 +199,153 @@
 // Cause: nobody could renew while nobody could read.
 TEST(OwnerElectionTest, OutageOfTheLogIsNoSilenceOfTheOwner) {
   OwnerElection election(Options("me"));
-  election.OnCaughtUp(kStart);
+  election.OnCaughtUp(kStart, kEnd);
   election.OnClaimRead(kStart, ClaimOf("other", 3, false));
   const TimePoint back = kStart + std::chrono::seconds(10);
   EXPECT_FALSE(election.ClaimDue(back).has_value());
-  election.OnCaughtUp(back);
+  election.OnCaughtUp(back, kEnd);
   EXPECT_FALSE(election.ClaimDue(back).has_value());
 }
 
+constexpr milliseconds kLook{100};
+
+// An election whose wait is the least one, whatever its name.
+auto PromptOptions() -> OwnerElectionOptions {
+  auto options = Options("me");
+  options.spread = milliseconds(1);
+  return options;
+}
+
+struct ReadsCase {
+  std::string name;
+  // The renewal is read first; then reads are answered each 100 ms for so long,
+  // not for so long, and again for so long.
+  milliseconds before{0};
+  milliseconds dark{0};
+  milliseconds after{0};
+  bool claims = false;
+};
+
+class ReadsTest : public testing::TestWithParam<ReadsCase> {};
+
+// Guards against a living owner that is replaced, as reads of before a cut or an
+// outage of the log are taken to show its silence in it.
+TEST_P(ReadsTest, OnlyReadsThatWereAnsweredShowSilence) {
+  OwnerElection election(PromptOptions());
+  election.OnClaimRead(kStart, ClaimOf("other", 3, false));
+  election.OnCaughtUp(kStart, kEnd);
+  TimePoint now = kStart;
+  bool claimed = false;
+  const auto look = [&](milliseconds span, bool answered) -> void {
+    for (const TimePoint until = now + span; now < until;) {
+      now += kLook;
+      if (answered) {
+        election.OnCaughtUp(now, kEnd);
+      }
+      claimed = claimed || election.ClaimDue(now).has_value();
+    }
+  };
+  look(GetParam().before, true);
+  look(GetParam().dark, false);
+  look(GetParam().after, true);
+  EXPECT_EQ(claimed, GetParam().claims);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    ReadsTest,
+    testing::Values(
+        ReadsCase{"cut_off_soon_after_a_renewal", milliseconds(400),
+                  milliseconds(6000), milliseconds(0), false},
+        ReadsCase{"log_that_was_dark", milliseconds(400), milliseconds(4500),
+                  milliseconds(1000), false},
+        // Nobody could renew in the dark, but what was seen before it counts.
+        ReadsCase{"silent_before_the_dark_and_after", milliseconds(1000),
+                  milliseconds(4500), milliseconds(800), true},
+        ReadsCase{"silent", milliseconds(1800), milliseconds(0),
+                  milliseconds(0), true}),
+    [](const auto& info) { return info.param.name; });
+
+// A claim of `me` against a silent owner, at the time of the claim.
+auto Claimant() -> std::pair<OwnerElection, TimePoint> {
+  OwnerElection election(PromptOptions());
+  election.OnClaimRead(kStart, ClaimOf("other", 3, false));
+  TimePoint now = kStart;
+  election.OnCaughtUp(now, kEnd);
+  while (!election.ClaimDue(now)) {
+    now += kLook;
+    election.OnCaughtUp(now, kEnd);
+  }
+  return {std::move(election), now};
+}
+
+// Guards against a claim that ends an owner which has been heard of since.
+TEST(OwnerElectionTest, RenewalTakesTheGroundsOfAClaim) {
+  auto [election, now] = Claimant();
+  EXPECT_FALSE(election.ClaimIsGroundless(now));
+  election.OnClaimRead(now, ClaimOf("other", 3, false));
+  EXPECT_TRUE(election.ClaimIsGroundless(now));
+}
+
+// Guards against a claim that is made in a cut and stored when that heals.
+TEST(OwnerElectionTest, ClaimHasNoGroundsOnceReadsAreNotAnswered) {
+  auto [election, now] = Claimant();
+  EXPECT_TRUE(election.ClaimIsGroundless(now + milliseconds(2000)));
+}
+
+TEST(OwnerElectionTest, StoredClaimNeedsNoGrounds) {
+  auto [election, now] = Claimant();
+  election.OnClaimStored(now);
+  EXPECT_FALSE(election.ClaimIsGroundless(now + milliseconds(2000)));
+}
+
+// Guards against a claim that is carried out late, and against claims without
+// end at a log that moves on too fast.
+TEST(OwnerElectionTest, ClaimIsForTheEndThatWasRead) {
+  auto [election, now] = Claimant();
+  constexpr int kMoves = 3;
+  uint64_t end = kEnd;
+  for (int move = 0; move < kMoves; ++move) {
+    EXPECT_EQ(election.claim_only_at_end(), end);
+    election.OnEndMoved();
+    EXPECT_FALSE(election.ClaimDue(now).has_value()) << "before it has read on";
+    election.OnCaughtUp(now, ++end);
+    EXPECT_TRUE(election.ClaimDue(now).has_value());
+  }
+  EXPECT_EQ(election.claim_only_at_end(), std::nullopt);
+}
+
+struct ReadWaitCase {
+  std::string name;
+  milliseconds silent{0};
+  milliseconds wait{0};
+};
+
+class ReadWaitTest : public testing::TestWithParam<ReadWaitCase> {};
+
+// Guards against an owner that is replaced a read's wait later than it could be.
+TEST_P(ReadWaitTest, EndsWhenTheSilenceHasLasted) {
+  OwnerElection election(PromptOptions());
+  election.OnClaimRead(kStart, ClaimOf("other", 3, false));
+  for (milliseconds at{0}; at <= GetParam().silent; at += kLook) {
+    election.OnCaughtUp(kStart + at, kEnd);
+  }
+  EXPECT_EQ(election.ReadWait(seconds(1)), GetParam().wait);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    ReadWaitTest,
+    testing::Values(ReadWaitCase{"renewed", milliseconds(0), seconds(1)},
+                    ReadWaitCase{"silent_for_some_time", milliseconds(1100),
+                                 milliseconds(500)},
+                    ReadWaitCase{"silent_for_long", milliseconds(1700),
+                                 seconds(1)}),
+    [](const auto& info) { return info.param.name; });
+
 TEST(OwnerElectionTest, OwnerThatCannotVerifyStopsInTime) {
   OwnerElection election(Options("me"));
-  election.OnCaughtUp(kStart);
+  election.OnCaughtUp(kStart, kEnd);
   auto claim = election.ClaimDue(kStart);
   ASSERT_TRUE(claim.has_value());
   EXPECT_FALSE(election.owner(kStart));
@@ -225,12 +365,12 @@
   auto options = Options("me");
   options.lease = kLease;
   OwnerElection election(options);
-  election.OnCaughtUp(kStart);
+  election.OnCaughtUp(kStart, kEnd);
   election.OnClaimRead(kStart, ClaimOf("other", 3, false));
   TimePoint now = kStart;
   while (!election.ClaimDue(now)) {
     now += milliseconds(500);
-    election.OnCaughtUp(now);
+    election.OnCaughtUp(now, kEnd);
   }
   const auto released = election.Release(now);
   ASSERT_TRUE(released.has_value());
@@ -240,7 +380,7 @@
 
 TEST(OwnerElectionTest, LaterClaimEndsTheOwnership) {
   OwnerElection election(Options("me"));
-  election.OnCaughtUp(kStart);
+  election.OnCaughtUp(kStart, kEnd);
   const auto claim = election.ClaimDue(kStart);
   election.OnClaimStored(kStart);
   election.OnClaimRead(kStart, *claim);
--- a/Tests/Jobs/takeover_test.cc
+++ b/Tests/Jobs/takeover_test.cc
@@ -121,5 +121,64 @@
                      Ending::kCutOff}),
     [](const auto& info) { return info.param.name; });
 
+// How the log fails for the entries that are not the owner.
+struct DarkCase {
+  std::string name;
+  VirtualLog::Mode mode = VirtualLog::Mode::kHolds;
+  // The owner loses it as well.
+  bool for_all = false;
+  milliseconds latency{4};
+  seconds lasts{6};
+};
+
+class DarkTest : public testing::TestWithParam<DarkCase> {};
+
+// Guards against a living owner that is replaced by a claim made in the dark:
+// every such change costs a census.
+TEST_P(DarkTest, LivingOwnerKeepsItsCell) {
+  JobWorldOptions options;
+  JobWorld world(options);
+  world.RunFor(seconds(4));
+  const int owner = world.Owner();
+  ASSERT_GE(owner, 0);
+  const uint64_t fence = world.FenceOf(owner);
+  for (int round = 0; round < 4; ++round) {
+    // The dark begins at another moment between two renewals each time.
+    world.RunFor(milliseconds(2000 + 130 * round));
+    world.log().SetLatency(GetParam().latency);
+    for (int entry = 0; entry < world.entries(); ++entry) {
+      if (entry != owner || GetParam().for_all) {
+        world.log().SetModeFor("entry-" + std::to_string(entry),
+                               GetParam().mode);
+      }
+    }
+    const TimePoint over = world.time().now() + GetParam().lasts;
+    while (world.time().now() < over) {
+      world.Submit({1, 2});
+      world.RunFor(milliseconds(100));
+    }
+    world.HealAll();
+  }
+  world.RunFor(seconds(3));
+  EXPECT_EQ(world.Owner(), owner);
+  EXPECT_EQ(world.FenceOf(owner), fence);
+  for (const auto& problem : world.problems()) {
+    ADD_FAILURE() << problem;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    DarkTest,
+    testing::Values(DarkCase{"others_cut_off"},
+                    DarkCase{"others_refused", VirtualLog::Mode::kRefuses},
+                    DarkCase{"log_away_for_all", VirtualLog::Mode::kRefuses,
+                             true, milliseconds(4), seconds(5)},
+                    DarkCase{"log_silent_for_all", VirtualLog::Mode::kHolds,
+                             true, milliseconds(4), seconds(5)},
+                    DarkCase{"log_slow", VirtualLog::Mode::kServes, true,
+                             milliseconds(250), seconds(5)}),
+    [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
--- a/Tests/Jobs/virtual_log.cc
+++ b/Tests/Jobs/virtual_log.cc
@@ -63,9 +63,26 @@
   return found == client_modes_.end() ? mode_ : found->second;
 }
 
+auto VirtualLog::CarryOutHeld() -> void {
+  std::vector<HeldAppend> still_held;
+  for (auto& held : std::exchange(held_, {})) {
+    if (ModeOf(held.client) == Mode::kServes) {
+      time_->After(latency_ / 2,
+                   [this, call = held.call]() -> void { Apply(call); });
+    } else {
+      still_held.push_back(std::move(held));
+    }
+  }
+  held_ = std::move(still_held);
+}
+
 auto VirtualLog::Apply(const AppendCall& call) -> AppendResult {
-  auto& producer = producers_[call.producer];
   AppendResult result;
+  if (call.only_at_end && *call.only_at_end != end()) {
+    result.outcome = AppendOutcome::kEndMoved;
+    return result;
+  }
+  auto& producer = producers_[call.producer];
   if (producer.any && call.epoch < producer.epoch) {
     result.outcome = AppendOutcome::kFenced;
     return result;
@@ -108,6 +125,9 @@
       time_->After(latency_,
                    [fail]() -> void { fail(AppendOutcome::kRefused); });
       return;
+    case Mode::kHolds:
+      held_.push_back({client, call});
+      [[fallthrough]];
     case Mode::kSilent:
       time_->After(call.timeout,
                    [fail]() -> void { fail(AppendOutcome::kUnknown); });
@@ -153,7 +173,8 @@
   const bool gone = call.topic == LogTopic::kJobs && call.from < first_kept_;
   const bool waits =
       call.from >= topic.records.size() && time_->now() + kReadSlack < give_up;
-  if (mode == Mode::kSilent || (waits && !gone)) {
+  const bool silent = mode == Mode::kSilent || mode == Mode::kHolds;
+  if (silent || (waits && !gone)) {
     time_->After(kReadAgain, [this, client, call, give_up, done]() -> void {
       Read(client, call, give_up, done);
     });
--- a/Tests/Jobs/virtual_log.h
+++ b/Tests/Jobs/virtual_log.h
@@ -20,7 +20,14 @@
 // in which it fails.
 class VirtualLog {
  public:
-  enum class Mode { kServes, kRefuses, kSilent };
+  enum class Mode {
+    kServes,
+    kRefuses,
+    kSilent,
+    // Silent as a link that is cut: appends are carried out, unanswered, once
+    // the client is served again.
+    kHolds,
+  };
 
   explicit VirtualLog(VirtualTime* time) : time_(time) {}
 
@@ -30,10 +37,12 @@
   auto SetMode(Mode mode) -> void { mode_ = mode; }
   auto SetModeFor(const std::string& client, Mode mode) -> void {
     client_modes_[client] = mode;
+    CarryOutHeld();
   }
   auto HealAll() -> void {
     mode_ = Mode::kServes;
     client_modes_.clear();
+    CarryOutHeld();
     lose_answers_ = 0;
     latency_ = kLatency;
   }
@@ -72,7 +81,14 @@
     std::map<std::string, KeyedRecord> newest;
   };
 
+  struct HeldAppend {
+    std::string client;
+    AppendCall call;
+  };
+
   auto ModeOf(const std::string& client) const -> Mode;
+  // What clients sent that are served again.
+  auto CarryOutHeld() -> void;
   auto end() const -> uint64_t {
     const auto found = topics_.find(LogTopic::kJobs);
     return found == topics_.end() ? 0 : found->second.records.size();
@@ -97,6 +113,7 @@
   uint64_t first_kept_ = 0;
   std::map<LogTopic, Topic> topics_;
   std::map<std::string, Producer> producers_;
+  std::vector<HeldAppend> held_;
 };
 
 }  // namespace rhubarbhaven::jobs
