Jobs: Let entries that don't own the cell read the log in pauses

Each append wakes the waiting reads of every entry at once: 12 entries read each of 80 appends a second. An entry that is not the owner now waits 50 to 110 ms after an answer with records before it reads on. The owner, a claimant, and an entry that sees the owner miss renewals read on at once, so that jobs accepted elsewhere start as soon as before and a takeover waits for no pause. Entries differ in their pause, so that one of them soon reads that an owner has stopped.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -24,6 +24,11 @@
 // An append that was lost as the log went away is sent again so soon after it
 // is back that the owner's renewals are missed by nobody.
 constexpr std::chrono::milliseconds kLongestOwnerTimeout{800};
+// Between two reads of an entry that is not the owner: each append wakes the
+// reads of all entries. Callers are told what is up to so much older. Entries
+// differ, so that one of them soon reads that the owner has stopped.
+constexpr std::chrono::milliseconds kShortestReadPause{50};
+constexpr std::chrono::milliseconds kReadPauseSpread{60};
 
 auto CallerAppendOptions(const EntryOptions& options) -> AppendBatcherOptions {
   AppendBatcherOptions appends;
@@ -183,6 +188,7 @@
   if (is_jobs) {
     hooks.read_wait = [this](std::chrono::milliseconds longest)
         -> std::chrono::milliseconds { return election_.ReadWait(longest); };
+    hooks.pause = [this]() -> std::chrono::milliseconds { return ReadPause(); };
   }
   hooks.on_reachable = [this, is_jobs](const std::string& error) -> void {
     log_.Write(error.empty() ? "log_found" : "log_lost",
@@ -381,6 +387,7 @@
   if (result.outcome == AppendOutcome::kEndMoved) {
     election_.OnEndMoved();
     WithdrawClaim("the log has moved on");
+    job_follower_.ReadOn();
     return;
   }
   const TimePoint sent = owner_appends_->first_sent();
@@ -421,6 +428,18 @@
   }
   owner_appends_->Enqueue(kClaimTicket,
                           {MakeRecord(RecordKind::kClaim, "", *claim)});
+  job_follower_.ReadOn();
+}
+
+auto EntryDecisions::ReadPause() const -> std::chrono::milliseconds {
+  if (election_.fence() != 0 || election_.owner_is_late()) {
+    // The owner starts jobs that others accept, and a claimant has to know the
+    // log to its end.
+    return std::chrono::milliseconds(0);
+  }
+  const auto part = StableHash(options_.name, 0) %
+                    static_cast<uint64_t>(kReadPauseSpread.count());
+  return kShortestReadPause + std::chrono::milliseconds(part);
 }
 
 auto EntryDecisions::BecomeOwnerIfClaimed(TimePoint now) -> void {
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -111,6 +111,8 @@
   auto OnOwnerBatch(TimePoint now, uint64_t fence, AppendResult result)
       -> void;
   auto ClaimIfDue(TimePoint now) -> void;
+  // Before this entry reads the log on.
+  auto ReadPause() const -> std::chrono::milliseconds;
   auto BecomeOwnerIfClaimed(TimePoint now) -> void;
   auto Resign(const std::string& why) -> void;
   // Lets go of a claim that is not in the log. Nothing was granted under it.
--- a/Source/Jobs/keyed_log_follower.cc
+++ b/Source/Jobs/keyed_log_follower.cc
@@ -104,7 +104,29 @@
     caught_up_at_ = now;
     hooks_.on_caught_up(now, next_);
   }
-  Read();
+  PauseOrRead(now, next_ >= result.end && !result.records.empty());
+}
+
+auto KeyedLogFollower::PauseOrRead(TimePoint now, bool may_pause) -> void {
+  may_pause = may_pause && hooks_.pause != nullptr;
+  const auto pause = may_pause ? hooks_.pause() : std::chrono::milliseconds(0);
+  if (pause.count() == 0) {
+    Read();
+    return;
+  }
+  pausing_ = true;
+  hooks_.at(now + pause, [this, number = ++pauses_](TimePoint) -> void {
+    if (number == pauses_) {
+      ReadOn();
+    }
+  });
+}
+
+auto KeyedLogFollower::ReadOn() -> void {
+  if (pausing_) {
+    pausing_ = false;
+    Read();
+  }
 }
 
 auto KeyedLogFollower::Deliver(TimePoint now, const KeyedRecord& record)
--- a/Source/Jobs/keyed_log_follower.h
+++ b/Source/Jobs/keyed_log_follower.h
@@ -35,6 +35,9 @@
   // if always that.
   std::function<auto(std::chrono::milliseconds)->std::chrono::milliseconds>
       read_wait;
+  // How long to wait before reading on after an answer with records, for more of
+  // them to come with the next one. Null if not at all.
+  std::function<auto()->std::chrono::milliseconds> pause;
   // The log was lost (with the error), or found again (empty).
   std::function<auto(const std::string& error)->void> on_reachable;
 };
@@ -51,6 +54,8 @@
   auto operator=(const KeyedLogFollower&) -> KeyedLogFollower& = delete;
 
   auto Start() -> void;
+  // Ends a pause.
+  auto ReadOn() -> void;
   auto reachable() const -> bool { return reachable_; }
   // When a read that reached the end was last answered.
   auto caught_up_at() const -> TimePoint { return caught_up_at_; }
@@ -62,6 +67,7 @@
   auto Read() -> void;
   auto OnRead(TimePoint now, const ReadResult& result) -> void;
   auto Deliver(TimePoint now, const KeyedRecord& record) -> void;
+  auto PauseOrRead(TimePoint now, bool may_pause) -> void;
   auto Failed(TimePoint now, const std::string& error, bool read_on) -> void;
   auto Succeeded() -> void;
 
@@ -79,6 +85,9 @@
   bool current_ = false;
   TimePoint caught_up_at_;
   std::chrono::milliseconds backoff_{0};
+  bool pausing_ = false;
+  // Tells a pause from those that were ended before.
+  uint64_t pauses_ = 0;
 };
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/owner_election.h
+++ b/Source/Jobs/owner_election.h
@@ -73,6 +73,10 @@
   // Whether a claim that is not in the log yet has lost its grounds: reads show
   // the owner's silence no more, or nothing.
   auto ClaimIsGroundless(TimePoint now) const -> bool;
+  // Whether the owner has missed a renewal, so that a claim may be due soon.
+  auto owner_is_late() const -> bool {
+    return silent_for_ > 2 * options_.renew_interval;
+  }
   // How long a read may wait for a record, so that the owner's silence shows as
   // soon as it has lasted.
   auto ReadWait(std::chrono::milliseconds longest) const
--- a/Tests/Jobs/virtual_log.cc
+++ b/Tests/Jobs/virtual_log.cc
@@ -28,6 +28,7 @@
   };
   port.read = [this, client, alive](const ReadCall& call,
                                     const KeyedLogPort::OnRead& done) {
+    ++reads_[client];
     Read(client, call, time_->now() + call.wait + kReadSlack,
          [alive, done](TimePoint now, const ReadResult& result) {
            if (alive()) {
--- a/Tests/Jobs/virtual_log.h
+++ b/Tests/Jobs/virtual_log.h
@@ -61,6 +61,11 @@
   auto SetLatency(std::chrono::milliseconds latency) -> void {
     latency_ = latency;
   }
+  // How often the client has asked for records.
+  auto reads(const std::string& client) const -> uint64_t {
+    const auto found = reads_.find(client);
+    return found == reads_.end() ? 0 : found->second;
+  }
   // Drops all records but the newest of each key.
   auto Compact() -> void { first_kept_ = end(); }
   // Appends as an operator does, beyond failures.
@@ -114,6 +119,7 @@
   std::map<LogTopic, Topic> topics_;
   std::map<std::string, Producer> producers_;
   std::vector<HeldAppend> held_;
+  std::map<std::string, uint64_t> reads_;
 };
 
 }  // namespace rhubarbhaven::jobs
