Jobs: Start nothing in a failure domain that operators evacuate

The adapter translates the record's key; entries note the domain when they read it, and let go when the record is deleted, also if its deletion was not read. Owners refuse its workers for starts, moves, gangs and tickets, and tell its agents, which refuse starts that are under way or repeated. An entry owns the cell only once it has read the operators' log to its end, so that a takeover by one that has just started undoes nothing. What runs there goes on. Lines evacuate, evacuate_over, a gauge, and "evacuated" among the reasons why a task waits.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -178,11 +178,16 @@
                                       const std::string& key) -> void {
     if (is_jobs) {
       OnJobRecord(now, {key, "", 0});
+    } else {
+      OnOperatorRecord({key, "", 0});
     }
   };
   hooks.on_caught_up = [this, is_jobs](TimePoint now, uint64_t end) -> void {
     if (is_jobs) {
       OnCaughtUp(now, end);
+    } else {
+      operators_known_ = true;
+      BecomeOwnerIfClaimed(now);
     }
   };
   if (is_jobs) {
@@ -228,6 +233,10 @@
 }
 
 auto EntryDecisions::OnOperatorRecord(const KeyedRecord& record) -> void {
+  if (const auto domain = hooks_.evacuated_domain(record.key)) {
+    OnEvacuation(*domain, !record.value.empty());
+    return;
+  }
   auto configuration = hooks_.read_configuration(record);
   if (!configuration) {
     return;
@@ -240,6 +249,21 @@
   }
 }
 
+auto EntryDecisions::OnEvacuation(const std::string& failure_domain,
+                                  bool in_force) -> void {
+  const bool changed = in_force
+                           ? evacuated_domains_.insert(failure_domain).second
+                           : evacuated_domains_.erase(failure_domain) > 0;
+  if (!changed) {
+    return;
+  }
+  metrics_->SetGauge("rhubarbhaven_evacuated_domains",
+                     static_cast<double>(evacuated_domains_.size()));
+  log_.Write(in_force ? "evacuate" : "evacuate_over",
+             {{"failure_domain", ForLog(failure_domain)}});
+  owner_.OnEvacuations();
+}
+
 auto EntryDecisions::OnCaughtUp(TimePoint now, uint64_t end) -> void {
   fold_current_ = true;
   election_.OnCaughtUp(now, end);
@@ -445,7 +469,7 @@
 auto EntryDecisions::BecomeOwnerIfClaimed(TimePoint now) -> void {
   // Not while records are missing: of a task whose end is in the log an owner
   // that began without it would start another run.
-  if (owner_.active() || releasing_ || !fold_current_ ||
+  if (owner_.active() || releasing_ || !fold_current_ || !operators_known_ ||
       !election_.owner(now)) {
     return;
   }
@@ -531,6 +555,9 @@
     const auto* found = queues_.FindByName(queue);
     return found == nullptr ? nullptr : &found->rules;
   };
+  hooks.is_evacuated = [this](const std::string& failure_domain) -> bool {
+    return evacuated_domains_.contains(failure_domain);
+  };
   hooks.wall_clock = hooks_.wall_clock;
   hooks.ask_advice = hooks_.ask_advice;
   return hooks;
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "Jobs/append_batcher.h"
@@ -40,6 +41,10 @@
   // Reads one record of the operators' log; null if it is no configuration.
   std::function<auto(const KeyedRecord&)->std::optional<QueueConfiguration>>
       read_configuration;
+  // The failure domain that a record with this key of the operators' log has
+  // evacuated for as long as the record is there; null if it is another record.
+  std::function<auto(const std::string& key)->std::optional<std::string>>
+      evacuated_domain;
 };
 
 // What an entry on the platform decides: it answers callers about jobs from the
@@ -102,6 +107,7 @@
                       const KeyedRecord& record,
                       const std::string& why) -> void;
   auto OnOperatorRecord(const KeyedRecord& record) -> void;
+  auto OnEvacuation(const std::string& failure_domain, bool in_force) -> void;
   auto OnCaughtUp(TimePoint now, uint64_t end) -> void;
 
   auto SendAppends(TimePoint now) -> void;
@@ -138,6 +144,10 @@
   // The fold holds everything up to some place in the log.
   bool fold_current_ = false;
   QueueDirectory queues_;
+  std::set<std::string> evacuated_domains_;
+  // The operators' log has been read to its end once: what must not be started
+  // anywhere is known.
+  bool operators_known_ = false;
   OwnerElection election_;
   LagWatch owner_lag_;
   JobOwner owner_;
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -107,6 +107,8 @@
   std::function<auto(Duration)->void> note_lag;
   // The queue's rules by the newest configuration; null if it has none.
   std::function<auto(const std::string& queue)->const QueueRules*> rules;
+  // Whether operators have asked that nothing starts in the failure domain.
+  std::function<auto(const std::string& failure_domain)->bool> is_evacuated;
   // Since 1970.
   std::function<auto()->std::chrono::milliseconds> wall_clock;
   // The policy that gives tickets.
@@ -137,6 +139,8 @@
   auto OnEarlierGrants(TimePoint now, const EarlierGrants& earlier) -> void;
   // The configuration has changed.
   auto OnRules() -> void;
+  // Other failure domains are evacuated than before.
+  auto OnEvacuations() -> void;
   // False if the agent has seen a higher fence: this owner is replaced.
   auto OnReport(TimePoint now,
                 const std::string& agent,
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -82,6 +82,7 @@
   worker.reported_us = std::max(worker.reported_us, report.sent_us());
   worker.service = report.service();
   worker.failure_domain = report.failure_domain();
+  worker.evacuated = hooks_.is_evacuated(worker.failure_domain);
   worker.capacity = RoomOf(report.capacity());
   worker.labels.assign(report.labels().begin(), report.labels().end());
   worker.kind =
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -361,6 +361,7 @@
     worker.lease_bound =
         std::max(worker.lease_bound, LeaseBound(worker.reported_at));
   }
+  orders.set_evacuated(worker.evacuated);
   orders.set_worker_id(worker.worker_id);
   orders.set_ends_logged(worker.ends_logged);
   orders.set_results_seen(worker.results_seen);
--- a/Source/Jobs/owner_roster.cc
+++ b/Source/Jobs/owner_roster.cc
@@ -103,6 +103,20 @@
   retry_at_ = std::min(retry_at_, until);
 }
 
+auto JobOwner::OnEvacuations() -> void {
+  for (const auto& [name, worker] : workers_) {
+    const bool evacuated = hooks_.is_evacuated(worker->failure_domain);
+    if (evacuated == worker->evacuated) {
+      continue;
+    }
+    worker->evacuated = evacuated;
+    changes_.Note(*worker);
+    // Its agent is told at once.
+    PollSoon(*worker);
+  }
+  place_due_ = true;
+}
+
 auto JobOwner::TakeBack(TimePoint now) -> void {
   while (const auto number = asides_.PopDue(now)) {
     changes_.Note(*numbered_.at(*number));
--- a/Source/Jobs/place_choice.cc
+++ b/Source/Jobs/place_choice.cc
@@ -66,6 +66,9 @@
   if (worker.draining) {
     return PlaceRefusal::kDraining;
   }
+  if (worker.evacuated) {
+    return PlaceRefusal::kEvacuated;
+  }
   if (worker.silent) {
     return PlaceRefusal::kSilent;
   }
@@ -134,6 +137,8 @@
       return "not heard";
     case PlaceRefusal::kDraining:
       return "draining";
+    case PlaceRefusal::kEvacuated:
+      return "evacuated";
     case PlaceRefusal::kSilent:
       return "silent";
     case PlaceRefusal::kSetAside:
--- a/Source/Jobs/place_choice.h
+++ b/Source/Jobs/place_choice.h
@@ -34,6 +34,8 @@
   // Its agent has not listed its runs, or has not reported lately.
   kNotHeard,
   kDraining,
+  // Operators empty its failure domain.
+  kEvacuated,
   kSilent,
   // It failed or refused runs a moment ago.
   kSetAside,
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -54,6 +54,7 @@
     ++lease_number_;
   }
   TakeLease(now, orders);
+  evacuated_ = orders.evacuated();
   if (orders.crashes_of_incarnation() == options_.incarnation) {
     ForgetCrashes(now, orders.crashes_logged());
   }
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -150,6 +150,8 @@
   TaskAgentHooks hooks_;
   FillerPacing pacing_{FillerPacingOptions()};
   uint64_t pacing_version_ = 0;
+  // By the latest orders.
+  bool evacuated_ = false;
 
   uint64_t fence_ = 0;
   std::string owner_peer_;
--- a/Source/Jobs/task_agent_orders.cc
+++ b/Source/Jobs/task_agent_orders.cc
@@ -147,7 +147,7 @@
   }
   const bool lease_holds =
       LeaseHolds(now) && order->lease_number == lease_number_;
-  if (heartbeat_.draining || !lease_holds) {
+  if (heartbeat_.draining || evacuated_ || !lease_holds) {
     RefuseStart(now, order, ORDER_REFUSED);
     return;
   }
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -78,6 +78,8 @@
   Room capacity;
   bool draining = false;
   bool silent = false;
+  // Operators empty its failure domain.
+  bool evacuated = false;
   // Process of the agent that reported the worker's life.
   uint64_t agent_incarnation = 0;
   // The agent has listed what runs under this owner's fence.
--- a/Tests/Benchmarks/Jobs/owner_world.cc
+++ b/Tests/Benchmarks/Jobs/owner_world.cc
@@ -85,6 +85,7 @@
   hooks.rules = [this](const std::string& queue) {
     return queue == kUrgentQueue ? &urgent_rules_ : &rules_;
   };
+  hooks.is_evacuated = [](const std::string&) { return false; };
   hooks.wall_clock = [this]() -> std::chrono::milliseconds {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
         now_.time_since_epoch());
--- a/Tests/Jobs/entry_decisions_test.cc
+++ b/Tests/Jobs/entry_decisions_test.cc
@@ -17,6 +17,7 @@
 using std::chrono::seconds;
 
 constexpr char kEntry[] = "entry-0";
+constexpr char kEvacuation[] = "key of an evacuation";
 constexpr milliseconds kRenewal{600};
 // Place behind the log's last record.
 constexpr uint64_t kEnd = 9;
@@ -48,9 +49,25 @@
     hooks.read_configuration = [](const KeyedRecord&) {
       return std::optional<QueueConfiguration>();
     };
+    hooks.evacuated_domain =
+        [](const std::string& key) -> std::optional<std::string> {
+      return key == kEvacuation ? std::optional<std::string>("domain")
+                                : std::nullopt;
+    };
     return hooks;
   }
 
+  // The operators' log: whole, with these records.
+  auto AnswerOperators(std::vector<KeyedRecord> records) -> void {
+    NewestResult newest;
+    newest.answered = true;
+    newest.records = std::move(records);
+    std::exchange(on_newest_[LogTopic::kOperators], nullptr)(now_, newest);
+    ReadResult read;
+    read.outcome = ReadOutcome::kRecords;
+    std::exchange(on_read_[LogTopic::kOperators], nullptr)(now_, read);
+  }
+
   auto AnswerNewest(std::vector<KeyedRecord> records, bool more) -> void {
     NewestResult result;
     result.answered = true;
@@ -113,6 +130,7 @@
 // and their progress on the next ones. Cause: the entry began as the owner on
 // what it had read so far.
 TEST_F(EntryDecisionsTest, BeginsAsOwnerOnlyOnAFoldThatIsWhole) {
+  AnswerOperators({});
   AnswerNewest({}, /*more=*/false);
   AnswerRead(ReadOutcome::kRecords);
   Pass(milliseconds(0));
@@ -152,6 +170,7 @@
 // Guards against a claim that is given up although it is in the log: the answer to
 // its first try was lost, and the next try finds the claim itself behind the end.
 TEST_F(EntryDecisionsTest, ClaimThatWasStoredUnansweredHolds) {
+  AnswerOperators({});
   AnswerNewest({}, /*more=*/false);
   AnswerRead(ReadOutcome::kRecords);
   Pass(milliseconds(0));
@@ -167,6 +186,21 @@
   EXPECT_TRUE(entry_.owner().active());
 }
 
+// Guards against an owner that starts tasks in a failure domain whose evacuation
+// it has not read yet.
+TEST_F(EntryDecisionsTest, BeginsAsOwnerOnlyOnceItKnowsTheOperatorsRecords) {
+  AnswerNewest({}, /*more=*/false);
+  AnswerRead(ReadOutcome::kRecords);
+  Pass(milliseconds(0));
+  AnswerAppends();
+  AnswerRead(ReadOutcome::kRecords, {*Appended(RecordKind::kClaim)});
+  EXPECT_FALSE(entry_.owner().active());
+  AnswerOperators({{kEvacuation, "{}", 0}});
+  EXPECT_TRUE(entry_.owner().active());
+  EXPECT_NE(metrics_.Exposition().find("rhubarbhaven_evacuated_domains 1"),
+            std::string::npos);
+}
+
 struct StartCase {
   std::string name;
   // Of the newest claim that the entry finds; none if it is empty.
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,9 @@
     };
     hooks.note_lag = [this](Duration lag) { lags_.push_back(lag); };
     hooks.rules = [this](const std::string&) { return &rules_; };
+    hooks.is_evacuated = [this](const std::string& domain) -> bool {
+      return evacuated_.contains(domain);
+    };
     hooks.wall_clock = [this]() -> milliseconds { return wall_; };
     hooks.ask_advice = [this](const AdviceCall& call, const auto& done) {
       advice_calls_.push_back(call);
@@ -203,6 +207,7 @@
   // Of the latest poll.
   std::map<std::string, uint64_t> crashes_logged_;
   std::map<std::string, AgentOrders> latest_;
+  std::set<std::string> evacuated_;
   // Orders with a lease.
   int granted_ = 0;
   std::map<std::string, std::map<uint64_t, StartOrder>> starts_;
--- a/Tests/Jobs/job_world.cc
+++ b/Tests/Jobs/job_world.cc
@@ -15,6 +15,7 @@
 constexpr char kHost[] = "queue.example";
 constexpr char kPrefix[] = "/jobs/";
 constexpr char kEndpoint[] = "tcp://agent-";
+constexpr char kEvacuation[] = "evacuate/";
 constexpr uint32_t kAttempts = 4;
 constexpr int kFailuresOfATask = 2;
 // A task under which so many workers have crashed may be started fewer than so
@@ -332,6 +333,13 @@
   hooks.read_configuration = [this](const KeyedRecord&) {
     return std::optional(Configuration(options_.services));
   };
+  hooks.evacuated_domain =
+      [](const std::string& key) -> std::optional<std::string> {
+    absl::string_view domain = key;
+    return absl::ConsumePrefix(&domain, kEvacuation)
+               ? std::optional<std::string>(domain)
+               : std::nullopt;
+  };
   process->entry = std::make_unique<EntryDecisions>(
       EntryOptions{process->name, process->generation}, hooks, &metrics_);
   Deliver(process, [process]() -> void { process->entry->Start(); });
--- a/Tests/Jobs/owner_agents_test.cc
+++ b/Tests/Jobs/owner_agents_test.cc
@@ -54,6 +54,47 @@
   EXPECT_EQ(latest_["agent-0"].granted_to_incarnation(), kSecond);
 }
 
+// Guards against starts in a failure domain that operators empty, and against
+// one that stays empty when they have taken that back.
+TEST_F(JobOwnerTest, NothingStartsInAnEvacuatedDomain) {
+  const auto in_domain = [](const std::string& agent) -> AgentReport {
+    auto report = ReportOf(agent);
+    report.set_failure_domain("domain-of-" + agent);
+    return report;
+  };
+  Begin();
+  Report("agent-0", in_domain("agent-0"));
+  Report("agent-1", in_domain("agent-1"));
+  evacuated_ = {"domain-of-agent-0"};
+  owner_.OnEvacuations();
+  PutJob({Step(8)});
+  owner_.Tick(now_);
+  EXPECT_EQ(starts_["agent-0"].size(), 0U);
+  EXPECT_EQ(starts_["agent-1"].size(), 4U);
+  now_ += milliseconds(400);
+  owner_.Tick(now_);
+  EXPECT_TRUE(latest_["agent-0"].evacuated());
+  EXPECT_FALSE(latest_["agent-1"].evacuated());
+  evacuated_.clear();
+  owner_.OnEvacuations();
+  owner_.Tick(now_);
+  EXPECT_EQ(starts_["agent-0"].size(), 4U);
+}
+
+// Guards against the next owner's starts there: it learns of the domain from a
+// worker's first report.
+TEST_F(JobOwnerTest, WorkerThatComesIntoAnEvacuatedDomainTakesNothing) {
+  evacuated_ = {"domain"};
+  PutJob({Step(1)});
+  Begin();
+  auto report = ReportOf("agent-0");
+  report.set_failure_domain("domain");
+  Report("agent-0", report);
+  EXPECT_EQ(Starts(), 0U);
+  Report("agent-1", ReportOf("agent-1"));
+  EXPECT_EQ(starts_["agent-1"].size(), 1U);
+}
+
 TEST_F(JobOwnerTest, WorkerThatLeftLosesItsRuns) {
   PutJob({Step(1)});
   Begin();
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -158,6 +158,27 @@
                   false}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against a start in a failure domain that is being emptied, by an order
+// that was under way or is repeated.
+TEST_F(TaskAgentTest, StartsNothingWhileItsDomainIsEvacuated) {
+  Beat(kWorker);
+  auto orders = WithStart(Orders(1), /*repeated=*/false);
+  orders.set_evacuated(true);
+  agent_.OnOrders(now_, "owner", orders);
+  AnswerList();
+  EXPECT_TRUE(starts_.empty());
+  EXPECT_EQ(Result(), ORDER_REFUSED);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  auto later = Orders(1);
+  auto* start = later.add_starts();
+  start->set_order(2);
+  start->set_run(11);
+  start->mutable_task()->set_job("job");
+  start->set_worker_id(kWorker);
+  agent_.OnOrders(now_, "owner", later);
+  EXPECT_EQ(starts_.size(), 1U);
+}
+
 // Guards against starts that rest on room that the worker has no more: its
 // owner hears of the change with the heartbeat, not with the next poll.
 TEST_F(TaskAgentTest, ChangedCapacityIsToldAtOnce) {
