--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -191,8 +191,10 @@
     }
   };
   if (is_jobs) {
-    hooks.read_wait = [this](std::chrono::milliseconds longest)
-        -> std::chrono::milliseconds { return election_.ReadWait(longest); };
+    hooks.read_wait =
+        [this](std::chrono::milliseconds longest) -> std::chrono::milliseconds {
+      return election_.ReadWait(longest);
+    };
     hooks.pause = [this]() -> std::chrono::milliseconds { return ReadPause(); };
   }
   hooks.on_reachable = [this, is_jobs](const std::string& error) -> void {
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -114,8 +114,7 @@
   auto SendCallerBatch(TimePoint now) -> void;
   auto OnCallerBatch(TimePoint now, const AppendResult& result) -> void;
   auto SendOwnerBatch(TimePoint now) -> void;
-  auto OnOwnerBatch(TimePoint now, uint64_t fence, AppendResult result)
-      -> void;
+  auto OnOwnerBatch(TimePoint now, uint64_t fence, AppendResult result) -> void;
   auto ClaimIfDue(TimePoint now) -> void;
   // Before this entry reads the log on.
   auto ReadPause() const -> std::chrono::milliseconds;
--- a/Source/Jobs/keyed_log_follower.h
+++ b/Source/Jobs/keyed_log_follower.h
@@ -35,8 +35,8 @@
   // if always that.
   std::function<auto(std::chrono::milliseconds)->std::chrono::milliseconds>
       read_wait;
-  // How long to wait before reading on after an answer with records, for more of
-  // them to come with the next one. Null if not at all.
+  // How long to wait before reading on after an answer with records, for more
+  // of them to come with the next one. Null if not at all.
   std::function<auto()->std::chrono::milliseconds> pause;
   // The log was lost (with the error), or found again (empty).
   std::function<auto(const std::string& error)->void> on_reachable;
--- a/Source/Jobs/worker_view.cc
+++ b/Source/Jobs/worker_view.cc
@@ -36,7 +36,8 @@
 
 auto WorkerView::Accepts(TimePoint now) const -> bool {
   return confirmed && grants_noted && !worker_id.empty() && !draining &&
-         !silent && !evacuated && now - reported_at < kReportTooOld && now >= set_aside_until;
+         !silent && !evacuated && now - reported_at < kReportTooOld &&
+         now >= set_aside_until;
 }
 
 auto WorkerView::HasLabel(const std::string& label) const -> bool {
--- a/Tests/Jobs/entry_decisions_test.cc
+++ b/Tests/Jobs/entry_decisions_test.cc
@@ -78,8 +78,8 @@
   }
 
   // Without records: all that there is came with the newest ones.
-  auto AnswerRead(ReadOutcome outcome,
-                  std::vector<KeyedRecord> records = {}) -> void {
+  auto AnswerRead(ReadOutcome outcome, std::vector<KeyedRecord> records = {})
+      -> void {
     ReadResult result;
     result.outcome = outcome;
     end_ += records.size();
@@ -160,15 +160,17 @@
   appended_.clear();
   Pass(kRenewal);
   EXPECT_FALSE(Appended(RecordKind::kClaim).has_value());
-  AnswerRead(ReadOutcome::kRecords, {{MakeKey(RecordKind::kJob, "other"), "", kEnd}});
+  AnswerRead(ReadOutcome::kRecords,
+             {{MakeKey(RecordKind::kJob, "other"), "", kEnd}});
   Pass(milliseconds(1));
   ASSERT_TRUE(Appended(RecordKind::kClaim).has_value());
   EXPECT_EQ(only_at_end_, kEnd + 1);
   EXPECT_FALSE(Appended(RecordKind::kResignation).has_value());
 }
 
-// Guards against a claim that is given up although it is in the log: the answer to
-// its first try was lost, and the next try finds the claim itself behind the end.
+// Guards against a claim that is given up although it is in the log: the answer
+// to its first try was lost, and the next try finds the claim itself behind the
+// end.
 TEST_F(EntryDecisionsTest, ClaimThatWasStoredUnansweredHolds) {
   AnswerOperators({});
   AnswerNewest({}, /*more=*/false);
@@ -186,8 +188,8 @@
   EXPECT_TRUE(entry_.owner().active());
 }
 
-// Guards against an owner that starts tasks in a failure domain whose evacuation
-// it has not read yet.
+// Guards against an owner that starts tasks in a failure domain whose
+// evacuation it has not read yet.
 TEST_F(EntryDecisionsTest, BeginsAsOwnerOnlyOnceItKnowsTheOperatorsRecords) {
   AnswerNewest({}, /*more=*/false);
   AnswerRead(ReadOutcome::kRecords);
--- a/Tests/Jobs/owner_agents_test.cc
+++ b/Tests/Jobs/owner_agents_test.cc
@@ -30,8 +30,8 @@
   EXPECT_EQ(Starts(), 1U);
 }
 
-// Guards against a lease by the clock of a process that is gone: after a loss of
-// power the next one counts from zero.
+// Guards against a lease by the clock of a process that is gone: after a loss
+// of power the next one counts from zero.
 TEST_F(JobOwnerTest, GrantNamesTheProcessWhoseClockItIsOf) {
   constexpr uint64_t kFirst = 11;
   constexpr uint64_t kSecond = 12;
--- a/Tests/Jobs/owner_election_test.cc
+++ b/Tests/Jobs/owner_election_test.cc
@@ -228,8 +228,8 @@
 
 class ReadsTest : public testing::TestWithParam<ReadsCase> {};
 
-// Guards against a living owner that is replaced, as reads of before a cut or an
-// outage of the log are taken to show its silence in it.
+// Guards against a living owner that is replaced, as reads of before a cut or
+// an outage of the log are taken to show its silence in it.
 TEST_P(ReadsTest, OnlyReadsThatWereAnsweredShowSilence) {
   OwnerElection election(PromptOptions());
   election.OnClaimRead(kStart, ClaimOf("other", 3, false));
@@ -323,7 +323,8 @@
 
 class ReadWaitTest : public testing::TestWithParam<ReadWaitCase> {};
 
-// Guards against an owner that is replaced a read's wait later than it could be.
+// Guards against an owner that is replaced a read's wait later than it could
+// be.
 TEST_P(ReadWaitTest, EndsWhenTheSilenceHasLasted) {
   OwnerElection election(PromptOptions());
   election.OnClaimRead(kStart, ClaimOf("other", 3, false));
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -127,10 +127,10 @@
 class LeaseTest : public TaskAgentTest,
                   public testing::WithParamInterface<LeaseCase> {};
 
-// Guards against a lease that outlasts what the owner reckons with: after a loss
-// of power the agent's clock begins at zero, and the first orders still name the
-// time of the process before it. In a cut, the worker's tasks then went on while
-// they were started elsewhere.
+// Guards against a lease that outlasts what the owner reckons with: after a
+// loss of power the agent's clock begins at zero, and the first orders still
+// name the time of the process before it. In a cut, the worker's tasks then
+// went on while they were started elsewhere.
 TEST_P(LeaseTest, HoldsOnlyForTheProcessThatItWasGrantedTo) {
   Beat(kWorker);
   auto orders = WithStart(Orders(1), /*repeated=*/false);
