--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -4,7 +4,6 @@
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace rhubarbhaven::jobs {
@@ -15,20 +14,6 @@
 constexpr std::chrono::milliseconds kReadyFor{2500};
 // The election and the readiness look at the time at least this often.
 constexpr std::chrono::milliseconds kLookInterval{100};
-// Tickets of the owner's appends.
-constexpr uint64_t kClaimTicket = 1;
-constexpr uint64_t kBatchTicket = 2;
-// Of the entry's own appends; those of callers count upward.
-constexpr uint64_t kResignationTicket = std::numeric_limits<uint64_t>::max();
-constexpr char kOwnerProducer[] = "owner";
-// An append that was lost as the log went away is sent again so soon after it
-// is back that the owner's renewals are missed by nobody.
-constexpr std::chrono::milliseconds kLongestOwnerTimeout{800};
-// Between two reads of an entry that is not the owner: each append wakes the
-// reads of all entries. Callers are told what is up to so much older. Entries
-// differ, so that one of them soon reads that the owner has stopped.
-constexpr std::chrono::milliseconds kShortestReadPause{50};
-constexpr std::chrono::milliseconds kReadPauseSpread{60};
 
 auto CallerAppendOptions(const EntryOptions& options) -> AppendBatcherOptions {
   AppendBatcherOptions appends;
@@ -111,19 +96,6 @@
   }
 }
 
-auto EntryDecisions::Release(TimePoint now) -> void {
-  releasing_ = true;
-  ready_ = false;
-  const auto claim = election_.Release(now);
-  owner_.End();
-  if (claim && owner_appends_ != nullptr) {
-    log_.Write("owner_release", {{"fence", absl::StrCat(claim->fence())}});
-    owner_appends_->Enqueue(kClaimTicket,
-                            {MakeRecord(RecordKind::kClaim, "", *claim)});
-  }
-  SendAppends(now);
-}
-
 auto EntryDecisions::Tick(TimePoint now) -> void {
   looked_at_ = now;
   while (!later_.empty() && later_.begin()->first <= now) {
@@ -285,41 +257,6 @@
   SendOwnerBatch(now);
 }
 
-auto EntryDecisions::WriteResignation(TimePoint now) -> void {
-  if (claimed_fence_ != 0 && election_.fence() == 0 && !owner_.active()) {
-    resigned_fence_ = std::max(resigned_fence_, claimed_fence_);
-    claimed_fence_ = 0;
-  }
-  if (resigned_fence_ <= resignation_told_ || releasing_ || !fold_current_ ||
-      !job_follower_.reachable() || !caller_appends_.accepts(now)) {
-    return;
-  }
-  resignation_told_ = resigned_fence_;
-  OwnerResignation resignation;
-  resignation.set_owner(options_.name);
-  resignation.set_fence(resigned_fence_);
-  caller_appends_.Enqueue(
-      kResignationTicket,
-      {MakeRecord(RecordKind::kResignation, options_.name, resignation)});
-}
-
-auto EntryDecisions::OnResignationSettled(AppendFate fate) -> void {
-  if (fate == AppendFate::kNotStored) {
-    // Written again as soon as the log may take it.
-    resignation_told_ = 0;
-    return;
-  }
-  log_.Write("owner_resigned", {{"fence", absl::StrCat(resignation_told_)}});
-}
-
-auto EntryDecisions::OnResignationRead(TimePoint now, const std::string& entry)
-    -> void {
-  const uint64_t fence = fold_.resigned_fence(entry);
-  if (election_.OnResignationRead(now, entry, fence)) {
-    owner_.OnEarlierGrants(now, election_.earlier_grants());
-  }
-}
-
 auto EntryDecisions::SendCallerBatch(TimePoint now) -> void {
   WriteResignation(now);
   auto call = caller_appends_.Next(now);
@@ -370,136 +307,6 @@
   }
 }
 
-auto EntryDecisions::SendOwnerBatch(TimePoint now) -> void {
-  if (owner_appends_ == nullptr) {
-    return;
-  }
-  auto records = owner_.TakeBatch();
-  if (!records.empty()) {
-    owner_appends_->Enqueue(kBatchTicket, std::move(records));
-  }
-  auto call = owner_appends_->Next(now);
-  if (!call) {
-    return;
-  }
-  hooks_.log.append(*call,
-                    [this, fence = call->epoch](
-                        TimePoint then, const AppendResult& result) -> void {
-                      OnOwnerBatch(then, fence, result);
-                      SendAppends(then);
-                    });
-}
-
-auto EntryDecisions::OnOwnerBatch(TimePoint now,
-                                  uint64_t fence,
-                                  AppendResult result) -> void {
-  if (owner_appends_ == nullptr ||
-      (fence != election_.fence() && !releasing_)) {
-    // The answer to an append under an earlier claim.
-    return;
-  }
-  const bool lost_claim =
-      result.outcome == AppendOutcome::kFenced ||
-      (result.outcome == AppendOutcome::kOutOfOrder && !owner_.active());
-  if (lost_claim) {
-    Resign("the log has a later claim");
-    return;
-  }
-  if (result.outcome == AppendOutcome::kEndMoved &&
-      election_.claim_is_in_log()) {
-    // An earlier try was stored, and the claim itself is behind the old end.
-    result.outcome = AppendOutcome::kAppended;
-  }
-  if (result.outcome == AppendOutcome::kEndMoved) {
-    election_.OnEndMoved();
-    WithdrawClaim("the log has moved on");
-    job_follower_.ReadOn();
-    return;
-  }
-  const TimePoint sent = owner_appends_->first_sent();
-  for (const auto& entry : owner_appends_->OnResult(now, result)) {
-    election_.OnClaimStored(sent);
-    if (entry.ticket == kBatchTicket) {
-      owner_.OnBatchStored();
-    }
-  }
-  BecomeOwnerIfClaimed(now);
-}
-
-auto EntryDecisions::ClaimIfDue(TimePoint now) -> void {
-  if (releasing_) {
-    return;
-  }
-  if (election_.ClaimIsGroundless(now)) {
-    WithdrawClaim("reads of the log no longer show that the owner is silent");
-  }
-  const bool had_claim = election_.fence() != 0;
-  const auto claim = election_.ClaimDue(now);
-  if (!claim) {
-    return;
-  }
-  if (!had_claim) {
-    claimed_fence_ = claim->fence();
-    log_.Write("claim", {{"fence", absl::StrCat(claim->fence())},
-                         {"before", fold_.claim().owner()}});
-    AppendBatcherOptions options;
-    options.producer = kOwnerProducer;
-    options.epoch = claim->fence();
-    options.longest_timeout = kLongestOwnerTimeout;
-    options.first_only_at_end = election_.claim_only_at_end();
-    // Two claims of the same fence must not be taken for repeats of one append.
-    options.first_sequence =
-        1 + StableHash(options_.name, options_.incarnation) % (1ULL << 40);
-    owner_appends_ = std::make_unique<AppendBatcher>(options);
-  }
-  owner_appends_->Enqueue(kClaimTicket,
-                          {MakeRecord(RecordKind::kClaim, "", *claim)});
-  job_follower_.ReadOn();
-}
-
-auto EntryDecisions::ReadPause() const -> std::chrono::milliseconds {
-  if (election_.fence() != 0 || election_.owner_is_late()) {
-    // The owner starts jobs that others accept, and a claimant has to know the
-    // log to its end.
-    return std::chrono::milliseconds(0);
-  }
-  const auto part = StableHash(options_.name, 0) %
-                    static_cast<uint64_t>(kReadPauseSpread.count());
-  return kShortestReadPause + std::chrono::milliseconds(part);
-}
-
-auto EntryDecisions::BecomeOwnerIfClaimed(TimePoint now) -> void {
-  // Not while records are missing: of a task whose end is in the log an owner
-  // that began without it would start another run.
-  if (owner_.active() || releasing_ || !fold_current_ || !operators_known_ ||
-      !election_.owner(now)) {
-    return;
-  }
-  log_.Write("owner_begin", {{"fence", absl::StrCat(election_.fence())},
-                             {"agents", absl::StrCat(fold_.agents().size())}});
-  metrics_->Add("rhubarbhaven_owner_terms_total");
-  // It may have resigned before this claim was made.
-  OnResignationRead(now, election_.replaced_owner());
-  owner_.Begin(now, election_.fence(), &fold_, election_.earlier_grants());
-}
-
-auto EntryDecisions::Resign(const std::string& why) -> void {
-  log_.Write("owner_end",
-             {{"fence", absl::StrCat(claimed_fence_)}, {"why", why}});
-  owner_.End();
-  election_.OnClaimLost();
-  owner_appends_.reset();
-}
-
-auto EntryDecisions::WithdrawClaim(const std::string& why) -> void {
-  log_.Write("claim_withdrawn",
-             {{"fence", absl::StrCat(claimed_fence_)}, {"why", why}});
-  metrics_->Add("rhubarbhaven_claims_withdrawn_total");
-  election_.OnClaimLost();
-  owner_appends_.reset();
-  claimed_fence_ = 0;
-}
-
 auto EntryDecisions::UpdateReady(TimePoint now) -> void {
   // The balancer sends callers to the entries of other failure domains as soon
   // as this one is not ready. Often only some entries lose the log; a caller
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -2,6 +2,7 @@
 #define RHUBARBHAVEN_JOBS_ENTRY_DECISIONS_H_
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -75,6 +76,10 @@
   auto fold() const -> const JobFold& { return fold_; }
 
  private:
+  // Of the entry's own appends; those of callers count upward.
+  static constexpr uint64_t kResignationTicket =
+      std::numeric_limits<uint64_t>::max();
+
   struct Submission {
     std::string job;
     std::string queue;
--- /dev/null
+++ b/Source/Jobs/owner_gangs.cc
@@ -0,0 +1,91 @@
+#include <set>
+#include <vector>
+
+#include "Jobs/job_owner.h"
+
+// Where gangs start: all members, or none.
+namespace rhubarbhaven::jobs {
+
+auto JobOwner::PlaceGang(TimePoint now,
+                         const PlacementOrder::WaitingStep& waiting) -> void {
+  TaskPlace place = waiting.place;
+  const auto count = waiting.spec->count();
+  for (place.index = 0; place.index < count; ++place.index) {
+    if (!MayStart(now, place)) {
+      return;
+    }
+  }
+  const auto tickets = TicketsFor(now, place);
+  if (!tickets && !MayFitGang(now, waiting)) {
+    NoteWaiting(now, waiting.place, {});
+    return;
+  }
+  std::set<std::string> racks = {""};
+  if (place.spec().colocated()) {
+    for (const auto& [name, worker] : workers_) {
+      racks.insert(worker->rack);
+    }
+  }
+  std::vector<WorkerView*> best;
+  // The empty name, any rack, is tried last.
+  for (auto rack = racks.rbegin(); rack != racks.rend() && best.empty();
+       ++rack) {
+    PlaceLimits limits;
+    limits.tickets = tickets ? &*tickets : nullptr;
+    limits.rack = *rack;
+    best = PlacesOfGang(now, place, limits);
+  }
+  if (best.empty()) {
+    waiting.state->refused_at = tickets ? 0 : changes_.mark();
+    place.index = 0;
+    PlaceLimits limits;
+    limits.tickets = tickets ? &*tickets : nullptr;
+    NoteWaiting(now, place, limits);
+    return;
+  }
+  const uint64_t run = NewRun();
+  for (place.index = 0; place.index < best.size(); ++place.index) {
+    WorkerView& worker = *best[place.index];
+    Start(now, place, worker, run,
+          tickets ? tickets->at(worker.worker_id) : "");
+  }
+}
+
+auto JobOwner::MayFitGang(TimePoint now,
+                          const PlacementOrder::WaitingStep& waiting) -> bool {
+  auto& refused_at = waiting.state->refused_at;
+  if (refused_at == 0) {
+    return true;
+  }
+  const bool fits = ChoosePlace(now, changes_.Since(refused_at), waiting.place,
+                                interference_) != nullptr;
+  if (!fits) {
+    refused_at = changes_.mark();
+  }
+  return fits;
+}
+
+auto JobOwner::PlacesOfGang(TimePoint now, TaskPlace place, PlaceLimits& limits)
+    -> std::vector<WorkerView*> {
+  const auto count = place.spec().count();
+  std::vector<WorkerView*> places;
+  for (place.index = 0; place.index < count; ++place.index) {
+    WorkerView* worker =
+        ChoosePlace(now, changes_.Since(0), place, interference_, limits);
+    if (worker == nullptr) {
+      break;
+    }
+    worker->Hold(place.spec(), 0);
+    ++limits.planned[worker];
+    places.push_back(worker);
+  }
+  for (WorkerView* worker : places) {
+    worker->Release(place.spec(), 0);
+  }
+  if (places.size() < count) {
+    places.clear();
+  }
+  return places;
+}
+
+}  // namespace rhubarbhaven::jobs
--- /dev/null
+++ b/Source/Jobs/owner_polls.cc
@@ -0,0 +1,146 @@
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "Jobs/job_owner.h"
+
+// What agents are told, and when.
+namespace rhubarbhaven::jobs {
+namespace {
+
+constexpr std::chrono::seconds kTellLag{1};
+
+// Gives an order for the first time, or again.
+auto AddOrder(PendingOrder& order, TimePoint now, AgentOrders* orders) -> void {
+  if (order.start) {
+    auto* start = orders->add_starts();
+    *start = *order.start;
+    start->set_repeated(order.sent);
+  } else {
+    *orders->add_stops() = *order.stop;
+  }
+  order.sent = true;
+  order.sent_at = now;
+}
+
+}  // namespace
+
+auto JobOwner::PollAll(TimePoint now) -> void {
+  while (const auto number = polls_.PopDue(now)) {
+    WorkerView& worker = *numbered_.at(*number);
+    if (worker.polled_at >= begun_at_) {
+      longest_lag_ = std::max(longest_lag_, now - NextPoll(worker));
+    }
+    Poll(now, worker);
+  }
+  NoteLag(now);
+}
+
+auto JobOwner::NoteLag(TimePoint now) -> void {
+  if (now - lag_told_at_ >= kTellLag) {
+    lag_told_at_ = now;
+    hooks_.note_lag(std::exchange(longest_lag_, Duration(0)));
+  }
+}
+
+auto JobOwner::PollSoon(WorkerView& worker) -> void {
+  if (!worker.poll_due) {
+    worker.poll_due = true;
+    polls_.Set(worker.number, TimePoint());
+  }
+}
+
+auto JobOwner::NextPoll(const WorkerView& worker) const -> TimePoint {
+  const bool first = !worker.confirmed &&
+                     worker.polled_at < begun_at_ + options_.first_polls_for;
+  return worker.polled_at +
+         (first ? FirstPollInterval() : options_.poll_interval);
+}
+
+auto JobOwner::FirstPollInterval() const -> std::chrono::milliseconds {
+  const auto waiting = static_cast<int64_t>(unconfirmed_.size());
+  return std::clamp(options_.between_first_polls * waiting,
+                    options_.first_polls, options_.poll_interval);
+}
+
+auto JobOwner::Poll(TimePoint now, WorkerView& worker) -> void {
+  worker.poll_due = false;
+  worker.polled_at = now;
+  polls_.Set(worker.number, NextPoll(worker));
+  AgentOrders orders;
+  orders.set_fence(fence_);
+  orders.set_owner_incarnation(options_.incarnation);
+  if (worker.reported_us > 0 && worker.grants_noted) {
+    orders.set_granted_from_us(worker.reported_us);
+    orders.set_granted_to_incarnation(worker.agent_incarnation);
+    orders.set_lease_ttl_ms(static_cast<uint64_t>(options_.lease_ttl.count()));
+    worker.lease_bound =
+        std::max(worker.lease_bound, LeaseBound(worker.reported_at));
+  }
+  orders.set_evacuated(worker.evacuated);
+  orders.set_worker_id(worker.worker_id);
+  orders.set_ends_logged(worker.ends_logged);
+  orders.set_results_seen(worker.results_seen);
+  orders.set_crashes_logged(worker.crashes_logged);
+  orders.set_crashes_of_incarnation(worker.crashes_of_incarnation);
+  orders.set_pacing_version(worker.pacing_version);
+  if (worker.agent_pacing_version != worker.pacing_version) {
+    AddPacedRuns(worker, &orders);
+  }
+  if (now - worker.pressures_told_at >= options_.tell_pressures) {
+    worker.pressures_told_at = now;
+    AddPressures(worker, &orders);
+  }
+  for (auto& [number, order] : worker.orders) {
+    if (!order.sent || now - order.sent_at >= options_.repeat_after) {
+      AddOrder(order, now, &orders);
+    }
+  }
+  hooks_.send(worker.registration.link_endpoint(), std::move(orders));
+}
+
+auto JobOwner::AddPressures(const WorkerView& worker, AgentOrders* orders) const
+    -> void {
+  std::set<std::string> serving;
+  std::set<std::string> fillers;
+  for (const auto& [number, place] : worker.runs) {
+    const auto& step = place.spec();
+    if (step.target_latency_ms() > 0) {
+      serving.insert(step.image());
+    } else if (step.uses_spare_processors()) {
+      fillers.insert(step.image());
+    }
+  }
+  for (const auto& served : serving) {
+    for (const auto& filler : fillers) {
+      auto* pressure = orders->add_pressures();
+      pressure->set_serving_image(served);
+      pressure->set_filler_image(filler);
+      pressure->set_pressure(interference_.Pressure(served, filler));
+    }
+  }
+}
+
+auto JobOwner::AddPacedRuns(const WorkerView& worker, AgentOrders* orders) const
+    -> void {
+  for (const auto& [number, place] : worker.runs) {
+    const auto& step = place.spec();
+    if (step.target_latency_ms() == 0 && !step.uses_spare_processors()) {
+      continue;
+    }
+    for (const auto& run : place.task().runs) {
+      if (run.worker == &worker) {
+        auto* paced = orders->add_paced_runs();
+        *paced->mutable_task() = place.Name();
+        paced->set_run(run.run);
+        paced->set_target_latency_ms(step.target_latency_ms());
+        paced->set_uses_spare_processors(step.uses_spare_processors());
+        paced->set_image(step.image());
+        paced->set_millicores(step.need().millicores());
+        paced->set_rank(static_cast<uint32_t>(place.work->outlook));
+      }
+    }
+  }
+}
+
+}  // namespace rhubarbhaven::jobs
