Jobs: Let only entries claim the cell that know the operators' records

An entry whose read of the operators' log fails for good would have held a claim that it renews and never begins under: nobody would have decided for the cell.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -159,7 +159,6 @@
       OnCaughtUp(now, end);
     } else {
       operators_known_ = true;
-      BecomeOwnerIfClaimed(now);
     }
   };
   if (is_jobs) {
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -149,8 +149,8 @@
   bool fold_current_ = false;
   QueueDirectory queues_;
   std::set<std::string> evacuated_domains_;
-  // The operators' log has been read to its end once: what must not be started
-  // anywhere is known.
+  // The operators' log has been read to its end once: where nothing may start
+  // is known.
   bool operators_known_ = false;
   OwnerElection election_;
   LagWatch owner_lag_;
--- a/Source/Jobs/entry_ownership.cc
+++ b/Source/Jobs/entry_ownership.cc
@@ -28,6 +28,10 @@
   if (releasing_) {
     return;
   }
+  if (!operators_known_) {
+    // It could not begin, and would keep those out that can.
+    return;
+  }
   if (election_.ClaimIsGroundless(now)) {
     WithdrawClaim("reads of the log no longer show that the owner is silent");
   }
@@ -69,7 +73,7 @@
 auto EntryDecisions::BecomeOwnerIfClaimed(TimePoint now) -> void {
   // Not while records are missing: of a task whose end is in the log an owner
   // that began without it would start another run.
-  if (owner_.active() || releasing_ || !fold_current_ || !operators_known_ ||
+  if (owner_.active() || releasing_ || !fold_current_ ||
       !election_.owner(now)) {
     return;
   }
--- a/Tests/Jobs/entry_decisions_test.cc
+++ b/Tests/Jobs/entry_decisions_test.cc
@@ -149,6 +149,7 @@
 // Guards against a claim that is stored although the owner has renewed its own,
 // and against one that is never made again.
 TEST_F(EntryDecisionsTest, ClaimIsOnlyForTheLogAsItWasRead) {
+  AnswerOperators({});
   AnswerNewest({}, /*more=*/false);
   AnswerRead(ReadOutcome::kRecords);
   Pass(milliseconds(0));
@@ -189,16 +190,16 @@
 }
 
 // Guards against an owner that starts tasks in a failure domain whose
-// evacuation it has not read yet.
-TEST_F(EntryDecisionsTest, BeginsAsOwnerOnlyOnceItKnowsTheOperatorsRecords) {
+// evacuation it has not read yet, and against a claim that keeps out those who
+// have.
+TEST_F(EntryDecisionsTest, ClaimsOnlyOnceItKnowsTheOperatorsRecords) {
   AnswerNewest({}, /*more=*/false);
   AnswerRead(ReadOutcome::kRecords);
   Pass(milliseconds(0));
-  AnswerAppends();
-  AnswerRead(ReadOutcome::kRecords, {*Appended(RecordKind::kClaim)});
-  EXPECT_FALSE(entry_.owner().active());
+  EXPECT_FALSE(Appended(RecordKind::kClaim).has_value());
   AnswerOperators({{kEvacuation, "{}", 0}});
-  EXPECT_TRUE(entry_.owner().active());
+  Pass(milliseconds(100));
+  EXPECT_TRUE(Appended(RecordKind::kClaim).has_value());
   EXPECT_NE(metrics_.Exposition().find("rhubarbhaven_evacuated_domains 1"),
             std::string::npos);
 }
