Jobs: Claim without a condition on the log's end

The condition guarded only against a claim that was under way when its entry was cut off. Reads that were answered, and the withdrawal of claims without grounds, stay.

--- a/Source/Jobs/append_batcher.cc
+++ b/Source/Jobs/append_batcher.cc
@@ -31,7 +31,7 @@
 }
 
 auto AppendBatcher::Next(TimePoint now) -> std::optional<AppendCall> {
-  if (in_flight_ || closed_ || now < not_before_) {
+  if (in_flight_ || fenced_ || now < not_before_) {
     return std::nullopt;
   }
   if (batch_.empty()) {
@@ -45,7 +45,6 @@
   call.epoch = options_.epoch;
   call.sequence = sequence_;
   call.timeout = Timeout();
-  call.only_at_end = options_.first_only_at_end;
   for (const auto& entry : batch_) {
     call.records.insert(call.records.end(), entry.records.begin(),
                         entry.records.end());
@@ -79,8 +78,7 @@
       BackOff(now);
       return {};
     case AppendOutcome::kFenced:
-    case AppendOutcome::kEndMoved:
-      closed_ = true;
+      fenced_ = true;
       return {};
     case AppendOutcome::kOutOfOrder:
       if (result.expected_sequence > sequence_) {
@@ -105,7 +103,7 @@
 }
 
 auto AppendBatcher::next_wake() const -> TimePoint {
-  const bool nothing_to_send = in_flight_ || closed_ || idle();
+  const bool nothing_to_send = in_flight_ || fenced_ || idle();
   return nothing_to_send ? TimePoint::max() : not_before_;
 }
 
@@ -131,7 +129,6 @@
   batch_.clear();
   ++sequence_;
   if (fate == AppendFate::kStored) {
-    options_.first_only_at_end.reset();
     failures_ = 0;
     refused_ = false;
     not_before_ = TimePoint();
--- a/Source/Jobs/append_batcher.h
+++ b/Source/Jobs/append_batcher.h
@@ -19,8 +19,6 @@
   uint64_t sequence = 0;
   std::vector<KeyedRecord> records;
   std::chrono::milliseconds timeout{0};
-  // The append is done only while the log ends at this place; none if anywhere.
-  std::optional<uint64_t> only_at_end;
 };
 
 enum class AppendOutcome {
@@ -33,9 +31,6 @@
   kFenced,
   // The log expects another sequence number.
   kOutOfOrder,
-  // The log does not end where the append asks. This try was not done; an
-  // earlier one may have been.
-  kEndMoved,
 };
 
 struct AppendResult {
@@ -65,9 +60,6 @@
   bool give_back_refused = false;
   std::size_t most_bytes = 1 << 20;
   std::size_t most_entries = 512;
-  // Where the log has to end for the first batch to be stored; none if
-  // anywhere. A batch that finds another end is not sent again.
-  std::optional<uint64_t> first_only_at_end;
   // The wait for an answer is four times the usual one, within these bounds,
   // and twice as long after each failure. The shorter, the sooner a lost answer
   // is asked for again; a log that is merely slow must not be asked twice each
@@ -130,8 +122,7 @@
   bool in_flight_ = false;
   // A try of the batch may have reached the log.
   bool maybe_stored_ = false;
-  // Nothing of this producer is taken any more.
-  bool closed_ = false;
+  bool fenced_ = false;
   int failures_ = 0;
   bool refused_ = false;
   TimePoint sent_at_;
--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -154,9 +154,9 @@
       OnOperatorRecord({key, "", 0});
     }
   };
-  hooks.on_caught_up = [this, is_jobs](TimePoint now, uint64_t end) -> void {
+  hooks.on_caught_up = [this, is_jobs](TimePoint now) -> void {
     if (is_jobs) {
-      OnCaughtUp(now, end);
+      OnCaughtUp(now);
     } else {
       operators_known_ = true;
     }
@@ -237,9 +237,9 @@
   owner_.OnEvacuations();
 }
 
-auto EntryDecisions::OnCaughtUp(TimePoint now, uint64_t end) -> void {
+auto EntryDecisions::OnCaughtUp(TimePoint now) -> void {
   fold_current_ = true;
-  election_.OnCaughtUp(now, end);
+  election_.OnCaughtUp(now);
   if (!has_caught_up_) {
     // The process before this one may have been the owner of an earlier claim.
     has_caught_up_ = true;
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -113,13 +113,14 @@
                       const std::string& why) -> void;
   auto OnOperatorRecord(const KeyedRecord& record) -> void;
   auto OnEvacuation(const std::string& failure_domain, bool in_force) -> void;
-  auto OnCaughtUp(TimePoint now, uint64_t end) -> void;
+  auto OnCaughtUp(TimePoint now) -> void;
 
   auto SendAppends(TimePoint now) -> void;
   auto SendCallerBatch(TimePoint now) -> void;
   auto OnCallerBatch(TimePoint now, const AppendResult& result) -> void;
   auto SendOwnerBatch(TimePoint now) -> void;
-  auto OnOwnerBatch(TimePoint now, uint64_t fence, AppendResult result) -> void;
+  auto OnOwnerBatch(TimePoint now, uint64_t fence, const AppendResult& result)
+      -> void;
   auto ClaimIfDue(TimePoint now) -> void;
   // Before this entry reads the log on.
   auto ReadPause() const -> std::chrono::milliseconds;
--- a/Source/Jobs/entry_ownership.cc
+++ b/Source/Jobs/entry_ownership.cc
@@ -48,7 +48,6 @@
     options.producer = kOwnerProducer;
     options.epoch = claim->fence();
     options.longest_timeout = kLongestOwnerTimeout;
-    options.first_only_at_end = election_.claim_only_at_end();
     // Two claims of the same fence must not be taken for repeats of one append.
     options.first_sequence =
         1 + StableHash(options_.name, options_.incarnation) % (1ULL << 40);
@@ -61,8 +60,9 @@
 
 auto EntryDecisions::ReadPause() const -> std::chrono::milliseconds {
   if (election_.fence() != 0 || election_.owner_is_late()) {
-    // The owner starts jobs that others accept, and a claimant has to know the
-    // log to its end.
+    // The owner starts jobs that others accept, a claimant has to read its
+    // claim, and whoever may soon be one has to see how long the owner is
+    // silent.
     return std::chrono::milliseconds(0);
   }
   const auto part = StableHash(options_.name, 0) %
@@ -107,7 +107,7 @@
 
 auto EntryDecisions::OnOwnerBatch(TimePoint now,
                                   uint64_t fence,
-                                  AppendResult result) -> void {
+                                  const AppendResult& result) -> void {
   if (owner_appends_ == nullptr ||
       (fence != election_.fence() && !releasing_)) {
     // The answer to an append under an earlier claim.
@@ -120,17 +120,6 @@
     Resign("the log has a later claim");
     return;
   }
-  if (result.outcome == AppendOutcome::kEndMoved &&
-      election_.claim_is_in_log()) {
-    // An earlier try was stored, and the claim itself is behind the old end.
-    result.outcome = AppendOutcome::kAppended;
-  }
-  if (result.outcome == AppendOutcome::kEndMoved) {
-    election_.OnEndMoved();
-    WithdrawClaim("the log has moved on");
-    job_follower_.ReadOn();
-    return;
-  }
   const TimePoint sent = owner_appends_->first_sent();
   for (const auto& entry : owner_appends_->OnResult(now, result)) {
     election_.OnClaimStored(sent);
--- a/Source/Jobs/keyed_log_follower.cc
+++ b/Source/Jobs/keyed_log_follower.cc
@@ -102,7 +102,7 @@
   if (next_ >= result.end) {
     current_ = true;
     caught_up_at_ = now;
-    hooks_.on_caught_up(now, next_);
+    hooks_.on_caught_up(now);
   }
   PauseOrRead(now, next_ >= result.end && !result.records.empty());
 }
--- a/Source/Jobs/keyed_log_follower.h
+++ b/Source/Jobs/keyed_log_follower.h
@@ -30,7 +30,7 @@
   // order of their keys, and what was read of some may be older than of others.
   std::function<auto()->void> on_begin_anew;
   // Everything up to the end of the log at that time was read.
-  std::function<auto(TimePoint, uint64_t end)->void> on_caught_up;
+  std::function<auto(TimePoint)->void> on_caught_up;
   // How long the next read waits for a record; the options' wait at most. Null
   // if always that.
   std::function<auto(std::chrono::milliseconds)->std::chrono::milliseconds>
--- a/Source/Jobs/owner_election.cc
+++ b/Source/Jobs/owner_election.cc
@@ -9,8 +9,6 @@
 // A time without an answer that is longer than this counts as no silence of the
 // owner: nobody could renew while nobody could read.
 constexpr std::chrono::milliseconds kReadingGap{1500};
-// Claims that found another end of the log, before one is made for any end.
-constexpr int kMostMovedInRow = 3;
 constexpr std::chrono::milliseconds kShortestReadWait{20};
 // Numbers beyond any lease, which would not fit a time.
 constexpr std::chrono::milliseconds kLongestTold{600000};
@@ -28,7 +26,6 @@
   any_claim_ = true;
   newest_read_ = now;
   silent_for_ = Duration(0);
-  moved_in_row_ = 0;
   if (mine(claim) && claim.fence() == fence_) {
     confirmed_ = !claim.released();
     stored_ = true;
@@ -40,13 +37,12 @@
   }
 }
 
-auto OwnerElection::OnCaughtUp(TimePoint now, uint64_t end) -> void {
+auto OwnerElection::OnCaughtUp(TimePoint now) -> void {
   const TimePoint shown_until = std::max(caught_up_, newest_read_);
   if (shown_until != TimePoint() && now - shown_until <= kReadingGap) {
     silent_for_ += now - shown_until;
   }
   caught_up_ = now;
-  read_end_ = end;
 }
 
 auto OwnerElection::OnResignationRead(TimePoint now,
@@ -66,8 +62,6 @@
 auto OwnerElection::OnClaimStored(TimePoint sent) -> void {
   verified_ = std::max(verified_, sent);
   stored_ = true;
-  moved_from_.reset();
-  moved_in_row_ = 0;
 }
 
 auto OwnerElection::OnClaimLost() -> void {
@@ -76,20 +70,13 @@
   stored_ = false;
 }
 
-auto OwnerElection::OnEndMoved() -> void {
-  OnClaimLost();
-  moved_from_ = claimed_at_end_;
-  ++moved_in_row_;
-}
-
 auto OwnerElection::ClaimDue(TimePoint now) -> std::optional<OwnerClaim> {
   if (fence_ == 0) {
-    if (!MayClaim(now)) {
+    if (!HasGrounds(now)) {
       return std::nullopt;
     }
     fence_ = newest_.fence() + 1;
     renewal_ = 0;
-    claimed_at_end_ = read_end_;
     earlier_ = GrantsBefore(now);
     replaced_owner_ = newest_.owner();
   } else if (now < claim_due_) {
@@ -176,11 +163,6 @@
   return silent_for_ > SilenceToClaim();
 }
 
-auto OwnerElection::MayClaim(TimePoint now) const -> bool {
-  // One that has found another end waits until it has read to that.
-  return HasGrounds(now) && moved_from_ != read_end_;
-}
-
 auto OwnerElection::SilenceToClaim() const -> std::chrono::milliseconds {
   const auto own_part =
       StableHash(options_.name, newest_.fence()) %
@@ -188,11 +170,6 @@
   return options_.silence + std::chrono::milliseconds(own_part);
 }
 
-auto OwnerElection::claim_only_at_end() const -> std::optional<uint64_t> {
-  return moved_in_row_ < kMostMovedInRow ? std::optional(claimed_at_end_)
-                                         : std::nullopt;
-}
-
 auto OwnerElection::ClaimIsGroundless(TimePoint now) const -> bool {
   return fence_ != 0 && !stored_ && !HasGrounds(now);
 }
--- a/Source/Jobs/owner_election.h
+++ b/Source/Jobs/owner_election.h
@@ -46,9 +46,8 @@
 
   // The newest claim in the log, each time one was read.
   auto OnClaimRead(TimePoint now, const OwnerClaim& claim) -> void;
-  // The log was read to its end, behind the last record, by a read that was
-  // answered at `now`.
-  auto OnCaughtUp(TimePoint now, uint64_t end) -> void;
+  // The log was read to its end by a read that was answered at `now`.
+  auto OnCaughtUp(TimePoint now) -> void;
   // An entry has said that it grants nothing any more under fences up to this
   // one. True if that shortens what this owner has to wait for.
   auto OnResignationRead(TimePoint now,
@@ -58,18 +57,9 @@
   auto OnClaimStored(TimePoint sent) -> void;
   // The claim under way was fenced or lost.
   auto OnClaimLost() -> void;
-  // The claim under way was not stored, since the log did not end where it was
-  // read to.
-  auto OnEndMoved() -> void;
 
   // A claim to append now: a first one, or a renewal by the owner.
   auto ClaimDue(TimePoint now) -> std::optional<OwnerClaim>;
-  // Where the log has to end for a first claim to be stored. A claim that is
-  // carried out late, when a renewal has come, must not end a living owner.
-  // None if the log moves on too fast: then what was read beyond that place
-  // has shown the silence again and again.
-  auto claim_only_at_end() const -> std::optional<uint64_t>;
-  auto claim_is_in_log() const -> bool { return stored_; }
   // Whether a claim that is not in the log yet has lost its grounds: reads show
   // the owner's silence no more, or nothing.
   auto ClaimIsGroundless(TimePoint now) const -> bool;
@@ -96,7 +86,6 @@
  private:
   // Whether the log is being read, and shows that nobody owns the cell.
   auto HasGrounds(TimePoint now) const -> bool;
-  auto MayClaim(TimePoint now) const -> bool;
   // After which silence this entry claims.
   auto SilenceToClaim() const -> std::chrono::milliseconds;
   // Whether the newest claim is of an earlier process of this entry.
@@ -111,15 +100,8 @@
   bool any_claim_ = false;
   TimePoint newest_read_;
   TimePoint caught_up_;
-  uint64_t read_end_ = 0;
   // For how long reads that were answered have shown no renewal.
   Duration silent_for_{0};
-  // Where the log ended when the claim under way was made.
-  uint64_t claimed_at_end_ = 0;
-  // The end for which the latest claim was too late, and how many were in a
-  // row.
-  std::optional<uint64_t> moved_from_;
-  int moved_in_row_ = 0;
   uint64_t fence_ = 0;
   uint64_t renewal_ = 0;
   bool confirmed_ = false;
--- a/Tests/Jobs/takeover_test.cc
+++ b/Tests/Jobs/takeover_test.cc
@@ -180,5 +180,32 @@
                              milliseconds(250), seconds(5)}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against a new owner that is replaced at once: its first tries to claim
+// found that the log had moved on, and its renewals went missing after that.
+TEST(BusyLogTest, OwnerThatClaimedBesideAppendsKeepsItsCell) {
+  JobWorld world(JobWorldOptions{});
+  world.RunFor(seconds(4));
+  const int before = world.Owner();
+  ASSERT_GE(before, 0);
+  world.log().SetLatency(milliseconds(20));
+  world.KillEntry(before, kAway);
+  const auto run_busily = [&world](milliseconds span) -> void {
+    for (milliseconds at{0}; at < span; at += milliseconds(10)) {
+      world.Submit({1});
+      world.RunFor(milliseconds(10));
+    }
+  };
+  run_busily(milliseconds(3000));
+  const int owner = world.Owner();
+  ASSERT_GE(owner, 0);
+  const uint64_t fence = world.FenceOf(owner);
+  run_busily(milliseconds(5000));
+  EXPECT_EQ(world.Owner(), owner);
+  EXPECT_EQ(world.FenceOf(owner), fence);
+  for (const auto& problem : world.problems()) {
+    ADD_FAILURE() << problem;
+  }
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
--- a/Tests/Jobs/virtual_log.cc
+++ b/Tests/Jobs/virtual_log.cc
@@ -78,12 +78,8 @@
 }
 
 auto VirtualLog::Apply(const AppendCall& call) -> AppendResult {
-  AppendResult result;
-  if (call.only_at_end && *call.only_at_end != end()) {
-    result.outcome = AppendOutcome::kEndMoved;
-    return result;
-  }
   auto& producer = producers_[call.producer];
+  AppendResult result;
   if (producer.any && call.epoch < producer.epoch) {
     result.outcome = AppendOutcome::kFenced;
     return result;
