--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -150,8 +150,6 @@
   TaskAgentHooks hooks_;
   FillerPacing pacing_{FillerPacingOptions()};
   uint64_t pacing_version_ = 0;
-  // By the latest orders.
-  bool evacuated_ = false;
 
   uint64_t fence_ = 0;
   std::string owner_peer_;
@@ -197,6 +195,8 @@
   // that is not known, as after a start.
   std::optional<TimePoint> worker_lease_until_;
   bool report_due_ = false;
+  // Whether the worker's failure domain is, by the latest orders.
+  bool evacuated_ = false;
 };
 
 }  // namespace rhubarbhaven::jobs
