Jobs: Say which cancels are answered without a record

A cancel of a job that an entry does not know is answered 410, one of a job that is over 200; neither left a line, so the log could not tell them from cancels that were stored. Both do now, the first with the age of the copy that the answer rests on.

--- a/Source/Jobs/entry_callers.cc
+++ b/Source/Jobs/entry_callers.cc
@@ -14,6 +14,11 @@
 // Callers may ask for a job 3 s after it was accepted anywhere.
 constexpr std::chrono::milliseconds kCurrentFor{2000};
 
+auto Milliseconds(Duration span) -> std::string {
+  return absl::StrCat(
+      std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
 }  // namespace
 
 auto EntryDecisions::Handle(TimePoint now,
@@ -98,6 +103,11 @@
   const auto* entry = fold_.Find(id);
   if (entry == nullptr) {
     const bool certain = CaughtUp(now);
+    const Duration copy_age = now - job_follower_.caught_up_at();
+    log_.Write("cancel_unknown",
+               {{"job", id},
+                {"answer", certain ? "no_such_job" : "unavailable"},
+                {"copy_age_ms", Milliseconds(copy_age)}});
     respond(VerdictReply(
         certain ? JobVerdict::kNoSuchJob : JobVerdict::kUnavailable,
         certain ? "The log has no such job."
@@ -105,6 +115,8 @@
     return;
   }
   if (entry->over()) {
+    log_.Write("cancel_of_over",
+               {{"job", id}, {"state", JobState_Name(entry->state())}});
     respond(VerdictReply(JobVerdict::kCancelled, ""));
     return;
   }
