Jobs: Answer "no such job" only from a copy that is current, store each cancel

Callers saw tasks of a job started again and again long after its cancel was acknowledged. An entry answered 410 to a cancel of a job that its copy of the log did not have, if a read had reached the log's end within the last 2 s. The copy may be older than the job, also at the entry that has just accepted it: it had not read its own record back. Nothing was stored, so no owner ever heard of the cancel.

A cancel of an unknown id is stored now, too; the fold takes it ahead of the job, so a hand-in that is stored later never runs. The owner drops it after as long as a job that is over, and beyond 4,096 of them none is stored. "No such job", to a cancel or a question, follows a read of the log's end that began after the call and was caught up with. "No such queue" needs a copy of the operators' log that was at its end within 2 s, and an entry that cannot read that log is not ready.

Class: a certain denial out of a copy that may be old.

--- a/Source/Jobs/entry_callers.cc
+++ b/Source/Jobs/entry_callers.cc
@@ -11,12 +11,16 @@
 // Left of a caller's deadline for the way of its answer.
 constexpr std::chrono::milliseconds kAnswerMargin{300};
 // The fold counts as current for this long after a read that reached the end.
-// Callers may ask for a job 3 s after it was accepted anywhere.
 constexpr std::chrono::milliseconds kCurrentFor{2000};
+// Cancellations of ids that the log has no job of, until they are dropped. Who
+// cancels what does not exist must not fill the log.
+constexpr std::size_t kMostCancelledAhead = 4096;
+constexpr char kLogAway[] = "The log cannot be read at present.";
 
-auto Milliseconds(Duration span) -> std::string {
-  return absl::StrCat(
-      std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+auto NoSuchJobReply(bool certain) -> JobReply {
+  return certain
+             ? VerdictReply(JobVerdict::kNoSuchJob, "The log has no such job.")
+             : VerdictReply(JobVerdict::kUnavailable, kLogAway);
 }
 
 }  // namespace
@@ -31,6 +35,11 @@
     return;
   }
   const auto* queue = queues_.Match(call.host, call.path);
+  if (queue == nullptr && !CaughtUp(now, operator_follower_)) {
+    respond(VerdictReply(JobVerdict::kUnavailable,
+                         "The configuration may have changed."));
+    return;
+  }
   if (queue == nullptr) {
     log_.Write("no_such_queue",
                {{"host", call.host},
@@ -56,14 +65,13 @@
     JobReply reply;
     reply.verdict = JobVerdict::kPending;
     reply.pending = fold_.PendingIn(queue->name);
-    if (!CaughtUp(now)) {
-      reply = VerdictReply(JobVerdict::kUnavailable,
-                           "The log cannot be read at present.");
+    if (!CaughtUp(now, job_follower_)) {
+      reply = VerdictReply(JobVerdict::kUnavailable, kLogAway);
     }
     respond(reply);
     return;
   }
-  Ask(now, id, respond);
+  Ask(now, id, call, respond);
 }
 
 auto EntryDecisions::Submit(TimePoint now,
@@ -100,46 +108,69 @@
                             const std::string& id,
                             const JobCall& call,
                             const JobResponder& respond) -> void {
+  const TimePoint give_up_at = now + call.deadline - kAnswerMargin;
   const auto* entry = fold_.Find(id);
-  if (entry == nullptr) {
-    const bool certain = CaughtUp(now);
-    const Duration copy_age = now - job_follower_.caught_up_at();
-    log_.Write("cancel_unknown",
-               {{"job", id},
-                {"answer", certain ? "no_such_job" : "unavailable"},
-                {"copy_age_ms", Milliseconds(copy_age)}});
-    respond(VerdictReply(
-        certain ? JobVerdict::kNoSuchJob : JobVerdict::kUnavailable,
-        certain ? "The log has no such job."
-                : "The log cannot be read at present."));
-    return;
-  }
-  if (entry->over()) {
+  if (entry != nullptr && entry->over()) {
     log_.Write("cancel_of_over",
                {{"job", id}, {"state", JobState_Name(entry->state())}});
     respond(VerdictReply(JobVerdict::kCancelled, ""));
     return;
   }
+  const bool known = entry != nullptr;
+  if (!known && !CheckJobId(id).ok()) {
+    respond(VerdictReply(JobVerdict::kNoSuchJob, "No job has such an id."));
+    return;
+  }
+  if (!known && fold_.cancelled_ahead().size() >= kMostCancelledAhead) {
+    metrics_->Add("rhubarbhaven_cancels_not_stored_total");
+    job_barrier_.Await(
+        now, give_up_at,
+        [this, id, call, respond](TimePoint then, bool current) -> void {
+          if (fold_.Find(id) != nullptr) {
+            Cancel(then, id, call, respond);
+          } else {
+            respond(NoSuchJobReply(current));
+          }
+        });
+    return;
+  }
+  // Also if it is not known: its hand-in may be in the log already, or on its
+  // way there from any entry.
   Store(now,
-        {id, entry->job.queue(), respond, now,
-         now + call.deadline - kAnswerMargin, true},
+        {id, known ? entry->job.queue() : "", respond, now, give_up_at,
+         /*is_cancel=*/true, /*is_ahead=*/!known},
         MakeCancellation(id));
 }
 
+auto EntryDecisions::AnswerCancelAhead(TimePoint now,
+                                       const Submission& submission) -> void {
+  job_barrier_.Await(
+      now, submission.give_up_at,
+      [this, submission](TimePoint, bool current) -> void {
+        // If that is not certain, the cancel holds all the same.
+        const bool none = current && fold_.Find(submission.job) == nullptr;
+        log_.Write(none ? "cancelled_ahead" : "cancelled",
+                   {{"job", submission.job}});
+        submission.respond(none ? NoSuchJobReply(/*certain=*/true)
+                                : VerdictReply(JobVerdict::kCancelled, ""));
+      });
+}
+
 auto EntryDecisions::Ask(TimePoint now,
                          const std::string& id,
+                         const JobCall& call,
                          const JobResponder& respond) -> void {
   const auto* entry = fold_.Find(id);
   if (entry != nullptr) {
     respond(StateReply(entry->state()));
     return;
   }
-  if (CaughtUp(now)) {
-    respond(VerdictReply(JobVerdict::kNoSuchJob, "The log has no such job."));
-  } else {
-    respond(VerdictReply(JobVerdict::kUnavailable,
-                         "The log cannot be read at present."));
-  }
+  job_barrier_.Await(now, now + call.deadline - kAnswerMargin,
+                     [this, id, respond](TimePoint, bool current) -> void {
+                       const auto* found = fold_.Find(id);
+                       respond(found != nullptr ? StateReply(found->state())
+                                                : NoSuchJobReply(current));
+                     });
 }
 
 auto EntryDecisions::Store(TimePoint now,
@@ -182,9 +213,10 @@
   }
 }
 
-auto EntryDecisions::CaughtUp(TimePoint now) const -> bool {
-  return job_follower_.caught_up_at() != TimePoint() &&
-         now - job_follower_.caught_up_at() < kCurrentFor;
+auto EntryDecisions::CaughtUp(TimePoint now, const KeyedLogFollower& follower)
+    -> bool {
+  return follower.caught_up_at() != TimePoint() &&
+         now - follower.caught_up_at() < kCurrentFor;
 }
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -66,6 +66,11 @@
       operator_follower_(FollowerOptions(LogTopic::kOperators),
                          hooks_.log,
                          FollowerHooksFor(LogTopic::kOperators)),
+      job_barrier_({hooks_.log.read,
+                    [this]() -> std::optional<uint64_t> {
+                      return job_follower_.read_to();
+                    },
+                    [this]() -> void { job_follower_.ReadOn(); }}),
       caller_appends_(CallerAppendOptions(options_)) {}
 
 EntryDecisions::~EntryDecisions() = default;
@@ -108,6 +113,7 @@
   }
   ClaimIfDue(now);
   owner_.Tick(now);
+  job_barrier_.Tick(now);
   GiveUpLate(now);
   UpdateReady(now);
   SendAppends(now);
@@ -118,7 +124,8 @@
   if (!later_.empty()) {
     wake = std::min(wake, later_.begin()->first);
   }
-  wake = std::min({wake, owner_.next_wake(), caller_appends_.next_wake()});
+  wake = std::min({wake, owner_.next_wake(), caller_appends_.next_wake(),
+                   job_barrier_.next_wake()});
   if (owner_appends_ != nullptr) {
     wake = std::min(wake, owner_appends_->next_wake());
   }
@@ -247,6 +254,7 @@
     resigned_fence_ = claim.owner() == options_.name ? 0 : claim.fence();
   }
   BecomeOwnerIfClaimed(now);
+  job_barrier_.OnReadTo(now);
   UpdateReady(now);
   SendAppends(now);
 }
@@ -298,6 +306,10 @@
     }
     metrics_->RecordLatency("rhubarbhaven_store_seconds",
                             now - submission.received);
+    if (submission.is_ahead) {
+      AnswerCancelAhead(now, submission);
+      continue;
+    }
     log_.Write(submission.is_cancel ? "cancelled" : "accepted",
                {{"job", submission.job}, {"queue", submission.queue}});
     submission.respond(VerdictReply(
@@ -310,10 +322,13 @@
   // The balancer sends callers to the entries of other failure domains as soon
   // as this one is not ready. Often only some entries lose the log; a caller
   // would use up its retries at one of them.
-  const auto read_at = job_follower_.caught_up_at();
+  const auto read_lately = [now](const KeyedLogFollower& follower) -> bool {
+    const auto read_at = follower.caught_up_at();
+    return read_at != TimePoint() && now - read_at < kReadyFor;
+  };
   ready_ = !releasing_ && queues_.known() && job_follower_.reachable() &&
-           !caller_appends_.failing() && read_at != TimePoint() &&
-           now - read_at < kReadyFor;
+           !caller_appends_.failing() && read_lately(job_follower_) &&
+           read_lately(operator_follower_);
 }
 
 auto EntryDecisions::NoteLag(Duration lag) -> void {
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -19,6 +19,7 @@
 #include "Jobs/lag_watch.h"
 #include "Jobs/owner_election.h"
 #include "Jobs/queue_directory.h"
+#include "Jobs/read_barrier.h"
 
 namespace rhubarbhaven::jobs {
 
@@ -87,6 +88,8 @@
     TimePoint received;
     TimePoint give_up_at;
     bool is_cancel = false;
+    // A cancel of an id that this entry's copy of the log does not have.
+    bool is_ahead = false;
   };
 
   auto Handle(TimePoint now, JobCall call, const JobResponder& respond) -> void;
@@ -99,12 +102,16 @@
               const std::string& id,
               const JobCall& call,
               const JobResponder& respond) -> void;
-  auto Ask(TimePoint now, const std::string& id, const JobResponder& respond)
-      -> void;
+  // Answers a cancel that is in the log, of a job that was not known.
+  auto AnswerCancelAhead(TimePoint now, const Submission& submission) -> void;
+  auto Ask(TimePoint now,
+           const std::string& id,
+           const JobCall& call,
+           const JobResponder& respond) -> void;
   auto Store(TimePoint now, Submission submission, KeyedRecord record) -> void;
   auto GiveUpLate(TimePoint now) -> void;
   auto Refuse(const Submission& submission, const std::string& why) -> void;
-  auto CaughtUp(TimePoint now) const -> bool;
+  static auto CaughtUp(TimePoint now, const KeyedLogFollower& follower) -> bool;
 
   auto FollowerHooksFor(LogTopic topic) -> KeyedLogFollowerHooks;
   auto OnJobRecord(TimePoint now, const KeyedRecord& record) -> void;
@@ -158,6 +165,7 @@
   JobOwner owner_;
   KeyedLogFollower job_follower_;
   KeyedLogFollower operator_follower_;
+  ReadBarrier job_barrier_;
   std::multimap<TimePoint, std::function<auto(TimePoint)->void>> later_;
 
   AppendBatcher caller_appends_;
--- a/Source/Jobs/job_fold.cc
+++ b/Source/Jobs/job_fold.cc
@@ -95,6 +95,10 @@
   return found == resigned_fences_.end() ? 0 : found->second;
 }
 
+auto JobFold::CancelledAhead(const std::string& job) const -> bool {
+  return cancelled_ahead_.contains(job);
+}
+
 auto JobFold::PendingIn(const std::string& queue) const -> uint64_t {
   uint64_t pending = 0;
   for (const auto& [id, entry] : jobs_) {
@@ -125,6 +129,7 @@
   }
   entry.job = *std::move(job);
   entry.accepted_at = record.offset;
+  cancelled_ahead_.erase(id);
   auto status = CheckProgress(entry.job, entry.progress);
   if (!status.ok()) {
     *earlier_passed_over =
@@ -162,6 +167,9 @@
 auto JobFold::TakeCancellation(const std::string& id, const KeyedRecord& record)
     -> absl::Status {
   if (record.value.empty()) {
+    if (cancelled_ahead_.contains(id)) {
+      DropJob(id);
+    }
     return absl::OkStatus();
   }
   auto status = CheckCancellation(id, record.value);
@@ -172,6 +180,9 @@
   if (!entry.cancelled_at) {
     entry.cancelled_at = record.offset;
   }
+  if (entry.job.id().empty()) {
+    cancelled_ahead_.insert(id);
+  }
   return absl::OkStatus();
 }
 
@@ -269,6 +280,7 @@
 }
 
 auto JobFold::DropJob(const std::string& id) -> void {
+  cancelled_ahead_.erase(id);
   const auto found = jobs_.find(id);
   if (found != jobs_.end()) {
     dropped_job_ = std::move(found->second);
--- a/Source/Jobs/job_fold.h
+++ b/Source/Jobs/job_fold.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -87,6 +88,12 @@
   auto resigned_fence(const std::string& entry) const -> uint64_t;
   // What the latest owners have learned of images.
   auto pressures() const -> const LearnedPressures& { return pressures_; }
+  // Whether the log has a cancellation of a job that it does not have (yet).
+  auto CancelledAhead(const std::string& job) const -> bool;
+  // Ids of which that is so.
+  auto cancelled_ahead() const -> const std::set<std::string>& {
+    return cancelled_ahead_;
+  }
   // Jobs of a queue that are accepted and run once, none of whose tasks has
   // started.
   auto PendingIn(const std::string& queue) const -> uint64_t;
@@ -121,6 +128,7 @@
 
   IsLinkEndpoint is_endpoint_;
   absl::flat_hash_map<std::string, std::unique_ptr<StoredJob>> jobs_;
+  std::set<std::string> cancelled_ahead_;
   // The job dropped last, kept until the next: an owner that works on it reads
   // it once more when it is told of the change.
   std::unique_ptr<StoredJob> dropped_job_;
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -43,6 +43,9 @@
       AddJob(now, *entry);
     }
   }
+  for (const auto& id : fold->cancelled_ahead()) {
+    over_.Set(id, now + options_.keep_over);
+  }
   BeginCensus(now);
   place_due_ = true;
 }
@@ -100,6 +103,8 @@
         order_.Touch(*found->second);
         EndJob(*found->second, "its job was cancelled");
         ForgetJobIfIdle(now, change.name);
+      } else if (fold_->CancelledAhead(change.name)) {
+        over_.Set(change.name, now + options_.keep_over);
       }
       break;
     }
--- a/Source/Jobs/keyed_log.h
+++ b/Source/Jobs/keyed_log.h
@@ -27,6 +27,8 @@
   uint64_t from = 0;
   // How long the answer may wait for a record.
   std::chrono::milliseconds wait{0};
+  // The answer holds about so many bytes of records at most, but one record.
+  std::size_t most_bytes = 1 << 20;
 };
 
 enum class ReadOutcome {
--- a/Source/Jobs/keyed_log_follower.h
+++ b/Source/Jobs/keyed_log_follower.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -59,6 +60,11 @@
   auto reachable() const -> bool { return reachable_; }
   // When a read that reached the end was last answered.
   auto caught_up_at() const -> TimePoint { return caught_up_at_; }
+  // Place behind the last record that was read; none while the newest records
+  // are being read anew.
+  auto read_to() const -> std::optional<uint64_t> {
+    return current_ ? std::optional(next_) : std::nullopt;
+  }
 
  private:
   auto AskNewest() -> void;
--- /dev/null
+++ b/Tests/Jobs/stale_copy_test.cc
@@ -0,0 +1,130 @@
+// What an entry tells callers of jobs that its copy of the log does not have.
+
+#include <string>
+#include <vector>
+
+#include "Tests/Jobs/entry_decisions_fixture.h"
+
+namespace rhubarbhaven::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kJob[] = "00000000000000a1";
+constexpr milliseconds kDeadline{3000};
+
+enum class Copy {
+  // All that the log holds, and it has no such job.
+  kCurrent,
+  // Older than the job.
+  kBehind,
+  // The log does not say how far it goes.
+  kUnknown,
+};
+
+struct StaleCopyCase {
+  std::string name;
+  JobCallKind kind = JobCallKind::kAsk;
+  Copy copy = Copy::kCurrent;
+  JobVerdict verdict = JobVerdict::kUnavailable;
+  bool stored = false;
+};
+
+class StaleCopyTest : public EntryDecisionsTest,
+                      public testing::WithParamInterface<StaleCopyCase> {
+ protected:
+  StaleCopyTest() {
+    AnswerOperators({{kConfigurationKey, "1", 0}});
+    AnswerNewest({}, /*more=*/false);
+    AnswerRead(ReadOutcome::kRecords);
+    Pass(milliseconds(0));
+    AnswerAppends();
+  }
+
+  static auto JobRecord() -> KeyedRecord {
+    Job job;
+    job.set_id(kJob);
+    job.set_queue("queue");
+    job.add_steps()->set_count(1);
+    auto record = MakeRecord(RecordKind::kJob, kJob, job);
+    record.offset = kEnd;
+    return record;
+  }
+
+  auto Call(JobCallKind kind) -> void {
+    JobCall call{kind, kQueueHost, std::string(kQueuePrefix) + kJob, {}, {}};
+    call.deadline = kDeadline;
+    entry_.Call(now_, call, [this](const JobReply& reply) -> void {
+      replies_.push_back(reply.verdict);
+    });
+  }
+
+  // What the log says after the call.
+  auto ShowLog(Copy copy) -> void {
+    if (copy == Copy::kUnknown) {
+      AnswerEndRead(ReadOutcome::kFailed, 0);
+      return;
+    }
+    const bool behind = copy == Copy::kBehind;
+    AnswerEndRead(ReadOutcome::kRecords, behind ? kEnd + 1 : kEnd);
+    if (behind) {
+      EXPECT_TRUE(replies_.empty());
+      AnswerRead(ReadOutcome::kRecords, {JobRecord()});
+    }
+  }
+
+  std::vector<JobVerdict> replies_;
+};
+
+// Guards against "no such job", and a cancel that is stored nowhere, out of a
+// copy of the log that is older than the job.
+TEST_P(StaleCopyTest, SaysThatThereIsNoJobOnlyIfTheLogHasNone) {
+  Call(GetParam().kind);
+  EXPECT_TRUE(replies_.empty());
+  AnswerAppends();
+  ShowLog(GetParam().copy);
+  ASSERT_EQ(replies_.size(), 1U);
+  EXPECT_EQ(replies_.front(), GetParam().verdict);
+  EXPECT_EQ(Appended(RecordKind::kCancellation).has_value(), GetParam().stored);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    StaleCopyTest,
+    testing::Values(StaleCopyCase{"ask_none", JobCallKind::kAsk, Copy::kCurrent,
+                                  JobVerdict::kNoSuchJob, false},
+                    StaleCopyCase{"ask_behind", JobCallKind::kAsk,
+                                  Copy::kBehind, JobVerdict::kState, false},
+                    StaleCopyCase{"ask_unknown", JobCallKind::kAsk,
+                                  Copy::kUnknown, JobVerdict::kUnavailable,
+                                  false},
+                    StaleCopyCase{"cancel_none", JobCallKind::kCancel,
+                                  Copy::kCurrent, JobVerdict::kNoSuchJob, true},
+                    StaleCopyCase{"cancel_behind", JobCallKind::kCancel,
+                                  Copy::kBehind, JobVerdict::kCancelled, true},
+                    // It holds whatever the log has.
+                    StaleCopyCase{"cancel_unknown", JobCallKind::kCancel,
+                                  Copy::kUnknown, JobVerdict::kCancelled,
+                                  true}),
+    [](const auto& info) { return info.param.name; });
+
+using CancelAheadTest = StaleCopyTest;
+
+// Guards against a job that runs although its cancel was acknowledged, since
+// its hand-in was stored after that.
+TEST_F(CancelAheadTest, HoldsForAJobThatIsStoredLater) {
+  Call(JobCallKind::kCancel);
+  AnswerAppends();
+  ShowLog(Copy::kCurrent);
+  auto cancellation = Appended(RecordKind::kCancellation);
+  ASSERT_TRUE(cancellation.has_value());
+  cancellation->offset = kEnd;
+  auto job = JobRecord();
+  job.offset = kEnd + 1;
+  AnswerRead(ReadOutcome::kRecords, {*cancellation, job});
+  ASSERT_NE(entry_.fold().Find(kJob), nullptr);
+  EXPECT_EQ(entry_.fold().Find(kJob)->state(), JOB_CANCELLED);
+}
+
+}  // namespace
+}  // namespace rhubarbhaven::jobs
--- a/Tests/Jobs/virtual_log.cc
+++ b/Tests/Jobs/virtual_log.cc
@@ -180,7 +180,12 @@
   ReadResult result;
   result.outcome = gone ? ReadOutcome::kGone : ReadOutcome::kRecords;
   result.end = topic.records.size();
+  std::size_t bytes = 0;
   for (uint64_t at = call.from; !gone && at < topic.records.size(); ++at) {
+    bytes += topic.records[at].key.size() + topic.records[at].value.size();
+    if (bytes > call.most_bytes && !result.records.empty()) {
+      break;
+    }
     result.records.push_back(topic.records[at]);
   }
   time_->After(latency_,
--- a/Tests/StandIns/Platform/platform_stand_in.cc
+++ b/Tests/StandIns/Platform/platform_stand_in.cc
@@ -387,8 +387,9 @@
         });
   } else if (absl::EndsWith(request.path, "log-read")) {
     const std::chrono::milliseconds wait(QueryNumber(request, "WaitMs"));
+    const std::size_t most_bytes = QueryNumber(request, "MaxKb") << 10;
     log_port_.read(
-        {TopicOf(request), QueryNumber(request, "From"), wait},
+        {TopicOf(request), QueryNumber(request, "From"), wait, most_bytes},
         [respond](TimePoint, const jobs::ReadResult& result) -> void {
           respond(ReadAnswer(result));
         });
