Jobs: Renew the claim only while the log is read

Callers saw jobs with nothing running while there was room, and tasks started after their job's cancel was acknowledged by another entry. An owner renewed its claim by appends alone, and each append that was answered counted as proof that it was the owner. One whose reads hung, failed or were too slow knew of no job that others accepted and of no cancel, for as long as that lasted, and nobody replaced it: to the others it was alive.

An owner that has not read the log to its end for a second renews nothing, so that an entry that reads claims the cell 1.6 to 2 s later; if nobody reads, it goes on as before. Its reads wait half a second at most, as long as one of its renewals takes to come.

Class: a sign of life that shows less than what it stands for. BlindOwnerTest: both rows failed before (reads without an answer, reads too slow), none now.

--- a/Source/Jobs/entry_ownership.cc
+++ b/Source/Jobs/entry_ownership.cc
@@ -28,8 +28,9 @@
   if (releasing_) {
     return;
   }
-  if (!operators_known_) {
-    // It could not begin, and would keep those out that can.
+  if (!operators_known_ || !CaughtUp(now, operator_follower_)) {
+    // It could not begin, or would decide by rules that are no longer in force,
+    // and keep those out that can.
     return;
   }
   if (election_.ClaimIsGroundless(now)) {
--- a/Source/Jobs/owner_election.cc
+++ b/Source/Jobs/owner_election.cc
@@ -79,7 +79,7 @@
     renewal_ = 0;
     earlier_ = GrantsBefore(now);
     replaced_owner_ = newest_.owner();
-  } else if (now < claim_due_) {
+  } else if (now < claim_due_ || !Reads(now, options_.read_within)) {
     return std::nullopt;
   }
   claim_due_ = now + options_.renew_interval;
@@ -152,9 +152,7 @@
 }
 
 auto OwnerElection::HasGrounds(TimePoint now) const -> bool {
-  const bool reading =
-      caught_up_ != TimePoint() && now - caught_up_ < kReadingGap;
-  if (!reading) {
+  if (!Reads(now, kReadingGap)) {
     return false;
   }
   if (!any_claim_ || newest_.released() || predecessor_is_dead()) {
@@ -163,6 +161,11 @@
   return silent_for_ > SilenceToClaim();
 }
 
+auto OwnerElection::Reads(TimePoint now, std::chrono::milliseconds gap) const
+    -> bool {
+  return caught_up_ != TimePoint() && now - caught_up_ < gap;
+}
+
 auto OwnerElection::SilenceToClaim() const -> std::chrono::milliseconds {
   const auto own_part =
       StableHash(options_.name, newest_.fence()) %
@@ -176,7 +179,10 @@
 
 auto OwnerElection::ReadWait(std::chrono::milliseconds longest) const
     -> std::chrono::milliseconds {
-  if (!any_claim_ || fence_ != 0 || silent_for_ > SilenceToClaim()) {
+  if (fence_ != 0) {
+    return std::min(longest, options_.renew_interval);
+  }
+  if (!any_claim_ || silent_for_ > SilenceToClaim()) {
     return longest;
   }
   const auto left = std::chrono::ceil<std::chrono::milliseconds>(
--- a/Source/Jobs/owner_election.h
+++ b/Source/Jobs/owner_election.h
@@ -18,6 +18,10 @@
   // replaced: three renewals, so that one lost answer does not change the
   // owner.
   std::chrono::milliseconds silence{1600};
+  // An owner that has not read the log to its end for this long renews nothing:
+  // it knows neither of new jobs nor of cancelled ones, and somebody who reads
+  // is to replace it. Longer than a read that waits for a renewal of its own.
+  std::chrono::milliseconds read_within{1000};
   // Candidates differ by up to this, so that mostly one claims.
   std::chrono::milliseconds spread{400};
   // An owner that cannot renew decides on for this long, since nobody can
@@ -86,6 +90,8 @@
  private:
   // Whether the log is being read, and shows that nobody owns the cell.
   auto HasGrounds(TimePoint now) const -> bool;
+  // Whether the log was read to its end within the gap.
+  auto Reads(TimePoint now, std::chrono::milliseconds gap) const -> bool;
   // After which silence this entry claims.
   auto SilenceToClaim() const -> std::chrono::milliseconds;
   // Whether the newest claim is of an earlier process of this entry.
--- a/Tests/Jobs/job_world.cc
+++ b/Tests/Jobs/job_world.cc
@@ -156,7 +156,10 @@
 }
 
 auto JobWorld::Cancel(const std::string& job) -> void {
-  const int number = static_cast<int>(time_.Pick(0, options_.entries - 1));
+  CancelAt(static_cast<int>(time_.Pick(0, options_.entries - 1)), job);
+}
+
+auto JobWorld::CancelAt(int number, const std::string& job) -> void {
   Process* process = entries_[number].get();
   if (!process->up) {
     return;
--- a/Tests/Jobs/job_world.h
+++ b/Tests/Jobs/job_world.h
@@ -72,6 +72,8 @@
   // A job of one step.
   auto SubmitStep(const JobStep& step) -> std::string;
   auto Cancel(const std::string& job) -> void;
+  // At this entry.
+  auto CancelAt(int number, const std::string& job) -> void;
 
   auto KillEntry(int number, Duration down) -> void;
   auto KillAgent(int number, Duration down) -> void;
--- a/Tests/Jobs/takeover_test.cc
+++ b/Tests/Jobs/takeover_test.cc
@@ -180,6 +180,50 @@
                              milliseconds(250), seconds(5)}),
     [](const auto& info) { return info.param.name; });
 
+// How an owner is kept from reading the log while its appends are served.
+struct BlindCase {
+  std::string name;
+  VirtualLog::Mode mode = VirtualLog::Mode::kServes;
+  // Of its reads, in bytes a second; zero without limit.
+  std::size_t bandwidth = 0;
+};
+
+class BlindOwnerTest : public testing::TestWithParam<BlindCase> {};
+
+// Guards against an owner that renews its claim by appends alone and learns of
+// no job that others accept, and of no cancel.
+TEST_P(BlindOwnerTest, IsReplacedByAnEntryThatReads) {
+  JobWorld world(JobWorldOptions{});
+  world.RunFor(seconds(4));
+  const int owner = world.Owner();
+  ASSERT_GE(owner, 0);
+  const auto lasting = world.SubmitLasting(1);
+  world.RunFor(seconds(2));
+  const std::string client = "entry-" + std::to_string(owner);
+  world.log().SetModeFor(client, GetParam().mode);
+  world.log().SetBandwidthFor(client, GetParam().bandwidth);
+  const int other = (owner + 1) % world.entries();
+  world.CancelAt(other, lasting);
+  const auto job = world.Submit({1});
+  world.RunFor(seconds(5));
+  EXPECT_NE(world.Owner(), owner);
+  EXPECT_EQ(world.StateOf(other, job), JOB_COMPLETED);
+  world.HealAll();
+  world.RunFor(seconds(3));
+  world.CheckJobs();
+  for (const auto& problem : world.problems()) {
+    ADD_FAILURE() << problem;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    BlindOwnerTest,
+    testing::Values(BlindCase{"reads_unanswered",
+                              VirtualLog::Mode::kReadsSilent},
+                    BlindCase{"reads_too_slow", VirtualLog::Mode::kServes, 40}),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against a new owner that is replaced at once: its first tries to claim
 // found that the log had moved on, and its renewals went missing after that.
 TEST(BusyLogTest, OwnerThatClaimedBesideAppendsKeepsItsCell) {
