Jobs: Carry out no start whose stop lies beside it

Callers saw a task started long after its job's cancel was acknowledged, and stopped at once after that. An owner that cancels a run keeps sending the start until it has a result. If the start was lost on its way, say as the link between owner and agent was cut, agent and worker got it together with the stop, and the agent carried out both, in this order.

A start that waits is refused now once a stop of its run, or of a later one of its task, is known; if an earlier copy may still be carried out, it is stopped first, as every such start.

Class: an order that is carried out although its withdrawal is known.

--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -94,6 +94,8 @@
     // An earlier call of this run may still be carried out.
     bool unsure = false;
     bool poisoned = false;
+    // A start whose run is to be stopped.
+    bool withdrawn = false;
     TimePoint not_before;
     // Lease under which the order came; it is void after that one's end.
     uint64_t lease_number = 0;
@@ -108,6 +110,8 @@
   // Renews the lease, if the orders do and mean this process.
   auto TakeLease(TimePoint now, const AgentOrders& orders) -> void;
   auto TakeOrders(const AgentOrders& orders) -> void;
+  // Starts that wait and that the stop is for are not carried out any more.
+  auto WithdrawStarts(const StopOrder& stop) -> void;
   auto ResetWorker(TimePoint now) -> void;
   // The worker has another life, and the one before did not leave.
   auto NoteCrash(TimePoint now) -> void;
--- a/Source/Jobs/task_agent_orders.cc
+++ b/Source/Jobs/task_agent_orders.cc
@@ -102,6 +102,7 @@
     order->task = stop.task();
     order->run = stop.run();
     orders_[stop.order()] = order;
+    WithdrawStarts(stop);
     if (stop.worker_id() != heartbeat_.worker_id) {
       Finish(order, ORDER_DONE);
     }
@@ -113,6 +114,14 @@
   pacing_.SetPressures({orders.pressures().begin(), orders.pressures().end()});
 }
 
+auto TaskAgent::WithdrawStarts(const StopOrder& stop) -> void {
+  for (const auto& [number, order] : orders_) {
+    const bool meant = !order->is_stop && order->run <= stop.run() &&
+                       SameTask(order->task, stop.task());
+    order->withdrawn = order->withdrawn || meant;
+  }
+}
+
 auto TaskAgent::SettleLapsed(TimePoint now) -> void {
   if (!LeaseLapsed(now)) {
     return;
@@ -147,7 +156,7 @@
   }
   const bool lease_holds =
       LeaseHolds(now) && order->lease_number == lease_number_;
-  if (heartbeat_.draining || evacuated_ || !lease_holds) {
+  if (heartbeat_.draining || evacuated_ || order->withdrawn || !lease_holds) {
     RefuseStart(now, order, ORDER_REFUSED);
     return;
   }
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -383,6 +383,47 @@
   EXPECT_EQ(starts_.size(), 1U);
 }
 
+struct WithdrawnCase {
+  std::string name;
+  bool repeated = false;
+  // Of the stop that comes with the start; the start's run is 10.
+  uint64_t stopped_run = 10;
+  std::size_t starts = 0;
+};
+
+class WithdrawnStartTest : public TaskAgentTest,
+                           public testing::WithParamInterface<WithdrawnCase> {};
+
+// Guards against a task that is started long after its job was cancelled: the
+// start was lost on its way, and is sent again beside the stop.
+TEST_P(WithdrawnStartTest, IsNotCarriedOut) {
+  Beat(kWorker);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  AnswerList();
+  auto orders = WithStart(Orders(1), GetParam().repeated);
+  auto* stop = orders.add_stops();
+  stop->set_order(2);
+  stop->set_run(GetParam().stopped_run);
+  stop->mutable_task()->set_job("job");
+  stop->set_worker_id(kWorker);
+  agent_.OnOrders(now_, "owner", orders);
+  EXPECT_EQ(starts_.size(), GetParam().starts);
+  EXPECT_FALSE(stops_.empty());
+  const bool refused = GetParam().starts == 0 && !GetParam().repeated;
+  EXPECT_EQ(Result(), refused ? std::optional(ORDER_REFUSED) : std::nullopt);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    WithdrawnStartTest,
+    testing::Values(WithdrawnCase{"never_sent", false, 10, 0},
+                    // An earlier copy may still be carried out: it is stopped
+                    // before it is said to be refused.
+                    WithdrawnCase{"sent_before", true, 10, 0},
+                    WithdrawnCase{"later_run_stopped", false, 11, 0},
+                    WithdrawnCase{"earlier_run_stopped", false, 9, 1}),
+    [](const auto& info) { return info.param.name; });
+
 TEST_F(TaskAgentTest, DrainingWorkerGetsNoStart) {
   Beat(kWorker);
   agent_.OnOrders(now_, "owner", Orders(1));
