--- a/Tests/Jobs/job_world.cc
+++ b/Tests/Jobs/job_world.cc
@@ -160,19 +160,29 @@
 }
 
 auto JobWorld::CancelAt(int number, const std::string& job) -> void {
-  Process* process = entries_[number].get();
-  if (!process->up) {
+  if (!entries_.at(number)->up) {
     return;
   }
   submitted_.at(job).cancel_asked = true;
-  Deliver(process, [this, process, job]() -> void {
-    JobCall call{JobCallKind::kCancel, kHost, kPrefix + job, {}, {}};
+  CallAt(number, JobCallKind::kCancel, job, [this, job](const JobReply& reply) {
+    if (reply.verdict == JobVerdict::kCancelled) {
+      cancelled_.insert(job);
+    }
+  });
+}
+
+auto JobWorld::CallAt(int number,
+                      JobCallKind kind,
+                      const std::string& job,
+                      const JobResponder& respond) -> void {
+  Process* process = entries_.at(number).get();
+  if (!process->up) {
+    return;
+  }
+  Deliver(process, [this, process, kind, job, respond]() -> void {
+    JobCall call{kind, kHost, kPrefix + job, {}, {}};
     call.deadline = std::chrono::milliseconds(3000);
-    process->entry->Call(time_.now(), call, [this, job](const JobReply& reply) {
-      if (reply.verdict == JobVerdict::kCancelled) {
-        cancelled_.insert(job);
-      }
-    });
+    process->entry->Call(time_.now(), call, respond);
   });
 }
 
@@ -678,6 +688,7 @@
                        const TaskName& task,
                        uint64_t run) -> void {
   ++starts_;
+  options_.on_start(task);
   Trace(
       absl::StrCat("START ", DescribeTask(task), " run ", run, " at ", worker));
   const std::string name = DescribeTask(task);
--- a/Tests/Jobs/job_world.h
+++ b/Tests/Jobs/job_world.h
@@ -38,6 +38,8 @@
   bool allow_census = true;
   // From a crash under a task to the worker's next life.
   std::chrono::milliseconds back_after_crash{3300};
+  // A worker begins to run a task.
+  std::function<auto(const TaskName&)->void> on_start = [](const TaskName&) {};
 };
 
 // Entries, agents, workers and callers over virtual time, with their faults.
@@ -74,6 +76,12 @@
   auto Cancel(const std::string& job) -> void;
   // At this entry.
   auto CancelAt(int number, const std::string& job) -> void;
+  // Calls this entry about the job. Without an answer if it is down, or ends
+  // before it has answered.
+  auto CallAt(int number,
+              JobCallKind kind,
+              const std::string& job,
+              const JobResponder& respond) -> void;
 
   auto KillEntry(int number, Duration down) -> void;
   auto KillAgent(int number, Duration down) -> void;
@@ -89,6 +97,9 @@
   auto RemoveAgent(int number, bool planned) -> void;
   // Numbers of the agents that are not gone.
   auto Agents() const -> std::vector<int>;
+  // Whether a fault is in force now.
+  auto Disturbed() const -> bool;
+  auto RunsAnywhere(const std::string& task) const -> bool;
   // A fault has begun that does not show in the state of the world.
   auto NoteFault() -> void { disturbed_at_ = time_.now(); }
   auto HealAll() -> void;
@@ -168,13 +179,10 @@
   auto Sleeps(const Process& process) const -> bool;
   auto Lasts(const TaskName& task) const -> bool;
   auto Fills(const TaskName& task) const -> bool;
-  // Whether a fault is in force now.
-  auto Disturbed() const -> bool;
   // Whether a worker whose agent is alive has room for one more task.
   auto HasRoom() const -> bool;
   // Whether the owner may still wait for runs at an agent that is gone.
   auto CensusWaits() const -> bool;
-  auto RunsAnywhere(const std::string& task) const -> bool;
   // A task that lasts, whose job is accepted and not cancelled, runs again
   // within a while in which no fault was in force and there was room.
   auto CheckLasting() -> void;
