Tests: Silent or slow reads of one entry excuse no late start

The explorer of cancels excused each start while a fault was in force, and so whatever an owner did that cannot read the log.

--- a/Tests/Jobs/cancel_explorer_test.cc
+++ b/Tests/Jobs/cancel_explorer_test.cc
@@ -44,6 +44,9 @@
 // Of reads that are answered too late, or just in time.
 constexpr int64_t kSlowestReads = 40;
 constexpr int64_t kFastestSlowReads = 4000;
+// Another entry has to be there that reads, and can still tell that the owner
+// is silent.
+constexpr std::ptrdiff_t kMostBlind = 1;
 constexpr double kMostAnswersLost = 0.8;
 
 enum : int64_t {
@@ -82,7 +85,11 @@
   auto CheckRuns() -> void;
   auto CheckStates() -> void;
   auto OnStart(const TaskName& task) -> void;
-  // No fault was in force for this long.
+  // Whether a fault is in force that excuses a start. Reads that are silent or
+  // slow at some entries do not, for longer than it takes until one that reads
+  // has replaced the owner.
+  auto Disturbed() const -> bool;
+  // No such fault was in force for this long.
   auto CalmFor(milliseconds span) -> bool;
   auto AnyEntry() -> int {
     return static_cast<int>(world_.time().Pick(0, world_.entries() - 1));
@@ -92,6 +99,8 @@
   // When a cancel of the job was first acknowledged.
   std::map<std::string, TimePoint> acknowledged_;
   std::set<std::string> cancel_asked_;
+  // Entries whose reads are silent or slow.
+  std::set<int> blind_;
   std::map<std::string, TimePoint> accepted_;
   std::set<std::string> started_;
   // Said to run on once.
@@ -214,9 +223,11 @@
                std::to_string(span.count()));
   switch (fault) {
     case kSilentReads:
+      blind_.insert(entry);
       world_.log().SetModeFor(client, VirtualLog::Mode::kReadsSilent);
       break;
     case kSlowReads:
+      blind_.insert(entry);
       world_.log().SetBandwidthFor(
           client, static_cast<std::size_t>(
                       time.Pick(kSlowestReads, kFastestSlowReads)));
@@ -242,9 +253,10 @@
 }
 
 auto CancelPlay::Heal() -> void {
-  if (world_.Disturbed()) {
+  if (Disturbed()) {
     disturbed_at_ = world_.time().now();
   }
+  blind_.clear();
   world_.HealAll();
 }
 
@@ -280,7 +292,7 @@
 
 auto CancelPlay::Look() -> void {
   auto& time = world_.time();
-  if (world_.Disturbed()) {
+  if (Disturbed()) {
     disturbed_at_ = time.now();
   }
   for (const auto& job : world_.accepted()) {
@@ -334,8 +346,12 @@
   }
 }
 
+auto CancelPlay::Disturbed() const -> bool {
+  return world_.DisturbedBeyondReads() || std::ssize(blind_) > kMostBlind;
+}
+
 auto CancelPlay::CalmFor(milliseconds span) -> bool {
-  return !world_.Disturbed() && world_.time().now() - disturbed_at_ >= span;
+  return !Disturbed() && world_.time().now() - disturbed_at_ >= span;
 }
 
 auto CancelPlay::Problem(const std::string& text) -> void {
--- a/Tests/Jobs/job_world.cc
+++ b/Tests/Jobs/job_world.cc
@@ -831,11 +831,15 @@
 }
 
 auto JobWorld::Disturbed() const -> bool {
+  return log_.disturbed() || DisturbedBeyondReads();
+}
+
+auto JobWorld::DisturbedBeyondReads() const -> bool {
   const auto fails = [this](const auto& process) -> bool {
     return !process->gone &&
            (!process->up || process->frozen_until > time_.now());
   };
-  return log_.disturbed() ||
+  return log_.disturbed_beyond_reads() ||
          std::any_of(entries_.begin(), entries_.end(), fails) ||
          std::any_of(agents_.begin(), agents_.end(), fails) ||
          std::any_of(workers_.begin(), workers_.end(),
--- a/Tests/Jobs/job_world.h
+++ b/Tests/Jobs/job_world.h
@@ -99,6 +99,8 @@
   auto Agents() const -> std::vector<int>;
   // Whether a fault is in force now.
   auto Disturbed() const -> bool;
+  // Whether one is that is not only reads of the log that are silent or slow.
+  auto DisturbedBeyondReads() const -> bool;
   auto RunsAnywhere(const std::string& task) const -> bool;
   // A fault has begun that does not show in the state of the world.
   auto NoteFault() -> void { disturbed_at_ = time_.now(); }
--- a/Tests/Jobs/virtual_log.h
+++ b/Tests/Jobs/virtual_log.h
@@ -53,11 +53,21 @@
   // fault: taken for one, it would switch off for good every check that waits
   // for calm.
   auto disturbed() const -> bool {
-    const bool client_fails = std::any_of(
+    const bool silent = std::any_of(
         client_modes_.begin(), client_modes_.end(),
-        [](const auto& item) -> bool { return item.second != Mode::kServes; });
+        [](const auto& item) { return item.second == Mode::kReadsSilent; });
+    return disturbed_beyond_reads() || silent || !bandwidths_.empty();
+  }
+  // Whether it fails in a way other than that reads of some clients are silent
+  // or slow.
+  auto disturbed_beyond_reads() const -> bool {
+    const bool client_fails = std::any_of(
+        client_modes_.begin(), client_modes_.end(), [](const auto& item) {
+          return item.second != Mode::kServes &&
+                 item.second != Mode::kReadsSilent;
+        });
     return mode_ != Mode::kServes || client_fails || lose_answers_ > 0 ||
-           latency_ != kLatency || !bandwidths_.empty();
+           latency_ != kLatency;
   }
   // Share of appends that are done, some of them late, and not answered.
   auto LoseAnswers(double share) -> void { lose_answers_ = share; }
