Tests: Soak of real daemons with faults between them and the log

One program starts entries and agents as processes, the platform's stand-in in its own, and a relay on each daemon's link to the log, and checks seven promises while clients hand in, ask and cancel and faults from a seed come in series and overlap.

The relay delays, drops answers, limits bandwidth, for all or for the reads only; the stand-in takes the length and end of runs from the test, and lists failed runs as failed where it called them lapsed. Settings files of daemons on the platform are written in one place.

--- a/Tests/Process/platform_test.cc
+++ b/Tests/Process/platform_test.cc
@@ -4,7 +4,6 @@
 #include <gtest/gtest.h>
 
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_format.h>
 
 #include <csignal>
 #include <filesystem>
@@ -21,6 +20,7 @@
 #include "Tests/StandIns/Platform/platform_stand_in.h"
 #include "Tests/Support/child_process.h"
 #include "Tests/Support/deployment.h"
+#include "Tests/Support/platform_settings.h"
 #include "Tests/Support/silent_relay.h"
 
 namespace rhubarbhaven::test {
@@ -37,10 +37,6 @@
     R"({"Spec":"text","Steps":[{"Count":3,"Cpu":500,"EstimatedMs":200},)"
     R"({"Count":2,"Cpu":500,"After":[0],"EstimatedMs":200}]})";
 
-auto Address(int port) -> std::string {
-  return absl::StrCat("127.0.0.1:", port);
-}
-
 class PlatformTest : public testing::Test {
  protected:
   PlatformTest() {
@@ -51,7 +47,7 @@
     std::vector<std::string> heartbeats;
     for (int i = 0; i < kAgents; ++i) {
       heartbeat_ports_.push_back(FreePort());
-      heartbeats.push_back(Address(heartbeat_ports_.back()));
+      heartbeats.push_back(LoopbackAddress(heartbeat_ports_.back()));
     }
     platform_ = std::make_unique<PlatformStandIn>(heartbeats);
     platform_->Configure(1);
@@ -82,14 +78,10 @@
   }
 
   auto StartEntry(int i) -> void {
-    Start(absl::StrCat("entry-", i),
-          absl::StrFormat(
-              R"({"role":"entry","id":"entry-%d","failure_domain":"zone",)"
-              R"("logging":{"form":"json"},"platform":{)"
-              R"("callers_address":"%s","ready_address":"%s",)"
-              R"("log_address":"%s","stop_grace_ms":4000}})",
-              i, Address(callers_ports_.at(i)), Address(ready_ports_.at(i)),
-              LogAddressOf(i)));
+    const std::string id = absl::StrCat("entry-", i);
+    Start(id, SettingsOf(EntryPlace{id, LoopbackAddress(callers_ports_.at(i)),
+                                    LoopbackAddress(ready_ports_.at(i)),
+                                    LogAddressOf(i)}));
   }
 
   // An entry may reach the log over a relay.
@@ -103,14 +95,11 @@
     if (static_cast<int>(link_ports_.size()) <= i) {
       link_ports_.push_back(FreePort());
     }
-    Start(absl::StrCat("agent-", i),
-          absl::StrFormat(
-              R"({"role":"agent","id":"agent-%d","failure_domain":"zone",)"
-              R"("logging":{"form":"json"},"platform":{)"
-              R"("heartbeat_address":"%s","worker_address":"%s",)"
-              R"("link_endpoint":"tcp://%s","log_address":"%s"}})",
-              i, Address(heartbeat_ports_.at(i)), platform_->worker_address(i),
-              Address(link_ports_.at(i)), platform_->log_address()));
+    const std::string id = absl::StrCat("agent-", i);
+    Start(id, SettingsOf(AgentPlace{id, LoopbackAddress(heartbeat_ports_.at(i)),
+                                    platform_->worker_address(i),
+                                    LoopbackAddress(link_ports_.at(i)),
+                                    platform_->log_address()}));
   }
 
   auto Call(int entry,
@@ -126,8 +115,8 @@
                 const std::string& body) -> HttpClientRequest {
     HttpClientRequest request;
     request.method = method;
-    request.url =
-        absl::StrCat("http://", Address(callers_ports_.at(entry)), path);
+    request.url = absl::StrCat("http://",
+                               LoopbackAddress(callers_ports_.at(entry)), path);
     request.body = body;
     request.timeout = seconds(5);
     schema::HttpHeader host;
@@ -166,8 +155,9 @@
     return WaitFor(
         [this, entry]() -> bool {
           HttpClientRequest request;
-          request.url = absl::StrCat("http://", Address(ready_ports_[entry]),
-                                     "/rhubarbhaven/readiness");
+          request.url =
+              absl::StrCat("http://", LoopbackAddress(ready_ports_[entry]),
+                           "/rhubarbhaven/readiness");
           return client_.Call(request).http.status() == 200;
         },
         seconds(60));
@@ -321,7 +311,7 @@
 TEST_F(PlatformTest, AppendWhoseAnswerWasResetIsNotTakenForRefused) {
   const int relay_port = FreePort();
   SilentRelay relay(relay_port, platform_->log_port());
-  relayed_log_[0] = Address(relay_port);
+  relayed_log_[0] = LoopbackAddress(relay_port);
   processes_["entry-0"]->Kill();
   StartEntry(0);
   ASSERT_TRUE(BecomesReady(0));
--- /dev/null
+++ b/Tests/Soak/entry_caller.h
@@ -0,0 +1,42 @@
+#ifndef RHUBARBHAVEN_TESTS_SOAK_ENTRY_CALLER_H_
+#define RHUBARBHAVEN_TESTS_SOAK_ENTRY_CALLER_H_
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Transport/transport.h"
+
+namespace rhubarbhaven::soak {
+
+struct CallerAnswer {
+  // Zero if there was none.
+  unsigned status = 0;
+  std::string body;
+};
+
+// Calls entries as one caller, one call at a time, and keeps its connections
+// open until their process is gone.
+class EntryCaller {
+ public:
+  explicit EntryCaller(std::vector<std::string> addresses)
+      : addresses_(std::move(addresses)) {}
+
+  auto HandIn(int entry, const std::string& job) -> CallerAnswer;
+  auto Ask(int entry, const std::string& job) -> CallerAnswer;
+  auto Cancel(int entry, const std::string& job) -> CallerAnswer;
+  auto entries() const -> int { return static_cast<int>(addresses_.size()); }
+
+ private:
+  auto Call(int entry,
+            const char* method,
+            const std::string& job,
+            const std::string& body) -> CallerAnswer;
+
+  std::vector<std::string> addresses_;
+  HttpClient client_;
+};
+
+}  // namespace rhubarbhaven::soak
+
+#endif  // RHUBARBHAVEN_TESTS_SOAK_ENTRY_CALLER_H_
--- /dev/null
+++ b/Tests/Soak/job_plan.cc
@@ -0,0 +1,83 @@
+#include "Tests/Soak/job_plan.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <array>
+#include <functional>
+
+namespace rhubarbhaven::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct KindRow {
+  char digit;
+  // Tasks of each step; a step follows the one before it.
+  std::vector<int> steps;
+  milliseconds shortest;
+  milliseconds longest;
+};
+
+auto RowOf(JobKind kind) -> const KindRow& {
+  static const std::array<KindRow, 4> rows = {{
+      {'a', {2}, milliseconds(1500), milliseconds(9000)},
+      {'b', {2, 1}, milliseconds(50), milliseconds(700)},
+      {'c', {12}, milliseconds(100), milliseconds(600)},
+      {'d', {1}, milliseconds(50), milliseconds(300)},
+  }};
+  return rows.at(static_cast<std::size_t>(kind));
+}
+
+}  // namespace
+
+auto MakeJobId(JobKind kind, uint64_t random) -> std::string {
+  constexpr uint64_t kFirstDigit = uint64_t{0xf} << 60;
+  return absl::StrFormat("%c%015x", RowOf(kind).digit, random & ~kFirstDigit);
+}
+
+auto KindOf(const std::string& id) -> JobKind {
+  return static_cast<JobKind>(id.at(0) - 'a');
+}
+
+auto JobBody(JobKind kind) -> std::string {
+  std::string steps;
+  int number = 0;
+  for (const int count : RowOf(kind).steps) {
+    const std::string after =
+        number == 0 ? "" : absl::StrCat(R"("After":[)", number - 1, "],");
+    const std::string lasts =
+        kind == JobKind::kLasting ? R"("LongRunning":true,)" : "";
+    absl::StrAppend(&steps, number == 0 ? "" : ",", "{", after, lasts,
+                    R"("Cpu":1000,"EstimatedMs":300,"Count":)", count, "}");
+    ++number;
+  }
+  return absl::StrCat(R"({"Spec":"soak","Steps":[)", steps, "]}");
+}
+
+auto TasksOf(const std::string& id) -> std::vector<std::string> {
+  std::vector<std::string> tasks;
+  int step = 0;
+  for (const int count : RowOf(KindOf(id)).steps) {
+    for (int index = 0; index < count; ++index) {
+      tasks.push_back(absl::StrCat(id, ".0.", step, ".", index));
+    }
+    ++step;
+  }
+  return tasks;
+}
+
+auto WorkOf(const jobs::TaskName& task) -> milliseconds {
+  const KindRow& row = RowOf(KindOf(task.job()));
+  const auto span =
+      static_cast<std::size_t>((row.longest - row.shortest).count());
+  const std::size_t hash = std::hash<std::string>()(DescribeTask(task));
+  return row.shortest + milliseconds(hash % span);
+}
+
+auto Fails(const jobs::TaskName& task) -> bool {
+  const JobKind kind = KindOf(task.job());
+  return kind == JobKind::kLasting || kind == JobKind::kFailing;
+}
+
+}  // namespace rhubarbhaven::soak
--- /dev/null
+++ b/Tests/Soak/lag_meter.h
@@ -0,0 +1,46 @@
+#ifndef RHUBARBHAVEN_TESTS_SOAK_LAG_METER_H_
+#define RHUBARBHAVEN_TESTS_SOAK_LAG_METER_H_
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+#include "Base/base.h"
+
+namespace rhubarbhaven::soak {
+
+// How late a thread of the rig gets to run: a machine that is overloaded
+// delays the daemons as much.
+class LagMeter {
+ public:
+  LagMeter() : thread_([this]() -> void { Run(); }) {}
+  LagMeter(const LagMeter&) = delete;
+  auto operator=(const LagMeter&) -> LagMeter& = delete;
+  ~LagMeter() {
+    stop_ = true;
+    thread_.join();
+  }
+
+  auto longest() const -> std::chrono::milliseconds { return longest_; }
+
+ private:
+  auto Run() -> void {
+    constexpr std::chrono::milliseconds kTurn{10};
+    while (!stop_) {
+      const TimePoint due = Clock::now() + kTurn;
+      std::this_thread::sleep_until(due);
+      const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(
+          Clock::now() - due);
+      longest_ = std::max(longest_.load(), late);
+    }
+  }
+
+  std::atomic<bool> stop_ = false;
+  std::atomic<std::chrono::milliseconds> longest_{};
+  std::thread thread_;
+};
+
+}  // namespace rhubarbhaven::soak
+
+#endif  // RHUBARBHAVEN_TESTS_SOAK_LAG_METER_H_
--- /dev/null
+++ b/Tests/Soak/processes.cc
@@ -0,0 +1,101 @@
+#include "Tests/Soak/processes.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <fstream>
+#include <utility>
+
+#include "Tests/Support/free_port.h"
+#include "Tests/Support/platform_settings.h"
+
+namespace rhubarbhaven::soak {
+namespace {
+
+auto FreeAddress() -> std::string {
+  return test::LoopbackAddress(test::FreePort());
+}
+
+}  // namespace
+
+Processes::Processes(const SoakOptions& options,
+                     std::string folder,
+                     test::PlatformWatch watch)
+    : binary_(options.binary), folder_(std::move(folder)) {
+  for (int i = 0; i < options.agents; ++i) {
+    heartbeat_addresses_.push_back(FreeAddress());
+    link_addresses_.push_back(FreeAddress());
+  }
+  platform_ = std::make_unique<test::PlatformStandIn>(heartbeat_addresses_,
+                                                      std::move(watch));
+  platform_->Configure(1);
+  agents_.resize(options.agents);
+  for (int i = 0; i < options.agents; ++i) {
+    AddLink(&agent_links_, &agent_log_addresses_);
+    StartAgent(i);
+  }
+  entries_.resize(options.entries);
+  for (int i = 0; i < options.entries; ++i) {
+    callers_addresses_.push_back(FreeAddress());
+    ready_addresses_.push_back(FreeAddress());
+    AddLink(&entry_links_, &entry_log_addresses_);
+    StartEntry(i);
+  }
+}
+
+Processes::~Processes() {
+  entries_.clear();
+  agents_.clear();
+  // The relays hold connections that the stand-in would wait for.
+  entry_links_.clear();
+  agent_links_.clear();
+}
+
+auto Processes::AddLink(std::vector<std::unique_ptr<test::SilentRelay>>* links,
+                        std::vector<std::string>* addresses) -> void {
+  const int port = test::FreePort();
+  links->push_back(
+      std::make_unique<test::SilentRelay>(port, platform_->log_port()));
+  addresses->push_back(test::LoopbackAddress(port));
+}
+
+auto Processes::Start(const std::string& name, const std::string& settings)
+    -> std::unique_ptr<test::ChildProcess> {
+  const std::string path = absl::StrCat(folder_, "/", name, ".json");
+  std::ofstream(path) << settings;
+  return std::make_unique<test::ChildProcess>(
+      std::vector<std::string>{binary_, "--settings=" + path},
+      absl::StrCat(folder_, "/", name, ".log"));
+}
+
+auto Processes::StartEntry(int number) -> void {
+  const std::string name = absl::StrCat("entry-", number);
+  entries_[number] =
+      Start(name, test::SettingsOf(test::EntryPlace{
+                      name, callers_addresses_[number],
+                      ready_addresses_[number], entry_log_addresses_[number]}));
+}
+
+auto Processes::StartAgent(int number) -> void {
+  const std::string name = absl::StrCat("agent-", number);
+  agents_[number] = Start(
+      name,
+      test::SettingsOf(test::AgentPlace{
+          name, heartbeat_addresses_[number], platform_->worker_address(number),
+          link_addresses_[number], agent_log_addresses_[number]}));
+}
+
+auto Processes::Ended() -> std::vector<std::string> {
+  std::vector<std::string> ended;
+  const auto look = [&ended](auto& processes, const char* kind) -> void {
+    for (std::size_t i = 0; i < processes.size(); ++i) {
+      if (processes[i]->WaitExit(std::chrono::milliseconds(0))) {
+        ended.push_back(absl::StrCat(kind, i));
+      }
+    }
+  };
+  look(entries_, "entry-");
+  look(agents_, "agent-");
+  return ended;
+}
+
+}  // namespace rhubarbhaven::soak
--- /dev/null
+++ b/Tests/Soak/processes.h
@@ -0,0 +1,69 @@
+#ifndef RHUBARBHAVEN_TESTS_SOAK_PROCESSES_H_
+#define RHUBARBHAVEN_TESTS_SOAK_PROCESSES_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Tests/Soak/soak_options.h"
+#include "Tests/StandIns/Platform/platform_stand_in.h"
+#include "Tests/Support/child_process.h"
+#include "Tests/Support/silent_relay.h"
+
+namespace rhubarbhaven::soak {
+
+// The daemons under test, the platform's stand-in, and a relay between each
+// daemon and the log. All of it ends with this object. One thread only: the
+// daemons end with the thread that started them.
+class Processes {
+ public:
+  Processes(const SoakOptions& options,
+            std::string folder,
+            test::PlatformWatch watch);
+  Processes(const Processes&) = delete;
+  auto operator=(const Processes&) -> Processes& = delete;
+  ~Processes();
+
+  auto platform() -> test::PlatformStandIn& { return *platform_; }
+  auto entry(int number) -> test::ChildProcess& { return *entries_[number]; }
+  auto agent(int number) -> test::ChildProcess& { return *agents_[number]; }
+  auto entry_link(int number) -> test::SilentRelay& {
+    return *entry_links_[number];
+  }
+  auto agent_link(int number) -> test::SilentRelay& {
+    return *agent_links_[number];
+  }
+  // Starts one anew, under the same name and addresses.
+  auto StartEntry(int number) -> void;
+  auto StartAgent(int number) -> void;
+  // Where callers reach each entry.
+  auto callers_addresses() const -> const std::vector<std::string>& {
+    return callers_addresses_;
+  }
+  // Names of the daemons that are not there.
+  auto Ended() -> std::vector<std::string>;
+
+ private:
+  auto Start(const std::string& name, const std::string& settings)
+      -> std::unique_ptr<test::ChildProcess>;
+  auto AddLink(std::vector<std::unique_ptr<test::SilentRelay>>* links,
+               std::vector<std::string>* addresses) -> void;
+
+  std::string binary_;
+  std::string folder_;
+  std::vector<std::string> callers_addresses_;
+  std::vector<std::string> ready_addresses_;
+  std::vector<std::string> heartbeat_addresses_;
+  std::vector<std::string> link_addresses_;
+  std::vector<std::string> entry_log_addresses_;
+  std::vector<std::string> agent_log_addresses_;
+  std::unique_ptr<test::PlatformStandIn> platform_;
+  std::vector<std::unique_ptr<test::SilentRelay>> entry_links_;
+  std::vector<std::unique_ptr<test::SilentRelay>> agent_links_;
+  std::vector<std::unique_ptr<test::ChildProcess>> entries_;
+  std::vector<std::unique_ptr<test::ChildProcess>> agents_;
+};
+
+}  // namespace rhubarbhaven::soak
+
+#endif  // RHUBARBHAVEN_TESTS_SOAK_PROCESSES_H_
--- /dev/null
+++ b/Tests/Soak/soak.cc
@@ -0,0 +1,239 @@
+// Real daemons under load and faults, against what they promise. See
+// docs/manual/soak.md.
+
+#include <absl/strings/str_cat.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <set>
+#include <thread>
+#include <utility>
+
+#include "Tests/Soak/checks.h"
+#include "Tests/Soak/clients.h"
+#include "Tests/Soak/fault_injector.h"
+#include "Tests/Soak/job_plan.h"
+#include "Tests/Soak/lag_meter.h"
+#include "Tests/Soak/processes.h"
+#include "Tests/Soak/report.h"
+#include "Tests/Soak/schedule.h"
+#include "Tests/Soak/soak_options.h"
+
+namespace rhubarbhaven::soak {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kTurn{5};
+constexpr milliseconds kLookEach{200};
+constexpr milliseconds kAskEach{100};
+// From the last hand-in, which comes after the last fault, to the end of what
+// is short.
+constexpr seconds kCompletesWithin{20};
+// An entry that is there answers within it.
+constexpr seconds kAnswersWithin{5};
+// Later than this the machine is held to be overloaded.
+constexpr seconds kMostLag{1};
+
+constexpr int kKept = 0;
+constexpr int kBrokenPromise = 1;
+constexpr int kLagged = 2;
+constexpr int kWrongUse = 3;
+constexpr int kInterrupted = 4;
+
+volatile std::sig_atomic_t g_interrupted = 0;
+
+auto Interrupt(int) -> void {
+  g_interrupted = 1;
+}
+
+class Soak {
+ public:
+  Soak(const SoakOptions& options,
+       std::vector<Fault> schedule,
+       const std::string& folder)
+      : options_(options),
+        start_(Clock::now()),
+        checks_(start_, &calm_),
+        processes_(options, folder, MakeWatch()),
+        injector_(std::move(schedule), start_, &processes_, &calm_) {}
+
+  auto Run() -> void {
+    {
+      Clients clients(options_, processes_.callers_addresses(), &checks_);
+      RunFor(options_.load);
+      clients.StopHandingIn();
+      WaitForOpenJobs();
+    }
+    AskEveryEntry();
+  }
+
+  auto checks() const -> const Checks& { return checks_; }
+  auto lag() const -> milliseconds { return lag_.longest(); }
+
+ private:
+  auto MakeWatch() -> test::PlatformWatch {
+    test::PlatformWatch watch;
+    watch.work = WorkOf;
+    watch.fails = Fails;
+    watch.on_start = [this](const std::string& worker,
+                            const jobs::TaskName& task, uint64_t run) -> void {
+      checks_.Started(worker, task, run);
+    };
+    watch.on_problem = [this](const std::string& problem) -> void {
+      checks_.TwiceSeen(problem);
+    };
+    return watch;
+  }
+
+  auto RunFor(milliseconds span) -> void {
+    const TimePoint end = Clock::now() + span;
+    while (!g_interrupted && Clock::now() < end) {
+      Step();
+      std::this_thread::sleep_for(kTurn);
+    }
+  }
+
+  auto Step() -> void {
+    const TimePoint now = Clock::now();
+    injector_.Step(now);
+    if (now < next_look_) {
+      return;
+    }
+    next_look_ = now + kLookEach;
+    checks_.LookAtLasting(&processes_.platform());
+    for (const auto& name : processes_.Ended()) {
+      if (!injector_.IsDown(name) && ended_.insert(name).second) {
+        checks_.DaemonEnded(name);
+      }
+    }
+  }
+
+  auto Ask(int entry, const std::string& job) -> unsigned {
+    const TimePoint asked = Clock::now();
+    const CallerAnswer answer = caller_.Ask(entry, job);
+    checks_.StateAnswered(job, entry, asked, answer.status, answer.body);
+    return answer.status;
+  }
+
+  auto WaitForOpenJobs() -> void {
+    const TimePoint end = Clock::now() + kCompletesWithin;
+    int entry = 0;
+    while (!g_interrupted && Clock::now() < end &&
+           !checks_.OpenJobs().empty()) {
+      for (const auto& job : checks_.OpenJobs()) {
+        entry = (entry + 1) % options_.entries;
+        Ask(entry, job);
+      }
+      RunFor(kAskEach);
+    }
+    for (const auto& job : checks_.AcceptedJobs()) {
+      if (!g_interrupted && KindOf(job) != JobKind::kLasting) {
+        checks_.ExpectOver(job);
+      }
+    }
+  }
+
+  auto AskEveryEntry() -> void {
+    for (const auto& job : checks_.AcceptedJobs()) {
+      for (int entry = 0; entry < options_.entries && !g_interrupted; ++entry) {
+        const bool known = test::WaitFor(
+            [this, entry, &job]() -> bool { return Ask(entry, job) == 200; },
+            kAnswersWithin);
+        checks_.ExpectKnown(job, entry, known);
+      }
+    }
+  }
+
+  SoakOptions options_;
+  TimePoint start_;
+  TimePoint next_look_;
+  Calm calm_;
+  Checks checks_;
+  LagMeter lag_;
+  Processes processes_;
+  FaultInjector injector_;
+  EntryCaller caller_{processes_.callers_addresses()};
+  std::set<std::string> ended_;
+};
+
+auto MakeFolder(const SoakOptions& options) -> std::string {
+  if (!options.keep_logs.empty()) {
+    std::filesystem::create_directories(options.keep_logs);
+    return options.keep_logs;
+  }
+  std::string pattern =
+      (std::filesystem::temp_directory_path() / "rhubarbhaven-soak-XXXXXX")
+          .string();
+  return mkdtemp(pattern.data());
+}
+
+auto Judge(const Soak& soak) -> std::pair<int, std::string> {
+  const std::string lag = absl::StrCat(soak.lag().count(), " ms");
+  const bool broken = !soak.checks().broken().empty();
+  if (g_interrupted) {
+    return {kInterrupted, "INTERRUPTED, judged as far as it came"};
+  }
+  if (soak.lag() > kMostLag) {
+    return {kLagged, absl::StrCat("LAG: this machine is overloaded, the rig "
+                                  "itself was late by ",
+                                  lag, "; nothing is shown either way")};
+  }
+  return broken ? std::pair(kBrokenPromise, "BROKEN, lag " + lag)
+                : std::pair(kKept, "kept, lag " + lag);
+}
+
+auto RunSoak(const SoakOptions& options) -> int {
+  const auto schedule = MakeSchedule(options);
+  const std::string title =
+      absl::StrCat("seed ", options.seed, ", ", options.load.count(), " s, ",
+                   options.entries, " entries, ", options.agents, " agents\n");
+  std::cout << title << ScheduleText(schedule) << std::flush;
+  if (options.list) {
+    return kKept;
+  }
+  const std::string folder = MakeFolder(options);
+  std::ofstream(folder + "/schedule.txt") << title << ScheduleText(schedule);
+  int code = kKept;
+  {
+    Soak soak(options, schedule, folder);
+    soak.Run();
+    const auto [result, verdict] = Judge(soak);
+    code = result;
+    const std::string text =
+        absl::StrCat(VerdictText(soak.checks(), folder), verdict, "\n");
+    std::ofstream(folder + "/verdict.txt") << title << text;
+    std::cout << text;
+  }
+  if (code != kKept || !options.keep_logs.empty()) {
+    std::cout << "logs: " << folder << "\n";
+  } else {
+    std::filesystem::remove_all(folder);
+  }
+  return code;
+}
+
+auto Main(int argc, char** argv) -> int {
+  std::signal(SIGINT, Interrupt);
+  std::signal(SIGTERM, Interrupt);
+  const auto options = ParseOptions(argc, argv);
+  if (options.ok() && std::filesystem::exists(options->keep_logs)) {
+    std::cerr << "soak: the folder of logs exists already\n";
+    return kWrongUse;
+  }
+  if (!options.ok()) {
+    std::cerr << "soak: " << options.status().message() << "\n";
+    return kWrongUse;
+  }
+  return RunSoak(*options);
+}
+
+}  // namespace
+}  // namespace rhubarbhaven::soak
+
+auto main(int argc, char** argv) -> int {
+  return rhubarbhaven::soak::Main(argc, argv);
+}
--- /dev/null
+++ b/Tests/Soak/soak_options.cc
@@ -0,0 +1,48 @@
+#include "Tests/Soak/soak_options.h"
+
+#include <absl/status/status.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <gflags/gflags.h>
+
+#include <vector>
+
+DEFINE_uint64(seed, 1, "Seed of the schedule of faults and of the load.");
+DEFINE_int32(seconds, 40, "How long load and faults last, at least 20.");
+DEFINE_string(scale, "3/5", "Number of entries and agents.");
+DEFINE_string(keep_logs, "", "Folder for all logs and the schedule.");
+DEFINE_bool(list, false, "Print the schedule of the seed and exit.");
+DEFINE_string(binary,
+              RHUBARBHAVEN_TEST_BINARIES "/platform/rhubarbhavend",
+              "The daemon to check.");
+
+namespace rhubarbhaven::soak {
+namespace {
+
+constexpr int kShortestSeconds = 20;
+
+}  // namespace
+
+auto ParseOptions(int argc, char** argv) -> absl::StatusOr<SoakOptions> {
+  gflags::SetUsageMessage(
+      "Runs real daemons under load and faults and checks what they promise.");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  SoakOptions options;
+  options.seed = FLAGS_seed;
+  options.load = std::chrono::seconds(FLAGS_seconds);
+  options.keep_logs = FLAGS_keep_logs;
+  options.binary = FLAGS_binary;
+  options.list = FLAGS_list;
+  const std::vector<std::string> scale = absl::StrSplit(FLAGS_scale, '/');
+  if (scale.size() != 2 || !absl::SimpleAtoi(scale[0], &options.entries) ||
+      !absl::SimpleAtoi(scale[1], &options.agents) || options.entries < 1 ||
+      options.agents < 1) {
+    return absl::InvalidArgumentError("--scale takes ENTRIES/AGENTS");
+  }
+  if (FLAGS_seconds < kShortestSeconds) {
+    return absl::InvalidArgumentError("--seconds is too short for a fault");
+  }
+  return options;
+}
+
+}  // namespace rhubarbhaven::soak
--- a/Tests/StandIns/Platform/platform_stand_in.cc
+++ b/Tests/StandIns/Platform/platform_stand_in.cc
@@ -5,6 +5,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -151,6 +152,19 @@
   }
 }
 
+auto EndName(jobs::RunEnd end) -> const char* {
+  switch (end) {
+    case jobs::RUN_DONE:
+      return "done";
+    case jobs::RUN_STOPPED:
+      return "stopped";
+    case jobs::RUN_FAILED:
+      return "failed";
+    default:
+      return "lapsed";
+  }
+}
+
 auto ListingAnswer(const jobs::WorkerListing& listing) -> HttpServerAnswer {
   if (!listing.answered) {
     return JsonAnswer(503, Json::object());
@@ -168,11 +182,8 @@
   }
   Json ended = Json::array();
   for (const auto& row : listing.ended) {
-    const char* how = row.end() == jobs::RUN_DONE      ? "done"
-                      : row.end() == jobs::RUN_STOPPED ? "stopped"
-                                                       : "lapsed";
-    ended.push_back({row.number(), DescribeTask(row.task()), row.run(), how,
-                     row.checkpoint()});
+    ended.push_back({row.number(), DescribeTask(row.task()), row.run(),
+                     EndName(row.end()), row.checkpoint()});
   }
   return JsonAnswer(200, {{"ClockMs", listing.clock.count()},
                           {"Running", running},
@@ -181,7 +192,9 @@
 
 }  // namespace
 
-PlatformStandIn::PlatformStandIn(std::vector<std::string> heartbeat_addresses) {
+PlatformStandIn::PlatformStandIn(std::vector<std::string> heartbeat_addresses,
+                                 PlatformWatch watch)
+    : watch_(std::move(watch)) {
   log_port_ = log_.PortFor("caller", [] { return true; });
   log_server_ = MakeServer([this](const HttpServerRequest& request,
                                   const HttpResponder& respond) -> void {
@@ -290,6 +303,19 @@
   return ends_;
 }
 
+auto PlatformStandIn::Runs(const std::string& task) -> bool {
+  const std::lock_guard lock(mutex_);
+  return std::any_of(
+      workers_.begin(), workers_.end(),
+      [&task](const auto& place) { return place.model->Runs(task); });
+}
+
+auto PlatformStandIn::HasRoom() -> bool {
+  const std::lock_guard lock(mutex_);
+  return std::any_of(workers_.begin(), workers_.end(),
+                     [](const auto& place) { return place.model->HasRoom(); });
+}
+
 auto PlatformStandIn::Run() -> void {
   const auto real = Clock::now();
   const auto model = time_.now();
@@ -329,16 +355,20 @@
 auto PlatformStandIn::MakeWatch() -> jobs::WorkerWatch {
   jobs::WorkerWatch watch;
   watch.on_start = [this](const std::string& worker, const jobs::TaskName& task,
-                          uint64_t) -> void {
+                          uint64_t run) -> void {
     ++starts_;
+    if (watch_.on_start) {
+      watch_.on_start(worker, task, run);
+    }
     const std::string name = DescribeTask(task);
     for (const auto& other : workers_) {
       if (other.model->name() != worker && other.model->Runs(name)) {
-        problems_.push_back(name + " runs in two places");
+        AddProblem(absl::StrCat(name, " runs in two places: ",
+                                other.model->name(), " and ", worker));
       }
     }
     if (done_.contains(name)) {
-      problems_.push_back(name + " starts after its end");
+      AddProblem(name + " starts after its end");
     }
   };
   watch.on_end = [this](const jobs::TaskName& task, jobs::RunEnd end,
@@ -348,11 +378,22 @@
     }
   };
   watch.on_done = [this](const jobs::TaskName&) -> void { ++ends_; };
-  watch.work = [](const jobs::TaskName&) { return kWork; };
-  watch.fails = [](const jobs::TaskName&) { return false; };
+  watch.work = [this](const jobs::TaskName& task) {
+    return watch_.work ? watch_.work(task) : kWork;
+  };
+  watch.fails = [this](const jobs::TaskName& task) {
+    return watch_.fails && watch_.fails(task);
+  };
   return watch;
 }
 
+auto PlatformStandIn::AddProblem(const std::string& problem) -> void {
+  problems_.push_back(problem);
+  if (watch_.on_problem) {
+    watch_.on_problem(problem);
+  }
+}
+
 auto PlatformStandIn::MakeServer(
     std::function<auto(const HttpServerRequest&, const HttpResponder&)->void>
         handle) -> std::unique_ptr<HttpServer> {
--- a/Tests/StandIns/Platform/platform_stand_in.h
+++ b/Tests/StandIns/Platform/platform_stand_in.h
@@ -2,9 +2,12 @@
 #define RHUBARBHAVEN_TESTS_STANDINS_PLATFORM_PLATFORM_STAND_IN_H_
 
 #include <atomic>
+#include <chrono>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <random>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -17,6 +20,19 @@
 
 namespace rhubarbhaven::test {
 
+// What a test decides about the tasks, and what it is told of them, under the
+// stand-in's lock: it must not call back.
+struct PlatformWatch {
+  std::function<auto(const jobs::TaskName&)->std::chrono::milliseconds> work;
+  // Whether a run of the task ends as failed.
+  std::function<auto(const jobs::TaskName&)->bool> fails;
+  std::function<
+      auto(const std::string& worker, const jobs::TaskName&, uint64_t run)
+          ->void>
+      on_start;
+  std::function<auto(const std::string&)->void> on_problem;
+};
+
 // The partners' platform for tests of real processes, by its published
 // interfaces: the log and one worker for each agent, over HTTP on loopback. The
 // models are those of the explorer, with the real clock behind them.
@@ -24,7 +40,8 @@
  public:
   // Each worker reports itself to the address of the same place in
   // `heartbeat_addresses`.
-  explicit PlatformStandIn(std::vector<std::string> heartbeat_addresses);
+  explicit PlatformStandIn(std::vector<std::string> heartbeat_addresses,
+                           PlatformWatch watch = {});
   PlatformStandIn(const PlatformStandIn&) = delete;
   auto operator=(const PlatformStandIn&) -> PlatformStandIn& = delete;
   ~PlatformStandIn();
@@ -47,6 +64,10 @@
   auto problems() -> std::vector<std::string>;
   auto starts() -> int;
   auto ends() -> int;
+  // Whether a worker runs the task, by its name.
+  auto Runs(const std::string& task) -> bool;
+  // Whether a worker would start one more run.
+  auto HasRoom() -> bool;
 
  private:
   struct WorkerPlace {
@@ -68,7 +89,10 @@
                     const HttpServerRequest& request,
                     const HttpResponder& respond) -> void;
 
+  auto AddProblem(const std::string& problem) -> void;
+
   std::mutex mutex_;
+  PlatformWatch watch_;
   jobs::VirtualTime time_{1};
   jobs::VirtualLog log_{&time_};
   jobs::KeyedLogPort log_port_;
--- a/Tests/Support/silent_relay.cc
+++ b/Tests/Support/silent_relay.cc
@@ -5,14 +5,20 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <string_view>
+#include <utility>
 
 namespace rhubarbhaven::test {
 namespace {
 
 constexpr int kPollMs = 20;
+constexpr int kDelayedPollMs = 2;
 constexpr std::size_t kBufferBytes = 64 << 10;
+// Bytes held back in one direction; beyond that the sender has to wait.
+constexpr std::size_t kMostHeldBytes = 1 << 20;
+constexpr std::size_t kSlowChunkBytes = 1 << 10;
 
 auto Loopback(int port) -> sockaddr_in {
   sockaddr_in address{};
@@ -95,15 +101,30 @@
   return true;
 }
 
-auto SilentRelay::ResetAll() -> void {
-  // The socket stays bound, and connections to it are refused.
-  shutdown(listener_, SHUT_RD);
+auto SilentRelay::ResetOpenConnections() -> void {
   const std::lock_guard lock(mutex_);
   for (auto& connection : connections_) {
     connection.reset = true;
   }
 }
 
+auto SilentRelay::ResetAll() -> void {
+  // The socket stays bound, and connections to it are refused.
+  shutdown(listener_, SHUT_RD);
+  ResetOpenConnections();
+}
+
+auto SilentRelay::SetFault(const RelayFault& fault) -> void {
+  const std::lock_guard lock(mutex_);
+  fault_ = fault;
+}
+
+auto SilentRelay::FaultOf(const Connection& connection) -> RelayFault {
+  const std::lock_guard lock(mutex_);
+  const bool meant = connection.request.starts_with(fault_.only);
+  return meant ? fault_ : RelayFault();
+}
+
 auto SilentRelay::Run() -> void {
   while (!stop_) {
     pollfd waiting{listener_, POLLIN, 0};
@@ -136,36 +157,34 @@
       std::thread([this, &connection]() -> void { Pump(&connection); });
 }
 
-// A silent connection is read and its bytes are dropped, so that neither end
-// sees a full window, a reset or an end.
 auto SilentRelay::Pump(Connection* connection) -> void {
-  std::array<char, kBufferBytes> buffer;
   bool open = true;
   while (open && !connection->reset && !stop_) {
-    std::array<pollfd, 2> ends = {pollfd{connection->near, POLLIN, 0},
-                                  pollfd{connection->far, POLLIN, 0}};
-    poll(ends.data(), ends.size(), kPollMs);
+    const RelayFault fault = FaultOf(*connection);
+    auto& requests = connection->requests;
+    auto& answers = connection->answers;
+    const bool holds = !requests.chunks.empty() || !answers.chunks.empty();
+    std::array<pollfd, 2> ends = {
+        pollfd{requests.ended || requests.size > kMostHeldBytes
+                   ? -1
+                   : connection->near,
+               POLLIN, 0},
+        pollfd{answers.ended || answers.size > kMostHeldBytes ? -1
+                                                              : connection->far,
+               POLLIN, 0}};
+    poll(ends.data(), ends.size(), holds ? kDelayedPollMs : kPollMs);
     for (std::size_t i = 0; i < ends.size() && open; ++i) {
-      if ((ends[i].revents & (POLLIN | POLLHUP | POLLERR)) == 0) {
-        continue;
-      }
-      const ssize_t size = read(ends[i].fd, buffer.data(), buffer.size());
-      if (size <= 0) {
-        open = connection->silent;
-        ends[i].fd = -1;
-        if (connection->silent) {
-          usleep(kPollMs * 1000);
-        }
-      } else if (i == 1 && connection->resets_on_answer) {
-        ResetAll();
-        open = false;
-      } else if (!connection->silent) {
-        connection->resets_on_answer =
-            connection->resets_on_answer ||
-            (i == 0 && TakeAwaited(buffer.data(), size));
-        open = WriteAll(ends[1 - i].fd, buffer.data(), size);
+      if (ends[i].revents != 0) {
+        open = Take(connection, /*is_answer=*/i == 1);
       }
     }
+    if (connection->silent) {
+      // Nobody sees its end.
+      continue;
+    }
+    open = open && Pass(connection->far, &requests, fault.request_delay, 0) &&
+           Pass(connection->near, &answers, fault.answer_delay,
+                fault.bytes_per_second);
   }
   if (connection->reset) {
     const linger at_once{1, 0};
@@ -176,4 +195,72 @@
   close(connection->far);
 }
 
+// A silent connection is read and its bytes are dropped, so that neither end
+// sees a full window, a reset or an end.
+auto SilentRelay::Take(Connection* connection, bool is_answer) -> bool {
+  std::array<char, kBufferBytes> buffer;
+  Lane& lane = is_answer ? connection->answers : connection->requests;
+  const int source = is_answer ? connection->far : connection->near;
+  const ssize_t size = read(source, buffer.data(), buffer.size());
+  if (size <= 0) {
+    lane.ended = true;
+    return true;
+  }
+  if (is_answer && connection->resets_on_answer) {
+    ResetAll();
+    return false;
+  }
+  if (connection->silent) {
+    return true;
+  }
+  if (!is_answer) {
+    TakeRequest(connection, buffer.data(), size);
+  } else if (FaultOf(*connection).drops_answers) {
+    connection->answers_lost = true;
+  }
+  if (is_answer && connection->answers_lost) {
+    return true;
+  }
+  const auto now = std::chrono::steady_clock::now();
+  for (ssize_t at = 0; at < size; at += kSlowChunkBytes) {
+    const auto part =
+        std::min<ssize_t>(size - at, static_cast<ssize_t>(kSlowChunkBytes));
+    lane.chunks.push_back({now, std::string(buffer.data() + at, part)});
+  }
+  lane.size += size;
+  return true;
+}
+
+auto SilentRelay::TakeRequest(Connection* connection,
+                              const char* data,
+                              std::size_t size) -> void {
+  const std::string_view bytes(data, size);
+  if (bytes.starts_with("GET ") || bytes.starts_with("POST ")) {
+    connection->request = bytes.substr(0, bytes.find('\r'));
+  }
+  connection->resets_on_answer =
+      connection->resets_on_answer || TakeAwaited(data, size);
+}
+
+auto SilentRelay::Pass(int target,
+                       Lane* lane,
+                       std::chrono::milliseconds delay,
+                       std::size_t bytes_per_second) -> bool {
+  const auto now = std::chrono::steady_clock::now();
+  while (!lane->chunks.empty() && lane->chunks.front().read_at + delay <= now &&
+         (bytes_per_second == 0 || lane->free_at <= now)) {
+    const std::string bytes = std::move(lane->chunks.front().bytes);
+    lane->chunks.pop_front();
+    lane->size -= bytes.size();
+    if (bytes_per_second > 0) {
+      lane->free_at = now + std::chrono::milliseconds(bytes.size() * 1000 /
+                                                      bytes_per_second);
+    }
+    if (!WriteAll(target, bytes.data(), static_cast<ssize_t>(bytes.size()))) {
+      return false;
+    }
+  }
+  return !lane->ended || !lane->chunks.empty();
+}
+
 }  // namespace rhubarbhaven::test
