--- a/Tests/Soak/report.cc
+++ b/Tests/Soak/report.cc
@@ -48,16 +48,20 @@
   return cases;
 }
 
+auto CaseLine(const Broken& item) -> std::string {
+  const auto at =
+      std::chrono::duration_cast<std::chrono::milliseconds>(item.at);
+  return absl::StrFormat("  %6d ms, job %s: %s\n", at.count(), item.job,
+                         item.what);
+}
+
 auto DescribeCases(const std::vector<Broken>& cases, const std::string& folder)
     -> std::string {
   std::string text;
   std::set<std::string> traced;
   for (std::size_t i = 0; i < std::min(cases.size(), kMostCases); ++i) {
     const auto& item = cases[i];
-    const auto at =
-        std::chrono::duration_cast<std::chrono::milliseconds>(item.at);
-    absl::StrAppendFormat(&text, "  %6d ms, job %s: %s\n", at.count(), item.job,
-                          item.what);
+    text += CaseLine(item);
     if (item.job.empty() || traced.size() == kMostJobsTraced ||
         !traced.insert(item.job).second) {
       continue;
@@ -94,4 +98,12 @@
   return text;
 }
 
+auto CasesText(const Checks& checks) -> std::string {
+  std::string text;
+  for (const auto& item : checks.broken()) {
+    absl::StrAppend(&text, PromiseName(item.promise), CaseLine(item));
+  }
+  return text;
+}
+
 }  // namespace rhubarbhaven::soak
--- a/Tests/Soak/report.h
+++ b/Tests/Soak/report.h
@@ -18,6 +18,9 @@
 auto VerdictText(const Checks& checks, const std::string& folder)
     -> std::string;
 
+// One line for every case of a broken promise.
+auto CasesText(const Checks& checks) -> std::string;
+
 }  // namespace rhubarbhaven::soak
 
 #endif  // RHUBARBHAVEN_TESTS_SOAK_REPORT_H_
--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -206,6 +206,7 @@
     const std::string text =
         absl::StrCat(VerdictText(soak.checks(), folder), verdict, "\n");
     std::ofstream(folder + "/verdict.txt") << title << text;
+    std::ofstream(folder + "/cases.txt") << CasesText(soak.checks());
     std::cout << text;
   }
   if (code != kKept || !options.keep_logs.empty()) {
