Jobs: Take a lease's end for the holder's end only while nobody can have followed

What callers saw: tasks ran in two places, and started again after their end was noted.

Cause: an owner that is cut off goes on for up to 16 s. After 5 s the leases of the silent agents outside had run out by its clock, so it held their runs for lost and started them anew on the agents that were cut off with it. Its successor had renewed those leases, and had noted ends. Class: a lease's end is taken for the holder's end by one who may no longer be its only grantor.

The owner now takes the passing of time for an end only up to the time at which it certainly had no successor: when the newest append was sent that the log has taken under its fence. A later claim raises the producer's epoch, and the log refuses appends of the epoch before. So no successor had granted anything then, and what ran under a lease that ended before is over. That holds for silent agents (with the suspicion that one of their runs has crashed the worker), for the end of the census, also once the owner before has resigned, and for agents that are forgotten, which ends a census as well. What an agent says under the owner's fence stays proof. Each answer of the log settles at once what has become certain.

The price: while the whole log is away, runs of a lost worker wait for it.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -381,6 +381,7 @@
   hooks.is_evacuated = [this](const std::string& failure_domain) -> bool {
     return evacuated_domains_.contains(failure_domain);
   };
+  hooks.alone_until = [this]() -> TimePoint { return election_.alone_until(); };
   hooks.wall_clock = hooks_.wall_clock;
   hooks.ask_advice = hooks_.ask_advice;
   return hooks;
--- a/Source/Jobs/entry_ownership.cc
+++ b/Source/Jobs/entry_ownership.cc
@@ -128,6 +128,7 @@
       owner_.OnBatchStored();
     }
   }
+  owner_.OnAloneUntil(now);
   BecomeOwnerIfClaimed(now);
 }
 
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -190,13 +190,20 @@
   return true;
 }
 
-auto JobOwner::Tick(TimePoint now) -> void {
+auto JobOwner::OnAloneUntil(TimePoint now) -> void {
   if (!active()) {
     return;
   }
   LoseSilentWorkers(now);
   ForgetSilentAgents(now);
   FinishCensus(now);
+}
+
+auto JobOwner::Tick(TimePoint now) -> void {
+  if (!active()) {
+    return;
+  }
+  OnAloneUntil(now);
   if (due_at_ <= now) {
     due_at_ = TimePoint::max();
     for (auto& [id, work] : jobs_) {
@@ -231,9 +238,7 @@
   if (place_due_) {
     return TimePoint();
   }
-  const TimePoint wake =
-      std::min({due_at_, retry_at_, tickets_.ask_again_at(), polls_.next()});
-  return census_done_ ? wake : std::min(wake, CensusEnd());
+  return std::min({due_at_, retry_at_, tickets_.ask_again_at(), polls_.next()});
 }
 
 auto JobOwner::NewRun() -> uint64_t {
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -109,6 +109,10 @@
   std::function<auto(const std::string& queue)->const QueueRules*> rules;
   // Whether operators have asked that nothing starts in the failure domain.
   std::function<auto(const std::string& failure_domain)->bool> is_evacuated;
+  // Up to when this owner is certain that no other one has followed it. What
+  // ran under a lease that ended before is over; a later lease may have been
+  // renewed by a successor.
+  std::function<auto()->TimePoint> alone_until;
   // Since 1970.
   std::function<auto()->std::chrono::milliseconds> wall_clock;
   // The policy that gives tickets.
@@ -149,6 +153,8 @@
   // earlier batch is under way.
   auto TakeBatch() -> std::vector<KeyedRecord>;
   auto OnBatchStored() -> void;
+  // The owner is certain for longer that no other one has followed it.
+  auto OnAloneUntil(TimePoint now) -> void;
   // The fold is about to be read anew, from the newest records.
   auto OnReadAnew() -> void;
   auto Tick(TimePoint now) -> void;
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -273,9 +273,12 @@
 
 auto JobOwner::LoseSilentWorkers(TimePoint now) -> void {
   constexpr Duration kPast{1};
-  while (const auto number = leases_.PopDue(now - kPast)) {
+  // Later leases may have been renewed by a successor that this owner does not
+  // know of: the runs go on, or have ended and the successor knows.
+  const TimePoint certain = hooks_.alone_until();
+  while (const auto number = leases_.PopDue(certain - kPast)) {
     WorkerView& worker = *numbered_.at(*number);
-    if (now <= worker.lease_bound) {
+    if (certain <= worker.lease_bound) {
       // It was renewed since.
       leases_.Set(worker.number, worker.lease_bound);
       continue;
--- a/Source/Jobs/owner_election.h
+++ b/Source/Jobs/owner_election.h
@@ -83,6 +83,9 @@
   auto owner(TimePoint now) const -> bool;
   // The fence of this entry's claim; zero if it has none.
   auto fence() const -> uint64_t { return fence_; }
+  // No other entry has owned the cell since this one's claim, up to this time:
+  // the log has taken an append under this entry's fence that was sent then.
+  auto alone_until() const -> TimePoint { return verified_; }
   auto earlier_grants() const -> const EarlierGrants& { return earlier_; }
   // The owner that this entry's claim replaced.
   auto replaced_owner() const -> const std::string& { return replaced_owner_; }
--- a/Source/Jobs/owner_roster.cc
+++ b/Source/Jobs/owner_roster.cc
@@ -144,7 +144,8 @@
     // worker would stay empty.
     const auto last = std::max(worker.registered_at, worker.heard_at);
     // An agent without a worker has nothing that a lease could keep.
-    const bool leased = now < worker.lease_bound && !worker.left;
+    const bool leased =
+        hooks_.alone_until() <= worker.lease_bound && !worker.left;
     const auto silence =
         worker.left ? options_.forget_left_after : options_.forget_agent_after;
     if (!leased && now - last >= silence) {
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -62,6 +62,9 @@
     hooks.is_evacuated = [this](const std::string& domain) -> bool {
       return evacuated_.contains(domain);
     };
+    hooks.alone_until = [this]() -> TimePoint {
+      return std::min(now_, alone_until_);
+    };
     hooks.wall_clock = [this]() -> milliseconds { return wall_; };
     hooks.ask_advice = [this](const AdviceCall& call, const auto& done) {
       advice_calls_.push_back(call);
@@ -199,6 +202,8 @@
 
   static inline uint64_t sent_us_ = 0;
   TimePoint now_{seconds(100)};
+  // From then on nothing shows that no other owner has followed.
+  TimePoint alone_until_ = TimePoint::max();
   milliseconds wall_{0};
   uint64_t offset_ = 0;
   QueueRules rules_;
--- a/Tests/Jobs/job_world.cc
+++ b/Tests/Jobs/job_world.cc
@@ -208,6 +208,33 @@
   cuts_[{entry, agent}] = time_.now() + span;
 }
 
+auto JobWorld::CutOff(const std::set<int>& entries,
+                      const std::set<int>& agents,
+                      Duration span) -> void {
+  std::vector<std::string> clients;
+  for (const int entry : entries) {
+    clients.push_back(entries_.at(entry)->name);
+  }
+  for (const int agent : agents) {
+    clients.push_back(agents_.at(agent)->name);
+  }
+  for (int entry = 0; entry < options_.entries; ++entry) {
+    for (int agent = 0; agent < static_cast<int>(agents_.size()); ++agent) {
+      if (entries.contains(entry) != agents.contains(agent)) {
+        CutLink(entry, agent, span);
+      }
+    }
+  }
+  for (const auto& client : clients) {
+    log_.SetModeFor(client, VirtualLog::Mode::kHolds);
+  }
+  time_.After(span, [this, clients]() -> void {
+    for (const auto& client : clients) {
+      log_.SetModeFor(client, VirtualLog::Mode::kServes);
+    }
+  });
+}
+
 auto JobWorld::StopEntry(int number) -> void {
   Process* process = entries_.at(number).get();
   if (!process->up) {
--- a/Tests/Jobs/job_world.h
+++ b/Tests/Jobs/job_world.h
@@ -89,6 +89,11 @@
   auto FreezeAgent(int number, Duration span) -> void;
   // Cuts the link between the two for a while.
   auto CutLink(int entry, int agent, Duration span) -> void;
+  // Cuts these off for a while, together: from the log, and from all entries
+  // and agents beside them.
+  auto CutOff(const std::set<int>& entries,
+              const std::set<int>& agents,
+              Duration span) -> void;
   auto StopEntry(int number) -> void;
   // One more agent with an empty worker. Returns its number.
   auto AddAgent() -> int;
--- a/Tests/Jobs/owner_agents_test.cc
+++ b/Tests/Jobs/owner_agents_test.cc
@@ -735,5 +735,176 @@
                                                         1300}),
                          [](const auto& info) { return info.param.name; });
 
+// An owner that has heard agent 1 last at the begin of each test; what the log
+// takes from it then shows until when no other owner has followed.
+class CutOffOwnerTest : public JobOwnerTest {
+ protected:
+  // Agent 0 goes on reporting, and the log takes nothing.
+  auto RunInTheDark(Duration span) -> void {
+    const TimePoint end = now_ + span;
+    while (now_ < end) {
+      now_ += milliseconds(100);
+      Report("agent-0", ReportOf("agent-0"));
+    }
+  }
+
+  // The log has taken an append that was sent at `sent`.
+  auto ShowAloneUntil(TimePoint sent) -> void {
+    alone_until_ = sent;
+    owner_.OnAloneUntil(now_);
+    Report("agent-0", ReportOf("agent-0"));
+  }
+
+  // One run on each agent, those of tasks of one step; the silence begins now.
+  auto StartOnBoth() -> void {
+    PutJob({Step(8)});
+    Begin();
+    ReportAll();
+    ASSERT_EQ(starts_["agent-0"].size(), 4U);
+    ASSERT_EQ(starts_["agent-1"].size(), 4U);
+    for (const char* agent : {"agent-0", "agent-1"}) {
+      Report(agent, Started(agent, 10));
+    }
+    alone_until_ = now_;
+  }
+
+  // Runs on agent 0 end, so that there is room for others.
+  auto EndRunsOfAgent0() -> void {
+    auto report = ReportOf("agent-0");
+    uint64_t number = 0;
+    for (const auto& [order, start] : starts_["agent-0"]) {
+      auto* row = report.add_ended();
+      row->set_number(++number);
+      *row->mutable_task() = start.task();
+      row->set_run(start.run());
+      row->set_end(RUN_DONE);
+    }
+    Report("agent-0", report);
+  }
+};
+
+struct LostRunsCase {
+  std::string name;
+  // From the last report of the agent to the newest append that the log took.
+  milliseconds alone_for{0};
+  std::size_t starts = 4;
+};
+
+class LostRunsTest : public CutOffOwnerTest,
+                     public testing::WithParamInterface<LostRunsCase> {};
+
+// Guards against runs of a silent agent being started elsewhere by an owner
+// whose successor may have renewed their lease.
+TEST_P(LostRunsTest, AreStartedElsewhereOnlyByAnOwnerThatWasAlone) {
+  StartOnBoth();
+  const TimePoint silent_since = now_;
+  EndRunsOfAgent0();
+  RunInTheDark(seconds(15));
+  EXPECT_EQ(starts_["agent-0"].size(), 4U);
+  ShowAloneUntil(silent_since + GetParam().alone_for);
+  EXPECT_EQ(starts_["agent-0"].size(), GetParam().starts);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    LostRunsTest,
+    testing::Values(LostRunsCase{"never_since", milliseconds(0), 4},
+                    LostRunsCase{"during_the_lease", milliseconds(3000), 4},
+                    LostRunsCase{"to_its_end", milliseconds(5400), 4},
+                    LostRunsCase{"beyond_its_end", milliseconds(5401), 8},
+                    LostRunsCase{"until_now", milliseconds(15000), 8}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against an owner in the dark that doesn't believe an agent that says
+// that its worker's lease has run out, which needs no look at the log.
+TEST_F(CutOffOwnerTest, AgentsWordOfALapsedLeaseIsBelieved) {
+  StartOnBoth();
+  EndRunsOfAgent0();
+  RunInTheDark(seconds(8));
+  auto lapsed = ReportOf("agent-1");
+  lapsed.set_complete(false);
+  lapsed.set_worker_silent(true);
+  lapsed.set_worker_lapsed(true);
+  Report("agent-1", lapsed);
+  Report("agent-0", ReportOf("agent-0"));
+  EXPECT_EQ(starts_["agent-0"].size(), 8U);
+}
+
+// Guards against a run of an agent that is back after its lease being kept as
+// if it ran, since nothing was lost in the dark.
+TEST_F(CutOffOwnerTest, AgentThatIsBackSaysWhatHasLapsed) {
+  StartOnBoth();
+  EndRunsOfAgent0();
+  RunInTheDark(seconds(8));
+  auto back = ReportOf("agent-1");
+  uint64_t number = 0;
+  for (const auto& [order, start] : starts_["agent-1"]) {
+    auto* row = back.add_ended();
+    row->set_number(++number);
+    *row->mutable_task() = start.task();
+    row->set_run(start.run());
+    row->set_end(RUN_LEASE_LAPSED);
+  }
+  Report("agent-1", back);
+  RunInTheDark(seconds(1));
+  EXPECT_EQ(starts_["agent-0"].size() + starts_["agent-1"].size(), 12U);
+}
+
+// Guards against tasks of before a claim being started by an owner whose
+// successor may have taken back their runs.
+TEST_F(CutOffOwnerTest, CensusEndsOnlyOnceTheOwnerWasAlone) {
+  PutJob({Step(1)});
+  PutClaim();
+  Begin();
+  const TimePoint begun = now_;
+  alone_until_ = begun;
+  Report("agent-0", ReportOf("agent-0"));
+  RunInTheDark(seconds(25));
+  EXPECT_EQ(Starts(), 0U);
+  ShowAloneUntil(begun + milliseconds(19999));
+  EXPECT_EQ(Starts(), 0U);
+  ShowAloneUntil(begun + seconds(20));
+  EXPECT_EQ(Starts(), 1U);
+}
+
+// Guards against the same once the owner before has resigned.
+TEST_F(CutOffOwnerTest, ShorterCensusEndsOnlyOnceTheOwnerWasAlone) {
+  PutJob({Step(1)});
+  PutClaim();
+  Begin();
+  alone_until_ = now_;
+  Report("agent-0", ReportOf("agent-0"));
+  const TimePoint over = now_ + JobOwnerOptions().LongestLease();
+  owner_.OnEarlierGrants(now_, {over, over});
+  RunInTheDark(seconds(10));
+  EXPECT_EQ(Starts(), 0U);
+  ShowAloneUntil(over);
+  EXPECT_EQ(Starts(), 1U);
+}
+
+// Guards against a census that ends since its missing agents were forgotten.
+TEST_F(CutOffOwnerTest, SilentAgentIsForgottenOnlyOnceTheOwnerWasAlone) {
+  Begin();
+  ReportAll();
+  alone_until_ = now_;
+  RunInTheDark(seconds(15));
+  EXPECT_TRUE(owner_.workers().contains("agent-1"));
+  ShowAloneUntil(now_);
+  EXPECT_FALSE(owner_.workers().contains("agent-1"));
+}
+
+// Guards against an owner in the dark that keeps a task down although the only
+// agent that could hold it has said that it does not.
+TEST_F(CutOffOwnerTest, CensusOfAgentsThatAllAnswerNeedsNoLog) {
+  PutJob({Step(1)});
+  PutClaim();
+  Begin();
+  alone_until_ = now_;
+  RunInTheDark(seconds(3));
+  EXPECT_EQ(Starts(), 0U);
+  Report("agent-1", ReportOf("agent-1"));
+  EXPECT_EQ(Starts(), 1U);
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
--- a/Tests/Jobs/owner_election_test.cc
+++ b/Tests/Jobs/owner_election_test.cc
@@ -371,5 +371,21 @@
   EXPECT_FALSE(election.owner(kStart));
 }
 
+// Guards against an owner that takes the time of the log's answer, or of an
+// append without one, for the time until which nobody has followed it.
+TEST(AloneUntilTest, IsWhenTheNewestStoredAppendWasSent) {
+  OwnerElection election(Options("me"));
+  election.OnCaughtUp(kStart);
+  ASSERT_TRUE(election.ClaimDue(kStart));
+  election.OnClaimStored(kStart);
+  EXPECT_EQ(election.alone_until(), kStart);
+  election.OnCaughtUp(kStart + milliseconds(900));
+  ASSERT_TRUE(election.ClaimDue(kStart + milliseconds(900)));
+  EXPECT_EQ(election.alone_until(), kStart);
+  election.OnClaimStored(kStart + milliseconds(800));
+  election.OnClaimStored(kStart + milliseconds(300));
+  EXPECT_EQ(election.alone_until(), kStart + milliseconds(800));
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
