Jobs: Say why a job has nothing running

Callers saw jobs with nothing running while there was room, and no line of any entry named them: only refusals by workers were told, of tasks that a turn of placement had looked at.

Four times a second an owner now looks at the jobs whose ready steps wait. One that has had nothing running for 2 s is told as `stands`: since when, why (the census and who is missing, a pause, a queue without rules, refusals by workers by reason), how old the copy of the log and the oldest report of a worker are. At most 5 lines a second, each job again after 5 s; `rhubarbhaven_standing_jobs` counts them all. "would take it" names workers that would take the task, so that a wake-up of placement that is missing shows.

Starts that are refused or lost do not count as running. A job whose start has no answer is not told: it has left the line of those that wait.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -355,6 +355,18 @@
               {"names", absl::StrJoin(state.missing_names, " ")}});
 }
 
+auto EntryDecisions::LogStanding(const StandingJob& job) -> void {
+  log_.Write(
+      "stands",
+      {{"job", job.task.job()},
+       {"task", DescribeTask(job.task)},
+       {"fence", absl::StrCat(election_.fence())},
+       {"waited_ms", Milliseconds(job.waited)},
+       {"why", job.why},
+       {"log_age_ms", Milliseconds(looked_at_ - job_follower_.caught_up_at())},
+       {"oldest_report_ms", Milliseconds(job.oldest_report)}});
+}
+
 auto EntryDecisions::MakeOwnerHooks() -> JobOwnerHooks {
   JobOwnerHooks hooks;
   hooks.send = hooks_.send;
@@ -373,6 +385,12 @@
   hooks.log_census = [this](const CensusState& state) -> void {
     LogCensus(state);
   };
+  hooks.log_standing = [this](const StandingJob& job) -> void {
+    LogStanding(job);
+  };
+  hooks.note_standing = [this](std::size_t jobs) -> void {
+    metrics_->SetGauge("rhubarbhaven_standing_jobs", static_cast<double>(jobs));
+  };
   hooks.note_lag = [this](Duration lag) -> void { NoteLag(lag); };
   hooks.rules = [this](const std::string& queue) -> const QueueRules* {
     const auto* found = queues_.FindByName(queue);
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -144,6 +144,7 @@
   auto MakeOwnerHooks() -> JobOwnerHooks;
   auto NoteLag(Duration lag) -> void;
   auto LogCensus(const CensusState& state) -> void;
+  auto LogStanding(const StandingJob& job) -> void;
 
   EntryOptions options_;
   EntryHooks hooks_;
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -53,6 +53,8 @@
 auto JobOwner::End() -> void {
   fence_ = 0;
   census_done_ = false;
+  NoteStanding(0);
+  look_standing_at_ = TimePoint();
   order_.Clear();
   jobs_.clear();
   dirty_jobs_.clear();
@@ -222,6 +224,7 @@
     place_due_ = false;
     PlaceAll(now);
   }
+  LookForStandingJobs(now);
   MoveSlowedFillers(now);
   DropOldJobs(now);
   if (now - pressures_stored_at_ >= options_.store_pressures) {
@@ -238,7 +241,9 @@
   if (place_due_) {
     return TimePoint();
   }
-  return std::min({due_at_, retry_at_, tickets_.ask_again_at(), polls_.next()});
+  const TimePoint wake =
+      std::min({due_at_, retry_at_, tickets_.ask_again_at(), polls_.next()});
+  return order_.steps().empty() ? wake : std::min(wake, look_standing_at_);
 }
 
 auto JobOwner::NewRun() -> uint64_t {
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -94,6 +94,16 @@
   std::vector<std::string> missing_names;
 };
 
+// A job that has nothing running although a step of it is ready.
+struct StandingJob {
+  // The first task that waits.
+  TaskName task;
+  Duration waited{0};
+  std::string why;
+  // Age of the oldest report of the workers that have listed their runs.
+  Duration oldest_report{0};
+};
+
 struct JobOwnerHooks {
   // Over the link, to the agent at the endpoint.
   std::function<auto(const std::string& link_endpoint, AgentOrders)->void> send;
@@ -103,6 +113,10 @@
       log_agent;
   // The census waits on, or is done.
   std::function<auto(const CensusState&)->void> log_census;
+  // A job stands; at most some lines a second in all.
+  std::function<auto(const StandingJob&)->void> log_standing;
+  // So many jobs stand for long enough to be told; told when that changes.
+  std::function<auto(std::size_t)->void> note_standing;
   // How late the latest poll of an agent was lately, each second.
   std::function<auto(Duration)->void> note_lag;
   // The queue's rules by the newest configuration; null if it has none.
@@ -291,6 +305,7 @@
 
   // Placement.
   auto PlaceAll(TimePoint now) -> void;
+  auto UpdateOrder() -> void;
   auto NoteOutlook(JobWork& work, JobOutlook outlook) -> void;
   auto PlaceStep(TimePoint now, const PlacementOrder::WaitingStep& waiting)
       -> void;
@@ -307,10 +322,21 @@
   // the queue has no policy.
   auto TicketsFor(TimePoint now, const TaskPlace& place)
       -> std::optional<StepTickets>;
+  // The same of what is known, without a question to the policy.
+  auto TicketsHeld(TimePoint now, const TaskPlace& place) const
+      -> std::optional<StepTickets>;
   // No worker takes the task: says why in the log once it has lasted.
   auto NoteWaiting(TimePoint now,
                    const TaskPlace& place,
                    const PlaceLimits& limits) -> void;
+  // Jobs that have nothing running.
+  auto LookForStandingJobs(TimePoint now) -> void;
+  auto LogStandingJob(TimePoint now, const PlacementOrder::WaitingStep& step)
+      -> void;
+  auto WhyItStands(TimePoint now, const TaskPlace& place) const -> std::string;
+  auto DescribeMissing(TimePoint now) const -> std::string;
+  auto OldestReport(TimePoint now) const -> Duration;
+  auto NoteStanding(std::size_t jobs) -> void;
   // Runs on spare processors that would end sooner elsewhere at full speed,
   // those of jobs that can be in time first.
   auto SlowedFillers(TimePoint now) -> std::vector<SlowedFiller>;
@@ -419,6 +445,11 @@
   // Since it was last told.
   Duration longest_lag_{0};
   TimePoint lag_told_at_;
+  TimePoint look_standing_at_;
+  // In the log, since it was last a second ago.
+  int standing_lines_ = 0;
+  TimePoint standing_lines_since_;
+  std::size_t standing_jobs_ = 0;
   bool place_due_ = false;
   // In the turn of placement under way.
   int starts_left_ = 0;
--- a/Source/Jobs/job_work.cc
+++ b/Source/Jobs/job_work.cc
@@ -127,6 +127,16 @@
   return !entry->over() && state < JOB_COMPLETED;
 }
 
+auto JobWork::NothingRuns() const -> bool {
+  return std::all_of(
+      occurrences.begin(), occurrences.end(), [](const auto& item) -> bool {
+        const auto& steps = item.second.steps;
+        return std::all_of(
+            steps.begin(), steps.end(),
+            [](const StepWork& step) -> bool { return step.running() == 0; });
+      });
+}
+
 auto JobWork::Ready(const OccurrenceWork& occurrence, uint32_t step) const
     -> bool {
   const auto& after = job().steps(static_cast<int>(step)).after();
--- a/Source/Jobs/job_work.h
+++ b/Source/Jobs/job_work.h
@@ -59,6 +59,15 @@
   TimePoint not_before;
 };
 
+// Since when a job has nothing running although steps of it are ready.
+struct JobStanding {
+  // When that was first seen; none once a run of the job is known to run.
+  // Starts that are refused or lost end it not.
+  std::optional<TimePoint> since;
+  // When the log was last told.
+  TimePoint told_at;
+};
+
 // Runs and ends of its tasks are changed through this only, which counts them.
 class StepWork {
  public:
@@ -77,6 +86,10 @@
   auto complete() const -> bool { return done_ == tasks_.size(); }
   // Tasks that are not done and have no run.
   auto waiting() const -> uint32_t { return waiting_; }
+  // Tasks that are not done and have a run.
+  auto running() const -> std::size_t {
+    return tasks_.size() - done_ - waiting_;
+  }
   // None of the tasks before it waits.
   auto first_waiting() const -> uint32_t { return first_waiting_; }
 
@@ -114,11 +127,14 @@
   JobOutlook outlook = JobOutlook::kInTime;
   // To be put into a record, since it has changed.
   bool dirty = false;
+  JobStanding standing;
 
   auto total_occurrences() const -> uint32_t;
   auto job() const -> const Job& { return entry->job; }
   // Neither over by the log nor by what the owner knows beyond it.
   auto open() const -> bool;
+  // Whether no task that is not done has a run.
+  auto NothingRuns() const -> bool;
   // Whether all steps that the step waits for are done.
   auto Ready(const OccurrenceWork& occurrence, uint32_t step) const -> bool;
   // Opens an occurrence; tasks start out as `uncertain` says.
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -150,6 +150,7 @@
   const bool wanted = !task.done && !place->work->entry->over() &&
                       (task.runs.empty() || place->spec().allow_duplicates());
   RunWork& adopted = place->step_work().AddRun(place->index, run);
+  place->work->standing = {};
   order_.Touch(*place->work);
   worker.Hold(place->spec(), row.run());
   AddRunTo(worker, next_order_++, *place);
--- a/Source/Jobs/owner_ends.cc
+++ b/Source/Jobs/owner_ends.cc
@@ -131,6 +131,7 @@
     return;
   }
   if (outcome == ORDER_DONE) {
+    place->work->standing = {};
     for (auto& run : place->task().runs) {
       if (run.run == start.run() && run.worker == &worker &&
           run.phase == RunPhase::kStarting) {
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -20,11 +20,15 @@
 
 }  // namespace
 
-auto JobOwner::PlaceAll(TimePoint now) -> void {
+auto JobOwner::UpdateOrder() -> void {
   order_.Update(hooks_.wall_clock(),
                 [this](JobWork& work, JobOutlook outlook) -> void {
                   NoteOutlook(work, outlook);
                 });
+}
+
+auto JobOwner::PlaceAll(TimePoint now) -> void {
+  UpdateOrder();
   starts_left_ = kMostStartsAtOnce;
   for (const auto& step : order_.steps()) {
     if (step.spec->gang()) {
@@ -109,7 +113,7 @@
   }
   told_at = now;
   Log("waits", place, 0, nullptr,
-      DescribeRefusals(now, workers_, place, limits));
+      DescribeRefusals(now, workers_, place, interference_, limits));
 }
 
 auto JobOwner::TicketsFor(TimePoint now, const TaskPlace& place)
--- a/Source/Jobs/place_choice.cc
+++ b/Source/Jobs/place_choice.cc
@@ -132,7 +132,7 @@
 auto NameOf(PlaceRefusal refusal) -> const char* {
   switch (refusal) {
     case PlaceRefusal::kNone:
-      return "too disturbing";
+      return "would take it";
     case PlaceRefusal::kNotHeard:
       return "not heard";
     case PlaceRefusal::kDraining:
@@ -157,6 +157,8 @@
       return "limit of the step";
     case PlaceRefusal::kSuspects:
       return "beside suspects";
+    case PlaceRefusal::kDisturbing:
+      return "too disturbing";
   }
   return "";
 }
@@ -218,10 +220,16 @@
 auto DescribeRefusals(TimePoint now,
                       const WorkerViews& workers,
                       const TaskPlace& place,
+                      const ImageInterference& interference,
                       const PlaceLimits& limits) -> std::string {
   std::map<PlaceRefusal, int> counts;
   for (const auto& [name, worker] : workers) {
-    ++counts[RefusalOf(now, *worker, place, limits)];
+    PlaceRefusal refusal = RefusalOf(now, *worker, place, limits);
+    if (refusal == PlaceRefusal::kNone &&
+        std::isinf(Cost(*worker, place, interference))) {
+      refusal = PlaceRefusal::kDisturbing;
+    }
+    ++counts[refusal];
   }
   return absl::StrJoin(
       counts, ", ", [](std::string* out, const auto& item) -> void {
--- a/Source/Jobs/place_choice.h
+++ b/Source/Jobs/place_choice.h
@@ -48,6 +48,8 @@
   kStepLimit,
   // One more crash shows the task to be the cause, unless another one is.
   kSuspects,
+  // A filler would work too slowly there, for the sake of what serves.
+  kDisturbing,
 };
 
 // How many workers refuse the task, by reason, for the log: "draining 1, no
@@ -56,6 +58,7 @@
 auto DescribeRefusals(TimePoint now,
                       const WorkerViews& workers,
                       const TaskPlace& place,
+                      const ImageInterference& interference,
                       const PlaceLimits& limits) -> std::string;
 
 // What the task costs on the worker, to be compared with other workers; none if
--- a/Source/Jobs/ticket_book.cc
+++ b/Source/Jobs/ticket_book.cc
@@ -23,15 +23,25 @@
                       const std::string& worker_id,
                       const std::vector<std::string>& workers)
     -> std::optional<std::string> {
-  const auto& entry = entries_[Key(step)];
-  if (now + kWayToWorker < entry.valid_until) {
-    const auto found = entry.tickets.find(worker_id);
-    if (found != entry.tickets.end()) {
-      return found->second;
-    }
+  auto held = Held(now, step, worker_id);
+  if (!held) {
+    AskIfDue(now, step, workers);
   }
-  AskIfDue(now, step, workers);
-  return std::nullopt;
+  return held;
+}
+
+auto TicketBook::Held(TimePoint now,
+                      const TaskName& step,
+                      const std::string& worker_id) const
+    -> std::optional<std::string> {
+  const auto entry = entries_.find(Key(step));
+  if (entry == entries_.end() ||
+      now + kWayToWorker >= entry->second.valid_until) {
+    return std::nullopt;
+  }
+  const auto found = entry->second.tickets.find(worker_id);
+  return found == entry->second.tickets.end() ? std::nullopt
+                                              : std::optional(found->second);
 }
 
 auto TicketBook::Drop(const TaskName& step, const std::string& worker_id)
--- a/Source/Jobs/ticket_book.h
+++ b/Source/Jobs/ticket_book.h
@@ -51,6 +51,10 @@
             const std::string& worker_id,
             const std::vector<std::string>& workers)
       -> std::optional<std::string>;
+  // The same, without a question.
+  auto Held(TimePoint now,
+            const TaskName& step,
+            const std::string& worker_id) const -> std::optional<std::string>;
   // A worker has refused the step's ticket.
   auto Drop(const TaskName& step, const std::string& worker_id) -> void;
   // The job is over.
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -57,6 +57,10 @@
     hooks.log_census = [this](const CensusState& state) {
       census_told_.push_back(state);
     };
+    hooks.log_standing = [this](const StandingJob& job) {
+      standing_told_.push_back(job);
+    };
+    hooks.note_standing = [this](std::size_t jobs) { standing_jobs_ = jobs; };
     hooks.note_lag = [this](Duration lag) { lags_.push_back(lag); };
     hooks.rules = [this](const std::string&) { return &rules_; };
     hooks.is_evacuated = [this](const std::string& domain) -> bool {
@@ -220,6 +224,9 @@
   // What the log was told of the census.
   std::vector<CensusState> census_told_;
   std::vector<Duration> lags_;
+  // Jobs that have nothing running, as told to the log, and how many.
+  std::vector<StandingJob> standing_told_;
+  std::size_t standing_jobs_ = 0;
   // Why tasks wait, as told to the log.
   std::vector<std::string> waits_;
   std::vector<AdviceCall> advice_calls_;
--- /dev/null
+++ b/Tests/Jobs/owner_standing_test.cc
@@ -0,0 +1,181 @@
+// What an owner tells of jobs that have nothing running although they could.
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "Tests/Jobs/job_owner_fixture.h"
+
+namespace rhubarbhaven::jobs {
+namespace {
+
+using testing::SizeIs;
+
+constexpr milliseconds kRound{100};
+
+class OwnerStandingTest : public JobOwnerTest {
+ protected:
+  // Reports of these agents over time, with what `change` makes of them.
+  auto PlayFor(
+      Duration span,
+      const std::vector<std::string>& agents,
+      const std::function<auto(const std::string&, AgentReport*)->void>& change)
+      -> void {
+    for (const TimePoint end = now_ + span; now_ < end; now_ += kRound) {
+      for (const auto& agent : agents) {
+        auto report = ReportOf(agent);
+        change(agent, &report);
+        Report(agent, report);
+      }
+    }
+  }
+
+  // The agent refuses all starts that it has not answered yet.
+  auto RefuseStarts(const std::string& agent, AgentReport* report) -> void {
+    for (const auto& [number, start] : starts_[agent]) {
+      auto* result = report->add_results();
+      result->set_order(number);
+      result->set_outcome(ORDER_UNHEALTHY);
+    }
+    starts_[agent].clear();
+  }
+};
+
+struct StandingCase {
+  std::string name;
+  std::string why;
+  std::vector<std::string> agents = {"agent-0", "agent-1"};
+  bool before_claim = false;
+  bool needs_ticket = false;
+  bool has_rules = true;
+  bool draining = false;
+  bool silent = false;
+  bool refuses = false;
+  uint32_t millicores = 1000;
+  const char* label = "";
+};
+
+class WhyItStandsTest : public OwnerStandingTest,
+                        public testing::WithParamInterface<StandingCase> {};
+
+// Guards against a job that stands without a line that says why.
+TEST_P(WhyItStandsTest, IsTold) {
+  const auto& param = GetParam();
+  rules_.set_needs_ticket(param.needs_ticket);
+  if (!param.has_rules) {
+    rules_.clear_service();
+  }
+  auto step = Step(2);
+  step.mutable_need()->set_millicores(param.millicores);
+  step.set_required_label(param.label);
+  if (param.before_claim) {
+    PutJob({step});
+    PutClaim();
+    Begin();
+  } else {
+    Begin();
+    PutJob({step});
+  }
+  PlayFor(milliseconds(3200), param.agents,
+          [this, &param](const std::string& agent, AgentReport* report) {
+            report->set_draining(param.draining);
+            report->set_worker_silent(param.silent);
+            if (param.refuses) {
+              RefuseStarts(agent, report);
+            }
+          });
+  ASSERT_THAT(standing_told_, SizeIs(1));
+  const auto& told = standing_told_.front();
+  EXPECT_EQ(told.why, param.why);
+  EXPECT_EQ(told.task.job(), kId);
+  EXPECT_GE(told.waited, seconds(2));
+  EXPECT_LE(told.waited, milliseconds(2400));
+  EXPECT_EQ(standing_jobs_, 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    WhyItStandsTest,
+    testing::Values(
+        StandingCase{
+            .name = "census",
+            .why = "uncertain, the census waits for 1 of 2 agents: agent-1",
+            .agents = {"agent-0"},
+            .before_claim = true},
+        StandingCase{.name = "no_ticket",
+                     .why = "no ticket 2",
+                     .needs_ticket = true},
+        StandingCase{.name = "no_rules",
+                     .why = "its queue has no rules",
+                     .has_rules = false},
+        StandingCase{.name = "draining", .why = "draining 2", .draining = true},
+        StandingCase{.name = "silent", .why = "silent 2", .silent = true},
+        StandingCase{.name = "no_room", .why = "no room 2", .millicores = 5000},
+        StandingCase{.name = "no_label",
+                     .why = "no label 2",
+                     .label = "accelerator"},
+        StandingCase{.name = "starts_refused",
+                     .why = "set aside 2",
+                     .refuses = true},
+        StandingCase{.name = "not_heard",
+                     .why = "not heard 1, no room 1",
+                     .agents = {"agent-0"},
+                     .millicores = 5000}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against a log that is full of jobs that stand.
+TEST_F(OwnerStandingTest, EachIsToldAgainAndNotTooMany) {
+  constexpr int kJobs = 8;
+  Begin();
+  for (int number = 0; number < kJobs; ++number) {
+    Job job;
+    job.set_id("000000000000000" + std::to_string(number));
+    *job.add_steps() = Step(1);
+    job.mutable_steps(0)->mutable_need()->set_millicores(5000);
+    Put(MakeRecord(RecordKind::kJob, job.id(), job));
+  }
+  const auto nothing = [](const std::string&, AgentReport*) {};
+  PlayFor(milliseconds(2400), {"agent-0"}, nothing);
+  EXPECT_THAT(standing_told_, SizeIs(5));
+  EXPECT_EQ(standing_jobs_, kJobs);
+  PlayFor(milliseconds(3000), {"agent-0"}, nothing);
+  EXPECT_THAT(standing_told_, SizeIs(kJobs));
+  PlayFor(milliseconds(5000), {"agent-0"}, nothing);
+  EXPECT_THAT(standing_told_, SizeIs(2 * kJobs));
+}
+
+// Guards against a count of jobs that stand which stays after they run, or
+// after their owner has ended.
+TEST_F(OwnerStandingTest, CountFallsOnceTheyRun) {
+  Begin();
+  PutJob({Step(1)});
+  const auto drains = [](const std::string&, AgentReport* report) {
+    report->set_draining(true);
+  };
+  PlayFor(milliseconds(2600), {"agent-0"}, drains);
+  EXPECT_EQ(standing_jobs_, 1U);
+  PlayFor(milliseconds(500), {"agent-0"},
+          [this](const std::string& agent, AgentReport* report) {
+            *report = Started(agent, 1);
+          });
+  EXPECT_EQ(Starts(), 1U);
+  EXPECT_EQ(standing_jobs_, 0U);
+}
+
+TEST_F(OwnerStandingTest, CountFallsWithTheEndOfItsOwner) {
+  Begin();
+  PutJob({Step(1)});
+  PlayFor(milliseconds(2600), {"agent-0"},
+          [](const std::string&, AgentReport* report) {
+            report->set_draining(true);
+          });
+  EXPECT_EQ(standing_jobs_, 1U);
+  owner_.End();
+  EXPECT_EQ(standing_jobs_, 0U);
+}
+
+}  // namespace
+}  // namespace rhubarbhaven::jobs
