Tests: Bound the last questions of the soak

With an entry gone for good, the soak asked it for each job for 5 s: a run of 20 s with a killed entry had not ended after 232 s, so that its test would have run into its limit in place of a verdict.

--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -138,12 +138,31 @@
   }
 
   auto AskEveryEntry() -> void {
+    for (int entry = 0; entry < options_.entries; ++entry) {
+      AskForAll(entry);
+    }
+  }
+
+  // An entry that has once failed to answer in time is waited for no more.
+  auto AskForAll(int entry) -> void {
+    milliseconds patience = kAnswersWithin;
+    unsigned status = 0;
     for (const auto& job : checks_.AcceptedJobs()) {
-      for (int entry = 0; entry < options_.entries && !g_interrupted; ++entry) {
-        const bool known = test::WaitFor(
-            [this, entry, &job]() -> bool { return Ask(entry, job) == 200; },
-            kAnswersWithin);
-        checks_.ExpectKnown(job, entry, known);
+      if (g_interrupted) {
+        return;
+      }
+      const bool known = test::WaitFor(
+          [this, entry, &job, &status]() -> bool {
+            status = Ask(entry, job);
+            return status == 200;
+          },
+          patience);
+      checks_.ExpectKnown(job, entry, known);
+      if (!known) {
+        patience = milliseconds(0);
+      }
+      if (status == 0) {
+        return;
       }
     }
   }
