--- a/Tests/Soak/schedule.cc
+++ b/Tests/Soak/schedule.cc
@@ -21,7 +21,8 @@
 // Longer than every check that waits for calm takes.
 constexpr milliseconds kLongestCalm{6000};
 constexpr milliseconds kLongestOffset{2500};
-constexpr int kMostAtOnce = 4;
+// One fault at a time for so many daemons, at most.
+constexpr int kDaemonsPerFault = 2;
 
 struct KindRow {
   FaultKind kind;
@@ -163,10 +164,12 @@
   std::vector<Fault> faults;
   std::map<std::pair<Subject, int>, milliseconds> busy_until;
   const milliseconds end = options.load - kTail;
+  const int most_at_once =
+      std::max(1, (options.entries + options.agents) / kDaemonsPerFault);
   milliseconds at = kWarmUp;
   while (at < end) {
     milliseconds group_end = at;
-    for (int64_t left = draw.Pick(1, kMostAtOnce); left > 0; --left) {
+    for (int64_t left = draw.Pick(1, most_at_once); left > 0; --left) {
       const Fault fault = DrawFault(options, at, &draw);
       auto& busy = busy_until[{fault.subject, fault.number}];
       if (fault.at + fault.lasts > end || fault.at < busy) {
