Tests: Blind the owner alone; record what the explorer of cancels sees

One fault now heals all others, leaves the owner without reads, and goes on handing in and cancelling jobs.

--- a/Tests/Jobs/cancel_explorer_test.cc
+++ b/Tests/Jobs/cancel_explorer_test.cc
@@ -47,6 +47,7 @@
 // Another entry has to be there that reads, and can still tell that the owner
 // is silent.
 constexpr std::ptrdiff_t kMostBlind = 1;
+constexpr int kJobsOfBlindOwner = 5;
 constexpr double kMostAnswersLost = 0.8;
 
 enum : int64_t {
@@ -54,6 +55,7 @@
   kSlowReads,
   kLateAppends,
   kHeldAppends,
+  kBlindOwner,
   kOwnerCutOff,
   kFaults,
 };
@@ -77,6 +79,9 @@
   auto CancelAt(int entry, const std::string& job) -> void;
   auto InjectFault() -> void;
   auto CutOwnerOff(milliseconds span) -> void;
+  auto SilenceReads(int entry) -> void;
+  // The owner alone, and with nothing else that fails.
+  auto BlindOwner() -> void;
   auto Heal() -> void;
   auto AskAny() -> void;
   auto Ask(int entry, const std::string& job) -> void;
@@ -223,8 +228,7 @@
                std::to_string(span.count()));
   switch (fault) {
     case kSilentReads:
-      blind_.insert(entry);
-      world_.log().SetModeFor(client, VirtualLog::Mode::kReadsSilent);
+      SilenceReads(entry);
       break;
     case kSlowReads:
       blind_.insert(entry);
@@ -238,11 +242,29 @@
     case kHeldAppends:
       world_.log().SetModeFor(client, VirtualLog::Mode::kHolds);
       break;
+    case kBlindOwner:
+      BlindOwner();
+      break;
     default:
       CutOwnerOff(span);
   }
 }
 
+auto CancelPlay::SilenceReads(int entry) -> void {
+  blind_.insert(entry);
+  world_.log().SetModeFor("entry-" + std::to_string(entry),
+                          VirtualLog::Mode::kReadsSilent);
+}
+
+auto CancelPlay::BlindOwner() -> void {
+  Heal();
+  SilenceReads(std::max(world_.Owner(), 0));
+  for (int jobs = 0; jobs < kJobsOfBlindOwner; ++jobs) {
+    CancelLater(SubmitAny());
+    world_.RunFor(world_.time().Milliseconds(500, 2500));
+  }
+}
+
 auto CancelPlay::CutOwnerOff(milliseconds span) -> void {
   const int owner = std::max(world_.Owner(), 0);
   for (const int agent : world_.Agents()) {
