Jobs: Say "no such job" of what is no id only beside current queues

A cancel or question whose path is below a known queue and whose rest is no job id was answered "no such job", a hand-in "invalid", from whatever configuration the entry had. If a newer one has a queue below that prefix, the rest is an id of that queue: a job that another entry has accepted was said not to be there, and its cancel was acknowledged and stored nowhere. An entry without news of the operators was bound to that for as long as its reads hung; "no such queue" has had this guard.

Such a path is now answered "come back" unless the operators log was read to its end within 2 s, as one without a queue.

Class: a certain answer out of a copy that may be old. OldQueuesTest: three of six rows failed before (cancel, question and hand-in beside old queues), none now. Found by reading.

--- a/Source/Jobs/entry_callers.cc
+++ b/Source/Jobs/entry_callers.cc
@@ -35,7 +35,11 @@
     return;
   }
   const auto* queue = queues_.Match(call.host, call.path);
-  if (queue == nullptr && !CaughtUp(now, operator_follower_)) {
+  const std::string id =
+      queue == nullptr ? "" : call.path.substr(queue->path_prefix.size());
+  // What is no id may be one below the prefix of a queue that is new.
+  const bool matches = queue != nullptr && (id.empty() || CheckJobId(id).ok());
+  if (!matches && !CaughtUp(now, operator_follower_)) {
     respond(VerdictReply(JobVerdict::kUnavailable,
                          "The configuration may have changed."));
     return;
@@ -50,7 +54,6 @@
                          "path."));
     return;
   }
-  const std::string id = call.path.substr(queue->path_prefix.size());
   switch (call.kind) {
     case JobCallKind::kSubmit:
       Submit(now, *queue, id, std::move(call), respond);
--- a/Tests/Jobs/stale_copy_test.cc
+++ b/Tests/Jobs/stale_copy_test.cc
@@ -30,10 +30,9 @@
   bool stored = false;
 };
 
-class StaleCopyTest : public EntryDecisionsTest,
-                      public testing::WithParamInterface<StaleCopyCase> {
+class StaleEntryTest : public EntryDecisionsTest {
  protected:
-  StaleCopyTest() {
+  StaleEntryTest() {
     AnswerOperators({{kConfigurationKey, "1", 0}});
     AnswerNewest({}, /*more=*/false);
     AnswerRead(ReadOutcome::kRecords);
@@ -51,8 +50,8 @@
     return record;
   }
 
-  auto Call(JobCallKind kind) -> void {
-    JobCall call{kind, kQueueHost, std::string(kQueuePrefix) + kJob, {}, {}};
+  auto Call(JobCallKind kind, const std::string& rest = kJob) -> void {
+    JobCall call{kind, kQueueHost, std::string(kQueuePrefix) + rest, {}, {}};
     call.deadline = kDeadline;
     entry_.Call(now_, call, [this](const JobReply& reply) -> void {
       replies_.push_back(reply.verdict);
@@ -76,6 +75,9 @@
   std::vector<JobVerdict> replies_;
 };
 
+class StaleCopyTest : public StaleEntryTest,
+                      public testing::WithParamInterface<StaleCopyCase> {};
+
 // Guards against "no such job", and a cancel that is stored nowhere, out of a
 // copy of the log that is older than the job.
 TEST_P(StaleCopyTest, SaysThatThereIsNoJobOnlyIfTheLogHasNone) {
@@ -108,7 +110,46 @@
                                   true}),
     [](const auto& info) { return info.param.name; });
 
-using CancelAheadTest = StaleCopyTest;
+struct OldQueuesCase {
+  std::string name;
+  JobCallKind kind = JobCallKind::kAsk;
+  // Since the operators' log was read to its end.
+  milliseconds age{0};
+  JobVerdict verdict = JobVerdict::kUnavailable;
+};
+
+class OldQueuesTest : public StaleEntryTest,
+                      public testing::WithParamInterface<OldQueuesCase> {};
+
+// Guards against "no such job" of a job whose queue, below the one that is
+// known, stands in a configuration that has not been read.
+TEST_P(OldQueuesTest, SayNothingCertainOfAnIdThatIsNone) {
+  Pass(GetParam().age);
+  Call(GetParam().kind, std::string("new/") + kJob);
+  AnswerEndRead(ReadOutcome::kRecords, kEnd);
+  ASSERT_EQ(replies_.size(), 1U);
+  EXPECT_EQ(replies_.front(), GetParam().verdict);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    OldQueuesTest,
+    testing::Values(OldQueuesCase{"cancel_current", JobCallKind::kCancel,
+                                  milliseconds(0), JobVerdict::kNoSuchJob},
+                    OldQueuesCase{"cancel_old", JobCallKind::kCancel,
+                                  milliseconds(2100), JobVerdict::kUnavailable},
+                    OldQueuesCase{"ask_current", JobCallKind::kAsk,
+                                  milliseconds(0), JobVerdict::kNoSuchJob},
+                    OldQueuesCase{"ask_old", JobCallKind::kAsk,
+                                  milliseconds(2100), JobVerdict::kUnavailable},
+                    OldQueuesCase{"submit_current", JobCallKind::kSubmit,
+                                  milliseconds(0), JobVerdict::kInvalid},
+                    OldQueuesCase{"submit_old", JobCallKind::kSubmit,
+                                  milliseconds(2100),
+                                  JobVerdict::kUnavailable}),
+    [](const auto& info) { return info.param.name; });
+
+using CancelAheadTest = StaleEntryTest;
 
 // Guards against a job that runs although its cancel was acknowledged, since
 // its hand-in was stored after that.
