--- a/Tests/Jobs/stale_copy_test.cc
+++ b/Tests/Jobs/stale_copy_test.cc
@@ -121,8 +121,7 @@
 class OldQueuesTest : public StaleEntryTest,
                       public testing::WithParamInterface<OldQueuesCase> {};
 
-// Guards against "no such job" of a job whose queue, below the one that is
-// known, stands in a configuration that has not been read.
+// Guards against a job said to be none, as its queue is too new to be known.
 TEST_P(OldQueuesTest, SayNothingCertainOfAnIdThatIsNone) {
   Pass(GetParam().age);
   Call(GetParam().kind, std::string("new/") + kJob);
