--- a/Source/Jobs/keyed_log_follower.cc
+++ b/Source/Jobs/keyed_log_follower.cc
@@ -108,8 +108,8 @@
     return;
   }
   Succeeded();
-  read_bytes_ = std::min(read_bytes_ + read_bytes_ / kGrowthPart,
-                         options_.most_bytes);
+  read_bytes_ =
+      std::min(read_bytes_ + read_bytes_ / kGrowthPart, options_.most_bytes);
   for (const auto& record : result.records) {
     Deliver(now, record);
     next_ = record.offset + 1;
