Tests, Jobs: Keep room beside lasting tasks in the explorer of cuts, time outages

The explorer now hands in at most 14 of them; its other checks are the same.

OutageTest is new: a worker is lost while the whole log is away, and its tasks must run again within 1.5 s (a renewal of the claim, and a start) of the log's return.

--- a/Tests/Jobs/cut_domain_test.cc
+++ b/Tests/Jobs/cut_domain_test.cc
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cstddef>
 #include <set>
 #include <string>
 
@@ -121,7 +122,69 @@
                             milliseconds(4500), milliseconds(8000)}),
     [](const auto& info) { return info.param.name; });
 
+struct OutageCase {
+  std::string name;
+  VirtualLog::Mode mode = VirtualLog::Mode::kRefuses;
+  milliseconds lasts{0};
+};
+
+class OutageTest : public testing::TestWithParam<OutageCase> {};
+
+// Fills all agents but one and a half.
+constexpr uint32_t kTasksInAnOutage = 18;
+// From the log's return: a renewal of the claim, and a start.
+constexpr milliseconds kBackWithin{1500};
+
+// Guards against an owner that leaves the tasks of a lost worker down after the
+// log is back, although it has been the only one all along.
+TEST_P(OutageTest, TasksOfALostWorkerRunSoonAfterIt) {
+  JobWorld world(Options(1));
+  world.RunFor(seconds(4));
+  world.SubmitLasting(kTasksInAnOutage);
+  world.RunFor(seconds(3));
+  const int owner = world.Owner();
+  ASSERT_GE(owner, 0);
+  world.log().SetMode(GetParam().mode);
+  int lost = 0;
+  while (world.worker(lost).running() == 0) {
+    ++lost;
+  }
+  world.RemoveAgent(lost, /*planned=*/false);
+  const auto running = [&world]() -> std::size_t {
+    std::size_t runs = 0;
+    for (const int agent : world.Agents()) {
+      runs += world.worker(agent).running();
+    }
+    return runs;
+  };
+  ASSERT_LT(running(), kTasksInAnOutage);
+  world.RunFor(GetParam().lasts);
+  world.HealAll();
+  const TimePoint back = world.time().now();
+  while (running() < kTasksInAnOutage &&
+         world.time().now() < back + seconds(30)) {
+    world.RunFor(milliseconds(10));
+  }
+  EXPECT_LE(world.time().now() - back, kBackWithin);
+  EXPECT_EQ(world.Owner(), owner);
+  for (const auto& problem : world.problems()) {
+    ADD_FAILURE() << problem;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    OutageTest,
+    testing::Values(
+        OutageCase{"refuses", VirtualLog::Mode::kRefuses, milliseconds(8000)},
+        OutageCase{"refuses_for_long", VirtualLog::Mode::kRefuses,
+                   milliseconds(13000)},
+        OutageCase{"silent", VirtualLog::Mode::kSilent, milliseconds(8000)}),
+    [](const auto& info) { return info.param.name; });
+
 constexpr int kRounds = 8;
+// At most; the others have room beside them, or they would wait for ever.
+constexpr std::size_t kMostLasting = 14;
 
 // Cuts off the owner with some of the agents, and sometimes one more entry.
 auto CutOffTheOwner(JobWorld& world) -> milliseconds {
@@ -146,7 +209,7 @@
 auto SubmitSome(JobWorld& world) -> void {
   auto& time = world.time();
   const auto tasks = static_cast<uint32_t>(time.Pick(1, 4));
-  if (time.Chance(0.2)) {
+  if (time.Chance(0.2) && world.lasting_tasks() + tasks <= kMostLasting) {
     world.SubmitLasting(tasks);
   } else if (time.Chance(0.2)) {
     world.SubmitFilling(tasks);
