--- a/Tests/Jobs/job_world.cc
+++ b/Tests/Jobs/job_world.cc
@@ -212,6 +212,7 @@
                       const std::set<int>& agents,
                       Duration span) -> void {
   std::vector<std::string> clients;
+  clients.reserve(entries.size() + agents.size());
   for (const int entry : entries) {
     clients.push_back(entries_.at(entry)->name);
   }
