Jobs: Keep a filler's speed by its need as well as by its image

The speed at which one more filler would work on a worker was kept by its image, until something there changed. It depends on the processors that it wants as well: if a large one was asked about first, and refused, a small one of the same image was refused for the same speed, although there was room for it; where nothing serves, for as long as nothing ended there.

--- a/Source/Jobs/filler_speed.cc
+++ b/Source/Jobs/filler_speed.cc
@@ -89,7 +89,8 @@
     known = {worker.load_version, DemandOf(worker), {}};
   }
   const auto& step = place.spec();
-  const auto [speed, is_new] = known.speed_by_image.try_emplace(step.image());
+  const auto [speed, is_new] = known.speeds.try_emplace(
+      std::pair(step.image(), step.need().millicores()));
   if (is_new) {
     speed->second = SpeedBeside(known.demand, worker, step, interference);
   }
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -55,8 +55,8 @@
 struct FillerSpeeds {
   uint64_t load_version = 0;
   FillerDemand demand;
-  // Of one more run of the image.
-  absl::flat_hash_map<std::string, double> speed_by_image;
+  // Of one more run of the image that wants so many millicores.
+  absl::flat_hash_map<std::pair<std::string, uint32_t>, double> speeds;
 };
 
 // A worker and its agent, as the owner knows them.
--- a/Tests/Jobs/owner_standing_test.cc
+++ b/Tests/Jobs/owner_standing_test.cc
@@ -177,5 +177,28 @@
   EXPECT_EQ(standing_jobs_, 0U);
 }
 
+// Guards against a small filler that never starts, as a larger one of its image
+// is refused.
+TEST_F(OwnerStandingTest, FillersOfOneImageAreRefusedEachByItsOwnNeed) {
+  Begin();
+  auto held = Step(2);
+  held.set_long_running(true);
+  held.set_max_per_worker(1);
+  PutJob({held});
+  ReportAll();
+  ASSERT_EQ(Starts(), 2U);
+  for (const uint32_t millicores : {4000, 1000}) {
+    Job job;
+    job.set_id("000000000000" + std::to_string(millicores));
+    *job.add_steps() = Step(1);
+    job.mutable_steps(0)->mutable_need()->set_millicores(millicores);
+    job.mutable_steps(0)->set_uses_spare_processors(true);
+    job.mutable_steps(0)->set_image("filler");
+    Put(MakeRecord(RecordKind::kJob, job.id(), job));
+  }
+  ReportAll();
+  EXPECT_EQ(Starts(), 3U);
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
