Jobs: Fill at any speed once a job has nothing running

A task that fills started only where it would work at nine tenths of its speed or more. If what was learned of its image, the load of what serves, or few unused processors spoke against that on each worker, its job stood for good: no bound, and nothing was learned while nothing ran.

A job that has had nothing running for 1.5 s, half of the 3 s in which a job with room for it has to have something running, now gets one task, a gang all of its members, at any speed, first where it is fastest and beside nothing that serves. Its agent goes on slowing it for what serves there, and it is moved as any other once it would be fast elsewhere. What refused it at any speed is kept by a mark of its own, so that no turn asks all workers again, and FalseIndexes checks that mark too.

--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -137,6 +137,7 @@
       for (auto& step : occurrence.steps) {
         // Other workers may be asked.
         step.refused_at = 0;
+        step.refused_at_any_speed = 0;
       }
     }
   }
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -313,8 +313,9 @@
       -> void;
   // Whether a worker that has changed since the gang found no places would take
   // a member of it.
-  auto MayFitGang(TimePoint now, const PlacementOrder::WaitingStep& waiting)
-      -> bool;
+  auto MayFitGang(TimePoint now,
+                  const PlacementOrder::WaitingStep& waiting,
+                  const PlaceLimits& limits) -> bool;
   // A place for each member of a gang, or none at all.
   auto PlacesOfGang(TimePoint now, TaskPlace place, PlaceLimits& limits)
       -> std::vector<WorkerView*>;
@@ -342,6 +343,11 @@
   auto SlowedFillers(TimePoint now) -> std::vector<SlowedFiller>;
   auto MoveSlowedFillers(TimePoint now) -> void;
   auto MayStart(TimePoint now, const TaskPlace& place) -> bool;
+  // A job with nothing running fills at any speed in the end: what disturbs is
+  // learned from what runs, and its agent protects what serves there.
+  static auto MayFillAnyway(const TaskPlace& place) -> bool;
+  // The mark at which all workers had refused the step under these limits.
+  static auto RefusedAt(StepWork& step, const PlaceLimits& limits) -> uint64_t&;
   auto Start(TimePoint now,
              const TaskPlace& place,
              WorkerView& worker,
--- a/Source/Jobs/job_work.h
+++ b/Source/Jobs/job_work.h
@@ -66,6 +66,8 @@
   std::optional<TimePoint> since;
   // When the log was last told.
   TimePoint told_at;
+  // It has stood for so long that one of its tasks may fill at any speed.
+  bool fills_anyway = false;
 };
 
 // Runs and ends of its tasks are changed through this only, which counts them.
@@ -79,6 +81,8 @@
   TimePoint told_waiting_at;
   // All workers had refused its tasks at this mark of `WorkerChanges`.
   uint64_t refused_at = 0;
+  // The same at any speed, of tasks that fill.
+  uint64_t refused_at_any_speed = 0;
 
   auto tasks() -> std::vector<TaskWork>& { return tasks_; }
   auto tasks() const -> const std::vector<TaskWork>& { return tasks_; }
--- a/Source/Jobs/owner_gangs.cc
+++ b/Source/Jobs/owner_gangs.cc
@@ -16,10 +16,13 @@
     }
   }
   const auto tickets = TicketsFor(now, place);
-  if (!tickets && !MayFitGang(now, waiting)) {
-    NoteWaiting(now, waiting.place, {});
+  PlaceLimits limits;
+  limits.any_speed = MayFillAnyway(waiting.place);
+  if (!tickets && !MayFitGang(now, waiting, limits)) {
+    NoteWaiting(now, waiting.place, limits);
     return;
   }
+  limits.tickets = tickets ? &*tickets : nullptr;
   std::set<std::string> racks = {""};
   if (place.spec().colocated()) {
     for (const auto& [name, worker] : workers_) {
@@ -30,16 +33,13 @@
   // The empty name, any rack, is tried last.
   for (auto rack = racks.rbegin(); rack != racks.rend() && best.empty();
        ++rack) {
-    PlaceLimits limits;
-    limits.tickets = tickets ? &*tickets : nullptr;
-    limits.rack = *rack;
-    best = PlacesOfGang(now, place, limits);
+    PlaceLimits in_rack = limits;
+    in_rack.rack = *rack;
+    best = PlacesOfGang(now, place, in_rack);
   }
   if (best.empty()) {
-    waiting.state->refused_at = tickets ? 0 : changes_.mark();
+    RefusedAt(*waiting.state, limits) = tickets ? 0 : changes_.mark();
     place.index = 0;
-    PlaceLimits limits;
-    limits.tickets = tickets ? &*tickets : nullptr;
     NoteWaiting(now, place, limits);
     return;
   }
@@ -52,13 +52,14 @@
 }
 
 auto JobOwner::MayFitGang(TimePoint now,
-                          const PlacementOrder::WaitingStep& waiting) -> bool {
-  auto& refused_at = waiting.state->refused_at;
+                          const PlacementOrder::WaitingStep& waiting,
+                          const PlaceLimits& limits) -> bool {
+  auto& refused_at = RefusedAt(*waiting.state, limits);
   if (refused_at == 0) {
     return true;
   }
   const bool fits = ChoosePlace(now, changes_.Since(refused_at), waiting.place,
-                                interference_) != nullptr;
+                                interference_, limits) != nullptr;
   if (!fits) {
     refused_at = changes_.mark();
   }
--- a/Source/Jobs/owner_index_check.cc
+++ b/Source/Jobs/owner_index_check.cc
@@ -35,15 +35,16 @@
 auto TakerOf(TimePoint now,
              const WorkerViews& workers,
              const TaskPlace& place,
-             const ImageInterference& interference) -> const WorkerView* {
-  const auto& step = place.step_work();
+             const ImageInterference& interference,
+             const PlaceLimits& limits,
+             uint64_t refused_at) -> const WorkerView* {
   for (const auto& [name, worker] : workers) {
     // What a filler's pressure on other workers teaches is taken in with the
     // worker's next report.
-    const bool learns =
-        place.spec().uses_spare_processors() && !worker->serving.empty();
-    const bool refused = !learns && worker->changed_at <= step.refused_at;
-    if (refused && CostOf(now, *worker, place, interference, {})) {
+    const bool learns = place.spec().uses_spare_processors() &&
+                        !worker->serving.empty() && !limits.any_speed;
+    const bool refused = !learns && worker->changed_at <= refused_at;
+    if (refused && CostOf(now, *worker, place, interference, limits)) {
       return worker.get();
     }
   }
@@ -89,9 +90,12 @@
     problems->push_back(absl::StrCat(Describe(place), " is not in line"));
   }
   // A gang is refused as a whole, so a worker may take one of its members.
+  PlaceLimits limits;
+  limits.any_speed = MayFillAnyway(place);
   const auto* taker = place.spec().gang()
                           ? nullptr
-                          : TakerOf(now, workers_, place, interference_);
+                          : TakerOf(now, workers_, place, interference_, limits,
+                                    RefusedAt(place.step_work(), limits));
   if (taker != nullptr) {
     problems->push_back(absl::StrCat(Describe(place), " is refused by ",
                                      taker->agent, ", which takes it"));
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -69,6 +69,17 @@
   return true;
 }
 
+auto JobOwner::MayFillAnyway(const TaskPlace& place) -> bool {
+  const auto& work = *place.work;
+  return place.spec().uses_spare_processors() && work.standing.fills_anyway &&
+         work.NothingRuns();
+}
+
+auto JobOwner::RefusedAt(StepWork& step, const PlaceLimits& limits)
+    -> uint64_t& {
+  return limits.any_speed ? step.refused_at_any_speed : step.refused_at;
+}
+
 auto JobOwner::PlaceStep(TimePoint now,
                          const PlacementOrder::WaitingStep& waiting) -> void {
   auto& step = *waiting.state;
@@ -83,8 +94,10 @@
     if (!MayStart(now, place)) {
       continue;
     }
-    WorkerView* worker = ChoosePlace(now, changes_.Since(step.refused_at),
-                                     place, interference_, limits);
+    limits.any_speed = MayFillAnyway(place);
+    WorkerView* worker =
+        ChoosePlace(now, changes_.Since(RefusedAt(step, limits)), place,
+                    interference_, limits);
     if (worker == nullptr && place.crashes().on_last_try()) {
       // It alone may be refused for what could crash its worker, and only for a
       // while.
@@ -94,7 +107,7 @@
     }
     if (worker == nullptr) {
       // New tickets change what the same workers answer.
-      step.refused_at = tickets ? 0 : changes_.mark();
+      RefusedAt(step, limits) = tickets ? 0 : changes_.mark();
       NoteWaiting(now, place, limits);
       return;
     }
--- a/Source/Jobs/owner_standing.cc
+++ b/Source/Jobs/owner_standing.cc
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kLookAgain{250};
+// Half of the time for which a job with room for it may have nothing running,
+// 3 s: the rest is for the look, the start and one that is refused.
+constexpr std::chrono::milliseconds kFillAnywayAfter{1500};
 constexpr std::chrono::milliseconds kTellAfter{2000};
 // The same job again.
 constexpr std::chrono::milliseconds kTellAgain{5000};
@@ -40,6 +43,10 @@
     }
     const TimePoint since = work.standing.since.value_or(now);
     work.standing.since = since;
+    if (now - since >= kFillAnywayAfter &&
+        !std::exchange(work.standing.fills_anyway, true)) {
+      place_due_ = true;
+    }
     if (now - since >= kTellAfter) {
       ++standing;
       LogStandingJob(now, step);
@@ -84,6 +91,7 @@
   }
   const auto tickets = TicketsHeld(now, place);
   PlaceLimits limits;
+  limits.any_speed = MayFillAnyway(place);
   limits.tickets = tickets ? &*tickets : nullptr;
   return DescribeRefusals(now, workers_, place, interference_, limits);
 }
--- a/Source/Jobs/place_choice.cc
+++ b/Source/Jobs/place_choice.cc
@@ -26,6 +26,8 @@
 // A filler does not start where it would work more slowly than this: many slow
 // ones at once make every job late, one after the other some are in time.
 constexpr double kLeastFillerSpeed = 0.9;
+// For a filler that starts all the same, where something serves.
+constexpr double kDisturbingCost = 1.0;
 // For a task that serves beside one of another image, and for one on a worker
 // where none of its image serves yet. Images differ in how far fillers disturb
 // them. Kept apart, the sensitive ones take up few workers, and fillers run at
@@ -193,7 +195,8 @@
 
 auto Cost(WorkerView& worker,
           const TaskPlace& place,
-          const ImageInterference& interference) -> double {
+          const ImageInterference& interference,
+          bool any_speed) -> double {
   const auto& step = place.spec();
   double cost =
       kFailureCost * worker.failures_in_row + CrashCost(worker, place);
@@ -206,10 +209,12 @@
   }
   if (step.uses_spare_processors()) {
     const double speed = FillerSpeed(worker, place, interference);
-    if (speed < kLeastFillerSpeed) {
+    if (speed < kLeastFillerSpeed && !any_speed) {
       return std::numeric_limits<double>::infinity();
     }
-    return cost - kSpeedWeight * speed + UsedShare(worker);
+    const bool disturbs = speed < kLeastFillerSpeed && !worker.serving.empty();
+    return cost - kSpeedWeight * speed + UsedShare(worker) +
+           (disturbs ? kDisturbingCost : 0.0);
   }
   // Best fit: keeps large holes for large tasks.
   return cost - UsedShare(worker);
@@ -226,7 +231,7 @@
   for (const auto& [name, worker] : workers) {
     PlaceRefusal refusal = RefusalOf(now, *worker, place, limits);
     if (refusal == PlaceRefusal::kNone &&
-        std::isinf(Cost(*worker, place, interference))) {
+        std::isinf(Cost(*worker, place, interference, limits.any_speed))) {
       refusal = PlaceRefusal::kDisturbing;
     }
     ++counts[refusal];
@@ -245,7 +250,7 @@
   if (RefusalOf(now, worker, place, limits) != PlaceRefusal::kNone) {
     return std::nullopt;
   }
-  const double cost = Cost(worker, place, interference);
+  const double cost = Cost(worker, place, interference, limits.any_speed);
   return std::isinf(cost) ? std::nullopt : std::optional(cost);
 }
 
--- a/Source/Jobs/place_choice.h
+++ b/Source/Jobs/place_choice.h
@@ -24,6 +24,8 @@
   const StepTickets* tickets = nullptr;
   // Empty for any rack.
   std::string rack;
+  // Whether a filler may start where it is slowed, to nothing if need be.
+  bool any_speed = false;
   // Members of the same gang that have a place there and are not started yet.
   std::map<const WorkerView*, uint32_t> planned;
 };
--- a/Tests/Jobs/owner_standing_test.cc
+++ b/Tests/Jobs/owner_standing_test.cc
@@ -177,6 +177,113 @@
   EXPECT_EQ(standing_jobs_, 0U);
 }
 
+struct RefusedFillerCase {
+  std::string name;
+  // What was learned of the filler's image.
+  double pressure = 1;
+  // Of what serves, against its target of 100 ms.
+  uint32_t latency_ms = 20;
+  uint32_t millicores = 1000;
+  bool gang = false;
+  std::size_t starts = 1;
+};
+
+// A job that fills beside runs that serve, one on each worker.
+class RefusedFillerTest
+    : public OwnerStandingTest,
+      public testing::WithParamInterface<RefusedFillerCase> {
+ protected:
+  static constexpr char kServing[] = "0000000000000001";
+  static constexpr char kFilling[] = "0000000000000002";
+
+  auto PutOneStep(const std::string& id, const JobStep& step) -> void {
+    Job job;
+    job.set_id(id);
+    *job.add_steps() = step;
+    Put(MakeRecord(RecordKind::kJob, id, job));
+  }
+
+  auto PutServing() -> void {
+    auto step = Step(2);
+    step.set_long_running(true);
+    step.set_max_per_worker(1);
+    step.set_target_latency_ms(100);
+    step.set_image("web");
+    PutOneStep(kServing, step);
+  }
+
+  auto PutFilling() -> void {
+    const auto& param = GetParam();
+    auto step = Step(2);
+    step.mutable_need()->set_millicores(param.millicores);
+    step.set_uses_spare_processors(true);
+    step.set_gang(param.gang);
+    step.set_image("filler");
+    PutOneStep(kFilling, step);
+  }
+
+  auto Play(Duration span) -> void {
+    PlayFor(span, {"agent-0", "agent-1"},
+            [this](const std::string& agent, AgentReport* report) {
+              *report = Started(agent, 0);
+              for (auto& row : *report->mutable_running()) {
+                row.set_load(
+                    row.task().job() == kServing ? GetParam().latency_ms : 0);
+              }
+            });
+  }
+
+  auto FillerStarts() const -> std::size_t {
+    std::size_t count = 0;
+    for (const auto& [agent, starts] : starts_) {
+      for (const auto& [number, start] : starts) {
+        count += start.task().job() == kFilling ? 1 : 0;
+      }
+    }
+    return count;
+  }
+};
+
+// Guards against a job that fills and never starts, as what was learned of its
+// image, or what serves everywhere, speaks against it on each worker.
+TEST_P(RefusedFillerTest, StartsOneTaskAllTheSame) {
+  LearnedPressures learned;
+  auto* pressure = learned.add_pressures();
+  pressure->set_serving_image("web");
+  pressure->set_filler_image("filler");
+  pressure->set_pressure(GetParam().pressure);
+  Put(MakeRecord(RecordKind::kPressures, "", learned));
+  Begin();
+  PutServing();
+  Play(seconds(1));
+  ASSERT_EQ(Starts(), 2U);
+  PutFilling();
+  Play(milliseconds(1300));
+  EXPECT_EQ(FillerStarts(), 0U);
+  EXPECT_THAT(owner_.FalseIndexes(now_), testing::IsEmpty());
+  Play(milliseconds(1200));
+  EXPECT_EQ(FillerStarts(), GetParam().starts) << "within 2.5 s";
+  EXPECT_THAT(owner_.FalseIndexes(now_), testing::IsEmpty());
+  // The others go on keeping away.
+  Play(seconds(8));
+  EXPECT_EQ(FillerStarts(), GetParam().starts);
+  EXPECT_THAT(owner_.FalseIndexes(now_), testing::IsEmpty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    RefusedFillerTest,
+    testing::Values(
+        RefusedFillerCase{.name = "learned_pressure_is_huge", .pressure = 1000},
+        RefusedFillerCase{.name = "serving_near_the_target", .latency_ms = 99},
+        RefusedFillerCase{.name = "few_processors_are_unused",
+                          .millicores = 4000},
+        RefusedFillerCase{.name = "gang",
+                          .pressure = 1000,
+                          .gang = true,
+                          .starts = 2}),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against a small filler that never starts, as a larger one of its image
 // is refused.
 TEST_F(OwnerStandingTest, FillersOfOneImageAreRefusedEachByItsOwnNeed) {
