Jobs: Wake a gang when its wait for workers of its own is over

A task whose next crash may show it to be the cause waits up to 1.5 s for a worker without suspects. A gang did so as well, but nothing woke it when that was over: it was asked again only of workers that had changed since, and the end of a wait changes none. It stood until suspects were found sound or something else ended on a worker.

Placement now looks again when the wait of its last member ends, and asks all workers until then.

--- a/Source/Jobs/owner_gangs.cc
+++ b/Source/Jobs/owner_gangs.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <set>
 #include <vector>
 
@@ -5,6 +6,18 @@
 
 // Where gangs start: all members, or none.
 namespace rhubarbhaven::jobs {
+namespace {
+
+// Until when one of the members waits for a worker without suspects.
+auto GangApartUntil(TaskPlace place) -> TimePoint {
+  TimePoint until;
+  for (place.index = 0; place.index < place.spec().count(); ++place.index) {
+    until = std::max(until, ApartUntil(place));
+  }
+  return until;
+}
+
+}  // namespace
 
 auto JobOwner::PlaceGang(TimePoint now,
                          const PlacementOrder::WaitingStep& waiting) -> void {
@@ -38,7 +51,13 @@
     best = PlacesOfGang(now, place, in_rack);
   }
   if (best.empty()) {
-    RefusedAt(*waiting.state, limits) = tickets ? 0 : changes_.mark();
+    // No worker changes as the wait for workers without suspects ends.
+    const TimePoint apart_until = GangApartUntil(place);
+    const bool ask_all_again = tickets || now < apart_until;
+    RefusedAt(*waiting.state, limits) = ask_all_again ? 0 : changes_.mark();
+    if (now < apart_until) {
+      retry_at_ = std::min(retry_at_, apart_until);
+    }
     place.index = 0;
     NoteWaiting(now, place, limits);
     return;
--- a/Source/Jobs/place_choice.cc
+++ b/Source/Jobs/place_choice.cc
@@ -91,12 +91,6 @@
          limit;
 }
 
-// Whether the task still waits for a worker on which no other suspect runs.
-auto WaitsForItself(TimePoint now, const TaskPlace& place) -> bool {
-  return place.crashes().on_last_try() &&
-         now - place.task().waiting_since < kApartFor;
-}
-
 auto RefusalOf(TimePoint now,
                const WorkerView& worker,
                const TaskPlace& place,
@@ -126,7 +120,7 @@
   if (AtStepLimit(worker, place, limits)) {
     return PlaceRefusal::kStepLimit;
   }
-  return WaitsForItself(now, place) && !worker.suspects.empty()
+  return now < ApartUntil(place) && !worker.suspects.empty()
              ? PlaceRefusal::kSuspects
              : PlaceRefusal::kNone;
 }
@@ -222,6 +216,11 @@
 
 }  // namespace
 
+auto ApartUntil(const TaskPlace& place) -> TimePoint {
+  return place.crashes().on_last_try() ? place.task().waiting_since + kApartFor
+                                       : TimePoint();
+}
+
 auto DescribeRefusals(TimePoint now,
                       const WorkerViews& workers,
                       const TaskPlace& place,
--- a/Source/Jobs/place_choice.h
+++ b/Source/Jobs/place_choice.h
@@ -63,6 +63,10 @@
                       const ImageInterference& interference,
                       const PlaceLimits& limits) -> std::string;
 
+// Until when the task waits for a worker on which no other suspect runs; in the
+// past if it need not.
+auto ApartUntil(const TaskPlace& place) -> TimePoint;
+
 // What the task costs on the worker, to be compared with other workers; none if
 // it may not start there now.
 auto CostOf(TimePoint now,
--- a/Tests/Jobs/owner_standing_test.cc
+++ b/Tests/Jobs/owner_standing_test.cc
@@ -307,5 +307,46 @@
   EXPECT_EQ(Starts(), 3U);
 }
 
+// Guards against a gang that stands for good after two crashes, as each worker
+// has run a suspect since it was asked: nothing told that it waits no longer
+// for workers of its own.
+TEST_F(OwnerStandingTest, GangOnItsLastTryWaitsForWorkersOfItsOwnNotForLong) {
+  constexpr char kGang[] = "0000000000000001";
+  auto lasting = Step(2);
+  lasting.set_long_running(true);
+  lasting.set_max_per_worker(1);
+  PutJob({lasting});
+  Begin();
+  auto crashed = ReportOf("agent-0");
+  const auto add = [&crashed](const std::string& job, uint32_t index,
+                              uint64_t run) {
+    auto* row = crashed.add_crashed();
+    row->mutable_task()->set_job(job);
+    row->mutable_task()->set_index(index);
+    row->set_run(run);
+    row->set_worker_id("earlier-life-" + std::to_string(run));
+    row->set_number(static_cast<uint64_t>(crashed.crashed_size()));
+  };
+  add(kId, 0, 1);
+  add(kId, 1, 1);
+  Report("agent-0", crashed);
+  Report("agent-1", ReportOf("agent-1"));
+  ASSERT_EQ(Starts(), 2U);
+  Job job;
+  job.set_id(kGang);
+  *job.add_steps() = Step(2);
+  job.mutable_steps(0)->set_gang(true);
+  Put(MakeRecord(RecordKind::kJob, job.id(), job));
+  add(kGang, 0, 2);
+  add(kGang, 0, 3);
+  Report("agent-0", crashed);
+  // Starts have no answer, so that no suspect is known to be sound.
+  const auto nothing = [](const std::string&, AgentReport*) {};
+  PlayFor(milliseconds(1000), {"agent-0", "agent-1"}, nothing);
+  ASSERT_EQ(Starts(), 2U);
+  PlayFor(milliseconds(1000), {"agent-0", "agent-1"}, nothing);
+  EXPECT_EQ(Starts(), 4U);
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
