Tests: Jobs with ample room have something running, over random faults

The explorers check that what lasts runs again within 10 s. Nothing checked the shorter bound that callers saw broken, for jobs of all kinds.

A check of the world, off by default: an accepted job that is not over has something running within 3 s in which no fault is in force, nor was in the 4 s before, no census may wait, two workers have room, and less than half of all room is in use.

--- a/Tests/Jobs/job_world.cc
+++ b/Tests/Jobs/job_world.cc
@@ -28,6 +28,9 @@
 // that long.
 constexpr std::chrono::seconds kRunsAgainWithin{10};
 constexpr std::chrono::seconds kCalmAfter{4};
+// The same of any task of a job.
+constexpr std::chrono::seconds kStandsFor{3};
+constexpr int kRoomForTwo = 2;
 constexpr std::chrono::milliseconds kLookAtLasting{100};
 // A new owner waits this long for agents that do not answer: the limit of the
 // owner before it without a renewal, and its lease.
@@ -73,8 +76,8 @@
     entries_.back()->name = absl::StrCat("entry-", number);
     StartEntry(number);
   }
-  if (options_.check_lasting) {
-    CheckLastingLater();
+  if (options_.check_lasting || options_.check_standing) {
+    LookLater();
   }
 }
 
@@ -901,7 +904,7 @@
       [&task](const auto& worker) -> bool { return worker->Runs(task); });
 }
 
-auto JobWorld::CheckLasting() -> void {
+auto JobWorld::IsCalm() -> bool {
   if (Disturbed()) {
     NoteFault();
   }
@@ -910,8 +913,60 @@
   }
   const bool census = options_.allow_census && CensusWaits() &&
                       time_.now() - no_census_at_ < kLongestCensus;
-  const bool startable =
-      time_.now() - disturbed_at_ >= kCalmAfter && HasRoom() && !census;
+  return time_.now() - disturbed_at_ >= kCalmAfter && !census;
+}
+
+auto JobWorld::HasAmpleRoom() const -> bool {
+  int with_room = 0;
+  std::size_t used = 0;
+  const auto agents = Agents();
+  for (const int number : agents) {
+    const auto& worker = *workers_.at(number);
+    with_room += worker.HasRoom() ? 1 : 0;
+    used += worker.running() * kTaskMillicores;
+  }
+  return with_room >= kRoomForTwo &&
+         used < agents.size() * VirtualWorker::kMillicores / 2;
+}
+
+auto JobWorld::MayBeOver(const std::string& job) const -> bool {
+  const auto& submitted = submitted_.at(job);
+  if (submitted.cancel_asked || submitted.crashes_after ||
+      completed_.contains(job)) {
+    return true;
+  }
+  for (int entry = 0; entry < options_.entries; ++entry) {
+    const auto state = StateOf(entry, job);
+    if (state && *state >= JOB_COMPLETED) {
+      return true;
+    }
+  }
+  return false;
+}
+
+auto JobWorld::AnyTaskRuns(const std::string& job) const -> bool {
+  const std::string prefix = job + ".";
+  return std::any_of(workers_.begin(), workers_.end(),
+                     [&prefix](const auto& worker) -> bool {
+                       return worker->RunsOneOf(prefix);
+                     });
+}
+
+auto JobWorld::CheckStanding() -> void {
+  const bool startable = IsCalm() && HasAmpleRoom();
+  for (const auto& id : accepted_) {
+    TimePoint& since = standing_.emplace(id, time_.now()).first->second;
+    if (!startable || MayBeOver(id) || AnyTaskRuns(id)) {
+      since = time_.now();
+    } else if (time_.now() - since >= kStandsFor) {
+      Problem(absl::StrCat(id, " has nothing running, with room for it"));
+      since = time_.now();
+    }
+  }
+}
+
+auto JobWorld::CheckLasting() -> void {
+  const bool startable = IsCalm() && HasRoom();
   for (auto& [task, since] : lasting_) {
     const auto& job = submitted_.at(task.substr(0, task.find('.')));
     if (job.cancel_asked || job.crashes_after || !startable ||
@@ -924,11 +979,16 @@
   }
 }
 
-auto JobWorld::CheckLastingLater() -> void {
+auto JobWorld::LookLater() -> void {
   time_.After(kLookAtLasting, [this]() -> void {
-    CheckLasting();
+    if (options_.check_lasting) {
+      CheckLasting();
+    }
     NoteCompleted();
-    CheckLastingLater();
+    if (options_.check_standing) {
+      CheckStanding();
+    }
+    LookLater();
   });
 }
 
--- a/Tests/Jobs/job_world.h
+++ b/Tests/Jobs/job_world.h
@@ -33,6 +33,9 @@
   bool keep_order = false;
   // Checks over time that tasks that last run again; see `CheckLasting`.
   bool check_lasting = false;
+  // Checks over time that no job has nothing running although it could; see
+  // `CheckStanding`.
+  bool check_standing = false;
   // Allows a new owner to wait for an agent that is gone for as long as leases
   // of the owner before it may hold.
   bool allow_census = true;
@@ -193,7 +196,17 @@
   // A task that lasts, whose job is accepted and not cancelled, runs again
   // within a while in which no fault was in force and there was room.
   auto CheckLasting() -> void;
-  auto CheckLastingLater() -> void;
+  // An accepted job that is not over has something running within a while in
+  // which no fault was in force, there was room for it twice over, and less
+  // than half of all room was in use.
+  auto CheckStanding() -> void;
+  auto LookLater() -> void;
+  // Whether no fault was in force for a while, nor a census that may wait.
+  auto IsCalm() -> bool;
+  auto HasAmpleRoom() const -> bool;
+  // Whether it is over by what some entry knows, or may be.
+  auto MayBeOver(const std::string& job) const -> bool;
+  auto AnyTaskRuns(const std::string& job) const -> bool;
   auto NoteCompleted() -> void;
   auto CheckStateOf(const std::string& job, int entry) -> void;
   auto TrySubmit(const std::string& id) -> void;
@@ -237,6 +250,8 @@
   // Tasks that last, and since when each could have been started.
   std::map<std::string, TimePoint> lasting_;
   std::map<std::string, int> lasting_starts_;
+  // Since when something of each accepted job could have run and did not.
+  std::map<std::string, TimePoint> standing_;
   // Jobs that were seen completed at some time.
   std::set<std::string> completed_;
   int lasting_restarts_ = 0;
--- a/Tests/Jobs/virtual_worker.cc
+++ b/Tests/Jobs/virtual_worker.cc
@@ -154,6 +154,11 @@
          (RunsInRoom() + 1) * kTaskMillicores <= kMillicores;
 }
 
+auto VirtualWorker::RunsOneOf(const std::string& prefix) const -> bool {
+  const auto first = runs_.lower_bound(prefix);
+  return first != runs_.end() && first->first.starts_with(prefix);
+}
+
 auto VirtualWorker::Runs(const std::string& task) const -> bool {
   return runs_.contains(task);
 }
--- a/Tests/Jobs/virtual_worker.h
+++ b/Tests/Jobs/virtual_worker.h
@@ -66,6 +66,8 @@
 
   auto name() const -> const std::string& { return name_; }
   auto Runs(const std::string& task) const -> bool;
+  // A task whose name begins so.
+  auto RunsOneOf(const std::string& prefix) const -> bool;
   auto running() const -> std::size_t { return runs_.size(); }
   auto draining() const -> bool { return draining_; }
   auto gone() const -> bool { return gone_; }
