Jobs: Write one line for all runs that are lost or stopped together

Symptom: when hundreds of runs are taken for lost at once, their lines are left out, just when they matter: 400 lines a second are written, and each run had a line of its own.

The owner writes one line for a worker and the cause, and one for the stops of a job that is over: how many runs, and the first 20 of their tasks. A line about one run is as before. Counters go on counting runs.

Not gathered: "crashed" lines (they hold each task's own count), "adopt" and stops of runs of unknown jobs.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -367,15 +367,31 @@
        {"oldest_report_ms", Milliseconds(job.oldest_report)}});
 }
 
-auto EntryDecisions::MakeOwnerHooks() -> JobOwnerHooks {
-  JobOwnerHooks hooks;
-  hooks.send = hooks_.send;
-  hooks.log = [this](const OwnerDecision& decision) -> void {
-    metrics_->Add(absl::StrCat("rhubarbhaven_runs_", decision.what, "_total"));
+auto EntryDecisions::LogDecision(const OwnerDecision& decision) -> void {
+  metrics_->Add(absl::StrCat("rhubarbhaven_runs_", decision.what, "_total"),
+                decision.runs);
+  if (decision.runs == 1) {
     log_.Write(decision.what, {{"task", DescribeTask(decision.task)},
                                {"run", absl::StrCat(decision.run)},
                                {"agent", decision.agent},
                                {"why", decision.why}});
+    return;
+  }
+  const auto describe = [](std::string* text, const TaskName& task) -> void {
+    absl::StrAppend(text, DescribeTask(task));
+  };
+  log_.Write(decision.what,
+             {{"runs", absl::StrCat(decision.runs)},
+              {"agent", decision.agent},
+              {"why", decision.why},
+              {"tasks", absl::StrJoin(decision.some_tasks, " ", describe)}});
+}
+
+auto EntryDecisions::MakeOwnerHooks() -> JobOwnerHooks {
+  JobOwnerHooks hooks;
+  hooks.send = hooks_.send;
+  hooks.log = [this](const OwnerDecision& decision) -> void {
+    LogDecision(decision);
   };
   hooks.log_agent = [this](const std::string& what,
                            const std::string& agent) -> void {
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -145,6 +145,7 @@
   auto NoteLag(Duration lag) -> void;
   auto LogCensus(const CensusState& state) -> void;
   auto LogStanding(const StandingJob& job) -> void;
+  auto LogDecision(const OwnerDecision& decision) -> void;
 
   EntryOptions options_;
   EntryHooks hooks_;
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -9,6 +9,8 @@
 // A run's number carries the owner's fence, so that a later owner's numbers are
 // higher than all earlier ones although it does not know them.
 constexpr int kRunBits = 30;
+// Tasks that a line about several runs names.
+constexpr std::size_t kMostTasksNamed = 20;
 
 }  // namespace
 
@@ -260,4 +262,22 @@
       {what, place.Name(), run, worker != nullptr ? worker->agent : "", why});
 }
 
+auto JobOwner::LogTogether(const std::string& what,
+                           const std::vector<NamedRun>& runs,
+                           const std::string& agent,
+                           const std::string& why) -> void {
+  if (runs.empty()) {
+    return;
+  }
+  OwnerDecision decision{what, runs.front().task, runs.front().run, agent, why};
+  decision.runs = runs.size();
+  if (runs.size() > 1) {
+    const std::size_t named = std::min(runs.size(), kMostTasksNamed);
+    for (std::size_t i = 0; i < named; ++i) {
+      decision.some_tasks.push_back(runs[i].task);
+    }
+  }
+  hooks_.log(decision);
+}
+
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -72,13 +72,18 @@
   }
 };
 
-// A decision of the owner about one task, for the log.
+// A decision of the owner about one run, or about several at once, for the log.
 struct OwnerDecision {
   std::string what;
+  // Of the first run.
   TaskName task;
   uint64_t run = 0;
+  // Empty if the runs are on several.
   std::string agent;
   std::string why;
+  std::size_t runs = 1;
+  // Tasks of several runs, no more than a line of the log should hold.
+  std::vector<TaskName> some_tasks = {};
 };
 
 // How far a new owner's census is. Tasks of before its claim wait for it.
@@ -203,6 +208,11 @@
     uint64_t number = 0;
   };
 
+  struct NamedRun {
+    TaskName task;
+    uint64_t run = 0;
+  };
+
   struct SlowedFiller {
     TaskPlace place;
     uint64_t run = 0;
@@ -359,6 +369,8 @@
                        const TaskPlace& place) -> void;
   auto StopRun(const TaskPlace& place, RunWork& run, const std::string& why)
       -> void;
+  // Orders the stop without a line in the log; false if it was ordered before.
+  auto OrderStop(const TaskPlace& place, RunWork& run) -> bool;
   auto StopOrphan(WorkerView& worker, const RunningTask& row) -> void;
   auto NewRun() -> uint64_t;
 
@@ -399,6 +411,12 @@
            uint64_t run,
            const WorkerView* worker,
            const std::string& why) -> void;
+  // One line for all of the runs: a line for each would be left out by the
+  // log's rate when a worker is lost with hundreds of them.
+  auto LogTogether(const std::string& what,
+                   const std::vector<NamedRun>& runs,
+                   const std::string& agent,
+                   const std::string& why) -> void;
 
   JobOwnerOptions options_;
   JobOwnerHooks hooks_;
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -251,6 +251,7 @@
                         RunsToLose which,
                         const std::string& why) -> void {
   const auto runs = worker.runs;
+  std::vector<NamedRun> lost_runs;
   for (const auto& [number, place] : runs) {
     std::vector<uint64_t> lost;
     for (const auto& run : place.task().runs) {
@@ -260,10 +261,11 @@
       }
     }
     for (const uint64_t run : lost) {
-      Log("lost", place, run, &worker, why);
+      lost_runs.push_back({place.Name(), run});
       RemoveRun(now, place, run, &worker);
     }
   }
+  LogTogether("lost", lost_runs, worker.agent, why);
   if (which == RunsToLose::kAll) {
     worker.runs.clear();
     worker.suspects.clear();
--- a/Source/Jobs/owner_jobs.cc
+++ b/Source/Jobs/owner_jobs.cc
@@ -1,5 +1,7 @@
 #include <algorithm>
+#include <set>
 #include <utility>
+#include <vector>
 
 #include "Jobs/job_owner.h"
 
@@ -27,17 +29,23 @@
 }
 
 auto JobOwner::EndJob(JobWork& work, const std::string& why) -> void {
+  std::vector<NamedRun> stopped;
+  std::set<std::string> agents;
   for (auto& [number, occurrence] : work.occurrences) {
     for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
       auto& tasks = occurrence.steps[step].tasks();
       for (uint32_t index = 0; index < tasks.size(); ++index) {
         const TaskPlace place{&work, number, step, index};
         for (auto& run : tasks[index].runs) {
-          StopRun(place, run, why);
+          if (OrderStop(place, run)) {
+            stopped.push_back({place.Name(), run.run});
+            agents.insert(run.worker->agent);
+          }
         }
       }
     }
   }
+  LogTogether("stop", stopped, agents.size() == 1 ? *agents.begin() : "", why);
 }
 
 auto JobOwner::ForgetJobIfIdle(TimePoint now, const std::string& id) -> void {
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -201,8 +201,14 @@
 auto JobOwner::StopRun(const TaskPlace& place,
                        RunWork& run,
                        const std::string& why) -> void {
+  if (OrderStop(place, run)) {
+    Log("stop", place, run.run, run.worker, why);
+  }
+}
+
+auto JobOwner::OrderStop(const TaskPlace& place, RunWork& run) -> bool {
   if (run.phase == RunPhase::kStopping) {
-    return;
+    return false;
   }
   run.phase = RunPhase::kStopping;
   WorkerView& worker = *run.worker;
@@ -214,7 +220,7 @@
   const uint64_t number = order.order();
   worker.orders[number] = {std::nullopt, std::move(order), TimePoint(), false};
   PollSoon(worker);
-  Log("stop", place, run.run, &worker, why);
+  return true;
 }
 
 auto JobOwner::StopOrphan(WorkerView& worker, const RunningTask& row) -> void {
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -49,6 +49,7 @@
       }
     };
     hooks.log = [this](const OwnerDecision& decision) {
+      decisions_.push_back(decision);
       if (decision.what == "waits") {
         waits_.push_back(decision.why);
       }
@@ -227,6 +228,8 @@
   // Jobs that have nothing running, as told to the log, and how many.
   std::vector<StandingJob> standing_told_;
   std::size_t standing_jobs_ = 0;
+  // What the log was told of runs.
+  std::vector<OwnerDecision> decisions_;
   // Why tasks wait, as told to the log.
   std::vector<std::string> waits_;
   std::vector<AdviceCall> advice_calls_;
