Jobs: Hold what a review of cancels and reads found

- An owner that does not read the log stopped renewing, so it no longer learned that it was replaced, and where nobody could read it gave up after 16 s.
It renews on now and says in the renewal that it reads nothing, which is no sign of life to others.
Lines owner_reads_late, owner_reads_again.
- A claim without grounds was not withdrawn while the operators' log could not be read.
The grounds are looked at first.
- An answer that was handled late, as after a freeze, counted as silence of the owner up to its handling.
It shows the log as it was when the read was asked for, or at the end of its wait if it has no records.
- The newest claim, read anew with the newest records, counted as a sign of life.
- A read of the log's end could be cut at a record larger than it asked for.
It asks from beyond the end now, at most each 20 ms.
One that failed refused those, too, that knew their end; a log that ends before the copy passed.
- A cancel of one unknown id was stored each time.
- Reads asked for less after each failure, also a refusal, and the time of a page fell back after each page.
Only a read that ran out of time asks for less.

--- a/Source/Base/event_log.cc
+++ b/Source/Base/event_log.cc
@@ -27,6 +27,11 @@
 
 }  // namespace
 
+auto InMilliseconds(Duration span) -> std::string {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
 EventLog::EventLog(const std::string& part) : logger_(PartLogger(part)) {}
 
 auto EventLog::Write(std::string_view event,
--- a/Source/Base/event_log.h
+++ b/Source/Base/event_log.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <string_view>
 
+#include "Base/time.h"
+
 namespace rhubarbhaven {
 
 // One named value of an event.
@@ -16,6 +18,9 @@
   std::string value;
 };
 
+// Whole milliseconds, as the value of a field.
+auto InMilliseconds(Duration span) -> std::string;
+
 // Writes decisions as structured lines: one JSON object each, with the event's
 // name and its fields. Lines share the process's log and its bounds.
 class EventLog {
--- a/Source/Jobs/entry_callers.cc
+++ b/Source/Jobs/entry_callers.cc
@@ -10,8 +10,6 @@
 
 // Left of a caller's deadline for the way of its answer.
 constexpr std::chrono::milliseconds kAnswerMargin{300};
-// The fold counts as current for this long after a read that reached the end.
-constexpr std::chrono::milliseconds kCurrentFor{2000};
 // Cancellations of ids that the log has no job of, until they are dropped. Who
 // cancels what does not exist must not fill the log.
 constexpr std::size_t kMostCancelledAhead = 4096;
@@ -39,7 +37,7 @@
       queue == nullptr ? "" : call.path.substr(queue->path_prefix.size());
   // What is no id may be one below the prefix of a queue that is new.
   const bool matches = queue != nullptr && (id.empty() || CheckJobId(id).ok());
-  if (!matches && !CaughtUp(now, operator_follower_)) {
+  if (!matches && !operator_follower_.CaughtUpWithin(now, kCurrentFor)) {
     respond(VerdictReply(JobVerdict::kUnavailable,
                          "The configuration may have changed."));
     return;
@@ -54,12 +52,13 @@
                          "path."));
     return;
   }
+  const TimePoint give_up_at = now + call.deadline - kAnswerMargin;
   switch (call.kind) {
     case JobCallKind::kSubmit:
       Submit(now, *queue, id, std::move(call), respond);
       return;
     case JobCallKind::kCancel:
-      Cancel(now, id, call, respond);
+      Cancel(now, id, give_up_at, respond);
       return;
     case JobCallKind::kAsk:
       break;
@@ -68,13 +67,13 @@
     JobReply reply;
     reply.verdict = JobVerdict::kPending;
     reply.pending = fold_.PendingIn(queue->name);
-    if (!CaughtUp(now, job_follower_)) {
+    if (!job_follower_.CaughtUpWithin(now, kCurrentFor)) {
       reply = VerdictReply(JobVerdict::kUnavailable, kLogAway);
     }
     respond(reply);
     return;
   }
-  Ask(now, id, call, respond);
+  Ask(now, id, give_up_at, respond);
 }
 
 auto EntryDecisions::Submit(TimePoint now,
@@ -102,16 +101,15 @@
   }
   const auto record = MakeRecord(RecordKind::kJob, id, call.job);
   Store(now,
-        {id, queue.name, respond, now, now + call.deadline - kAnswerMargin,
-         false},
+        {SubmissionKind::kHandIn, id, queue.name, respond, now,
+         now + call.deadline - kAnswerMargin},
         record);
 }
 
 auto EntryDecisions::Cancel(TimePoint now,
                             const std::string& id,
-                            const JobCall& call,
+                            TimePoint give_up_at,
                             const JobResponder& respond) -> void {
-  const TimePoint give_up_at = now + call.deadline - kAnswerMargin;
   const auto* entry = fold_.Find(id);
   if (entry != nullptr && entry->over()) {
     log_.Write("cancel_of_over",
@@ -119,30 +117,27 @@
     respond(VerdictReply(JobVerdict::kCancelled, ""));
     return;
   }
-  const bool known = entry != nullptr;
-  if (!known && !CheckJobId(id).ok()) {
-    respond(VerdictReply(JobVerdict::kNoSuchJob, "No job has such an id."));
+  if (entry != nullptr) {
+    Store(now,
+          {SubmissionKind::kCancel, id, entry->job.queue(), respond, now,
+           give_up_at},
+          MakeCancellation(id));
     return;
   }
-  if (!known && fold_.cancelled_ahead().size() >= kMostCancelledAhead) {
-    metrics_->Add("rhubarbhaven_cancels_not_stored_total");
-    job_barrier_.Await(
-        now, give_up_at,
-        [this, id, call, respond](TimePoint then, bool current) -> void {
-          if (fold_.Find(id) != nullptr) {
-            Cancel(then, id, call, respond);
-          } else {
-            respond(NoSuchJobReply(current));
-          }
-        });
+  if (!CheckJobId(id).ok()) {
+    respond(VerdictReply(JobVerdict::kNoSuchJob, "No job has such an id."));
     return;
   }
-  // Also if it is not known: its hand-in may be in the log already, or on its
-  // way there from any entry.
-  Store(now,
-        {id, known ? entry->job.queue() : "", respond, now, give_up_at,
-         /*is_cancel=*/true, /*is_ahead=*/!known},
-        MakeCancellation(id));
+  // Its hand-in may be in the log already, or on its way there from any entry.
+  const Submission ahead{
+      SubmissionKind::kCancelAhead, id, "", respond, now, give_up_at};
+  if (fold_.CancelledAhead(id)) {
+    AnswerCancelAhead(now, ahead);
+  } else if (fold_.cancelled_ahead().size() < kMostCancelledAhead) {
+    Store(now, ahead, MakeCancellation(id));
+  } else {
+    CancelIfThere(now, ahead);
+  }
 }
 
 auto EntryDecisions::AnswerCancelAhead(TimePoint now,
@@ -159,16 +154,30 @@
       });
 }
 
+auto EntryDecisions::CancelIfThere(TimePoint now, const Submission& submission)
+    -> void {
+  metrics_->Add("rhubarbhaven_cancels_not_stored_total");
+  job_barrier_.Await(now, submission.give_up_at,
+                     [this, submission](TimePoint then, bool current) -> void {
+                       if (fold_.Find(submission.job) != nullptr) {
+                         Cancel(then, submission.job, submission.give_up_at,
+                                submission.respond);
+                       } else {
+                         submission.respond(NoSuchJobReply(current));
+                       }
+                     });
+}
+
 auto EntryDecisions::Ask(TimePoint now,
                          const std::string& id,
-                         const JobCall& call,
+                         TimePoint give_up_at,
                          const JobResponder& respond) -> void {
   const auto* entry = fold_.Find(id);
   if (entry != nullptr) {
     respond(StateReply(entry->state()));
     return;
   }
-  job_barrier_.Await(now, now + call.deadline - kAnswerMargin,
+  job_barrier_.Await(now, give_up_at,
                      [this, id, respond](TimePoint, bool current) -> void {
                        const auto* found = fold_.Find(id);
                        respond(found != nullptr ? StateReply(found->state())
@@ -193,10 +202,12 @@
 auto EntryDecisions::Refuse(const Submission& submission,
                             const std::string& why) -> void {
   metrics_->Add("rhubarbhaven_jobs_refused_total");
-  log_.Write("refused", {{"job", submission.job},
-                         {"queue", submission.queue},
-                         {"cancel", submission.is_cancel ? "yes" : ""},
-                         {"why", why}});
+  log_.Write(
+      "refused",
+      {{"job", submission.job},
+       {"queue", submission.queue},
+       {"cancel", submission.kind == SubmissionKind::kHandIn ? "" : "yes"},
+       {"why", why}});
   submission.respond(VerdictReply(JobVerdict::kUnavailable, why));
 }
 
@@ -216,10 +227,4 @@
   }
 }
 
-auto EntryDecisions::CaughtUp(TimePoint now, const KeyedLogFollower& follower)
-    -> bool {
-  return follower.caught_up_at() != TimePoint() &&
-         now - follower.caught_up_at() < kCurrentFor;
-}
-
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -37,11 +37,6 @@
   return owner;
 }
 
-auto Milliseconds(Duration span) -> std::string {
-  return absl::StrCat(
-      std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
-}
-
 auto FollowerOptions(LogTopic topic) -> KeyedLogFollowerOptions {
   KeyedLogFollowerOptions options;
   options.topic = topic;
@@ -66,11 +61,12 @@
       operator_follower_(FollowerOptions(LogTopic::kOperators),
                          hooks_.log,
                          FollowerHooksFor(LogTopic::kOperators)),
-      job_barrier_({hooks_.log.read,
-                    [this]() -> std::optional<uint64_t> {
-                      return job_follower_.read_to();
-                    },
-                    [this]() -> void { job_follower_.ReadOn(); }}),
+      job_barrier_(
+          {hooks_.log.read,
+           [this]() -> std::optional<uint64_t> {
+             return job_follower_.read_to();
+           },
+           [this](TimePoint now) -> void { job_follower_.ReadOn(now); }}),
       caller_appends_(CallerAppendOptions(options_)) {}
 
 EntryDecisions::~EntryDecisions() = default;
@@ -161,11 +157,9 @@
       OnOperatorRecord({key, "", 0});
     }
   };
-  hooks.on_caught_up = [this, is_jobs](TimePoint now) -> void {
+  hooks.on_caught_up = [this, is_jobs](TimePoint now, TimePoint shown) -> void {
     if (is_jobs) {
-      OnCaughtUp(now);
-    } else {
-      operators_known_ = true;
+      OnCaughtUp(now, shown);
     }
   };
   if (is_jobs) {
@@ -184,11 +178,15 @@
 
 auto EntryDecisions::OnJobRecord(TimePoint now, const KeyedRecord& record)
     -> void {
+  const uint64_t claim_before = fold_.claim_at();
+  const bool any_before = fold_.claim().fence() != 0;
   const auto change = fold_.Apply(record);
   if (!change.passed_over.empty()) {
     NotePassedOver(now, record, change.passed_over);
   }
-  if (change.kind == RecordKind::kClaim) {
+  // Read anew, the newest claim is no sign of life.
+  const bool is_new = !any_before || fold_.claim_at() != claim_before;
+  if (change.kind == RecordKind::kClaim && is_new) {
     election_.OnClaimRead(now, fold_.claim());
     if (owner_.active() && !election_.owner(now)) {
       Resign("another entry has claimed the cell");
@@ -244,9 +242,9 @@
   owner_.OnEvacuations();
 }
 
-auto EntryDecisions::OnCaughtUp(TimePoint now) -> void {
+auto EntryDecisions::OnCaughtUp(TimePoint now, TimePoint shown) -> void {
   fold_current_ = true;
-  election_.OnCaughtUp(now);
+  election_.OnCaughtUp(now, shown);
   if (!has_caught_up_) {
     // The process before this one may have been the owner of an earlier claim.
     has_caught_up_ = true;
@@ -306,15 +304,15 @@
     }
     metrics_->RecordLatency("rhubarbhaven_store_seconds",
                             now - submission.received);
-    if (submission.is_ahead) {
+    if (submission.kind == SubmissionKind::kCancelAhead) {
       AnswerCancelAhead(now, submission);
       continue;
     }
-    log_.Write(submission.is_cancel ? "cancelled" : "accepted",
+    const bool is_cancel = submission.kind == SubmissionKind::kCancel;
+    log_.Write(is_cancel ? "cancelled" : "accepted",
                {{"job", submission.job}, {"queue", submission.queue}});
     submission.respond(VerdictReply(
-        submission.is_cancel ? JobVerdict::kCancelled : JobVerdict::kAccepted,
-        ""));
+        is_cancel ? JobVerdict::kCancelled : JobVerdict::kAccepted, ""));
   }
 }
 
@@ -322,13 +320,10 @@
   // The balancer sends callers to the entries of other failure domains as soon
   // as this one is not ready. Often only some entries lose the log; a caller
   // would use up its retries at one of them.
-  const auto read_lately = [now](const KeyedLogFollower& follower) -> bool {
-    const auto read_at = follower.caught_up_at();
-    return read_at != TimePoint() && now - read_at < kReadyFor;
-  };
   ready_ = !releasing_ && queues_.known() && job_follower_.reachable() &&
-           !caller_appends_.failing() && read_lately(job_follower_) &&
-           read_lately(operator_follower_);
+           !caller_appends_.failing() &&
+           job_follower_.CaughtUpWithin(now, kReadyFor) &&
+           operator_follower_.CaughtUpWithin(now, kReadyFor);
 }
 
 auto EntryDecisions::NoteLag(Duration lag) -> void {
@@ -338,7 +333,7 @@
     log_.Write(
         change == LagWatch::Change::kLate ? "owner_late" : "owner_in_time",
         {{"fence", absl::StrCat(election_.fence())},
-         {"lag_ms", Milliseconds(lag)}});
+         {"lag_ms", InMilliseconds(lag)}});
   }
 }
 
@@ -348,23 +343,23 @@
   }
   log_.Write(state.done ? "census_done" : "census_waits",
              {{"fence", absl::StrCat(election_.fence())},
-              {"waited_ms", Milliseconds(state.waited)},
-              {"at_most_ms", Milliseconds(state.longest)},
+              {"waited_ms", InMilliseconds(state.waited)},
+              {"at_most_ms", InMilliseconds(state.longest)},
               {"agents", absl::StrCat(state.agents)},
               {"missing", absl::StrCat(state.missing)},
               {"names", absl::StrJoin(state.missing_names, " ")}});
 }
 
 auto EntryDecisions::LogStanding(const StandingJob& job) -> void {
-  log_.Write(
-      "stands",
-      {{"job", job.task.job()},
-       {"task", DescribeTask(job.task)},
-       {"fence", absl::StrCat(election_.fence())},
-       {"waited_ms", Milliseconds(job.waited)},
-       {"why", job.why},
-       {"log_age_ms", Milliseconds(looked_at_ - job_follower_.caught_up_at())},
-       {"oldest_report_ms", Milliseconds(job.oldest_report)}});
+  log_.Write("stands",
+             {{"job", job.task.job()},
+              {"task", DescribeTask(job.task)},
+              {"fence", absl::StrCat(election_.fence())},
+              {"waited_ms", InMilliseconds(job.waited)},
+              {"why", job.why},
+              {"log_age_ms",
+               InMilliseconds(looked_at_ - job_follower_.caught_up_at())},
+              {"oldest_report_ms", InMilliseconds(job.oldest_report)}});
 }
 
 auto EntryDecisions::LogDecision(const OwnerDecision& decision) -> void {
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -81,15 +81,24 @@
   static constexpr uint64_t kResignationTicket =
       std::numeric_limits<uint64_t>::max();
 
+  // A copy of a log counts as current for this long after a read that reached
+  // the end.
+  static constexpr std::chrono::milliseconds kCurrentFor{2000};
+
+  enum class SubmissionKind {
+    kHandIn,
+    kCancel,
+    // Of an id that this entry's copy of the log does not have.
+    kCancelAhead,
+  };
+
   struct Submission {
+    SubmissionKind kind = SubmissionKind::kHandIn;
     std::string job;
     std::string queue;
     JobResponder respond;
     TimePoint received;
     TimePoint give_up_at;
-    bool is_cancel = false;
-    // A cancel of an id that this entry's copy of the log does not have.
-    bool is_ahead = false;
   };
 
   auto Handle(TimePoint now, JobCall call, const JobResponder& respond) -> void;
@@ -100,18 +109,19 @@
               const JobResponder& respond) -> void;
   auto Cancel(TimePoint now,
               const std::string& id,
-              const JobCall& call,
+              TimePoint give_up_at,
               const JobResponder& respond) -> void;
   // Answers a cancel that is in the log, of a job that was not known.
   auto AnswerCancelAhead(TimePoint now, const Submission& submission) -> void;
+  // Cancels a job that is not known only if the log has it.
+  auto CancelIfThere(TimePoint now, const Submission& submission) -> void;
   auto Ask(TimePoint now,
            const std::string& id,
-           const JobCall& call,
+           TimePoint give_up_at,
            const JobResponder& respond) -> void;
   auto Store(TimePoint now, Submission submission, KeyedRecord record) -> void;
   auto GiveUpLate(TimePoint now) -> void;
   auto Refuse(const Submission& submission, const std::string& why) -> void;
-  static auto CaughtUp(TimePoint now, const KeyedLogFollower& follower) -> bool;
 
   auto FollowerHooksFor(LogTopic topic) -> KeyedLogFollowerHooks;
   auto OnJobRecord(TimePoint now, const KeyedRecord& record) -> void;
@@ -120,7 +130,7 @@
                       const std::string& why) -> void;
   auto OnOperatorRecord(const KeyedRecord& record) -> void;
   auto OnEvacuation(const std::string& failure_domain, bool in_force) -> void;
-  auto OnCaughtUp(TimePoint now) -> void;
+  auto OnCaughtUp(TimePoint now, TimePoint shown) -> void;
 
   auto SendAppends(TimePoint now) -> void;
   auto SendCallerBatch(TimePoint now) -> void;
@@ -129,6 +139,9 @@
   auto OnOwnerBatch(TimePoint now, uint64_t fence, const AppendResult& result)
       -> void;
   auto ClaimIfDue(TimePoint now) -> void;
+  // Says in the log if this owner begins or ceases to read too late to stay
+  // one.
+  auto NoteReadsLate(TimePoint now, bool late) -> void;
   // Before this entry reads the log on.
   auto ReadPause() const -> std::chrono::milliseconds;
   auto BecomeOwnerIfClaimed(TimePoint now) -> void;
@@ -159,9 +172,8 @@
   bool fold_current_ = false;
   QueueDirectory queues_;
   std::set<std::string> evacuated_domains_;
-  // The operators' log has been read to its end once: where nothing may start
-  // is known.
-  bool operators_known_ = false;
+  // As the latest claim says.
+  bool reads_late_ = false;
   OwnerElection election_;
   LagWatch owner_lag_;
   JobOwner owner_;
--- a/Source/Jobs/entry_ownership.cc
+++ b/Source/Jobs/entry_ownership.cc
@@ -28,19 +28,23 @@
   if (releasing_) {
     return;
   }
-  if (!operators_known_ || !CaughtUp(now, operator_follower_)) {
-    // It could not begin, or would decide by rules that are no longer in force,
-    // and keep those out that can.
-    return;
-  }
   if (election_.ClaimIsGroundless(now)) {
     WithdrawClaim("reads of the log no longer show that the owner is silent");
   }
   const bool had_claim = election_.fence() != 0;
-  const auto claim = election_.ClaimDue(now);
+  if (!had_claim && !operator_follower_.CaughtUpWithin(now, kCurrentFor)) {
+    // It could not begin, or would decide by rules that are no longer in force,
+    // and keep those out that can.
+    return;
+  }
+  auto claim = election_.ClaimDue(now);
   if (!claim) {
     return;
   }
+  if (had_claim && !operator_follower_.CaughtUpWithin(now, kCurrentFor)) {
+    claim->set_reads_nothing(true);
+  }
+  NoteReadsLate(now, claim->reads_nothing());
   if (!had_claim) {
     claimed_fence_ = claim->fence();
     log_.Write("claim", {{"fence", absl::StrCat(claim->fence())},
@@ -56,7 +60,19 @@
   }
   owner_appends_->Enqueue(kClaimTicket,
                           {MakeRecord(RecordKind::kClaim, "", *claim)});
-  job_follower_.ReadOn();
+  job_follower_.ReadOn(now);
+}
+
+auto EntryDecisions::NoteReadsLate(TimePoint now, bool late) -> void {
+  if (std::exchange(reads_late_, late) == late) {
+    return;
+  }
+  log_.Write(
+      late ? "owner_reads_late" : "owner_reads_again",
+      {{"fence", absl::StrCat(election_.fence())},
+       {"log_age_ms", InMilliseconds(now - job_follower_.caught_up_at())},
+       {"operators_log_age_ms",
+        InMilliseconds(now - operator_follower_.caught_up_at())}});
 }
 
 auto EntryDecisions::ReadPause() const -> std::chrono::milliseconds {
--- a/Source/Jobs/keyed_log.h
+++ b/Source/Jobs/keyed_log.h
@@ -45,6 +45,8 @@
   uint64_t end = 0;
   // With kFailed: what went wrong, for the log.
   std::string error;
+  // With kFailed: no whole answer came in time.
+  bool timed_out = false;
 };
 
 struct NewestCall {
--- a/Source/Jobs/keyed_log_follower.cc
+++ b/Source/Jobs/keyed_log_follower.cc
@@ -42,7 +42,6 @@
     Failed(now, result.error, /*read_on=*/false);
     return;
   }
-  page_timeout_ = options_.shortest_page_timeout;
   Succeeded();
   if (first_page_) {
     first_page_ = false;
@@ -60,8 +59,9 @@
   }
   after_.clear();
   first_page_ = true;
+  page_timeout_ = options_.shortest_page_timeout;
   ForgetMissingKeys(now);
-  Read();
+  Read(now);
 }
 
 auto KeyedLogFollower::ForgetMissingKeys(TimePoint now) -> void {
@@ -74,7 +74,7 @@
   }
 }
 
-auto KeyedLogFollower::Read() -> void {
+auto KeyedLogFollower::Read(TimePoint now) -> void {
   // The first read after the newest records does not wait: its answer shows
   // that they are current, without which callers are told nothing.
   auto wait = std::chrono::milliseconds(0);
@@ -82,16 +82,22 @@
     wait = hooks_.read_wait ? hooks_.read_wait(options_.read_wait)
                             : options_.read_wait;
   }
+  asked_at_ = now;
+  asked_wait_ = wait;
   port_.read({options_.topic, next_, wait, read_bytes_},
-             [this](TimePoint now, const ReadResult& result) -> void {
-               OnRead(now, result);
+             [this](TimePoint then, const ReadResult& result) -> void {
+               OnRead(then, result);
              });
 }
 
 auto KeyedLogFollower::OnRead(TimePoint now, const ReadResult& result) -> void {
   switch (result.outcome) {
     case ReadOutcome::kFailed:
-      read_bytes_ = std::max(read_bytes_ / 2, options_.fewest_bytes);
+      if (result.timed_out) {
+        read_bytes_ = std::max(read_bytes_ / 2, options_.fewest_bytes);
+      } else {
+        AskForMore();
+      }
       Failed(now, result.error, /*read_on=*/true);
       return;
     case ReadOutcome::kGone:
@@ -108,8 +114,7 @@
     return;
   }
   Succeeded();
-  read_bytes_ =
-      std::min(read_bytes_ + read_bytes_ / kGrowthPart, options_.most_bytes);
+  AskForMore();
   for (const auto& record : result.records) {
     Deliver(now, record);
     next_ = record.offset + 1;
@@ -117,7 +122,10 @@
   if (next_ >= result.end) {
     current_ = true;
     caught_up_at_ = now;
-    hooks_.on_caught_up(now);
+    // One without records was given at the end of its wait.
+    const auto waited =
+        result.records.empty() ? asked_wait_ : std::chrono::milliseconds(0);
+    hooks_.on_caught_up(now, std::min(now, asked_at_ + waited));
   }
   PauseOrRead(now, next_ >= result.end && !result.records.empty());
 }
@@ -126,24 +134,29 @@
   may_pause = may_pause && hooks_.pause != nullptr;
   const auto pause = may_pause ? hooks_.pause() : std::chrono::milliseconds(0);
   if (pause.count() == 0) {
-    Read();
+    Read(now);
     return;
   }
   pausing_ = true;
-  hooks_.at(now + pause, [this, number = ++pauses_](TimePoint) -> void {
+  hooks_.at(now + pause, [this, number = ++pauses_](TimePoint then) -> void {
     if (number == pauses_) {
-      ReadOn();
+      ReadOn(then);
     }
   });
 }
 
-auto KeyedLogFollower::ReadOn() -> void {
+auto KeyedLogFollower::ReadOn(TimePoint now) -> void {
   if (pausing_) {
     pausing_ = false;
-    Read();
+    Read(now);
   }
 }
 
+auto KeyedLogFollower::AskForMore() -> void {
+  read_bytes_ =
+      std::min(read_bytes_ + read_bytes_ / kGrowthPart, options_.most_bytes);
+}
+
 auto KeyedLogFollower::Deliver(TimePoint now, const KeyedRecord& record)
     -> void {
   if (record.value.empty()) {
@@ -164,9 +177,9 @@
   ever_reached_ = true;
   backoff_ = std::clamp(backoff_ * 2, options_.first_backoff,
                         options_.longest_backoff);
-  hooks_.at(now + backoff_, [this, read_on](TimePoint) -> void {
+  hooks_.at(now + backoff_, [this, read_on](TimePoint then) -> void {
     if (read_on) {
-      Read();
+      Read(then);
     } else {
       AskNewest();
     }
--- a/Source/Jobs/keyed_log_follower.h
+++ b/Source/Jobs/keyed_log_follower.h
@@ -16,9 +16,9 @@
   // How long one read waits for a record; each answer shows that what was read
   // is current.
   std::chrono::milliseconds read_wait{1000};
-  // Bytes that one read asks for, between these: half as many after each
-  // failure, so that a slow path brings them in time, and slowly more after
-  // each success.
+  // Bytes that one read asks for, between these: half as many after each that
+  // ran out of time, so that a slow path brings them in time, and slowly more
+  // after each other one.
   std::size_t fewest_bytes = 16 << 10;
   std::size_t most_bytes = 1 << 20;
   // How long a page of newest records may take, between these; twice as long
@@ -39,8 +39,9 @@
   // The newest records are read anew: until `on_caught_up`, records come in the
   // order of their keys, and what was read of some may be older than of others.
   std::function<auto()->void> on_begin_anew;
-  // Everything up to the end of the log at that time was read.
-  std::function<auto(TimePoint)->void> on_caught_up;
+  // Everything up to the log's end was read, as it was at `shown` at least: an
+  // answer may come long after it was given.
+  std::function<auto(TimePoint now, TimePoint shown)->void> on_caught_up;
   // How long the next read waits for a record; the options' wait at most. Null
   // if always that.
   std::function<auto(std::chrono::milliseconds)->std::chrono::milliseconds>
@@ -65,10 +66,15 @@
 
   auto Start() -> void;
   // Ends a pause.
-  auto ReadOn() -> void;
+  auto ReadOn(TimePoint now) -> void;
   auto reachable() const -> bool { return reachable_; }
   // When a read that reached the end was last answered.
   auto caught_up_at() const -> TimePoint { return caught_up_at_; }
+  // Whether that is less than this ago.
+  auto CaughtUpWithin(TimePoint now, std::chrono::milliseconds gap) const
+      -> bool {
+    return caught_up_at_ != TimePoint() && now - caught_up_at_ < gap;
+  }
   // Place behind the last record that was read; none while the newest records
   // are being read anew.
   auto read_to() const -> std::optional<uint64_t> {
@@ -79,8 +85,9 @@
   auto AskNewest() -> void;
   auto OnNewest(TimePoint now, const NewestResult& result) -> void;
   auto ForgetMissingKeys(TimePoint now) -> void;
-  auto Read() -> void;
+  auto Read(TimePoint now) -> void;
   auto OnRead(TimePoint now, const ReadResult& result) -> void;
+  auto AskForMore() -> void;
   auto Deliver(TimePoint now, const KeyedRecord& record) -> void;
   auto PauseOrRead(TimePoint now, bool may_pause) -> void;
   auto Failed(TimePoint now, const std::string& error, bool read_on) -> void;
@@ -99,6 +106,9 @@
   // The end was reached since the newest records were last asked for.
   bool current_ = false;
   TimePoint caught_up_at_;
+  // Of the read under way: when it was asked for, and its wait.
+  TimePoint asked_at_;
+  std::chrono::milliseconds asked_wait_{0};
   std::chrono::milliseconds backoff_{0};
   std::size_t read_bytes_;
   std::chrono::milliseconds page_timeout_;
--- a/Source/Jobs/owner_election.cc
+++ b/Source/Jobs/owner_election.cc
@@ -25,7 +25,10 @@
   newest_ = claim;
   any_claim_ = true;
   newest_read_ = now;
-  silent_for_ = Duration(0);
+  if (!claim.reads_nothing()) {
+    alive_read_ = now;
+    silent_for_ = Duration(0);
+  }
   if (mine(claim) && claim.fence() == fence_) {
     confirmed_ = !claim.released();
     stored_ = true;
@@ -37,11 +40,12 @@
   }
 }
 
-auto OwnerElection::OnCaughtUp(TimePoint now) -> void {
-  const TimePoint shown_until = std::max(caught_up_, newest_read_);
-  if (shown_until != TimePoint() && now - shown_until <= kReadingGap) {
-    silent_for_ += now - shown_until;
+auto OwnerElection::OnCaughtUp(TimePoint now, TimePoint shown) -> void {
+  const TimePoint from = std::max(shown_until_, alive_read_);
+  if (from != TimePoint() && from < shown && shown - from <= kReadingGap) {
+    silent_for_ += shown - from;
   }
+  shown_until_ = std::max(shown_until_, shown);
   caught_up_ = now;
 }
 
@@ -79,7 +83,7 @@
     renewal_ = 0;
     earlier_ = GrantsBefore(now);
     replaced_owner_ = newest_.owner();
-  } else if (now < claim_due_ || !Reads(now, options_.read_within)) {
+  } else if (now < claim_due_) {
     return std::nullopt;
   }
   claim_due_ = now + options_.renew_interval;
@@ -90,6 +94,7 @@
   claim.set_renewal(++renewal_);
   claim.set_earlier_grants_ms(EarlierGrantsLeft(now));
   claim.set_notes_grants(true);
+  claim.set_reads_nothing(confirmed_ && reads_late(now));
   return claim;
 }
 
@@ -180,7 +185,8 @@
 auto OwnerElection::ReadWait(std::chrono::milliseconds longest) const
     -> std::chrono::milliseconds {
   if (fence_ != 0) {
-    return std::min(longest, options_.renew_interval);
+    // Answers come often enough to show that the owner reads.
+    return std::min(longest, options_.renew_interval / 2);
   }
   if (!any_claim_ || silent_for_ > SilenceToClaim()) {
     return longest;
--- a/Source/Jobs/owner_election.h
+++ b/Source/Jobs/owner_election.h
@@ -18,9 +18,10 @@
   // replaced: three renewals, so that one lost answer does not change the
   // owner.
   std::chrono::milliseconds silence{1600};
-  // An owner that has not read the log to its end for this long renews nothing:
-  // it knows neither of new jobs nor of cancelled ones, and somebody who reads
-  // is to replace it. Longer than a read that waits for a renewal of its own.
+  // An owner that has not read the log to its end for this long says so in its
+  // renewals: it knows neither of new jobs nor of cancelled ones, and somebody
+  // who reads is to replace it. Longer than a read that waits for a renewal of
+  // its own.
   std::chrono::milliseconds read_within{1000};
   // Candidates differ by up to this, so that mostly one claims.
   std::chrono::milliseconds spread{400};
@@ -50,8 +51,9 @@
 
   // The newest claim in the log, each time one was read.
   auto OnClaimRead(TimePoint now, const OwnerClaim& claim) -> void;
-  // The log was read to its end by a read that was answered at `now`.
-  auto OnCaughtUp(TimePoint now) -> void;
+  // The log was read to its end, as it was at `shown`, by a read that was
+  // answered at `now`.
+  auto OnCaughtUp(TimePoint now, TimePoint shown) -> void;
   // An entry has said that it grants nothing any more under fences up to this
   // one. True if that shortens what this owner has to wait for.
   auto OnResignationRead(TimePoint now,
@@ -67,6 +69,11 @@
   // Whether a claim that is not in the log yet has lost its grounds: reads show
   // the owner's silence no more, or nothing.
   auto ClaimIsGroundless(TimePoint now) const -> bool;
+  // Whether this entry reads the log too late, so that it should not decide if
+  // another one does.
+  auto reads_late(TimePoint now) const -> bool {
+    return now - shown_until_ >= options_.read_within;
+  }
   // Whether the owner has missed a renewal, so that a claim may be due soon.
   auto owner_is_late() const -> bool {
     return silent_for_ > 2 * options_.renew_interval;
@@ -108,7 +115,10 @@
   OwnerClaim newest_;
   bool any_claim_ = false;
   TimePoint newest_read_;
+  // The newest of an owner that reads.
+  TimePoint alive_read_;
   TimePoint caught_up_;
+  TimePoint shown_until_;
   // For how long reads that were answered have shown no renewal.
   Duration silent_for_{0};
   uint64_t fence_ = 0;
--- a/Source/Jobs/read_barrier.cc
+++ b/Source/Jobs/read_barrier.cc
@@ -9,8 +9,11 @@
 // Calls that wait at once. Each is held for a few milliseconds, or until its
 // deadline if the log is away.
 constexpr std::size_t kMostWaiters = 1024;
-// Only the log's end is wanted.
-constexpr std::size_t kEndReadBytes = 1 << 10;
+// Between two reads: who asks for what is not there must not use up the log's
+// reads.
+constexpr std::chrono::milliseconds kBetweenReads{20};
+// A read from beyond the end is answered with the end, without records.
+constexpr uint64_t kBeyondTheEnd = 1ULL << 40;
 
 }  // namespace
 
@@ -22,10 +25,11 @@
     on_passed(now, false);
     return;
   }
-  waiters_.push_back({give_up_at, std::move(on_passed), std::nullopt});
-  if (!asking_) {
-    AskEnd();
-  }
+  Waiter waiter;
+  waiter.give_up_at = give_up_at;
+  waiter.on_passed = std::move(on_passed);
+  waiters_.push_back(std::move(waiter));
+  AskEnd(now);
 }
 
 auto ReadBarrier::OnReadTo(TimePoint now) -> void {
@@ -38,68 +42,77 @@
 }
 
 auto ReadBarrier::Tick(TimePoint now) -> void {
+  OnReadTo(now);
   Settle(now, /*passed=*/false, [now](const Waiter& waiter) -> bool {
     return waiter.give_up_at <= now;
   });
+  AskEnd(now);
 }
 
 auto ReadBarrier::next_wake() const -> TimePoint {
-  TimePoint wake = TimePoint::max();
+  TimePoint wake = !asking_ && ReadIsWanted() ? ask_at_ : TimePoint::max();
   for (const auto& waiter : waiters_) {
     wake = std::min(wake, waiter.give_up_at);
   }
   return wake;
 }
 
-auto ReadBarrier::AskEnd() -> void {
+auto ReadBarrier::AskEnd(TimePoint now) -> void {
+  if (asking_ || now < ask_at_ || !ReadIsWanted()) {
+    return;
+  }
   asking_ = true;
-  asked_for_ = waiters_.size();
+  ask_at_ = now + kBetweenReads;
+  for (auto& waiter : waiters_) {
+    waiter.asked = true;
+  }
   ReadCall call;
-  call.from = hooks_.read_to().value_or(0);
-  call.most_bytes = kEndReadBytes;
-  hooks_.read(call, [this](TimePoint now, const ReadResult& result) -> void {
-    OnEnd(now, result);
+  call.from = kBeyondTheEnd;
+  hooks_.read(call, [this](TimePoint then, const ReadResult& result) -> void {
+    OnEnd(then, result);
   });
 }
 
 auto ReadBarrier::OnEnd(TimePoint now, const ReadResult& result) -> void {
   asking_ = false;
-  const std::size_t answered = std::exchange(asked_for_, 0);
-  if (result.outcome == ReadOutcome::kRecords) {
-    for (std::size_t i = 0; i < answered; ++i) {
-      waiters_[i].end = waiters_[i].end.value_or(result.end);
+  const auto read_to = hooks_.read_to();
+  // A log that ends before what was read of it is another one.
+  const bool answered = result.outcome == ReadOutcome::kRecords && read_to &&
+                        *read_to <= result.end;
+  if (answered) {
+    for (auto& waiter : waiters_) {
+      if (waiter.asked && !waiter.end) {
+        waiter.end = result.end;
+      }
     }
-    hooks_.read_on();
+    hooks_.read_on(now);
     OnReadTo(now);
   } else {
-    std::size_t left = answered;
-    Settle(now, /*passed=*/false,
-           [&left](const Waiter&) -> bool { return left > 0 && left-- > 0; });
+    Settle(now, /*passed=*/false, [](const Waiter& waiter) -> bool {
+      return waiter.asked && !waiter.end;
+    });
   }
-  const bool more = std::any_of(
+  AskEnd(now);
+}
+
+auto ReadBarrier::ReadIsWanted() const -> bool {
+  return std::any_of(
       waiters_.begin(), waiters_.end(),
-      [](const Waiter& waiter) -> bool { return !waiter.end.has_value(); });
-  if (more && !asking_) {
-    AskEnd();
-  }
+      [](const Waiter& waiter) -> bool { return !waiter.asked; });
 }
 
 auto ReadBarrier::Settle(TimePoint now,
                          bool passed,
                          const std::function<auto(const Waiter&)->bool>& done)
     -> void {
-  std::vector<OnPassed> settled;
-  for (std::size_t i = 0; i < waiters_.size();) {
-    if (!done(waiters_[i])) {
-      ++i;
-      continue;
-    }
-    settled.push_back(std::move(waiters_[i].on_passed));
-    waiters_.erase(waiters_.begin() + static_cast<std::ptrdiff_t>(i));
-    asked_for_ -= i < asked_for_ ? 1 : 0;
-  }
-  for (const auto& on_passed : settled) {
-    on_passed(now, passed);
+  const auto first = std::stable_partition(
+      waiters_.begin(), waiters_.end(),
+      [&done](const Waiter& waiter) -> bool { return !done(waiter); });
+  std::vector<Waiter> settled(std::make_move_iterator(first),
+                              std::make_move_iterator(waiters_.end()));
+  waiters_.erase(first, waiters_.end());
+  for (const auto& waiter : settled) {
+    waiter.on_passed(now, passed);
   }
 }
 
--- a/Source/Jobs/read_barrier.h
+++ b/Source/Jobs/read_barrier.h
@@ -16,7 +16,7 @@
   // newest records are being read anew.
   std::function<auto()->std::optional<uint64_t>> read_to;
   // Ends a pause between two reads.
-  std::function<auto()->void> read_on;
+  std::function<auto(TimePoint)->void> read_on;
 };
 
 // Tells when a copy of the log holds all that the log held when somebody asked.
@@ -42,12 +42,16 @@
   struct Waiter {
     TimePoint give_up_at;
     OnPassed on_passed;
-    // The log's end, as a read that began after the call has shown it.
+    // The read under way began after it came.
+    bool asked = false;
+    // The log's end, as a read that began after it came has shown it.
     std::optional<uint64_t> end;
   };
 
-  auto AskEnd() -> void;
+  auto AskEnd(TimePoint now) -> void;
   auto OnEnd(TimePoint now, const ReadResult& result) -> void;
+  // Whether somebody waits for a read that has not begun.
+  auto ReadIsWanted() const -> bool;
   // Takes out those that `done` names and answers them.
   auto Settle(TimePoint now,
               bool passed,
@@ -55,9 +59,9 @@
 
   ReadBarrierHooks hooks_;
   std::vector<Waiter> waiters_;
-  // Of these, the first so many came before the read under way began.
-  std::size_t asked_for_ = 0;
   bool asking_ = false;
+  // The next read begins no sooner.
+  TimePoint ask_at_;
 };
 
 }  // namespace rhubarbhaven::jobs
--- a/Tests/Jobs/entry_decisions_fixture.h
+++ b/Tests/Jobs/entry_decisions_fixture.h
@@ -18,6 +18,8 @@
 inline constexpr char kQueueHost[] = "queue.example";
 inline constexpr char kQueuePrefix[] = "/jobs/";
 inline constexpr char kEvacuationKey[] = "key of an evacuation";
+// More than the log of any test has.
+inline constexpr uint64_t kMostRecords = 1000;
 // Place behind the log's last record.
 inline constexpr uint64_t kEnd = 9;
 
@@ -36,7 +38,7 @@
       on_append_.push_back(done);
     };
     hooks.log.read = [this](const ReadCall& call, const auto& done) {
-      if (call.most_bytes < ReadCall().most_bytes) {
+      if (call.from > kMostRecords) {
         on_end_read_ = done;
       } else {
         on_read_[call.topic] = done;
@@ -79,6 +81,10 @@
     newest.answered = true;
     newest.records = std::move(records);
     std::exchange(on_newest_[LogTopic::kOperators], nullptr)(now_, newest);
+    AnswerOperatorsRead();
+  }
+
+  auto AnswerOperatorsRead() -> void {
     ReadResult read;
     read.outcome = ReadOutcome::kRecords;
     std::exchange(on_read_[LogTopic::kOperators], nullptr)(now_, read);
--- a/Tests/Jobs/entry_decisions_test.cc
+++ b/Tests/Jobs/entry_decisions_test.cc
@@ -53,6 +53,35 @@
             std::string::npos);
 }
 
+// Guards against a claim that is stored although its grounds are gone, since
+// the operators' log cannot be read at that moment.
+TEST_F(EntryDecisionsTest, WithdrawsAClaimWhateverItKnowsOfTheOperators) {
+  AnswerOperators({});
+  OwnerClaim claim;
+  claim.set_owner("other");
+  claim.set_fence(3);
+  auto record = MakeRecord(RecordKind::kClaim, "", claim);
+  AnswerNewest({record}, /*more=*/false);
+  for (int read = 0; read < 10; ++read) {
+    AnswerRead(ReadOutcome::kRecords);
+    if (on_read_[LogTopic::kOperators] != nullptr) {
+      AnswerOperatorsRead();
+    }
+    Pass(milliseconds(250));
+  }
+  ASSERT_EQ(entry_.fence(), 4U);
+  for (const auto& done : std::exchange(on_append_, {})) {
+    done(now_, {AppendOutcome::kUnknown, 0});
+  }
+  claim.set_renewal(1);
+  record = MakeRecord(RecordKind::kClaim, "", claim);
+  record.offset = kEnd;
+  now_ += milliseconds(2500);
+  AnswerRead(ReadOutcome::kRecords, {record});
+  Pass(milliseconds(1));
+  EXPECT_EQ(entry_.fence(), 0U);
+}
+
 struct StartCase {
   std::string name;
   // Of the newest claim that the entry finds; none if it is empty.
--- a/Tests/Jobs/keyed_log_follower_test.cc
+++ b/Tests/Jobs/keyed_log_follower_test.cc
@@ -40,7 +40,7 @@
     hooks.on_record = [](TimePoint, const KeyedRecord&) {};
     hooks.on_key_gone = [](TimePoint, const std::string&) {};
     hooks.on_begin_anew = [] {};
-    hooks.on_caught_up = [](TimePoint) {};
+    hooks.on_caught_up = [](TimePoint, TimePoint) {};
     hooks.on_reachable = [](const std::string&) {};
     return hooks;
   }
--- a/Tests/Jobs/owner_election_test.cc
+++ b/Tests/Jobs/owner_election_test.cc
@@ -47,14 +47,14 @@
 TEST_P(ClaimTest, IsMadeWhenTheOwnerIsGone) {
   OwnerElection election(Options("me"));
   TimePoint now = kStart;
-  election.OnCaughtUp(now);
+  election.OnCaughtUp(now, now);
   if (GetParam().any) {
     election.OnClaimRead(now, GetParam().newest);
   }
   const TimePoint end = now + GetParam().silence;
   while (now < end) {
     now += milliseconds(100);
-    election.OnCaughtUp(now);
+    election.OnCaughtUp(now, now);
   }
   const auto claim = election.ClaimDue(now);
   EXPECT_EQ(claim.has_value(), GetParam().claims);
@@ -106,13 +106,13 @@
   before.set_notes_grants(param.notes_grants);
   before.set_earlier_grants_ms(
       static_cast<uint64_t>(param.earlier_grants.count()));
-  election.OnCaughtUp(kStart);
+  election.OnCaughtUp(kStart, kStart);
   election.OnClaimRead(kStart, before);
   TimePoint now = kStart;
   std::optional<OwnerClaim> claim;
   while (!claim) {
     now += milliseconds(500);
-    election.OnCaughtUp(now);
+    election.OnCaughtUp(now, now);
     claim = election.ClaimDue(now);
   }
   const auto& grants = election.earlier_grants();
@@ -165,14 +165,14 @@
   auto options = Options("me");
   options.lease = kLease;
   OwnerElection election(options);
-  election.OnCaughtUp(kStart);
+  election.OnCaughtUp(kStart, kStart);
   auto before = ClaimOf("other", 3, false);
   before.set_notes_grants(true);
   election.OnClaimRead(kStart, before);
   TimePoint now = kStart;
   while (!election.ClaimDue(now)) {
     now += milliseconds(500);
-    election.OnCaughtUp(now);
+    election.OnCaughtUp(now, now);
   }
   const TimePoint waits_until = election.earlier_grants().last_owner;
   now += milliseconds(2000);
@@ -197,11 +197,11 @@
 // Cause: nobody could renew while nobody could read.
 TEST(OwnerElectionTest, OutageOfTheLogIsNoSilenceOfTheOwner) {
   OwnerElection election(Options("me"));
-  election.OnCaughtUp(kStart);
+  election.OnCaughtUp(kStart, kStart);
   election.OnClaimRead(kStart, ClaimOf("other", 3, false));
   const TimePoint back = kStart + std::chrono::seconds(10);
   EXPECT_FALSE(election.ClaimDue(back).has_value());
-  election.OnCaughtUp(back);
+  election.OnCaughtUp(back, back);
   EXPECT_FALSE(election.ClaimDue(back).has_value());
 }
 
@@ -231,14 +231,14 @@
 TEST_P(ReadsTest, OnlyReadsThatWereAnsweredShowSilence) {
   OwnerElection election(PromptOptions());
   election.OnClaimRead(kStart, ClaimOf("other", 3, false));
-  election.OnCaughtUp(kStart);
+  election.OnCaughtUp(kStart, kStart);
   TimePoint now = kStart;
   bool claimed = false;
   const auto look = [&](milliseconds span, bool answered) -> void {
     for (const TimePoint until = now + span; now < until;) {
       now += kLook;
       if (answered) {
-        election.OnCaughtUp(now);
+        election.OnCaughtUp(now, now);
       }
       claimed = claimed || election.ClaimDue(now).has_value();
     }
@@ -269,10 +269,10 @@
   OwnerElection election(PromptOptions());
   election.OnClaimRead(kStart, ClaimOf("other", 3, false));
   TimePoint now = kStart;
-  election.OnCaughtUp(now);
+  election.OnCaughtUp(now, now);
   while (!election.ClaimDue(now)) {
     now += kLook;
-    election.OnCaughtUp(now);
+    election.OnCaughtUp(now, now);
   }
   return {std::move(election), now};
 }
@@ -311,7 +311,7 @@
   OwnerElection election(PromptOptions());
   election.OnClaimRead(kStart, ClaimOf("other", 3, false));
   for (milliseconds at{0}; at <= GetParam().silent; at += kLook) {
-    election.OnCaughtUp(kStart + at);
+    election.OnCaughtUp(kStart + at, kStart + at);
   }
   EXPECT_EQ(election.ReadWait(seconds(1)), GetParam().wait);
 }
@@ -326,9 +326,50 @@
                                  seconds(1)}),
     [](const auto& info) { return info.param.name; });
 
+struct LifeCase {
+  std::string name;
+  // Of the renewals that are read.
+  bool reads_nothing = false;
+  // Between the moment that an answer shows and its handling.
+  milliseconds answers_late{0};
+  bool claims = false;
+};
+
+class SignOfLifeTest : public testing::TestWithParam<LifeCase> {};
+
+// Guards against an owner that reads nothing and passes for alive, and against
+// one that is replaced since an answer of before a freeze was handled late.
+TEST_P(SignOfLifeTest, ShowsWhetherTheOwnerStillDecides) {
+  OwnerElection election(Options("me"));
+  auto claim = ClaimOf("other", 3, /*released=*/false);
+  election.OnClaimRead(kStart, claim);
+  election.OnCaughtUp(kStart, kStart);
+  TimePoint now = kStart;
+  for (int renewal = 0; renewal < 6; ++renewal) {
+    now += milliseconds(500);
+    claim.set_renewal(claim.renewal() + 1);
+    claim.set_reads_nothing(GetParam().reads_nothing);
+    election.OnClaimRead(now, claim);
+    election.OnCaughtUp(now, now);
+  }
+  const TimePoint shown = now + milliseconds(1450);
+  election.OnCaughtUp(shown + GetParam().answers_late, now);
+  now = shown + GetParam().answers_late;
+  election.OnCaughtUp(now, now);
+  EXPECT_EQ(election.ClaimDue(now).has_value(), GetParam().claims);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    SignOfLifeTest,
+    testing::Values(LifeCase{"reads", false, milliseconds(0), false},
+                    LifeCase{"reads_nothing", true, milliseconds(0), true},
+                    LifeCase{"late_answer", false, milliseconds(700), false}),
+    [](const auto& info) { return info.param.name; });
+
 TEST(OwnerElectionTest, OwnerThatCannotVerifyStopsInTime) {
   OwnerElection election(Options("me"));
-  election.OnCaughtUp(kStart);
+  election.OnCaughtUp(kStart, kStart);
   auto claim = election.ClaimDue(kStart);
   ASSERT_TRUE(claim.has_value());
   EXPECT_FALSE(election.owner(kStart));
@@ -348,12 +389,12 @@
   auto options = Options("me");
   options.lease = kLease;
   OwnerElection election(options);
-  election.OnCaughtUp(kStart);
+  election.OnCaughtUp(kStart, kStart);
   election.OnClaimRead(kStart, ClaimOf("other", 3, false));
   TimePoint now = kStart;
   while (!election.ClaimDue(now)) {
     now += milliseconds(500);
-    election.OnCaughtUp(now);
+    election.OnCaughtUp(now, now);
   }
   const auto released = election.Release(now);
   ASSERT_TRUE(released.has_value());
@@ -363,7 +404,7 @@
 
 TEST(OwnerElectionTest, LaterClaimEndsTheOwnership) {
   OwnerElection election(Options("me"));
-  election.OnCaughtUp(kStart);
+  election.OnCaughtUp(kStart, kStart);
   const auto claim = election.ClaimDue(kStart);
   election.OnClaimStored(kStart);
   election.OnClaimRead(kStart, *claim);
@@ -375,11 +416,11 @@
 // append without one, for the time until which nobody has followed it.
 TEST(AloneUntilTest, IsWhenTheNewestStoredAppendWasSent) {
   OwnerElection election(Options("me"));
-  election.OnCaughtUp(kStart);
+  election.OnCaughtUp(kStart, kStart);
   ASSERT_TRUE(election.ClaimDue(kStart));
   election.OnClaimStored(kStart);
   EXPECT_EQ(election.alone_until(), kStart);
-  election.OnCaughtUp(kStart + milliseconds(900));
+  election.OnCaughtUp(kStart + milliseconds(900), kStart + milliseconds(900));
   ASSERT_TRUE(election.ClaimDue(kStart + milliseconds(900)));
   EXPECT_EQ(election.alone_until(), kStart);
   election.OnClaimStored(kStart + milliseconds(800));
--- a/Tests/Jobs/stale_copy_test.cc
+++ b/Tests/Jobs/stale_copy_test.cc
@@ -150,6 +150,43 @@
 
 using CancelAheadTest = StaleEntryTest;
 
+// Guards against a log that is filled by cancels of one id that is not there.
+TEST_F(CancelAheadTest, IsStoredOnce) {
+  Call(JobCallKind::kCancel);
+  AnswerAppends();
+  auto cancellation = Appended(RecordKind::kCancellation);
+  ASSERT_TRUE(cancellation.has_value());
+  cancellation->offset = kEnd;
+  AnswerEndRead(ReadOutcome::kRecords, kEnd + 1);
+  AnswerRead(ReadOutcome::kRecords, {*cancellation});
+  appended_.clear();
+  Pass(milliseconds(100));
+  Call(JobCallKind::kCancel);
+  EXPECT_TRUE(AnswerEndRead(ReadOutcome::kRecords, kEnd + 1));
+  EXPECT_EQ(replies_, std::vector(2, JobVerdict::kNoSuchJob));
+  EXPECT_FALSE(Appended(RecordKind::kCancellation).has_value());
+}
+
+// Guards against "no such job" out of the copy of a log that was put back.
+TEST_F(CancelAheadTest, LogThatEndsBeforeTheCopyShowsNothing) {
+  Call(JobCallKind::kAsk);
+  AnswerEndRead(ReadOutcome::kRecords, kEnd - 1);
+  EXPECT_EQ(replies_, std::vector(1, JobVerdict::kUnavailable));
+}
+
+// Guards against a question that is refused since the next one's read failed.
+TEST_F(CancelAheadTest, FailedReadIsNoAnswerToThoseBefore) {
+  Call(JobCallKind::kAsk);
+  AnswerEndRead(ReadOutcome::kRecords, kEnd + 1);
+  Pass(milliseconds(100));
+  Call(JobCallKind::kAsk);
+  AnswerEndRead(ReadOutcome::kFailed, 0);
+  EXPECT_EQ(replies_, std::vector(1, JobVerdict::kUnavailable));
+  AnswerRead(ReadOutcome::kRecords, {JobRecord()});
+  EXPECT_EQ(replies_,
+            (std::vector{JobVerdict::kUnavailable, JobVerdict::kState}));
+}
+
 // Guards against a job that runs although its cancel was acknowledged, since
 // its hand-in was stored after that.
 TEST_F(CancelAheadTest, HoldsForAJobThatIsStoredLater) {
--- a/Tests/Jobs/takeover_test.cc
+++ b/Tests/Jobs/takeover_test.cc
@@ -188,11 +188,11 @@
   std::size_t bandwidth = 0;
 };
 
-class BlindOwnerTest : public testing::TestWithParam<BlindCase> {};
+class BlindnessTest : public testing::TestWithParam<BlindCase> {};
 
 // Guards against an owner that renews its claim by appends alone and learns of
 // no job that others accept, and of no cancel.
-TEST_P(BlindOwnerTest, IsReplacedByAnEntryThatReads) {
+TEST_P(BlindnessTest, IsReplacedByAnEntryThatReads) {
   JobWorld world(JobWorldOptions{});
   world.RunFor(seconds(4));
   const int owner = world.Owner();
@@ -218,12 +218,29 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Table,
-    BlindOwnerTest,
+    BlindnessTest,
     testing::Values(BlindCase{"reads_unanswered",
                               VirtualLog::Mode::kReadsSilent},
                     BlindCase{"reads_too_slow", VirtualLog::Mode::kServes, 40}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against a cell without an owner while the log takes appends and nobody
+// can read it: nobody could follow.
+TEST(BlindOwnerTest, KeepsItsCellWhileNobodyReads) {
+  JobWorld world(JobWorldOptions{});
+  world.RunFor(seconds(4));
+  const int owner = world.Owner();
+  ASSERT_GE(owner, 0);
+  const uint64_t fence = world.FenceOf(owner);
+  for (int entry = 0; entry < world.entries(); ++entry) {
+    world.log().SetModeFor("entry-" + std::to_string(entry),
+                           VirtualLog::Mode::kReadsSilent);
+  }
+  world.RunFor(seconds(20));
+  EXPECT_EQ(world.Owner(), owner);
+  EXPECT_EQ(world.FenceOf(owner), fence);
+}
+
 // Guards against a new owner that is replaced at once: its first tries to claim
 // found that the log had moved on, and its renewals went missing after that.
 TEST(BusyLogTest, OwnerThatClaimedBesideAppendsKeepsItsCell) {
--- a/Tests/Jobs/virtual_log.cc
+++ b/Tests/Jobs/virtual_log.cc
@@ -177,7 +177,7 @@
   const Mode mode = ModeOf(client);
   if (mode == Mode::kRefuses || time_->now() >= give_up) {
     time_->After(latency_, [this, done]() -> void {
-      done(time_->now(), {ReadOutcome::kFailed, {}, 0, "refused"});
+      done(time_->now(), {ReadOutcome::kFailed, {}, 0, "refused", false});
     });
     return;
   }
@@ -207,7 +207,7 @@
   const auto takes = latency_ + TransferOf(client, result.records);
   if (time_->now() + takes > give_up) {
     time_->At(give_up, [this, done]() -> void {
-      done(time_->now(), {ReadOutcome::kFailed, {}, 0, "timeout"});
+      done(time_->now(), {ReadOutcome::kFailed, {}, 0, "timeout", true});
     });
     return;
   }
