Routing: Forget a service time that no request confirms

Symptom: an endpoint that was slow once stays "slow", with one request at a time, for as long as no request comes; also at an entry that was started after it.

Cause: an agent's service time is the first request's, smoothed by a tenth with each later one. After a slow first request and a few quick ones it is above three times the median of the others, and only further requests bring it down.

An agent that has run nothing for 10 s forgets it and is as after a start: ready, and the next request tells. Under traffic nothing changes: entries with requests send one a second to each endpoint.

SlowEndpointTest failed before in its two calm rows ("slow" after 20 s without a request, at the entry that had sent the requests and at one started anew); rows under traffic passed before and after.

--- a/Source/Routing/agent_admission_impl.cc
+++ b/Source/Routing/agent_admission_impl.cc
@@ -16,6 +16,10 @@
 constexpr std::chrono::milliseconds kAnswerMargin{10};
 // Weight of the newest service time in the smoothed one.
 constexpr double kServiceTimeGain = 0.1;
+// A service time that no request has confirmed for this long says nothing any
+// more: an endpoint that was slow once would count as slow until requests come.
+// Entries that have requests send one a second to each endpoint.
+constexpr std::chrono::seconds kServiceTimeHolds{10};
 
 using std::chrono::milliseconds;
 
@@ -102,7 +106,7 @@
     return;
   }
   --running_;
-  Learn(outcome);
+  Learn(now, outcome);
   schema::Answer answer;
   answer.set_attempt_id(outcome.attempt_id);
   answer.set_verdict(outcome.verdict);
@@ -157,6 +161,7 @@
 
 auto AgentAdmission::Impl::OnTick(TimePoint now) -> void {
   attempts_.DropOld(now);
+  ForgetOldServiceTime(now);
   StartQueued(now);
   if (now >= next_announce_) {
     AnnounceToAll(now);
@@ -300,11 +305,13 @@
   Send(now, entry, std::move(answer));
 }
 
-auto AgentAdmission::Impl::Learn(const EndpointOutcome& outcome) -> void {
+auto AgentAdmission::Impl::Learn(TimePoint now, const EndpointOutcome& outcome)
+    -> void {
   // A fast failure says nothing of how long work takes.
   if (outcome.verdict == schema::NOT_RUN) {
     return;
   }
+  learned_at_ = now;
   const auto newest = static_cast<double>(outcome.service_time.count());
   service_time_us_ =
       service_time_us_ == 0
@@ -312,6 +319,12 @@
           : service_time_us_ + kServiceTimeGain * (newest - service_time_us_);
 }
 
+auto AgentAdmission::Impl::ForgetOldServiceTime(TimePoint now) -> void {
+  if (running_ == 0 && now - learned_at_ >= kServiceTimeHolds) {
+    service_time_us_ = 0;
+  }
+}
+
 auto AgentAdmission::Impl::NotRun(uint64_t id, schema::Reason reason)
     -> schema::Answer {
   schema::Answer answer;
--- a/Source/Routing/agent_admission_impl.h
+++ b/Source/Routing/agent_admission_impl.h
@@ -68,7 +68,8 @@
   auto DropOverdue(TimePoint now) -> void;
   auto Start(TimePoint now, uint64_t id, Attempt& attempt) -> void;
   auto End(TimePoint now, uint64_t id, schema::Answer answer) -> void;
-  auto Learn(const EndpointOutcome& outcome) -> void;
+  auto Learn(TimePoint now, const EndpointOutcome& outcome) -> void;
+  auto ForgetOldServiceTime(TimePoint now) -> void;
   static auto NotRun(uint64_t id, schema::Reason reason) -> schema::Answer;
   // No verdict yet: the attempt waits or runs.
   static auto InProgress(uint64_t id) -> schema::Answer;
@@ -93,7 +94,9 @@
   TimePoint next_announce_;
   bool healthy_ = true;
   bool leaving_ = false;
+  // Smoothed; zero while it is not known.
   double service_time_us_ = 0;
+  TimePoint learned_at_;
   AdmissionActions actions_;
 };
 
