Jobs: Let go of a cancelled job however its last run ends

A cancelled job whose start was refused, or whose worker ended, stayed in the owner's memory and in the log until the next change of owner: only the end of a run in a listing, or a record of the job, let it go.

LastRunTest: both rows failed before, none now.

--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -272,6 +272,9 @@
     worker.orders.clear();
   }
   place_due_ = true;
+  for (const auto& run : lost_runs) {
+    ForgetJobIfIdle(now, run.task.job());
+  }
 }
 
 auto JobOwner::LoseSilentWorkers(TimePoint now) -> void {
--- a/Source/Jobs/owner_ends.cc
+++ b/Source/Jobs/owner_ends.cc
@@ -164,6 +164,7 @@
   retry_at_ = std::min(retry_at_,
                        std::max(worker.set_aside_until, now + kFailurePause));
   place_due_ = true;
+  ForgetJobIfIdle(now, start.task().job());
 }
 
 auto JobOwner::RemoveRun(TimePoint now,
--- a/Tests/Jobs/job_owner_test.cc
+++ b/Tests/Jobs/job_owner_test.cc
@@ -267,6 +267,49 @@
 
 // Symptom watched for: the owner reads freed memory, and room stays taken.
 // Sequence: the record of a job that runs is dropped from the log.
+struct LastRunCase {
+  std::string name;
+  // The start of the cancelled job is refused; else its worker ends.
+  bool refused = false;
+};
+
+class LastRunTest : public JobOwnerTest,
+                    public testing::WithParamInterface<LastRunCase> {};
+
+// Guards against cancelled jobs that stay in memory and in the log for good,
+// since their last run did not end by a row of a listing.
+TEST_P(LastRunTest, CancelledJobIsDroppedHoweverItEnds) {
+  PutJob({Step(1)});
+  Begin();
+  ReportAll();
+  const std::string agent = starts_.begin()->first;
+  const uint64_t order = starts_[agent].begin()->first;
+  Put(MakeCancellation(kId));
+  auto report = ReportOf(agent);
+  if (GetParam().refused) {
+    auto* result = report.add_results();
+    result->set_order(order);
+    result->set_outcome(ORDER_REFUSED);
+  } else {
+    report.set_worker_id("next-life-of-" + agent);
+  }
+  Report(agent, report);
+  now_ += JobOwnerOptions().keep_over + seconds(1);
+  owner_.Tick(now_);
+  bool dropped = false;
+  for (const auto& record : owner_.TakeBatch()) {
+    dropped = dropped || (record.key == MakeKey(RecordKind::kJob, kId) &&
+                          record.value.empty());
+  }
+  EXPECT_TRUE(dropped);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         LastRunTest,
+                         testing::Values(LastRunCase{"start_refused", true},
+                                         LastRunCase{"worker_ended", false}),
+                         [](const auto& info) { return info.param.name; });
+
 TEST_F(JobOwnerTest, JobWhoseRecordIsDroppedGivesItsRoomBack) {
   Begin();
   ReportAll();
