--- a/Tests/Process/platform_test.cc
+++ b/Tests/Process/platform_test.cc
@@ -33,6 +33,10 @@
 constexpr int kAgents = 2;
 // Several polls, reads and listings long.
 constexpr milliseconds kGarbageFor{2500};
+// Until the read under way hangs, too.
+constexpr milliseconds kReadHangs{1500};
+// A takeover, the job's work, and as much again for a busy machine.
+constexpr seconds kRunsWithin{15};
 constexpr char kBody[] =
     R"({"Spec":"text","Steps":[{"Count":3,"Cpu":500,"EstimatedMs":200},)"
     R"({"Count":2,"Cpu":500,"After":[0],"EstimatedMs":200}]})";
@@ -357,6 +361,33 @@
   ExpectNoProblems();
 }
 
+// Guards against an owner whose reads of the log hang while its appends pass:
+// it starts no job that another entry accepts, and stays the owner.
+TEST_F(PlatformTest, OwnerWhoseReadsHangIsReplaced) {
+  const int relay_port = FreePort();
+  SilentRelay relay(relay_port, platform_->log_port());
+  relayed_log_[0] = LoopbackAddress(relay_port);
+  processes_["entry-0"]->Kill();
+  processes_["entry-1"]->Kill();
+  StartEntry(0);
+  ASSERT_TRUE(Accepts(0, "00000000000000a1"));
+  ASSERT_TRUE(Completes(0, "00000000000000a1"));
+  StartEntry(1);
+  ASSERT_TRUE(BecomesReady(1));
+  RelayFault fault;
+  fault.drops_answers = true;
+  fault.only = "GET /rhubarbhaven/log-read";
+  relay.SetFault(fault);
+  std::this_thread::sleep_for(kReadHangs);
+  ASSERT_TRUE(Accepts(1, "00000000000000a2"));
+  EXPECT_TRUE(WaitFor(
+      [this]() -> bool {
+        return State(1, "00000000000000a2") == R"({"State":"completed"})";
+      },
+      kRunsWithin));
+  ExpectNoProblems();
+}
+
 TEST_F(PlatformTest, UnreadableConfigurationLeavesTheLastOneInForce) {
   // An entry that starts later would find nothing else.
   ASSERT_TRUE(BecomesReady(0));
