Jobs: Fill at any speed only where there is room

A job with nothing running for 1.5 s got one place for a filler at any speed, also where most processors were held: there one more slow filler makes the others late. The promise behind it holds where less than half of the service is in use, so that is asked for.

--- a/Source/Jobs/owner_standing.cc
+++ b/Source/Jobs/owner_standing.cc
@@ -21,6 +21,20 @@
 // Of all jobs together.
 constexpr int kMostLinesASecond = 5;
 
+// Whether less than half of the service's processors are held: beyond that more
+// slow fillers only make the others late.
+auto IsRoomy(const WorkerViews& workers, const std::string& service) -> bool {
+  int64_t held = 0;
+  int64_t capacity = 0;
+  for (const auto& [name, worker] : workers) {
+    if (worker->service == service) {
+      held += worker->held.millicores;
+      capacity += worker->capacity.millicores;
+    }
+  }
+  return 2 * held < capacity;
+}
+
 }  // namespace
 
 auto JobOwner::LookForStandingJobs(TimePoint now) -> void {
@@ -43,8 +57,9 @@
     }
     const TimePoint since = work.standing.since.value_or(now);
     work.standing.since = since;
-    if (now - since >= kFillAnywayAfter &&
-        !std::exchange(work.standing.fills_anyway, true)) {
+    if (now - since >= kFillAnywayAfter && !work.standing.fills_anyway &&
+        IsRoomy(workers_, work.rules.service())) {
+      work.standing.fills_anyway = true;
       place_due_ = true;
     }
     if (now - since >= kTellAfter) {
