Jobs, Daemon: Say how old a start is when it is carried out

From the logs nobody could tell an order that lay between owner and agent from one that was decided on an old copy of the log, or from one that waited for a worker. Owners state in each message how long after the quoted report it was built, how old their copy of the log was, and when each start was decided. Agents add up upper bounds on their own clock: started and start_failed say decided_ms, confirmed_ms, log_age_ms and at_agent_ms. Owners write starts_late when results of starts come a second or more after the decision, and log_age_ms beside place. Nothing is decided differently.

--- a/Source/Daemon/job_agent.cc
+++ b/Source/Daemon/job_agent.cc
@@ -153,6 +153,27 @@
   return on_thread;
 }
 
+auto JobAgent::LogDecision(const jobs::AgentDecision& decision) -> void {
+  metrics_->Add(absl::StrCat("rhubarbhaven_worker_", decision.what, "_total"));
+  if (!decision.ages) {
+    log_.Write(decision.what, {{"task", DescribeTask(decision.task)},
+                               {"run", absl::StrCat(decision.run)},
+                               {"why", decision.why}});
+    return;
+  }
+  const auto& ages = *decision.ages;
+  metrics_->RecordLatency("rhubarbhaven_start_age_seconds",
+                          ages.since_decision);
+  log_.Write(decision.what,
+             {{"task", DescribeTask(decision.task)},
+              {"run", absl::StrCat(decision.run)},
+              {"why", decision.why},
+              {"decided_ms", InMilliseconds(ages.since_decision)},
+              {"confirmed_ms", InMilliseconds(ages.since_confirmation)},
+              {"log_age_ms", InMilliseconds(ages.log)},
+              {"at_agent_ms", InMilliseconds(ages.at_agent)}});
+}
+
 auto JobAgent::MakeAgentHooks() -> jobs::TaskAgentHooks {
   jobs::TaskAgentHooks hooks;
   hooks.worker = WorkerOnThread(hooks_.worker);
@@ -164,12 +185,8 @@
       metrics_->Add("rhubarbhaven_reports_dropped_total");
     }
   };
-  hooks.log = [this](const std::string& event, const jobs::TaskName& task,
-                     uint64_t run, const std::string& reason) -> void {
-    metrics_->Add(absl::StrCat("rhubarbhaven_worker_", event, "_total"));
-    log_.Write(event, {{"task", DescribeTask(task)},
-                       {"run", absl::StrCat(run)},
-                       {"why", reason}});
+  hooks.log = [this](const jobs::AgentDecision& decision) -> void {
+    LogDecision(decision);
   };
   return hooks;
 }
--- a/Source/Daemon/job_agent.h
+++ b/Source/Daemon/job_agent.h
@@ -44,6 +44,7 @@
   auto NextWake() const -> TimePoint;
   auto Register(TimePoint now) -> void;
   auto WorkerOnThread(const jobs::WorkerPort& port) -> jobs::WorkerPort;
+  auto LogDecision(const jobs::AgentDecision& decision) -> void;
   auto MakeAgentHooks() -> jobs::TaskAgentHooks;
 
   JobAgentHooks hooks_;
--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -342,6 +342,17 @@
   }
 }
 
+auto EntryDecisions::NoteStartDelay(Duration delay) -> void {
+  metrics_->RecordLatency("rhubarbhaven_owner_start_delay_seconds", delay);
+  const auto change = start_delay_.Record(delay);
+  if (change != LagMonitor::Change::kNone) {
+    log_.Write(
+        change == LagMonitor::Change::kLate ? "starts_late" : "starts_in_time",
+        {{"fence", absl::StrCat(election_.fence())},
+         {"delay_ms", InMilliseconds(delay)}});
+  }
+}
+
 auto EntryDecisions::LogReconciliation(const ReconciliationState& state)
     -> void {
   if (state.done) {
@@ -372,10 +383,13 @@
   metrics_->Add(absl::StrCat("rhubarbhaven_runs_", decision.what, "_total"),
                 decision.runs);
   if (decision.runs == 1) {
-    log_.Write(decision.what, {{"task", DescribeTask(decision.task)},
-                               {"run", absl::StrCat(decision.run)},
-                               {"agent", decision.agent},
-                               {"why", decision.why}});
+    log_.Write(
+        decision.what,
+        {{"task", DescribeTask(decision.task)},
+         {"run", absl::StrCat(decision.run)},
+         {"agent", decision.agent},
+         {"why", decision.why},
+         {"log_age_ms", InMilliseconds(last_tick_ - election_.read_as_of())}});
     return;
   }
   const auto describe = [](std::string* text, const TaskName& task) -> void {
@@ -409,6 +423,9 @@
     metrics_->SetGauge("rhubarbhaven_standing_jobs", static_cast<double>(jobs));
   };
   hooks.report_lag = [this](Duration lag) -> void { NoteLag(lag); };
+  hooks.report_start_delay = [this](Duration delay) -> void {
+    NoteStartDelay(delay);
+  };
   hooks.rules = [this](const std::string& queue) -> const QueueRules* {
     const auto* found = queues_.FindByName(queue);
     return found == nullptr ? nullptr : &found->rules;
@@ -419,6 +436,7 @@
   hooks.exclusive_until = [this]() -> TimePoint {
     return election_.exclusive_until();
   };
+  hooks.log_as_of = [this]() -> TimePoint { return election_.read_as_of(); };
   hooks.wall_clock = hooks_.wall_clock;
   hooks.ask_advice = hooks_.ask_advice;
   return hooks;
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -161,6 +161,7 @@
   auto UpdateReady(TimePoint now) -> void;
   auto MakeOwnerHooks() -> JobOwnerHooks;
   auto NoteLag(Duration lag) -> void;
+  auto NoteStartDelay(Duration delay) -> void;
   auto LogReconciliation(const ReconciliationState& state) -> void;
   auto LogStarvedJob(const StarvedJob& job) -> void;
   auto LogDecision(const OwnerDecision& decision) -> void;
@@ -181,6 +182,7 @@
   bool reads_late_ = false;
   OwnerElection election_;
   LagMonitor owner_lag_;
+  LagMonitor start_delay_;
   JobOwner owner_;
   KeyedLogFollower job_follower_;
   KeyedLogFollower operator_follower_;
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -35,6 +35,7 @@
   begun_at_ = now;
   lag_reported_at_ = now;
   longest_lag_ = Duration(0);
+  longest_start_delay_ = Duration(0);
   interference_.Load(fold->pressures());
   pressures_stored_at_ = now;
   for (const auto& [name, entry] : fold->agents()) {
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -133,6 +133,9 @@
   std::function<auto(std::size_t)->void> report_starved;
   // Reports each second the longest delay of a poll since the previous report.
   std::function<auto(Duration)->void> report_lag;
+  // Reports each second the longest time from the decision on a start until its
+  // result, among the results since the previous report.
+  std::function<auto(Duration)->void> report_start_delay;
   // Returns the queue's rules in the newest configuration, or null if it has
   // none.
   std::function<auto(const std::string& queue)->const QueueRules*> rules;
@@ -143,6 +146,8 @@
   // a lease that expired before it are over; a later lease may have been
   // renewed by a successor.
   std::function<auto()->TimePoint> exclusive_until;
+  // The fold contains all records that the log had at this time.
+  std::function<auto()->TimePoint> log_as_of;
   // Time since the Unix epoch.
   std::function<auto()->std::chrono::milliseconds> wall_clock;
   // Requests tickets from the policy.
@@ -493,6 +498,7 @@
   TimePoint moved_at_;
   // Since the last report.
   Duration longest_lag_{0};
+  Duration longest_start_delay_{0};
   TimePoint lag_reported_at_;
   TimePoint check_starved_at_;
   // Lines logged in the second that began at `starved_lines_since_`.
--- /dev/null
+++ b/Source/Jobs/order_times.h
@@ -0,0 +1,36 @@
+#ifndef RHUBARBHAVEN_JOBS_ORDER_TIMES_H_
+#define RHUBARBHAVEN_JOBS_ORDER_TIMES_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "Base/base.h"
+
+namespace rhubarbhaven::jobs {
+
+// When an order was given and on what knowledge, on the agent's clock. Each is
+// a lower bound, so that no order is taken for younger than it is.
+struct OrderTimes {
+  TimePoint decided_at;
+  // When the owner last stated that the order stands.
+  TimePoint confirmed_at;
+  // The owner knew of all records that the log had at this time.
+  TimePoint log_as_of;
+};
+
+// Returns the time of the agent's report to which the message refers; null if
+// it refers to none of this process of the agent. The clock of another process
+// may have been far ahead of this one.
+auto ReportTime(TimePoint now, uint64_t incarnation, const AgentOrders& orders)
+    -> std::optional<TimePoint>;
+
+// Returns the times of a start in a message that was received at `now` and
+// refers to a report of the time `reported`.
+auto TimesOf(TimePoint now,
+             TimePoint reported,
+             const AgentOrders& orders,
+             const StartOrder& start) -> OrderTimes;
+
+}  // namespace rhubarbhaven::jobs
+
+#endif  // RHUBARBHAVEN_JOBS_ORDER_TIMES_H_
--- a/Source/Jobs/owner_ends.cc
+++ b/Source/Jobs/owner_ends.cc
@@ -114,6 +114,10 @@
     return;
   }
   const auto start = found->second.start;
+  if (start) {
+    longest_start_delay_ =
+        std::max(longest_start_delay_, now - found->second.decided_at);
+  }
   worker.orders.erase(found);
   worker.results_seen = worker.orders.empty()
                             ? next_order_ - 1
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -182,7 +182,7 @@
   order.set_checkpoint(task.checkpoint);
   order.set_worker_id(worker.worker_id);
   order.set_ticket(ticket);
-  worker.orders[number] = {std::move(order), std::nullopt, now, false};
+  worker.orders[number] = {std::move(order), std::nullopt, now, false, now};
   if (place.spec().target_latency_ms() > 0 ||
       place.spec().uses_spare_processors()) {
     ++worker.pacing_version;
@@ -220,7 +220,8 @@
   order.set_run(run.run);
   order.set_worker_id(worker.worker_id);
   const uint64_t number = order.order();
-  worker.orders[number] = {std::nullopt, std::move(order), TimePoint(), false};
+  worker.orders[number] = {std::nullopt, std::move(order), TimePoint(), false,
+                           TimePoint()};
   PollSoon(worker);
   return true;
 }
@@ -232,7 +233,8 @@
   order.set_run(row.run());
   order.set_worker_id(worker.worker_id);
   const uint64_t number = order.order();
-  worker.orders[number] = {std::nullopt, std::move(order), TimePoint(), false};
+  worker.orders[number] = {std::nullopt, std::move(order), TimePoint(), false,
+                           TimePoint()};
   PollSoon(worker);
   hooks_.log({"stop", row.task(), row.run(), worker.agent,
               "no open job has this run"});
--- a/Source/Jobs/owner_polls.cc
+++ b/Source/Jobs/owner_polls.cc
@@ -10,12 +10,27 @@
 
 constexpr std::chrono::seconds kLagReportInterval{1};
 
+// Rounded down, so that the agent never takes the message for younger than it
+// is.
+auto MicrosecondsOf(Duration span) -> uint64_t {
+  return static_cast<uint64_t>(
+      std::chrono::floor<std::chrono::microseconds>(std::max(Duration(0), span))
+          .count());
+}
+
+auto MillisecondsOf(Duration span) -> uint64_t {
+  return static_cast<uint64_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(std::max(Duration(0), span))
+          .count());
+}
+
 // Adds an order to the message, for the first time or again.
 auto AddOrder(PendingOrder& order, TimePoint now, AgentOrders* orders) -> void {
   if (order.start) {
     auto* start = orders->add_starts();
     *start = *order.start;
     start->set_repeated(order.sent);
+    start->set_decided_before_ms(MillisecondsOf(now - order.decided_at));
   } else {
     *orders->add_stops() = *order.stop;
   }
@@ -40,6 +55,7 @@
   if (now - lag_reported_at_ >= kLagReportInterval) {
     lag_reported_at_ = now;
     hooks_.report_lag(std::exchange(longest_lag_, Duration(0)));
+    hooks_.report_start_delay(std::exchange(longest_start_delay_, Duration(0)));
   }
 }
 
@@ -74,9 +90,11 @@
     orders.set_granted_from_us(worker.reported_us);
     orders.set_granted_to_incarnation(worker.agent_incarnation);
     orders.set_lease_ttl_ms(static_cast<uint64_t>(options_.lease_ttl.count()));
+    orders.set_built_after_us(MicrosecondsOf(now - worker.reported_at));
     worker.lease_bound =
         std::max(worker.lease_bound, LeaseBound(worker.reported_at));
   }
+  orders.set_log_age_ms(MillisecondsOf(now - hooks_.log_as_of()));
   orders.set_evacuated(worker.evacuated);
   orders.set_worker_id(worker.worker_id);
   orders.set_ends_logged(worker.ends_logged);
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -58,24 +58,20 @@
   if (orders.crashes_of_incarnation() == options_.incarnation) {
     DiscardCrashes(now, orders.crashes_logged());
   }
-  AcceptOrders(orders);
+  AcceptOrders(now, orders);
   ExecuteOrders(now);
   ListIfDue(now);
   Report(now, /*with_running=*/true);
 }
 
 auto TaskAgent::RenewLease(TimePoint now, const AgentOrders& orders) -> void {
-  const TimePoint from{std::chrono::microseconds(orders.granted_from_us())};
-  // The lease was granted to an earlier process, whose clock may have been far
-  // ahead of this one. It would last longer than the owner assumes.
-  const bool of_another_process =
-      orders.granted_to_incarnation() != 0 &&
-      orders.granted_to_incarnation() != options_.incarnation;
-  if (orders.granted_from_us() == 0 || of_another_process || from > now) {
-    return;
+  // A lease by the clock of another process would last longer than the owner
+  // assumes.
+  const auto from = ReportTime(now, options_.incarnation, orders);
+  if (from) {
+    lease_until_ = std::max(
+        lease_until_, *from + std::chrono::milliseconds(orders.lease_ttl_ms()));
   }
-  lease_until_ = std::max(
-      lease_until_, from + std::chrono::milliseconds(orders.lease_ttl_ms()));
 }
 
 auto TaskAgent::OnHeartbeat(TimePoint now, const WorkerHeartbeat& heartbeat)
@@ -159,9 +155,9 @@
   for (auto run : crashed) {
     run.set_worker_id(heartbeat_.worker_id);
     run.set_number(next_crash_++);
-    hooks_.log("crashed", run.task(), run.run(),
-               absl::StrCat("its worker has crashed, it ran for ", run.ran_ms(),
-                            " ms"));
+    hooks_.log({"crashed", run.task(), run.run(),
+                absl::StrCat("its worker has crashed, it ran for ",
+                             run.ran_ms(), " ms")});
     crashes_.push_back({now + options_.crash_report_period, run});
   }
 }
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -13,6 +13,7 @@
 
 #include "Base/base.h"
 #include "Jobs/opportunistic_pacing.h"
+#include "Jobs/order_times.h"
 #include "Jobs/run_tracker.h"
 #include "Jobs/worker_port.h"
 
@@ -42,18 +43,33 @@
   std::chrono::milliseconds crash_report_period{30000};
 };
 
+// How old a start was when it was carried out or rejected. All but the last are
+// upper bounds.
+struct StartAges {
+  Duration since_decision{0};
+  // Since the owner last stated that the order stands.
+  Duration since_confirmation{0};
+  // Age of the log records on which the order rests.
+  Duration log{0};
+  Duration at_agent{0};
+};
+
+// A decision or observation of the agent about a run, for logging.
+struct AgentDecision {
+  std::string what;
+  TaskName task;
+  uint64_t run = 0;
+  std::string why;
+  // For starts whose age is known.
+  std::optional<StartAges> ages = std::nullopt;
+};
+
 // The agent's calls to other components.
 struct TaskAgentHooks {
   WorkerPort worker;
   // Sends a report to the owner whose orders have the highest fence.
   std::function<auto(const std::string& peer, AgentReport)->void> report;
-  // Logs one decision about a run.
-  std::function<auto(const std::string& what,
-                     const TaskName& task,
-                     uint64_t run,
-                     const std::string& why)
-                    ->void>
-      log;
+  std::function<auto(const AgentDecision&)->void> log;
 };
 
 // An agent's decisions. It is the only caller of its worker. It starts and
@@ -100,6 +116,9 @@
     // A start for whose run a stop was received.
     bool withdrawn = false;
     TimePoint not_before;
+    TimePoint received_at;
+    // For a start; null if they are unknown.
+    std::optional<OrderTimes> times;
     // Lease under which the order was received. The order is void once that
     // lease has ended.
     uint64_t lease_number = 0;
@@ -113,7 +132,7 @@
   auto AdoptFence(TimePoint now, uint64_t fence) -> void;
   // Renews the lease if the orders grant one to this process.
   auto RenewLease(TimePoint now, const AgentOrders& orders) -> void;
-  auto AcceptOrders(const AgentOrders& orders) -> void;
+  auto AcceptOrders(TimePoint now, const AgentOrders& orders) -> void;
   // Withdraws the waiting starts to which the stop applies.
   auto WithdrawStarts(const StopOrder& stop) -> void;
   // Whether a stop that was received earlier applies to the start.
@@ -136,6 +155,10 @@
       -> void;
   auto OnStopped(TimePoint now, const OrderPtr& order, WorkerCallResult result)
       -> void;
+  auto LogStart(TimePoint now,
+                const Order& order,
+                const std::string& what,
+                const std::string& why) const -> void;
   auto RejectStart(TimePoint now, const OrderPtr& order, OrderOutcome outcome)
       -> void;
   auto Verify(TimePoint now, const OrderPtr& order, OrderOutcome outcome)
--- a/Source/Jobs/task_agent_orders.cc
+++ b/Source/Jobs/task_agent_orders.cc
@@ -58,7 +58,7 @@
 
 }  // namespace
 
-auto TaskAgent::AcceptOrders(const AgentOrders& orders) -> void {
+auto TaskAgent::AcceptOrders(TimePoint now, const AgentOrders& orders) -> void {
   if (orders.worker_id() == heartbeat_.worker_id) {
     forget_through_ = std::max(forget_through_, orders.ends_logged());
   }
@@ -69,6 +69,7 @@
     // worker. The owner repeats it.
     return;
   }
+  const auto reported = ReportTime(now, options_.incarnation, orders);
   std::erase_if(orders_, [this](const auto& item) -> bool {
     return item.first <= results_seen_ &&
            item.second->state == OrderState::kFinished;
@@ -86,6 +87,10 @@
     order->start = start;
     order->task = start.task();
     order->run = start.run();
+    order->received_at = now;
+    if (reported) {
+      order->times = TimesOf(now, *reported, orders, start);
+    }
     order->unconfirmed = start.repeated();
     order->withdrawn = HasStop(start);
     order->lease_number = lease_number_;
@@ -218,14 +223,13 @@
                           WorkerCallResult result) -> void {
   order->state = OrderState::kWaiting;
   if (result.outcome == WorkerCallOutcome::kDone) {
-    hooks_.log("started", order->task, order->run, "");
+    LogStart(now, *order, "started", "");
     run_watch_.OnStarted(now, order->task, order->run);
     Finish(order, ORDER_DONE);
     Report(now, /*with_running=*/false);
     return;
   }
-  hooks_.log("start_failed", order->task, order->run,
-             OutcomeName(result.outcome));
+  LogStart(now, *order, "start_failed", OutcomeName(result.outcome));
   switch (result.outcome) {
     case WorkerCallOutcome::kUnknown:
       // Repeats the start of the same run, which the worker starts only once.
@@ -259,8 +263,8 @@
     return;
   }
   if (result.outcome != WorkerCallOutcome::kDone) {
-    hooks_.log("stop_failed", order->task, order->run,
-               OutcomeName(result.outcome));
+    hooks_.log(
+        {"stop_failed", order->task, order->run, OutcomeName(result.outcome)});
     order->not_before = now + options_.retry_pause;
     return;
   }
@@ -273,6 +277,19 @@
   Report(now, /*with_running=*/false);
 }
 
+auto TaskAgent::LogStart(TimePoint now,
+                         const Order& order,
+                         const std::string& what,
+                         const std::string& why) const -> void {
+  AgentDecision decision{what, order.task, order.run, why};
+  if (order.times) {
+    decision.ages = StartAges{
+        now - order.times->decided_at, now - order.times->confirmed_at,
+        now - order.times->log_as_of, now - order.received_at};
+  }
+  hooks_.log(decision);
+}
+
 auto TaskAgent::RejectStart(TimePoint now,
                             const OrderPtr& order,
                             OrderOutcome outcome) -> void {
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -36,6 +36,7 @@
   std::optional<StopOrder> stop;
   TimePoint sent_at;
   bool sent = false;
+  TimePoint decided_at;
 };
 
 // A run with a target latency.
--- a/Tests/Benchmarks/Jobs/owner_simulation.cc
+++ b/Tests/Benchmarks/Jobs/owner_simulation.cc
@@ -89,7 +89,9 @@
     return queue == kUrgentQueue ? &urgent_rules_ : &rules_;
   };
   hooks.is_evacuated = [](const std::string&) { return false; };
+  hooks.report_start_delay = [](Duration) {};
   hooks.exclusive_until = [this]() -> TimePoint { return now_; };
+  hooks.log_as_of = [this]() -> TimePoint { return now_; };
   hooks.wall_clock = [this]() -> std::chrono::milliseconds {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
         now_.time_since_epoch());
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -64,6 +64,9 @@
     };
     hooks.report_starved = [this](std::size_t jobs) { starved_jobs_ = jobs; };
     hooks.report_lag = [this](Duration lag) { lags_.push_back(lag); };
+    hooks.report_start_delay = [this](Duration delay) {
+      start_delays_.push_back(delay);
+    };
     hooks.rules = [this](const std::string&) { return &rules_; };
     hooks.is_evacuated = [this](const std::string& domain) -> bool {
       return evacuated_.contains(domain);
@@ -71,6 +74,7 @@
     hooks.exclusive_until = [this]() -> TimePoint {
       return std::min(now_, exclusive_until_);
     };
+    hooks.log_as_of = [this]() -> TimePoint { return now_ - log_age_; };
     hooks.wall_clock = [this]() -> milliseconds { return wall_time_; };
     hooks.ask_advice = [this](const AdviceCall& call, const auto& done) {
       advice_calls_.push_back(call);
@@ -214,6 +218,8 @@
   // The log has confirmed only up to this time that no other owner has
   // followed.
   TimePoint exclusive_until_ = TimePoint::max();
+  // Age of the owner's copy of the log.
+  milliseconds log_age_{0};
   milliseconds wall_time_{0};
   uint64_t offset_ = 0;
   QueueRules rules_;
@@ -230,6 +236,7 @@
   // States of the reconciliation that the owner logged.
   std::vector<ReconciliationState> logged_reconciliations_;
   std::vector<Duration> lags_;
+  std::vector<Duration> start_delays_;
   // Starved jobs that the owner logged, and the number that it last reported.
   std::vector<StarvedJob> logged_starved_jobs_;
   std::size_t starved_jobs_ = 0;
--- a/Tests/Jobs/simulated_cluster.cc
+++ b/Tests/Jobs/simulated_cluster.cc
@@ -438,10 +438,10 @@
                                 const AgentReport& report) {
     SendReport(number, peer, report);
   };
-  hooks.log = [this, process](const std::string& what, const TaskName& task,
-                              uint64_t run, const std::string& why) {
-    Trace(absl::StrCat(process->name, " ", what, " ", DescribeTask(task),
-                       " run ", run, " ", why));
+  hooks.log = [this, process](const AgentDecision& decision) {
+    Trace(absl::StrCat(process->name, " ", decision.what, " ",
+                       DescribeTask(decision.task), " run ", decision.run, " ",
+                       decision.why));
   };
   TaskAgentOptions agent;
   agent.incarnation = generation;
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -47,8 +47,9 @@
     hooks.report = [this](const std::string&, AgentReport report) {
       reports_.push_back(std::move(report));
     };
-    hooks.log = [](const std::string&, const TaskName&, uint64_t,
-                   const std::string&) {};
+    hooks.log = [this](const AgentDecision& decision) {
+      decisions_.push_back(decision);
+    };
     return hooks;
   }
 
@@ -121,6 +122,7 @@
   WorkerPort::OnCall on_stop_;
   WorkerPort::OnListing on_list_;
   std::vector<AgentReport> reports_;
+  std::vector<AgentDecision> decisions_;
   TaskAgent agent_;
 };
 
