Jobs: Void a start that its owner has not confirmed in time

What callers saw: tasks started seconds after the cancel of their job was acknowledged, and lapsed at once.

Cause: an order outlives the knowledge on which it rests. A start that lay for seconds between a slow owner and the agent, or that waited at the agent for its worker, was valid for as long as the lease, 5 s from the quoted report, while its withdrawal lay behind it. A cancel has to take effect within 3 s. A lease says who may act, not how old the reason may be.

An agent dates each start on its own clock by the report that the message quotes and by the owner's word how long after it the message was built. It rejects a start that has not been confirmed for 1.8 s; the call to the worker is valid no longer, either. Repeats of the owner confirm a start, but not once its run was ordered to stop: the repeat says so, since the message with the stop may have been lost.

StartToAnUnresponsiveWorkerIsRejectedOnceItsLeaseHasExpired compared all deadlines with that of the first call, which was the lease's end and is now the order's; it compares with the same moment, 54.9 s on the worker's clock, as a number.

--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -399,6 +399,9 @@
                        const TaskPlace& place) -> void;
   auto StopRun(const TaskPlace& place, RunWork& run, const std::string& why)
       -> void;
+  // Marks the pending start of a run that is ordered to stop, so that no repeat
+  // of it confirms the start.
+  static auto WithdrawStart(const TaskPlace& place, const RunWork& run) -> void;
   // Orders the stop without logging it; returns false if it was ordered before.
   auto OrderStop(const TaskPlace& place, RunWork& run) -> bool;
   auto StopOrphan(WorkerView& worker, const RunningTask& row) -> void;
--- a/Source/Jobs/jobs.h
+++ b/Source/Jobs/jobs.h
@@ -22,7 +22,7 @@
 #include "Jobs/keyed_log_follower.h"
 #include "Jobs/lag_monitor.h"
 #include "Jobs/opportunistic_pacing.h"
-#include "Jobs/order_times.h"
+#include "Jobs/order_basis.h"
 #include "Jobs/owner_election.h"
 #include "Jobs/queue_directory.h"
 #include "Jobs/run_tracker.h"
--- a/Source/Jobs/order_times.cc
+++ b/Source/Jobs/order_basis.cc
@@ -1,4 +1,4 @@
-#include "Jobs/order_times.h"
+#include "Jobs/order_basis.h"
 
 #include <algorithm>
 #include <chrono>
@@ -27,10 +27,10 @@
   return reported;
 }
 
-auto TimesOf(TimePoint now,
+auto BasisOf(TimePoint now,
              TimePoint reported,
              const AgentOrders& orders,
-             const StartOrder& start) -> OrderTimes {
+             const StartOrder& start) -> OrderBasis {
   const auto longest =
       std::chrono::duration_cast<std::chrono::microseconds>(now - reported);
   const TimePoint built =
--- a/Source/Jobs/order_times.h
+++ b/Source/Jobs/order_basis.h
@@ -1,5 +1,5 @@
-#ifndef RHUBARBHAVEN_JOBS_ORDER_TIMES_H_
-#define RHUBARBHAVEN_JOBS_ORDER_TIMES_H_
+#ifndef RHUBARBHAVEN_JOBS_ORDER_BASIS_H_
+#define RHUBARBHAVEN_JOBS_ORDER_BASIS_H_
 
 #include <cstdint>
 #include <optional>
@@ -10,7 +10,7 @@
 
 // When an order was given and on what knowledge, on the agent's clock. Each is
 // a lower bound, so that no order is taken for younger than it is.
-struct OrderTimes {
+struct OrderBasis {
   TimePoint decided_at;
   // When the owner last stated that the order stands.
   TimePoint confirmed_at;
@@ -24,13 +24,13 @@
 auto ReportTime(TimePoint now, uint64_t incarnation, const AgentOrders& orders)
     -> std::optional<TimePoint>;
 
-// Returns the times of a start in a message that was received at `now` and
+// Returns the basis of a start in a message that was received at `now` and
 // refers to a report of the time `reported`.
-auto TimesOf(TimePoint now,
+auto BasisOf(TimePoint now,
              TimePoint reported,
              const AgentOrders& orders,
-             const StartOrder& start) -> OrderTimes;
+             const StartOrder& start) -> OrderBasis;
 
 }  // namespace rhubarbhaven::jobs
 
-#endif  // RHUBARBHAVEN_JOBS_ORDER_TIMES_H_
+#endif  // RHUBARBHAVEN_JOBS_ORDER_BASIS_H_
--- a/Source/Jobs/owner_ends.cc
+++ b/Source/Jobs/owner_ends.cc
@@ -201,11 +201,7 @@
   }
   // The worker would only reject an order to start a run that is over.
   std::erase_if(holder.orders, [run, &place](const auto& item) -> bool {
-    const auto& start = item.second.start;
-    return start && start->run() == run &&
-           start->task().index() == place.index &&
-           start->task().step() == place.step &&
-           start->task().job() == place.work->job().id();
+    return IsStartOf(item.second, place, run);
   });
   interference_.Forget(run);
   place.step_work().RemoveRun(place.index, found);
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -208,11 +208,21 @@
   }
 }
 
+auto JobOwner::WithdrawStart(const TaskPlace& place, const RunWork& run)
+    -> void {
+  for (auto& [number, order] : run.worker->orders) {
+    if (IsStartOf(order, place, run.run)) {
+      order.withdrawn = true;
+    }
+  }
+}
+
 auto JobOwner::OrderStop(const TaskPlace& place, RunWork& run) -> bool {
   if (run.phase == RunPhase::kStopping) {
     return false;
   }
   run.phase = RunPhase::kStopping;
+  WithdrawStart(place, run);
   WorkerView& worker = *run.worker;
   StopOrder order;
   order.set_order(next_order_++);
--- a/Source/Jobs/owner_polls.cc
+++ b/Source/Jobs/owner_polls.cc
@@ -30,6 +30,7 @@
     auto* start = orders->add_starts();
     *start = *order.start;
     start->set_repeated(order.sent);
+    start->set_withdrawn(order.withdrawn);
     start->set_decided_before_ms(MillisecondsOf(now - order.decided_at));
   } else {
     *orders->add_stops() = *order.stop;
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -282,9 +282,12 @@
 }
 
 auto TaskAgent::WorkerDeadline() const -> WorkerTime {
-  const auto left = GrantUntil() - kLeaseMargin - worker_clock_at_;
-  return worker_clock_ +
-         std::max(WorkerTime(1), std::chrono::floor<WorkerTime>(left));
+  return ToWorkerTime(GrantUntil() - kLeaseMargin);
+}
+
+auto TaskAgent::ToWorkerTime(TimePoint time) const -> WorkerTime {
+  const auto left = std::chrono::floor<WorkerTime>(time - worker_clock_at_);
+  return worker_clock_ + std::max(WorkerTime(1), left);
 }
 
 auto TaskAgent::LeaseLapsed(TimePoint now) const -> bool {
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -13,7 +13,7 @@
 
 #include "Base/base.h"
 #include "Jobs/opportunistic_pacing.h"
-#include "Jobs/order_times.h"
+#include "Jobs/order_basis.h"
 #include "Jobs/run_tracker.h"
 #include "Jobs/worker_port.h"
 
@@ -33,6 +33,10 @@
   // A worker counts as unresponsive after its listings have failed for this
   // long.
   std::chrono::milliseconds unresponsive_after{700};
+  // A start is void if the owner has not confirmed it for this long. A cancel
+  // has to take effect within 3 s, and the owner may know of it up to a second
+  // after its acknowledgement.
+  std::chrono::milliseconds max_start_age{1800};
   // The maximum lease that a worker grants, and so the bound of one that an
   // earlier process of this agent renewed.
   std::chrono::milliseconds max_lease{10000};
@@ -117,8 +121,8 @@
     bool withdrawn = false;
     TimePoint not_before;
     TimePoint received_at;
-    // For a start; null if they are unknown.
-    std::optional<OrderTimes> times;
+    // Of the newest message with this start; null if they are unknown.
+    std::optional<OrderBasis> basis;
     // Lease under which the order was received. The order is void once that
     // lease has ended.
     uint64_t lease_number = 0;
@@ -128,11 +132,18 @@
     OrderOutcome outcome = ORDER_DONE;
   };
   using OrderPtr = std::shared_ptr<Order>;
+  struct StartRejection {
+    OrderOutcome outcome = ORDER_REFUSED;
+    std::string why;
+  };
 
   auto AdoptFence(TimePoint now, uint64_t fence) -> void;
   // Renews the lease if the orders grant one to this process.
   auto RenewLease(TimePoint now, const AgentOrders& orders) -> void;
   auto AcceptOrders(TimePoint now, const AgentOrders& orders) -> void;
+  auto AcceptStart(TimePoint now,
+                   const StartOrder& start,
+                   const std::optional<OrderBasis>& basis) -> void;
   // Withdraws the waiting starts to which the stop applies.
   auto WithdrawStarts(const StopOrder& stop) -> void;
   // Whether a stop that was received earlier applies to the start.
@@ -155,6 +166,11 @@
       -> void;
   auto OnStopped(TimePoint now, const OrderPtr& order, WorkerCallResult result)
       -> void;
+  // Why the start must not be carried out now; null if it may.
+  auto FindRejection(TimePoint now, const Order& order) const
+      -> std::optional<StartRejection>;
+  // Until when the start is valid.
+  auto ValidUntil(const Order& order) const -> TimePoint;
   auto LogStart(TimePoint now,
                 const Order& order,
                 const std::string& what,
@@ -174,7 +190,8 @@
   // the worker's tasks can start elsewhere, and calls without a response are
   // repeated indefinitely.
   auto GrantUntil() const -> TimePoint;
-  // The same time on the worker's clock.
+  auto ToWorkerTime(TimePoint time) const -> WorkerTime;
+  // The end of the lease on the worker's clock.
   auto WorkerDeadline() const -> WorkerTime;
   auto NoteGranted(TimePoint now) -> void;
   // Whether the lease of an unresponsive worker has expired, also by the
--- a/Source/Jobs/task_agent_orders.cc
+++ b/Source/Jobs/task_agent_orders.cc
@@ -75,31 +75,11 @@
            item.second->state == OrderState::kFinished;
   });
   for (const auto& start : orders.starts()) {
-    if (start.order() <= results_seen_ || orders_.contains(start.order())) {
-      continue;
-    }
-    const bool other_worker_id = start.worker_id() != heartbeat_.worker_id;
-    if (other_worker_id && start.repeated()) {
-      // The report shows the owner which worker id is the newer one.
-      continue;
-    }
-    auto order = std::make_shared<Order>();
-    order->start = start;
-    order->task = start.task();
-    order->run = start.run();
-    order->received_at = now;
+    std::optional<OrderBasis> basis;
     if (reported) {
-      order->times = TimesOf(now, *reported, orders, start);
-    }
-    order->unconfirmed = start.repeated();
-    order->withdrawn = HasStop(start);
-    order->lease_number = lease_number_;
-    orders_[start.order()] = order;
-    if (other_worker_id) {
-      // The order is for another process of the worker, so it cannot have any
-      // effect there.
-      Finish(order, ORDER_REFUSED);
+      basis = BasisOf(now, *reported, orders, start);
     }
+    AcceptStart(now, start, basis);
   }
   for (const auto& stop : orders.stops()) {
     if (stop.order() <= results_seen_ || orders_.contains(stop.order())) {
@@ -122,6 +102,45 @@
   pacing_.SetPressures({orders.pressures().begin(), orders.pressures().end()});
 }
 
+auto TaskAgent::AcceptStart(TimePoint now,
+                            const StartOrder& start,
+                            const std::optional<OrderBasis>& basis) -> void {
+  if (start.order() <= results_seen_) {
+    return;
+  }
+  const auto known = orders_.find(start.order());
+  if (known != orders_.end()) {
+    Order& order = *known->second;
+    order.withdrawn = order.withdrawn || start.withdrawn();
+    const bool newer = basis && (!order.basis || order.basis->confirmed_at <
+                                                     basis->confirmed_at);
+    if (newer && !order.withdrawn) {
+      order.basis = basis;
+    }
+    return;
+  }
+  const bool other_worker_id = start.worker_id() != heartbeat_.worker_id;
+  if (other_worker_id && start.repeated()) {
+    // The report shows the owner which worker id is the newer one.
+    return;
+  }
+  auto order = std::make_shared<Order>();
+  order->start = start;
+  order->task = start.task();
+  order->run = start.run();
+  order->received_at = now;
+  order->basis = basis;
+  order->unconfirmed = start.repeated();
+  order->withdrawn = start.withdrawn() || HasStop(start);
+  order->lease_number = lease_number_;
+  orders_[start.order()] = order;
+  if (other_worker_id) {
+    // The order is for another process of the worker, so it cannot have any
+    // effect there.
+    Finish(order, ORDER_REFUSED);
+  }
+}
+
 auto TaskAgent::WithdrawStarts(const StopOrder& stop) -> void {
   for (const auto& [number, order] : orders_) {
     const bool matches = !order->is_stop && order->run <= stop.run() &&
@@ -171,15 +190,40 @@
     CallStop(order);
     return;
   }
-  const bool lease_holds =
-      LeaseHolds(now) && order->lease_number == lease_number_;
-  if (heartbeat_.draining || evacuated_ || order->withdrawn || !lease_holds) {
-    RejectStart(now, order, ORDER_REFUSED);
+  const auto rejection = FindRejection(now, *order);
+  if (rejection) {
+    LogStart(now, *order, "start_rejected", rejection->why);
+    RejectStart(now, order, rejection->outcome);
     return;
   }
   CallStart(now, order);
 }
 
+auto TaskAgent::FindRejection(TimePoint now, const Order& order) const
+    -> std::optional<StartRejection> {
+  if (heartbeat_.draining) {
+    return StartRejection{ORDER_REFUSED, "its worker drains"};
+  }
+  if (evacuated_) {
+    return StartRejection{ORDER_REFUSED, "its failure domain is evacuated"};
+  }
+  if (order.withdrawn) {
+    return StartRejection{ORDER_REFUSED, "its stop was ordered"};
+  }
+  if (!LeaseHolds(now) || order.lease_number != lease_number_) {
+    return StartRejection{ORDER_REFUSED, "its lease has ended"};
+  }
+  if (now >= ValidUntil(order)) {
+    return StartRejection{ORDER_OUTDATED, "it was not confirmed in time"};
+  }
+  return std::nullopt;
+}
+
+auto TaskAgent::ValidUntil(const Order& order) const -> TimePoint {
+  return order.basis ? order.basis->confirmed_at + options_.max_start_age
+                     : TimePoint();
+}
+
 auto TaskAgent::CallStart(TimePoint now, const OrderPtr& order) -> void {
   order->state = OrderState::kCalling;
   StartCall call;
@@ -189,7 +233,7 @@
   call.payload = order->start.payload();
   call.checkpoint = order->start.checkpoint();
   call.ticket = order->start.ticket();
-  call.deadline = WorkerDeadline();
+  call.deadline = std::min(WorkerDeadline(), ToWorkerTime(ValidUntil(*order)));
   call.worker_id = heartbeat_.worker_id;
   run_watch_.OnCall(now, order->task, order->run);
   NoteGranted(now);
@@ -282,10 +326,10 @@
                          const std::string& what,
                          const std::string& why) const -> void {
   AgentDecision decision{what, order.task, order.run, why};
-  if (order.times) {
+  if (order.basis) {
     decision.ages = StartAges{
-        now - order.times->decided_at, now - order.times->confirmed_at,
-        now - order.times->log_as_of, now - order.received_at};
+        now - order.basis->decided_at, now - order.basis->confirmed_at,
+        now - order.basis->log_as_of, now - order.received_at};
   }
   hooks_.log(decision);
 }
--- a/Source/Jobs/worker_view.cc
+++ b/Source/Jobs/worker_view.cc
@@ -28,6 +28,14 @@
   return room;
 }
 
+auto IsStartOf(const PendingOrder& order, const TaskPlace& place, uint64_t run)
+    -> bool {
+  const auto& start = order.start;
+  return start && start->run() == run && start->task().index() == place.index &&
+         start->task().step() == place.step &&
+         start->task().job() == place.work->job().id();
+}
+
 auto WorkerView::Free() const -> ResourceAmounts {
   return {capacity.millicores - held.millicores,
           capacity.memory_mb - held.memory_mb,
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -37,8 +37,14 @@
   TimePoint sent_at;
   bool sent = false;
   TimePoint decided_at;
+  // A start whose run was ordered to stop.
+  bool withdrawn = false;
 };
 
+// Whether the order is to start this run of the task.
+auto IsStartOf(const PendingOrder& order, const TaskPlace& place, uint64_t run)
+    -> bool;
+
 // A run with a target latency.
 struct ServingRun {
   std::string image;
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -540,12 +540,146 @@
   EXPECT_EQ(Result(), ORDER_REFUSED);
   EXPECT_TRUE(reports_.back().worker_lapsed());
   ASSERT_GT(starts_.size(), 2U);
-  // The first start was sent before the worker was known to be unresponsive.
+  // The lease of 5 s that was in force when the worker became unresponsive,
+  // without its margin, on the worker's clock.
+  constexpr milliseconds kLeaseEnd{54900};
   for (const auto& start : starts_) {
-    EXPECT_LE(start.deadline, starts_.front().deadline);
+    EXPECT_LE(start.deadline, kLeaseEnd);
   }
 }
 
+struct StartAgeCase {
+  std::string name;
+  // Age of the report to which the message with the start refers.
+  milliseconds report_age{0};
+  // Time from that report until the owner built the message, as it states.
+  milliseconds built_after{0};
+  std::optional<OrderOutcome> rejected;
+};
+
+class StartAgeTest : public TaskAgentTest,
+                     public testing::WithParamInterface<StartAgeCase> {
+ protected:
+  // Orders that refer to a report of this age.
+  auto AgedOrders(milliseconds age, milliseconds built_after) const
+      -> AgentOrders {
+    auto orders = Orders(1);
+    orders.set_granted_from_us(orders.granted_from_us() -
+                               std::chrono::microseconds(age).count());
+    orders.set_built_after_us(std::chrono::microseconds(built_after).count());
+    return orders;
+  }
+};
+
+// Guards against a task that starts after its job's cancel was acknowledged:
+// its start order lay for seconds between the owner and the agent, with its
+// withdrawal behind it, and the agent's lease still held.
+TEST_P(StartAgeTest, StartThatWasNotConfirmedInTimeIsRejected) {
+  SendHeartbeat(kWorkerId);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  AnswerList();
+  now_ += std::chrono::seconds(4);
+  agent_.OnOrders(
+      now_, "owner",
+      WithStart(AgedOrders(GetParam().report_age, GetParam().built_after),
+                /*repeated=*/false));
+  EXPECT_EQ(starts_.empty(), GetParam().rejected.has_value());
+  EXPECT_EQ(Result(), GetParam().rejected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    StartAgeTest,
+    testing::Values(
+        StartAgeCase{"at_once", milliseconds(0), milliseconds(0), std::nullopt},
+        StartAgeCase{"after_a_second", milliseconds(1000), milliseconds(0),
+                     std::nullopt},
+        StartAgeCase{"after_two_seconds", milliseconds(2000), milliseconds(0),
+                     ORDER_OUTDATED},
+        StartAgeCase{"built_long_after_the_report", milliseconds(3500),
+                     milliseconds(3000), std::nullopt},
+        StartAgeCase{"built_after_the_report_and_late", milliseconds(3500),
+                     milliseconds(1000), ORDER_OUTDATED},
+        StartAgeCase{"said_to_be_built_later_than_now", milliseconds(100),
+                     milliseconds(90000), std::nullopt}),
+    [](const auto& info) { return info.param.name; });
+
+struct WaitingStartCase {
+  std::string name;
+  // Whether later messages contain the start again, and say that its run was
+  // ordered to stop.
+  bool repeated = false;
+  bool withdrawn = false;
+  std::size_t starts = 0;
+};
+
+class WaitingStartTest : public TaskAgentTest,
+                         public testing::WithParamInterface<WaitingStartCase> {
+};
+
+// Guards against a task that starts after its job's cancel was acknowledged:
+// the order waits at the agent for a worker that does not answer, while later
+// messages renew the lease; the order to stop was lost.
+TEST_P(WaitingStartTest, NeedsToBeConfirmed) {
+  SendHeartbeat(kWorkerId);
+  agent_.OnOrders(now_, "owner", WithStart(Orders(1), /*repeated=*/false));
+  for (int message = 0; message < 8; ++message) {
+    now_ += milliseconds(300);
+    auto orders = Orders(1);
+    if (GetParam().repeated) {
+      orders = WithStart(orders, /*repeated=*/true);
+      orders.mutable_starts(0)->set_withdrawn(GetParam().withdrawn);
+    }
+    agent_.OnOrders(now_, "owner", orders);
+  }
+  ASSERT_TRUE(starts_.empty());
+  AnswerList();
+  EXPECT_EQ(starts_.size(), GetParam().starts);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    WaitingStartTest,
+    testing::Values(WaitingStartCase{"never_repeated", false, false, 0},
+                    WaitingStartCase{"repeated", true, false, 1},
+                    WaitingStartCase{"repeated_as_withdrawn", true, true, 0}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against a worker that carries out a start long after the owner's
+// decision, since the call was valid for as long as the lease.
+TEST_F(TaskAgentTest, CallOfAStartIsValidForAsLongAsItsOrder) {
+  SendHeartbeat(kWorkerId);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  AnswerList();
+  now_ += milliseconds(500);
+  agent_.OnOrders(now_, "owner", WithStart(Orders(1), /*repeated=*/false));
+  ASSERT_EQ(starts_.size(), 1U);
+  // The worker's clock showed 50 s half a second ago.
+  EXPECT_EQ(starts_.back().deadline,
+            milliseconds(50500) + TaskAgentOptions().max_start_age);
+}
+
+// Guards against logs that do not show how old a start was when it was carried
+// out, and on how old a copy of the log it was decided.
+TEST_F(TaskAgentTest, LogsTheAgesOfAStart) {
+  SendHeartbeat(kWorkerId);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  AnswerList();
+  auto orders = WithStart(Orders(1), /*repeated=*/false);
+  orders.set_log_age_ms(70);
+  orders.mutable_starts(0)->set_decided_before_ms(20);
+  agent_.OnOrders(now_, "owner", orders);
+  now_ += milliseconds(10);
+  on_start_(now_, {WorkerCallOutcome::kDone});
+  ASSERT_EQ(decisions_.size(), 1U);
+  EXPECT_EQ(decisions_[0].what, "started");
+  ASSERT_TRUE(decisions_[0].ages);
+  EXPECT_EQ(decisions_[0].ages->since_decision, milliseconds(30));
+  EXPECT_EQ(decisions_[0].ages->since_confirmation, milliseconds(10));
+  EXPECT_EQ(decisions_[0].ages->log, milliseconds(80));
+  EXPECT_EQ(decisions_[0].ages->at_agent, milliseconds(10));
+}
+
 TEST_F(TaskAgentTest, HeartbeatOfAnEndedWorkerProcessIsRejected) {
   SendHeartbeat("life-1");
   SendHeartbeat("life-2");
