Jobs: Check a start in the log if its owner's copy is outdated

What callers saw: tasks of a cancelled job were placed anew, seconds after the cancel, by an owner that knew that it reads the log late, and after its successor had begun. An owner that is cut off from the log went on so for up to 16 s.

An owner decides on a copy of the log whose age nobody bounds. It cannot stop to decide while it does not read: in an outage of the log work goes on, and the owner cannot tell an outage from being cut off.

The agent can, if the log answers it. A start that rests on a copy older than 2.5 s is checked there, from the offset to which the owner had read: it is void if its job is over or another owner has claimed the cell since. Nothing is read while owners read in time. With the bound on confirmations, a start is carried out at most 2.5 s after the moment up to which the log was known.

A rejected start is placed again after 0.5 s, so that an owner that does not know the cause does not flood its agents.

OldLogTest, job_cancelled and owner_replaced, fail without the check.

--- a/Source/Daemon/job_agent.cc
+++ b/Source/Daemon/job_agent.cc
@@ -177,6 +177,7 @@
 auto JobAgent::MakeAgentHooks() -> jobs::TaskAgentHooks {
   jobs::TaskAgentHooks hooks;
   hooks.worker = WorkerOnThread(hooks_.worker);
+  hooks.read_log = OnThread(hooks_.log, &thread_).read;
   hooks.report = [this](const std::string& peer,
                         jobs::AgentReport report) -> void {
     schema::Envelope envelope;
--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -436,7 +436,9 @@
   hooks.exclusive_until = [this]() -> TimePoint {
     return election_.exclusive_until();
   };
-  hooks.log_as_of = [this]() -> TimePoint { return election_.read_as_of(); };
+  hooks.log_position = [this]() -> LogPosition {
+    return {election_.read_as_of(), job_follower_.read_to().value_or(0)};
+  };
   hooks.wall_clock = hooks_.wall_clock;
   hooks.ask_advice = hooks_.ask_advice;
   return hooks;
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -115,6 +115,14 @@
   Duration oldest_report{0};
 };
 
+// How much of the log a copy contains: all records that the log had at `as_of`,
+// and all before the offset `read_to`. The offset is zero while the newest
+// records are being re-read.
+struct LogPosition {
+  TimePoint as_of;
+  uint64_t read_to = 0;
+};
+
 struct JobOwnerHooks {
   // Sends orders over the link to the agent at the endpoint.
   std::function<auto(const std::string& link_endpoint, AgentOrders)->void> send;
@@ -146,8 +154,8 @@
   // a lease that expired before it are over; a later lease may have been
   // renewed by a successor.
   std::function<auto()->TimePoint> exclusive_until;
-  // The fold contains all records that the log had at this time.
-  std::function<auto()->TimePoint> log_as_of;
+  // Returns what the fold contains.
+  std::function<auto()->LogPosition> log_position;
   // Time since the Unix epoch.
   std::function<auto()->std::chrono::milliseconds> wall_clock;
   // Requests tickets from the policy.
--- a/Source/Jobs/jobs.h
+++ b/Source/Jobs/jobs.h
@@ -26,6 +26,7 @@
 #include "Jobs/owner_election.h"
 #include "Jobs/queue_directory.h"
 #include "Jobs/run_tracker.h"
+#include "Jobs/start_check.h"
 #include "Jobs/task_agent.h"
 #include "Jobs/ticket_cache.h"
 #include "Jobs/worker_port.h"
--- a/Source/Jobs/order_basis.cc
+++ b/Source/Jobs/order_basis.cc
@@ -38,7 +38,7 @@
       std::chrono::microseconds(std::min(
           orders.built_after_us(), static_cast<uint64_t>(longest.count())));
   return {Before(built, start.decided_before_ms()), built,
-          Before(built, orders.log_age_ms())};
+          Before(built, orders.log_age_ms()), orders.log_read_to()};
 }
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/order_basis.h
+++ b/Source/Jobs/order_basis.h
@@ -14,8 +14,10 @@
   TimePoint decided_at;
   // When the owner last stated that the order stands.
   TimePoint confirmed_at;
-  // The owner knew of all records that the log had at this time.
+  // The owner knew of all records that the log had at this time, and of all
+  // records before this offset.
   TimePoint log_as_of;
+  uint64_t log_read_to = 0;
 };
 
 // Returns the time of the agent's report to which the message refers; null if
--- a/Source/Jobs/owner_ends.cc
+++ b/Source/Jobs/owner_ends.cc
@@ -14,6 +14,9 @@
 constexpr std::chrono::milliseconds kUnhealthyQuarantineTime{700};
 // Delay before a failed task is tried again.
 constexpr std::chrono::milliseconds kRetryDelay{50};
+// The same after a start that came too late: this owner is slow, or does not
+// know why the start is void.
+constexpr std::chrono::milliseconds kOutdatedRetryDelay{500};
 
 }  // namespace
 
@@ -164,7 +167,8 @@
     ++worker.failures_in_row;
     QuarantineWorker(worker, now + kUnhealthyQuarantineTime);
   } else {
-    place->task().not_before = now + kRetryDelay;
+    place->task().not_before =
+        now + (outcome == ORDER_OUTDATED ? kOutdatedRetryDelay : kRetryDelay);
   }
   retry_at_ = std::min(retry_at_,
                        std::max(worker.quarantined_until, now + kRetryDelay));
--- a/Source/Jobs/owner_polls.cc
+++ b/Source/Jobs/owner_polls.cc
@@ -95,7 +95,9 @@
     worker.lease_bound =
         std::max(worker.lease_bound, LeaseBound(worker.reported_at));
   }
-  orders.set_log_age_ms(MillisecondsOf(now - hooks_.log_as_of()));
+  const LogPosition log = hooks_.log_position();
+  orders.set_log_age_ms(MillisecondsOf(now - log.as_of));
+  orders.set_log_read_to(log.read_to);
   orders.set_evacuated(worker.evacuated);
   orders.set_worker_id(worker.worker_id);
   orders.set_ends_logged(worker.ends_logged);
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -29,7 +29,11 @@
 }  // namespace
 
 TaskAgent::TaskAgent(TaskAgentOptions options, TaskAgentHooks hooks)
-    : options_(options), hooks_(std::move(hooks)) {}
+    : options_(options),
+      hooks_(std::move(hooks)),
+      start_check_([this](const ReadCall& call, const auto& done) -> void {
+        hooks_.read_log(call, done);
+      }) {}
 
 auto TaskAgent::OnOrders(TimePoint now,
                          const std::string& peer,
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -15,6 +15,7 @@
 #include "Jobs/opportunistic_pacing.h"
 #include "Jobs/order_basis.h"
 #include "Jobs/run_tracker.h"
+#include "Jobs/start_check.h"
 #include "Jobs/worker_port.h"
 
 namespace rhubarbhaven::jobs {
@@ -37,6 +38,9 @@
   // has to take effect within 3 s, and the owner may know of it up to a second
   // after its acknowledgement.
   std::chrono::milliseconds max_start_age{1800};
+  // A start that rests on an older copy of the log is checked in the log, if
+  // that can be reached.
+  std::chrono::milliseconds max_log_age{2500};
   // The maximum lease that a worker grants, and so the bound of one that an
   // earlier process of this agent renewed.
   std::chrono::milliseconds max_lease{10000};
@@ -71,6 +75,8 @@
 // The agent's calls to other components.
 struct TaskAgentHooks {
   WorkerPort worker;
+  // Reads the log, to check starts that rest on an outdated copy of it.
+  StartCheck::ReadLog read_log;
   // Sends a report to the owner whose orders have the highest fence.
   std::function<auto(const std::string& peer, AgentReport)->void> report;
   std::function<auto(const AgentDecision&)->void> log;
@@ -169,8 +175,13 @@
   // Why the start must not be carried out now; null if it may.
   auto FindRejection(TimePoint now, const Order& order) const
       -> std::optional<StartRejection>;
-  // Until when the start is valid.
-  auto ValidUntil(const Order& order) const -> TimePoint;
+  // Until when the start is valid without another confirmation.
+  auto ValidUntil(TimePoint now, const Order& order) const -> TimePoint;
+  // Whether the start needs no check in the log.
+  auto LogIsRecent(TimePoint now, const Order& order) const -> bool;
+  // Whether the start rests on a copy of the log that is recent enough, or was
+  // found to stand by a check. Otherwise rejects it or has it checked later.
+  auto CheckLog(TimePoint now, const OrderPtr& order) -> bool;
   auto LogStart(TimePoint now,
                 const Order& order,
                 const std::string& what,
@@ -201,6 +212,7 @@
 
   TaskAgentOptions options_;
   TaskAgentHooks hooks_;
+  StartCheck start_check_;
   OpportunisticPacing pacing_{OpportunisticPacingOptions()};
   uint64_t pacing_version_ = 0;
 
--- a/Source/Jobs/task_agent_orders.cc
+++ b/Source/Jobs/task_agent_orders.cc
@@ -9,6 +9,8 @@
 
 // Pause before a call to the worker without a response is repeated.
 constexpr std::chrono::milliseconds kCallRetryPause{30};
+// Interval at which a start whose check is pending is looked at.
+constexpr std::chrono::milliseconds kCheckInterval{20};
 
 auto SameTask(const TaskName& left, const TaskName& right) -> bool {
   return left.index() == right.index() && left.step() == right.step() &&
@@ -194,9 +196,9 @@
   if (rejection) {
     LogStart(now, *order, "start_rejected", rejection->why);
     RejectStart(now, order, rejection->outcome);
-    return;
+  } else if (CheckLog(now, order)) {
+    CallStart(now, order);
   }
-  CallStart(now, order);
 }
 
 auto TaskAgent::FindRejection(TimePoint now, const Order& order) const
@@ -213,15 +215,47 @@
   if (!LeaseHolds(now) || order.lease_number != lease_number_) {
     return StartRejection{ORDER_REFUSED, "its lease has ended"};
   }
-  if (now >= ValidUntil(order)) {
+  if (now >= ValidUntil(now, order)) {
     return StartRejection{ORDER_OUTDATED, "it was not confirmed in time"};
   }
   return std::nullopt;
 }
 
-auto TaskAgent::ValidUntil(const Order& order) const -> TimePoint {
-  return order.basis ? order.basis->confirmed_at + options_.max_start_age
-                     : TimePoint();
+auto TaskAgent::LogIsRecent(TimePoint now, const Order& order) const -> bool {
+  return now - order.basis->log_as_of < options_.max_log_age;
+}
+
+auto TaskAgent::ValidUntil(TimePoint now, const Order& order) const
+    -> TimePoint {
+  if (!order.basis) {
+    return TimePoint();
+  }
+  const TimePoint until = order.basis->confirmed_at + options_.max_start_age;
+  return LogIsRecent(now, order)
+             ? std::min(until, order.basis->log_as_of + options_.max_log_age)
+             : until;
+}
+
+auto TaskAgent::CheckLog(TimePoint now, const OrderPtr& order) -> bool {
+  if (LogIsRecent(now, *order)) {
+    return true;
+  }
+  switch (start_check_.Check(
+      now, {order->task.job(), fence_, order->basis->log_read_to})) {
+    case StartCheck::Verdict::kStands:
+    // Work goes on during an outage of the log. This agent cannot tell it from
+    // being cut off together with the owner.
+    case StartCheck::Verdict::kUnreachable:
+      return true;
+    case StartCheck::Verdict::kPending:
+      order->not_before = now + kCheckInterval;
+      return false;
+    case StartCheck::Verdict::kVoid:
+      LogStart(now, *order, "start_rejected", "by the log it is void");
+      RejectStart(now, order, ORDER_OUTDATED);
+      return false;
+  }
+  return false;
 }
 
 auto TaskAgent::CallStart(TimePoint now, const OrderPtr& order) -> void {
@@ -233,7 +267,8 @@
   call.payload = order->start.payload();
   call.checkpoint = order->start.checkpoint();
   call.ticket = order->start.ticket();
-  call.deadline = std::min(WorkerDeadline(), ToWorkerTime(ValidUntil(*order)));
+  call.deadline =
+      std::min(WorkerDeadline(), ToWorkerTime(ValidUntil(now, *order)));
   call.worker_id = heartbeat_.worker_id;
   run_watch_.OnCall(now, order->task, order->run);
   NoteGranted(now);
--- a/Tests/Benchmarks/Jobs/owner_simulation.cc
+++ b/Tests/Benchmarks/Jobs/owner_simulation.cc
@@ -91,7 +91,7 @@
   hooks.is_evacuated = [](const std::string&) { return false; };
   hooks.report_start_delay = [](Duration) {};
   hooks.exclusive_until = [this]() -> TimePoint { return now_; };
-  hooks.log_as_of = [this]() -> TimePoint { return now_; };
+  hooks.log_position = [this]() -> LogPosition { return {now_, 0}; };
   hooks.wall_clock = [this]() -> std::chrono::milliseconds {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
         now_.time_since_epoch());
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -74,7 +74,9 @@
     hooks.exclusive_until = [this]() -> TimePoint {
       return std::min(now_, exclusive_until_);
     };
-    hooks.log_as_of = [this]() -> TimePoint { return now_ - log_age_; };
+    hooks.log_position = [this]() -> LogPosition {
+      return {now_ - log_age_, offset_ + 1};
+    };
     hooks.wall_clock = [this]() -> milliseconds { return wall_time_; };
     hooks.ask_advice = [this](const AdviceCall& call, const auto& done) {
       advice_calls_.push_back(call);
--- a/Tests/Jobs/simulated_cluster.cc
+++ b/Tests/Jobs/simulated_cluster.cc
@@ -434,6 +434,14 @@
       in_process([this, done, listing] { done(time_.now(), listing); });
     });
   };
+  hooks.read_log =
+      [this, port = log_.PortFor(process->name, [] { return true; }),
+       in_process](const ReadCall& call, const KeyedLogPort::OnRead& done) {
+        port.read(call, [this, in_process, done](TimePoint,
+                                                 const ReadResult& result) {
+          in_process([this, done, result] { done(time_.now(), result); });
+        });
+      };
   hooks.report = [this, number](const std::string& peer,
                                 const AgentReport& report) {
     SendReport(number, peer, report);
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -17,6 +17,7 @@
 
 constexpr char kWorkerId[] = "life-1";
 constexpr uint64_t kIncarnation = 5;
+constexpr char kJobId[] = "0123456789abcdef";
 
 // An agent whose calls to the worker are held until the test answers them.
 class TaskAgentTest : public testing::Test {
@@ -44,6 +45,10 @@
       on_list_ = done;
     };
     hooks.worker.pace = [](const PaceCall&, const auto&) {};
+    hooks.read_log = [this](const ReadCall& call, const auto& done) {
+      reads_.push_back(call);
+      on_read_ = done;
+    };
     hooks.report = [this](const std::string&, AgentReport report) {
       reports_.push_back(std::move(report));
     };
@@ -121,6 +126,8 @@
   WorkerPort::OnCall on_start_;
   WorkerPort::OnCall on_stop_;
   WorkerPort::OnListing on_list_;
+  std::vector<ReadCall> reads_;
+  KeyedLogPort::OnRead on_read_;
   std::vector<AgentReport> reports_;
   std::vector<AgentDecision> decisions_;
   TaskAgent agent_;
@@ -645,6 +652,89 @@
                     WaitingStartCase{"repeated_as_withdrawn", true, true, 0}),
     [](const auto& info) { return info.param.name; });
 
+struct OldLogCase {
+  std::string name;
+  // Age of the owner's copy of the log when it sent the start.
+  milliseconds log_age{3000};
+  // What the log contains beyond that copy; none if it does not answer.
+  std::optional<std::vector<KeyedRecord>> records;
+  bool starts = false;
+};
+
+class OldLogTest : public TaskAgentTest,
+                   public testing::WithParamInterface<OldLogCase> {
+ protected:
+  // Offset after the last record that the owner has read.
+  static constexpr uint64_t kReadTo = 70;
+
+ public:
+  static auto Cancellation(const std::string& job) -> KeyedRecord {
+    auto record = MakeCancellation(job);
+    record.offset = kReadTo;
+    return record;
+  }
+  static auto Claim(uint64_t fence) -> KeyedRecord {
+    OwnerClaim claim;
+    claim.set_owner("entry");
+    claim.set_fence(fence);
+    auto record = MakeRecord(RecordKind::kClaim, "", claim);
+    record.offset = kReadTo;
+    return record;
+  }
+};
+
+// Guards against tasks of a cancelled job that are started by an owner which
+// cannot read the log, or has not read yet that it was replaced.
+TEST_P(OldLogTest, StartIsCarriedOutOnlyIfTheLogLeavesItStanding) {
+  SendHeartbeat(kWorkerId);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  AnswerList();
+  auto orders = WithStart(Orders(1), /*repeated=*/false);
+  orders.set_log_age_ms(static_cast<uint64_t>(GetParam().log_age.count()));
+  orders.set_log_read_to(kReadTo);
+  orders.mutable_starts(0)->mutable_task()->set_job(kJobId);
+  agent_.OnOrders(now_, "owner", orders);
+  EXPECT_EQ(starts_.empty(),
+            GetParam().log_age > TaskAgentOptions().max_log_age);
+  if (!reads_.empty()) {
+    EXPECT_EQ(reads_.back().from, kReadTo);
+    if (GetParam().records) {
+      ReadResult result;
+      result.outcome = ReadOutcome::kRecords;
+      result.records = *GetParam().records;
+      result.end = kReadTo + result.records.size();
+      on_read_(now_, result);
+    }
+  }
+  now_ += StartCheckOptions().patience;
+  agent_.Tick(now_);
+  EXPECT_EQ(starts_.size(), GetParam().starts ? 1U : 0U);
+  EXPECT_EQ(Result(),
+            GetParam().starts ? std::nullopt : std::optional(ORDER_OUTDATED));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    OldLogTest,
+    testing::Values(
+        OldLogCase{"recent", milliseconds(300), std::nullopt, true},
+        OldLogCase{"nothing_new", milliseconds(3000),
+                   std::vector<KeyedRecord>{}, true},
+        OldLogCase{"log_does_not_answer", milliseconds(3000), std::nullopt,
+                   true},
+        OldLogCase{"job_cancelled", milliseconds(3000),
+                   std::vector<KeyedRecord>{OldLogTest::Cancellation(kJobId)},
+                   false},
+        OldLogCase{"another_job_cancelled", milliseconds(3000),
+                   std::vector<KeyedRecord>{
+                       OldLogTest::Cancellation("fedcba9876543210")},
+                   true},
+        OldLogCase{"owner_replaced", milliseconds(3000),
+                   std::vector<KeyedRecord>{OldLogTest::Claim(2)}, false},
+        OldLogCase{"owner_renewed", milliseconds(3000),
+                   std::vector<KeyedRecord>{OldLogTest::Claim(1)}, true}),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against a worker that carries out a start long after the owner's
 // decision, since the call was valid for as long as the lease.
 TEST_F(TaskAgentTest, CallOfAStartIsValidForAsLongAsItsOrder) {
