Jobs: Hold what a review of the age of starts found

- One failed read counted as an outage of the log, so starts of cancelled jobs went on for up to 2 s.
Only a log that has answered nothing for 0.6 s is out of reach; patience counts from the last answer, not over all pages.
- While an owner read the newest records anew it named offset 0 as read, so agents had nothing to check from.
It names the offset that it had last reached the end at.
- All starts of an owner whose orders take 2 s or more were void, for good: repeats are as late.
The age of the log decides now in the normal path: a start that rests on a copy older than 2.5 s is checked in the log, and stands if the log says so.
Only where the log is out of reach must the owner have confirmed it within 1.8 s.
- The call after a check was valid for up to 2.8 s after the read.
It is valid for 2.5 s after it.
- Two starts could begin each other's check anew for ever.
- A start whose call was not answered was stopped when it became old, also if it had begun and a successor would have adopted it.
It waits for the owner's next message or the lease's end.
- What was read is freed by time, not by the next check; a start that the worker finds late is retried as an outdated one.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -249,6 +249,8 @@
 auto EntryDecisions::OnCaughtUp(TimePoint now, TimePoint as_of) -> void {
   fold_current_ = true;
   election_.OnCaughtUp(now, as_of);
+  log_position_ = {election_.read_as_of(),
+                   job_follower_.read_to().value_or(log_position_.read_to)};
   if (!has_caught_up_) {
     // The previous process of this entry may have been the owner under an
     // earlier claim.
@@ -389,7 +391,7 @@
          {"run", absl::StrCat(decision.run)},
          {"agent", decision.agent},
          {"why", decision.why},
-         {"log_age_ms", InMilliseconds(last_tick_ - election_.read_as_of())}});
+         {"log_age_ms", InMilliseconds(last_tick_ - log_position_.as_of)}});
     return;
   }
   const auto describe = [](std::string* text, const TaskName& task) -> void {
@@ -436,9 +438,7 @@
   hooks.exclusive_until = [this]() -> TimePoint {
     return election_.exclusive_until();
   };
-  hooks.log_position = [this]() -> LogPosition {
-    return {election_.read_as_of(), job_follower_.read_to().value_or(0)};
-  };
+  hooks.log_position = [this]() -> LogPosition { return log_position_; };
   hooks.wall_clock = hooks_.wall_clock;
   hooks.ask_advice = hooks_.ask_advice;
   return hooks;
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -181,6 +181,9 @@
   // Whether the latest claim states that this owner reads too late.
   bool reads_late_ = false;
   OwnerElection election_;
+  // When the log was last read to its end. Kept while the newest records are
+  // being re-read: the fold still contains these.
+  LogPosition log_position_;
   LagMonitor owner_lag_;
   LagMonitor start_delay_;
   JobOwner owner_;
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -116,8 +116,7 @@
 };
 
 // How much of the log a copy contains: all records that the log had at `as_of`,
-// and all before the offset `read_to`. The offset is zero while the newest
-// records are being re-read.
+// and all before the offset `read_to`.
 struct LogPosition {
   TimePoint as_of;
   uint64_t read_to = 0;
--- a/Source/Jobs/order_basis.h
+++ b/Source/Jobs/order_basis.h
@@ -8,8 +8,10 @@
 
 namespace rhubarbhaven::jobs {
 
-// When an order was given and on what knowledge, on the agent's clock. Each is
-// a lower bound, so that no order is taken for younger than it is.
+// When an order was given and on what knowledge, on the agent's clock. The
+// times are lower bounds, so that no order is taken for younger than it is. An
+// owner of a version that does not state the age of its log is taken to have
+// read it when it received the agent's report.
 struct OrderBasis {
   TimePoint decided_at;
   // When the owner last stated that the order stands.
@@ -17,6 +19,7 @@
   // The owner knew of all records that the log had at this time, and of all
   // records before this offset.
   TimePoint log_as_of;
+  // Zero if unknown.
   uint64_t log_read_to = 0;
 };
 
--- a/Source/Jobs/owner_election.h
+++ b/Source/Jobs/owner_election.h
@@ -99,7 +99,7 @@
   // claim: the log accepted an append under this entry's fence that was sent
   // then.
   auto exclusive_until() const -> TimePoint { return verified_; }
-  // What has been read contains all records that the log had at this time.
+  // All records that the log had at this time have been read.
   auto read_as_of() const -> TimePoint { return read_as_of_; }
   auto earlier_grants() const -> const EarlierGrants& { return earlier_; }
   // The owner that this entry's claim replaced.
--- a/Source/Jobs/start_check.cc
+++ b/Source/Jobs/start_check.cc
@@ -7,38 +7,45 @@
 
 }  // namespace
 
-auto StartCheck::Check(TimePoint now, const CheckedStart& start) -> Verdict {
-  const bool covered =
-      from_ && (gone_ ? start.read_to <= *from_ : *from_ <= start.read_to);
-  if (!covered || now - checked_at_ >= options_.keep) {
-    Restart(start.read_to);
-  }
+auto StartCheck::Check(TimePoint now, const CheckedStart& start) -> Result {
+  Tick(now);
   checked_at_ = now;
-  const bool current = read_as_of_ && now - *read_as_of_ < options_.result_age;
-  if (gone_ || current) {
-    return Judge(start);
+  if (LacksRecords(now, start)) {
+    return {Verdict::kUncertain, *deleted_at_};
+  }
+  if (!from_ || start.read_to < *from_) {
+    Clear();
+    from_ = start.read_to;
+    next_ = start.read_to;
   }
-  if (!reading_since_ && now >= retry_at_) {
-    reading_since_ = now;
+  if (read_as_of_ && now - *read_as_of_ < options_.result_age) {
+    return {Judge(start), *read_as_of_};
+  }
+  if (!reading_ && now >= retry_at_) {
     Read(now);
   }
-  if (reading_since_ && now - *reading_since_ >= options_.patience) {
-    NoteUnreachable(now);
+  return {IsUnreachable(now) ? Verdict::kUnreachable : Verdict::kPending, now};
+}
+
+auto StartCheck::Tick(TimePoint now) -> void {
+  if (now - checked_at_ >= options_.keep) {
+    Clear();
+    unanswered_since_ = std::nullopt;
+    retry_at_ = TimePoint();
   }
-  return IsUnreachable(now) ? Verdict::kUnreachable : Verdict::kPending;
 }
 
-auto StartCheck::Restart(uint64_t from) -> void {
+auto StartCheck::Clear() -> void {
   ++generation_;
-  from_ = from;
-  next_ = from;
+  reading_ = false;
+  from_ = std::nullopt;
   fold_ = JobFold();
-  gone_ = false;
   read_as_of_ = std::nullopt;
-  reading_since_ = std::nullopt;
 }
 
 auto StartCheck::Read(TimePoint now) -> void {
+  reading_ = true;
+  unanswered_since_ = unanswered_since_.value_or(now);
   ReadCall call;
   call.from = next_;
   call.max_bytes = kReadBytes;
@@ -54,16 +61,17 @@
 auto StartCheck::OnRead(TimePoint asked,
                         TimePoint now,
                         const ReadResult& result) -> void {
+  reading_ = false;
   if (result.outcome == ReadOutcome::kFailed) {
-    reading_since_ = std::nullopt;
-    retry_at_ = now + options_.retry_pause;
-    NoteUnreachable(now);
+    retry_at_ = now + (IsUnreachable(now) ? options_.unreachable_retry_pause
+                                          : options_.retry_pause);
     return;
   }
-  unreachable_at_ = std::nullopt;
+  unanswered_since_ = std::nullopt;
   if (result.outcome == ReadOutcome::kGone || result.end < next_) {
-    reading_since_ = std::nullopt;
-    gone_ = true;
+    deleted_from_ = next_;
+    deleted_at_ = asked;
+    Clear();
     return;
   }
   for (const auto& record : result.records) {
@@ -74,23 +82,26 @@
     Read(now);
     return;
   }
-  reading_since_ = std::nullopt;
   read_as_of_ = asked;
 }
 
-auto StartCheck::NoteUnreachable(TimePoint now) -> void {
-  unreachable_at_ = now;
+auto StartCheck::IsUnreachable(TimePoint now) const -> bool {
+  return unanswered_since_ && now - *unanswered_since_ >= options_.patience;
 }
 
-auto StartCheck::IsUnreachable(TimePoint now) const -> bool {
-  return unreachable_at_ && now - *unreachable_at_ < options_.unreachable_for;
+auto StartCheck::LacksRecords(TimePoint now, const CheckedStart& start) const
+    -> bool {
+  return deleted_at_ && now - *deleted_at_ < options_.result_age &&
+         start.read_to <= deleted_from_;
 }
 
 auto StartCheck::Judge(const CheckedStart& start) const -> Verdict {
   const auto job = fold_.jobs().find(start.job);
-  const bool over = job != fold_.jobs().end() && job->second->over();
-  const bool replaced = fold_.claim().fence() > start.fence;
-  return gone_ || over || replaced ? Verdict::kVoid : Verdict::kStands;
+  if (job != fold_.jobs().end() && job->second->over()) {
+    return Verdict::kOver;
+  }
+  return fold_.claim().fence() > start.fence ? Verdict::kUncertain
+                                             : Verdict::kStands;
 }
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/start_check.h
+++ b/Source/Jobs/start_check.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "Base/base.h"
 #include "Jobs/job_fold.h"
@@ -17,14 +18,16 @@
   // What was read is used for this long after the read was requested. The limit
   // is longer than `patience`, or a slow log would be read again and again.
   std::chrono::milliseconds result_age{1000};
-  // A log that has not answered for this long counts as unreachable.
+  // A log that has answered no read for this long counts as unreachable. A
+  // single read may fail because the log limits its callers or a connection
+  // breaks.
   std::chrono::milliseconds patience{600};
-  // Pause after a failed read.
-  std::chrono::milliseconds retry_pause{500};
-  // The log counts as unreachable for this long after it was last found so.
-  std::chrono::milliseconds unreachable_for{2000};
-  // Records that were read are kept for this long after the last check.
-  std::chrono::milliseconds keep{10000};
+  // Pause after a failed read, and the same once the log is unreachable.
+  std::chrono::milliseconds retry_pause{50};
+  std::chrono::milliseconds unreachable_retry_pause{500};
+  // What was read, and that the log is unreachable, is kept for this long after
+  // the last check.
+  std::chrono::milliseconds keep{3000};
 };
 
 // A start that rests on an outdated copy of the log.
@@ -43,14 +46,21 @@
  public:
   enum class Verdict {
     kStands,
-    // The job is over, the owner was replaced, or the log no longer has the
-    // records from which that would follow.
-    kVoid,
+    // The job is over.
+    kOver,
+    // The owner was replaced, or the log no longer has all records that the
+    // owner had not read.
+    kUncertain,
     // The log is being read; to be checked again soon.
     kPending,
-    // The log cannot be read.
     kUnreachable,
   };
+  struct Result {
+    Verdict verdict = Verdict::kPending;
+    // With the first three verdicts: all records that the log had at this time
+    // were taken into account.
+    TimePoint as_of;
+  };
   using ReadLog =
       std::function<auto(const ReadCall&, KeyedLogPort::OnRead)->void>;
 
@@ -59,15 +69,19 @@
   StartCheck(const StartCheck&) = delete;
   auto operator=(const StartCheck&) -> StartCheck& = delete;
 
-  auto Check(TimePoint now, const CheckedStart& start) -> Verdict;
+  auto Check(TimePoint now, const CheckedStart& start) -> Result;
+  // Frees what was read once nothing was checked for some time.
+  auto Tick(TimePoint now) -> void;
 
  private:
-  // Begins anew at this offset.
-  auto Restart(uint64_t from) -> void;
+  // Discards what was read, and responses to reads in flight.
+  auto Clear() -> void;
   auto Read(TimePoint now) -> void;
   auto OnRead(TimePoint asked, TimePoint now, const ReadResult& result) -> void;
-  auto NoteUnreachable(TimePoint now) -> void;
   auto IsUnreachable(TimePoint now) const -> bool;
+  // Whether the log has deleted records that the owner of the start had not
+  // read.
+  auto LacksRecords(TimePoint now, const CheckedStart& start) const -> bool;
   auto Judge(const CheckedStart& start) const -> Verdict;
 
   StartCheckOptions options_;
@@ -76,16 +90,18 @@
   std::optional<uint64_t> from_;
   uint64_t next_ = 0;
   JobFold fold_;
-  // Records from `from_` on have been deleted.
-  bool gone_ = false;
   // All records that the log had at this time have been read.
   std::optional<TimePoint> read_as_of_;
-  // Since when the end of the log is being read; none while it is not.
-  std::optional<TimePoint> reading_since_;
+  // A read found that records from this offset on had been deleted, and when it
+  // was requested.
+  uint64_t deleted_from_ = 0;
+  std::optional<TimePoint> deleted_at_;
+  bool reading_ = false;
+  // When the oldest read was requested that follows the last answer.
+  std::optional<TimePoint> unanswered_since_;
   TimePoint retry_at_;
-  std::optional<TimePoint> unreachable_at_;
   TimePoint checked_at_;
-  // Identifies responses to reads from before the last restart.
+  // Identifies responses to reads from before the last `Clear`.
   uint64_t generation_ = 0;
 };
 
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -119,6 +119,7 @@
 }
 
 auto TaskAgent::Tick(TimePoint now) -> void {
+  start_check_.Tick(now);
   ExecuteOrders(now);
   ListIfDue(now);
   if (report_due_) {
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -34,13 +34,13 @@
   // A worker counts as unresponsive after its listings have failed for this
   // long.
   std::chrono::milliseconds unresponsive_after{700};
-  // A start is void if the owner has not confirmed it for this long. A cancel
-  // has to take effect within 3 s, and the owner may know of it up to a second
-  // after its acknowledgement.
-  std::chrono::milliseconds max_start_age{1800};
-  // A start that rests on an older copy of the log is checked in the log, if
-  // that can be reached.
+  // A start may rest on a copy of the log that is older than this only if a
+  // check in the log finds that it stands. A cancel has to take effect within 3
+  // s of its acknowledgement, and the call to the worker takes time.
   std::chrono::milliseconds max_log_age{2500};
+  // While the log cannot be read, such a start is void if the owner has not
+  // confirmed it for this long.
+  std::chrono::milliseconds max_unconfirmed{1800};
   // The maximum lease that a worker grants, and so the bound of one that an
   // earlier process of this agent renewed.
   std::chrono::milliseconds max_lease{10000};
@@ -138,10 +138,6 @@
     OrderOutcome outcome = ORDER_DONE;
   };
   using OrderPtr = std::shared_ptr<Order>;
-  struct StartRejection {
-    OrderOutcome outcome = ORDER_REFUSED;
-    std::string why;
-  };
 
   auto AdoptFence(TimePoint now, uint64_t fence) -> void;
   // Renews the lease if the orders grant one to this process.
@@ -166,22 +162,26 @@
   // never return.
   auto SettleLapsed(TimePoint now) -> void;
   auto ExecuteOrder(TimePoint now, const OrderPtr& order) -> void;
-  auto CallStart(TimePoint now, const OrderPtr& order) -> void;
+  auto CallStart(TimePoint now, const OrderPtr& order, TimePoint valid_until)
+      -> void;
   auto CallStop(const OrderPtr& order) -> void;
   auto OnStarted(TimePoint now, const OrderPtr& order, WorkerCallResult result)
       -> void;
   auto OnStopped(TimePoint now, const OrderPtr& order, WorkerCallResult result)
       -> void;
-  // Why the start must not be carried out now; null if it may.
-  auto FindRejection(TimePoint now, const Order& order) const
-      -> std::optional<StartRejection>;
-  // Until when the start is valid without another confirmation.
-  auto ValidUntil(TimePoint now, const Order& order) const -> TimePoint;
-  // Whether the start needs no check in the log.
-  auto LogIsRecent(TimePoint now, const Order& order) const -> bool;
-  // Whether the start rests on a copy of the log that is recent enough, or was
-  // found to stand by a check. Otherwise rejects it or has it checked later.
-  auto CheckLog(TimePoint now, const OrderPtr& order) -> bool;
+  // Why the start must not be carried out, whatever it rests on; empty if it
+  // may.
+  auto FindRejection(const Order& order, TimePoint now) const -> std::string;
+  // Returns until when a call that carries out the start is valid. Null if it
+  // must not be carried out now; the order is then rejected or looked at again
+  // later.
+  auto FindValidity(TimePoint now, const OrderPtr& order)
+      -> std::optional<TimePoint>;
+  auto CheckLog(TimePoint now, const Order& order) -> StartCheck::Result;
+  // Rejects a start because of its age, unless its run may exist already.
+  auto RejectOutdated(TimePoint now,
+                      const OrderPtr& order,
+                      const std::string& why) -> void;
   auto LogStart(TimePoint now,
                 const Order& order,
                 const std::string& what,
--- a/Source/Jobs/task_agent_orders.cc
+++ b/Source/Jobs/task_agent_orders.cc
@@ -53,6 +53,8 @@
       return ORDER_BAD_TICKET;
     case WorkerCallOutcome::kUnhealthy:
       return ORDER_UNHEALTHY;
+    case WorkerCallOutcome::kLate:
+      return ORDER_OUTDATED;
     default:
       return ORDER_REFUSED;
   }
@@ -192,73 +194,96 @@
     CallStop(order);
     return;
   }
-  const auto rejection = FindRejection(now, *order);
-  if (rejection) {
-    LogStart(now, *order, "start_rejected", rejection->why);
-    RejectStart(now, order, rejection->outcome);
-  } else if (CheckLog(now, order)) {
-    CallStart(now, order);
+  const auto why = FindRejection(*order, now);
+  if (!why.empty()) {
+    LogStart(now, *order, "start_rejected", why);
+    RejectStart(now, order, ORDER_REFUSED);
+    return;
+  }
+  const auto valid_until = FindValidity(now, order);
+  if (valid_until) {
+    CallStart(now, order, *valid_until);
   }
 }
 
-auto TaskAgent::FindRejection(TimePoint now, const Order& order) const
-    -> std::optional<StartRejection> {
+auto TaskAgent::FindRejection(const Order& order, TimePoint now) const
+    -> std::string {
   if (heartbeat_.draining) {
-    return StartRejection{ORDER_REFUSED, "its worker drains"};
+    return "its worker drains";
   }
   if (evacuated_) {
-    return StartRejection{ORDER_REFUSED, "its failure domain is evacuated"};
+    return "its failure domain is evacuated";
   }
   if (order.withdrawn) {
-    return StartRejection{ORDER_REFUSED, "its stop was ordered"};
+    return "its stop was ordered";
   }
   if (!LeaseHolds(now) || order.lease_number != lease_number_) {
-    return StartRejection{ORDER_REFUSED, "its lease has ended"};
+    return "its lease has ended";
   }
-  if (now >= ValidUntil(now, order)) {
-    return StartRejection{ORDER_OUTDATED, "it was not confirmed in time"};
-  }
-  return std::nullopt;
+  return "";
 }
 
-auto TaskAgent::LogIsRecent(TimePoint now, const Order& order) const -> bool {
-  return now - order.basis->log_as_of < options_.max_log_age;
+auto TaskAgent::FindValidity(TimePoint now, const OrderPtr& order)
+    -> std::optional<TimePoint> {
+  if (!order->basis) {
+    RejectOutdated(now, order, "its age is unknown");
+    return std::nullopt;
+  }
+  const OrderBasis& basis = *order->basis;
+  if (now < basis.log_as_of + options_.max_log_age) {
+    return basis.log_as_of + options_.max_log_age;
+  }
+  const auto check = CheckLog(now, *order);
+  switch (check.verdict) {
+    case StartCheck::Verdict::kStands:
+      return check.as_of + options_.max_log_age;
+    case StartCheck::Verdict::kOver:
+      LogStart(now, *order, "start_rejected", "by the log its job is over");
+      RejectStart(now, order, ORDER_OUTDATED);
+      return std::nullopt;
+    case StartCheck::Verdict::kUncertain:
+      RejectOutdated(now, order, "the log has another owner, or lacks records");
+      return std::nullopt;
+    case StartCheck::Verdict::kPending:
+      order->not_before = now + kCheckInterval;
+      return std::nullopt;
+    case StartCheck::Verdict::kUnreachable:
+      break;
+  }
+  // Work goes on during an outage of the log. This agent cannot tell it from
+  // being cut off together with the owner.
+  if (now < basis.confirmed_at + options_.max_unconfirmed) {
+    return basis.confirmed_at + options_.max_unconfirmed;
+  }
+  RejectOutdated(now, order, "it was not confirmed in time");
+  return std::nullopt;
 }
 
-auto TaskAgent::ValidUntil(TimePoint now, const Order& order) const
-    -> TimePoint {
-  if (!order.basis) {
-    return TimePoint();
-  }
-  const TimePoint until = order.basis->confirmed_at + options_.max_start_age;
-  return LogIsRecent(now, order)
-             ? std::min(until, order.basis->log_as_of + options_.max_log_age)
-             : until;
+auto TaskAgent::CheckLog(TimePoint now, const Order& order)
+    -> StartCheck::Result {
+  if (order.basis->log_read_to == 0) {
+    return {StartCheck::Verdict::kUnreachable, now};
+  }
+  return start_check_.Check(
+      now, {order.task.job(), fence_, order.basis->log_read_to});
 }
 
-auto TaskAgent::CheckLog(TimePoint now, const OrderPtr& order) -> bool {
-  if (LogIsRecent(now, *order)) {
-    return true;
-  }
-  switch (start_check_.Check(
-      now, {order->task.job(), fence_, order->basis->log_read_to})) {
-    case StartCheck::Verdict::kStands:
-    // Work goes on during an outage of the log. This agent cannot tell it from
-    // being cut off together with the owner.
-    case StartCheck::Verdict::kUnreachable:
-      return true;
-    case StartCheck::Verdict::kPending:
-      order->not_before = now + kCheckInterval;
-      return false;
-    case StartCheck::Verdict::kVoid:
-      LogStart(now, *order, "start_rejected", "by the log it is void");
-      RejectStart(now, order, ORDER_OUTDATED);
-      return false;
+auto TaskAgent::RejectOutdated(TimePoint now,
+                               const OrderPtr& order,
+                               const std::string& why) -> void {
+  if (order->unconfirmed) {
+    // The run may exist, and a stop would end it. It is left to the owner's
+    // next message, or to a successor.
+    order->not_before = now + options_.retry_pause;
+    return;
   }
-  return false;
+  LogStart(now, *order, "start_rejected", why);
+  RejectStart(now, order, ORDER_OUTDATED);
 }
 
-auto TaskAgent::CallStart(TimePoint now, const OrderPtr& order) -> void {
+auto TaskAgent::CallStart(TimePoint now,
+                          const OrderPtr& order,
+                          TimePoint valid_until) -> void {
   order->state = OrderState::kCalling;
   StartCall call;
   call.task = order->task;
@@ -267,8 +292,7 @@
   call.payload = order->start.payload();
   call.checkpoint = order->start.checkpoint();
   call.ticket = order->start.ticket();
-  call.deadline =
-      std::min(WorkerDeadline(), ToWorkerTime(ValidUntil(now, *order)));
+  call.deadline = std::min(WorkerDeadline(), ToWorkerTime(valid_until));
   call.worker_id = heartbeat_.worker_id;
   run_watch_.OnCall(now, order->task, order->run);
   NoteGranted(now);
