--- a/Tests/Jobs/owner_orders_test.cc
+++ b/Tests/Jobs/owner_orders_test.cc
@@ -14,7 +14,7 @@
     Begin();
     PutJob({Step(1)});
     Report("agent-0", ReportOf("agent-0"));
-    const StartOrder start = starts_["agent-0"].begin()->second;
+    StartOrder start = starts_["agent-0"].begin()->second;
     starts_.clear();
     return start;
   }
