Tests: Slow orders in the fault soak

A fault proxy between the entries and each agent delays orders by 1 to 4.5 s; nothing else is active then but a slow process of the owner. Agents bind the endpoint that they register, so the stand-in's log names the proxy's endpoint in its place, as an address translation would; the daemon is unchanged.

A slow process is resumed and stopped within one step, so that it runs for 10 ms between two pauses as it should, not for a multiple of the step.

--- a/Tests/Soak/fault_injector.cc
+++ b/Tests/Soak/fault_injector.cc
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <csignal>
+#include <thread>
 #include <utility>
 
 namespace rhubarbhaven::soak {
@@ -102,6 +103,9 @@
     case Target::kOwner:
       SlowOwner(fault.delay);
       break;
+    case Target::kOrderLinks:
+      processes_->DelayOrders(fault.delay);
+      break;
   }
 }
 
@@ -124,26 +128,26 @@
     case Target::kOwner:
       ResumeSlowEntry();
       break;
+    case Target::kOrderLinks:
+      processes_->DelayOrders(milliseconds(0));
+      break;
   }
 }
 
 auto FaultInjector::SlowOwner(milliseconds pause) -> void {
-  slow_entry_ = SlowEntry{processes_->Owner(), pause, false, Clock::now()};
+  slow_entry_ = SlowEntry{processes_->Owner(), pause, Clock::now() + pause};
+  processes_->entry(slow_entry_->number).Freeze();
 }
 
 auto FaultInjector::StepSlowEntry(TimePoint now) -> void {
-  if (!slow_entry_ || now < slow_entry_->next_change) {
+  if (!slow_entry_ || now < slow_entry_->runs_at) {
     return;
   }
   auto& process = processes_->entry(slow_entry_->number);
-  slow_entry_->paused = !slow_entry_->paused;
-  if (slow_entry_->paused) {
-    process.Freeze();
-  } else {
-    process.Resume();
-  }
-  slow_entry_->next_change =
-      now + (slow_entry_->paused ? slow_entry_->pause : kRunTime);
+  process.Resume();
+  std::this_thread::sleep_for(kRunTime);
+  process.Freeze();
+  slow_entry_->runs_at = Clock::now() + slow_entry_->pause;
 }
 
 auto FaultInjector::ResumeSlowEntry() -> void {
--- a/Tests/Soak/fault_injector.h
+++ b/Tests/Soak/fault_injector.h
@@ -30,8 +30,7 @@
   struct SlowEntry {
     int number = 0;
     std::chrono::milliseconds pause{0};
-    bool paused = false;
-    TimePoint next_change;
+    TimePoint runs_at;
   };
 
   auto Begin(const Fault& fault) -> void;
--- a/Tests/Soak/processes.cc
+++ b/Tests/Soak/processes.cc
@@ -19,6 +19,10 @@
   return test::LoopbackAddress(test::FreePort());
 }
 
+auto Endpoint(int port) -> std::string {
+  return "tcp://" + test::LoopbackAddress(port);
+}
+
 }  // namespace
 
 Processes::Processes(const SoakOptions& options,
@@ -27,7 +31,7 @@
     : binary_(options.binary), folder_(std::move(folder)) {
   for (int i = 0; i < options.agents; ++i) {
     heartbeat_addresses_.push_back(FreeAddress());
-    link_addresses_.push_back(FreeAddress());
+    link_ports_.push_back(test::FreePort());
   }
   platform_ = std::make_unique<test::PlatformStandIn>(heartbeat_addresses_,
                                                       std::move(watch));
@@ -35,6 +39,7 @@
   agents_.resize(options.agents);
   for (int i = 0; i < options.agents; ++i) {
     AddLink(&agent_links_, &agent_log_addresses_);
+    AddOrderLink(i);
     StartAgent(i);
   }
   entries_.resize(options.entries);
@@ -52,6 +57,7 @@
   // The proxies hold connections open, and the stand-in would wait for them.
   entry_links_.clear();
   agent_links_.clear();
+  order_links_.clear();
 }
 
 auto Processes::AddLink(std::vector<std::unique_ptr<test::FaultProxy>>* links,
@@ -62,6 +68,13 @@
   addresses->push_back(test::LoopbackAddress(port));
 }
 
+auto Processes::AddOrderLink(int agent) -> void {
+  const int port = test::FreePort();
+  const int target_port = link_ports_[agent];
+  order_links_.push_back(std::make_unique<test::FaultProxy>(port, target_port));
+  platform_->TranslateEndpoint(Endpoint(target_port), Endpoint(port));
+}
+
 auto Processes::Start(const std::string& name, const std::string& settings)
     -> std::unique_ptr<test::ChildProcess> {
   const std::string path = absl::StrCat(folder_, "/", name, ".json");
@@ -81,11 +94,19 @@
 
 auto Processes::StartAgent(int number) -> void {
   const std::string name = absl::StrCat("agent-", number);
-  agents_[number] = Start(
-      name,
-      test::RenderSettings(test::AgentAddresses{
-          name, heartbeat_addresses_[number], platform_->worker_address(number),
-          link_addresses_[number], agent_log_addresses_[number]}));
+  agents_[number] = Start(name, test::RenderSettings(test::AgentAddresses{
+                                    name, heartbeat_addresses_[number],
+                                    platform_->worker_address(number),
+                                    test::LoopbackAddress(link_ports_[number]),
+                                    agent_log_addresses_[number]}));
+}
+
+auto Processes::DelayOrders(std::chrono::milliseconds delay) -> void {
+  test::ProxyFault fault;
+  fault.request_delay = delay;
+  for (auto& link : order_links_) {
+    link->SetFault(fault);
+  }
 }
 
 auto Processes::Owner() const -> int {
--- a/Tests/Soak/processes.h
+++ b/Tests/Soak/processes.h
@@ -1,6 +1,7 @@
 #ifndef RHUBARBHAVEN_TESTS_SOAK_PROCESSES_H_
 #define RHUBARBHAVEN_TESTS_SOAK_PROCESSES_H_
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -33,6 +34,8 @@
   auto agent_link(int number) -> test::FaultProxy& {
     return *agent_links_[number];
   }
+  // Sets how long the orders of all entries are under way to the agents.
+  auto DelayOrders(std::chrono::milliseconds delay) -> void;
   // Starts the daemon, again under the same name and addresses.
   auto StartEntry(int number) -> void;
   auto StartAgent(int number) -> void;
@@ -50,18 +53,22 @@
       -> std::unique_ptr<test::ChildProcess>;
   auto AddLink(std::vector<std::unique_ptr<test::FaultProxy>>* links,
                std::vector<std::string>* addresses) -> void;
+  // Agents register the endpoint that they bind, so the log of the stand-in
+  // names the proxy's endpoint instead.
+  auto AddOrderLink(int agent) -> void;
 
   std::string binary_;
   std::string folder_;
   std::vector<std::string> callers_addresses_;
   std::vector<std::string> ready_addresses_;
   std::vector<std::string> heartbeat_addresses_;
-  std::vector<std::string> link_addresses_;
+  std::vector<int> link_ports_;
   std::vector<std::string> entry_log_addresses_;
   std::vector<std::string> agent_log_addresses_;
   std::unique_ptr<test::PlatformStandIn> platform_;
   std::vector<std::unique_ptr<test::FaultProxy>> entry_links_;
   std::vector<std::unique_ptr<test::FaultProxy>> agent_links_;
+  std::vector<std::unique_ptr<test::FaultProxy>> order_links_;
   std::vector<std::unique_ptr<test::ChildProcess>> entries_;
   std::vector<std::unique_ptr<test::ChildProcess>> agents_;
 };
--- a/Tests/Soak/schedule.cc
+++ b/Tests/Soak/schedule.cc
@@ -123,6 +123,13 @@
        milliseconds(6000),
        milliseconds(390),
        milliseconds(1800)},
+      {kSlowOrders,
+       "slow orders",
+       {kOrderLinks},
+       milliseconds(3000),
+       milliseconds(6000),
+       milliseconds(1000),
+       milliseconds(4500)},
   };
   return kinds;
 }
@@ -137,9 +144,9 @@
 }
 
 auto TargetName(Target target) -> const char* {
-  constexpr std::array<const char*, 7> kNames = {
+  constexpr std::array<const char*, 8> kNames = {
       "entry", "agent",  "entry's link", "agent's link",
-      "log",   "worker", "owner"};
+      "log",   "worker", "owner",        "links of orders"};
   return kNames.at(static_cast<std::size_t>(target));
 }
 
@@ -150,6 +157,7 @@
       return options.entries;
     case Target::kLog:
     case Target::kOwner:
+    case Target::kOrderLinks:
       return 1;
     default:
       return options.agents;
--- a/Tests/Soak/schedule.h
+++ b/Tests/Soak/schedule.h
@@ -29,6 +29,7 @@
   kLogForgets,
   kWorkerCrash,
   kSlowProcess,
+  kSlowOrders,
 };
 
 // What a fault is applied to.
@@ -41,6 +42,8 @@
   kWorker,
   // The entry that owns the cell when the fault begins.
   kOwner,
+  // The links by which entries send orders to agents, all at once.
+  kOrderLinks,
 };
 
 struct Fault {
@@ -50,7 +53,7 @@
   Target target = Target::kEntry;
   // Number of the entry, agent or worker.
   int number = 0;
-  // How long a slow process is stopped at a time.
+  // How long a slow process is stopped at a time, or an order is under way.
   std::chrono::milliseconds delay{0};
 };
 
--- a/Tests/StandIns/Platform/platform_stand_in.cc
+++ b/Tests/StandIns/Platform/platform_stand_in.cc
@@ -4,6 +4,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -282,6 +283,12 @@
   log_.Put(jobs::LogTopic::kOperators, {"config", R"({"Version":"?",)", 0});
 }
 
+auto PlatformStandIn::TranslateEndpoint(const std::string& from,
+                                        const std::string& to) -> void {
+  const std::lock_guard lock(mutex_);
+  translated_endpoints_[from] = to;
+}
+
 auto PlatformStandIn::MakeGarbageAnswer() -> HttpServerAnswer {
   std::string bytes(random_() % kMaxGarbageBytes, '\0');
   for (char& byte : bytes) {
@@ -427,6 +434,9 @@
     call.epoch = QueryNumber(request, "epoch");
     call.sequence = QueryNumber(request, "Sequence");
     call.records = ParseRecords(request.body);
+    for (auto& record : call.records) {
+      absl::StrReplaceAll(translated_endpoints_, &record.value);
+    }
     call.timeout = std::chrono::seconds(30);
     log_port_.append(
         call, [respond](TimePoint, const jobs::AppendResult& result) -> void {
--- a/Tests/StandIns/Platform/platform_stand_in.h
+++ b/Tests/StandIns/Platform/platform_stand_in.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <random>
@@ -54,6 +55,10 @@
   auto SetLogMode(jobs::VirtualLog::Mode mode) -> void;
   auto CompactLog() -> void;
   auto CrashWorker(int number) -> void;
+  // Records that name the endpoint `from` are stored with `to`, as if their
+  // sender were behind an address translation. Both must have the same length.
+  auto TranslateEndpoint(const std::string& from, const std::string& to)
+      -> void;
   // While on, the log and the workers answer every call with success and random
   // bytes, and execute none.
   auto SetGarbageAnswers(bool on) -> void;
@@ -103,6 +108,7 @@
   std::vector<std::string> problems_;
   std::set<std::string> done_;
   bool garbage_ = false;
+  std::map<std::string, std::string> translated_endpoints_;
   std::mt19937_64 random_{7};
   int starts_ = 0;
   int ends_ = 0;
