Tests: Clients of the fault soak cancel soon while only the owner is slow

A start that is late to its cancel needs a cancel within a second or so of the order. Every job that is accepted while only the owner is slow is cancelled 0.1 to 2 s later, at any entry. A group slows the owner mostly in one of the two ways: a stopped owner orders little.

--- a/Tests/Soak/clients.cc
+++ b/Tests/Soak/clients.cc
@@ -151,7 +151,9 @@
     ++uncancelled_long_running_;
     return;
   }
-  if (!long_running && Pick(0, kPercent - 1) >= kCancelledShortShare) {
+  const bool cancelled =
+      Pick(0, kPercent - 1) < kCancelledShortShare || cancels_soon_;
+  if (!long_running && !cancelled) {
     return;
   }
   const milliseconds wait = CancelDelay();
@@ -165,6 +167,9 @@
   constexpr int64_t kAtOnceShare = 50;
   constexpr int64_t kSoonShare = 40;
   const int64_t draw = Pick(0, kPercent - 1);
+  if (cancels_soon_) {
+    return milliseconds(Pick(100, 2000));
+  }
   if (draw < kAtOnceShare) {
     return milliseconds(Pick(0, 60));
   }
--- a/Tests/Soak/clients.h
+++ b/Tests/Soak/clients.h
@@ -29,6 +29,11 @@
 
   // Stops submitting new jobs; scheduled actions are still executed.
   auto StopSubmitting() -> void { submits_jobs_ = false; }
+  // Whether every job that is accepted from now on is cancelled soon, except
+  // the long-running ones that are never cancelled.
+  auto SetCancelsSoon(bool cancels_soon) -> void {
+    cancels_soon_ = cancels_soon;
+  }
 
  private:
   enum class ActionKind { kSubmit, kRepeat, kQuery, kCancel };
@@ -60,6 +65,7 @@
   std::chrono::microseconds submit_interval_;
   std::atomic<bool> stop_ = false;
   std::atomic<bool> submits_jobs_ = true;
+  std::atomic<bool> cancels_soon_ = false;
   std::mutex mutex_;
   std::mt19937_64 random_;
   std::multimap<TimePoint, Action> actions_;
--- a/Tests/Soak/fault_free_periods.h
+++ b/Tests/Soak/fault_free_periods.h
@@ -35,6 +35,10 @@
   // no fault and must reject what it ordered too long ago.
   auto starts() const -> const FaultFreePeriod& { return starts_; }
 
+  auto owner_is_slow() const -> bool {
+    return !all_.since() && starts_.since();
+  }
+
  private:
   FaultFreePeriod all_;
   FaultFreePeriod starts_;
--- a/Tests/Soak/schedule.cc
+++ b/Tests/Soak/schedule.cc
@@ -25,6 +25,9 @@
 constexpr milliseconds kMaxOffset{2500};
 // Limits concurrent faults to one for this many daemons.
 constexpr int kDaemonsPerFault = 2;
+// A slow owner that also sends slowly places little, so it mostly is one of
+// both.
+constexpr int kMaxSlowOwnerFaults = 2;
 
 struct KindRow {
   FaultKind kind;
@@ -216,8 +219,8 @@
     milliseconds group_end = at;
     const bool slows_owner = random_source.Pick(0, 1) == 0;
     const auto& kinds = slows_owner ? SlowOwnerKinds() : Kinds();
-    for (int64_t left = random_source.Pick(1, max_concurrent); left > 0;
-         --left) {
+    const int most = slows_owner ? kMaxSlowOwnerFaults : max_concurrent;
+    for (int64_t left = random_source.Pick(1, most); left > 0; --left) {
       const Fault fault = DrawFault(options, kinds, at, &random_source);
       auto& busy = busy_until[{fault.target, fault.number}];
       if (fault.at + fault.duration > end || fault.at < busy) {
--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -64,7 +64,7 @@
   auto Run() -> void {
     {
       Clients clients(options_, processes_.callers_addresses(), &checks_);
-      RunFor(options_.load);
+      RunFor(options_.load, &clients);
       clients.StopSubmitting();
       WaitForOpenJobs();
     }
@@ -89,9 +89,13 @@
     return watch;
   }
 
-  auto RunFor(milliseconds span) -> void {
+  // While only the owner is slow, the clients cancel what it is to start.
+  auto RunFor(milliseconds span, Clients* clients = nullptr) -> void {
     const TimePoint end = Clock::now() + span;
     while (!g_interrupted && Clock::now() < end) {
+      if (clients != nullptr) {
+        clients->SetCancelsSoon(fault_free_.owner_is_slow());
+      }
       Step();
       std::this_thread::sleep_for(kStepInterval);
     }
