--- a/Source/Jobs/start_check.cc
+++ b/Source/Jobs/start_check.cc
@@ -28,7 +28,8 @@
 }
 
 auto StartCheck::Tick(TimePoint now) -> void {
-  if (now - checked_at_ >= options_.keep) {
+  const bool holds_anything = from_ || unanswered_since_;
+  if (holds_anything && now - checked_at_ >= options_.keep) {
     Clear();
     unanswered_since_ = std::nullopt;
     retry_at_ = TimePoint();
