--- a/Tests/Soak/clients.h
+++ b/Tests/Soak/clients.h
@@ -29,6 +29,11 @@
 
   // Stops submitting new jobs; scheduled actions are still executed.
   auto StopSubmitting() -> void { submits_jobs_ = false; }
+  // Whether every job that is accepted from now on is cancelled soon, except
+  // the long-running ones that are never cancelled.
+  auto SetCancelsSoon(bool cancels_soon) -> void {
+    cancels_soon_ = cancels_soon;
+  }
 
  private:
   enum class ActionKind { kSubmit, kRepeat, kQuery, kCancel };
@@ -45,6 +50,8 @@
   auto Query(const Action& action, EntryCaller* caller) -> void;
   // Schedules the queries, repeats and cancels of an accepted job.
   auto ScheduleFollowUps(const std::string& job) -> void;
+  // From the acceptance of a job to its cancel.
+  auto CancelDelay() -> std::chrono::milliseconds;
   auto ScheduleAfter(std::chrono::milliseconds wait, Action action) -> void;
   // Removes the next action that is due and stores it in `action`; returns
   // false if there is none.
@@ -58,6 +65,7 @@
   std::chrono::microseconds submit_interval_;
   std::atomic<bool> stop_ = false;
   std::atomic<bool> submits_jobs_ = true;
+  std::atomic<bool> cancels_soon_ = false;
   std::mutex mutex_;
   std::mt19937_64 random_;
   std::multimap<TimePoint, Action> actions_;
