Jobs: Say in the census log lines why each agent is waited for

Each agent has its own bound in the line now.

LogNamesTheAgentsThatReconciliationWaitsFor checks the text; it did not compile before.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -366,7 +366,8 @@
               {"at_most_ms", InMilliseconds(state.longest)},
               {"agents", absl::StrCat(state.agents)},
               {"missing", absl::StrCat(state.missing)},
-              {"names", absl::StrJoin(state.missing_names, " ")}});
+              {"names", absl::StrJoin(state.missing_names, " ")},
+              {"bounds", absl::StrJoin(state.missing_bounds, " ")}});
 }
 
 auto EntryDecisions::LogStarvedJob(const StarvedJob& job) -> void {
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -103,6 +103,9 @@
   // Agents that it waits for, and the names of some of them.
   std::size_t missing = 0;
   std::vector<std::string> missing_names;
+  // For each of these agents, why it is waited for, for how long, and when it
+  // last answered.
+  std::vector<std::string> missing_bounds;
 };
 
 // A job that has no run although one of its steps is ready.
@@ -306,6 +309,8 @@
   auto FinishReconciliation(TimePoint now) -> void;
   auto LogReconciliationWait(TimePoint now) -> void;
   auto DescribeReconciliation(TimePoint now) const -> ReconciliationState;
+  auto DescribeBound(TimePoint now, const WorkerView& worker) const
+      -> std::string;
 
   // Ends and results.
   auto OnEnd(TimePoint now,
--- a/Source/Jobs/owner_reconciliation.cc
+++ b/Source/Jobs/owner_reconciliation.cc
@@ -1,3 +1,5 @@
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 #include "Jobs/job_owner.h"
@@ -77,11 +79,34 @@
     ++state.missing;
     if (state.missing_names.size() < kMaxNamedAgents) {
       state.missing_names.push_back(name);
+      state.missing_bounds.push_back(DescribeBound(now, *worker));
     }
   }
   return state;
 }
 
+auto JobOwner::DescribeBound(TimePoint now, const WorkerView& worker) const
+    -> std::string {
+  const auto milliseconds = [](Duration span) -> int64_t {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+  };
+  const auto granted_by = fold_->granted_by(worker.agent);
+  std::string why = "owner_unknown";
+  if (worker.last_contact_at >= begun_at_) {
+    why = "worker_unlisted";
+  } else if (granted_by) {
+    why = *granted_by + 1 < fence_ ? "earlier_owner" : "last_owner";
+  }
+  std::string text = absl::StrCat(
+      worker.agent, "=", why, ":",
+      milliseconds(std::max(Duration(0), worker.lease_bound - now)));
+  if (worker.last_contact_at >= begun_at_) {
+    absl::StrAppend(&text,
+                    ":answered:", milliseconds(now - worker.last_contact_at));
+  }
+  return text;
+}
+
 auto JobOwner::OnEarlierGrants(TimePoint now, const EarlierGrants& earlier)
     -> void {
   if (!active()) {
--- a/Tests/Jobs/owner_agents_test.cc
+++ b/Tests/Jobs/owner_agents_test.cc
@@ -492,6 +492,8 @@
   ASSERT_EQ(logged_reconciliations_.size(), 5U);
   EXPECT_EQ(logged_reconciliations_.front().missing_names,
             std::vector<std::string>{"agent-1"});
+  EXPECT_EQ(logged_reconciliations_.front().missing_bounds,
+            std::vector<std::string>{"agent-1=owner_unknown:19000"});
   EXPECT_EQ(logged_reconciliations_.front().agents, 2U);
   EXPECT_EQ(logged_reconciliations_.front().waited, seconds(1));
   EXPECT_EQ(logged_reconciliations_.front().longest, seconds(19));
