Jobs: Agents record that they were told to stop; new owners wait no longer than their leases

Callers saw tasks that last, and all others of before a takeover, stand for some 20 s with most of the cell free (LOST): agents left for good beside an owner that never came back, and three owners in a row started nothing.

Cause: these agents did not go without a word. They were told to stop, and wrote that to their own output only. So a new owner took them for agents that may be cut off together with the lost owner, which may grant for 16 s more, and waited 21.4 s. The last link of the chain, the agent, knew better: nobody extends its worker's lease once it has stopped.

An agent that is told to stop now calls its worker no more and writes, as its last act, for how long the lease may be valid. A new owner waits for that and no longer, counted from when its entry read the record, so that several owners in a row do not each count anew. It holds only for the process of the agent that the log names as granted to: owners name the process in their record, and grant nothing to a restarted agent before the log names it. The log refuses such a record of an owner that was replaced, so a next process that is cut off together with the old owner gets no lease. A start without a result is not repeated to an agent without a lease, which would reject it and end its run.

The price: an agent that restarts while the log is away gets no lease until it is back.

--- a/Source/Daemon/job_agent.cc
+++ b/Source/Daemon/job_agent.cc
@@ -36,10 +36,25 @@
   thread_.Start();
 }
 
-auto JobAgent::Stop() -> void {
+auto JobAgent::Stop(std::chrono::milliseconds record_limit) -> void {
+  auto recorded = stop_recorded_.get_future();
+  thread_.PostOrWait([this](TimePoint now) -> void { RecordStop(now); });
+  if (recorded.wait_for(record_limit) != std::future_status::ready) {
+    log_.Write("stop_not_recorded",
+               {{"waited_ms", InMilliseconds(record_limit)}});
+  }
   thread_.Stop();
 }
 
+auto JobAgent::RecordStop(TimePoint now) -> void {
+  const Duration lease_left = agent_.Stop(now);
+  registration_.RecordStop({agent_.ordered_at(), agent_.left_worker()},
+                           lease_left);
+  log_.Write("agent_stops", {{"lease_left_ms", InMilliseconds(lease_left)},
+                             {"left_worker", agent_.left_worker()}});
+  SendRegistration(now);
+}
+
 auto JobAgent::OnOrders(const std::string& peer, jobs::AgentOrders orders)
     -> void {
   thread_.PostOrWait([this, peer,
@@ -102,6 +117,10 @@
     log_.Write("register", {{"endpoint", registration_.link_endpoint()},
                             {"left_worker", left_worker}});
   }
+  SendRegistration(now);
+}
+
+auto JobAgent::SendRegistration(TimePoint now) -> void {
   auto call = registration_.Next(now);
   if (!call) {
     return;
@@ -110,6 +129,10 @@
       .append(*call,
               [this](TimePoint then, const jobs::AppendResult& result) -> void {
                 registration_.OnResult(then, result);
+                if (registration_.stop_recorded() &&
+                    !std::exchange(stop_reported_, true)) {
+                  stop_recorded_.set_value();
+                }
               });
 }
 
--- a/Source/Daemon/job_agent.h
+++ b/Source/Daemon/job_agent.h
@@ -30,7 +30,9 @@
   auto operator=(const JobAgent&) -> JobAgent& = delete;
 
   auto Start() -> void;
-  auto Stop() -> void;
+  // Stops using the worker, and waits until that is recorded in the log, for at
+  // most `record_limit`.
+  auto Stop(std::chrono::milliseconds record_limit) -> void;
   auto OnOrders(const std::string& peer, jobs::AgentOrders orders) -> void;
   // Calls `respond` with whether the heartbeat was accepted.
   auto OnHeartbeat(jobs::WorkerHeartbeat heartbeat,
@@ -43,6 +45,8 @@
   auto Tick(TimePoint now) -> void;
   auto NextWake() const -> TimePoint;
   auto Register(TimePoint now) -> void;
+  auto SendRegistration(TimePoint now) -> void;
+  auto RecordStop(TimePoint now) -> void;
   auto WorkerOnThread(const jobs::WorkerPort& port) -> jobs::WorkerPort;
   auto LogDecision(const jobs::AgentDecision& decision) -> void;
   auto MakeAgentHooks() -> jobs::TaskAgentHooks;
@@ -53,6 +57,9 @@
   jobs::TaskAgent agent_;
   jobs::AgentRegistration registration_;
   TimePoint last_tick_;
+  // Set once the log contains that this process has stopped using its worker.
+  std::promise<void> stop_recorded_;
+  bool stop_reported_ = false;
   EventLoopThread thread_;
 };
 
--- a/Source/Jobs/agent_registration.cc
+++ b/Source/Jobs/agent_registration.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <chrono>
 #include <utility>
 
 namespace rhubarbhaven::jobs {
@@ -30,14 +31,32 @@
   }
   registered_at_ = now;
   left_worker_written_ = situation.left_worker_id;
+  Write(MakeEntry(situation));
+  return true;
+}
+
+auto AgentRegistration::RecordStop(const RegistrationState& state,
+                                   Duration lease_left) -> void {
+  stopped_ = true;
+  AgentEntry entry = MakeEntry(state);
+  entry.mutable_stop()->set_lease_left_ms(static_cast<uint64_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(lease_left).count()));
+  Write(entry);
+}
+
+auto AgentRegistration::MakeEntry(const RegistrationState& state) const
+    -> AgentEntry {
   AgentEntry entry;
   entry.set_name(options_.name);
   entry.set_link_endpoint(options_.link_endpoint);
   entry.set_incarnation(options_.incarnation);
-  entry.set_left_worker_id(situation.left_worker_id);
+  entry.set_left_worker_id(state.left_worker_id);
+  return entry;
+}
+
+auto AgentRegistration::Write(const AgentEntry& entry) -> void {
   appends_.Enqueue(kTicket,
                    {MakeRecord(RecordKind::kAgent, options_.name, entry)});
-  return true;
 }
 
 auto AgentRegistration::Next(TimePoint now) -> std::optional<AppendCall> {
@@ -52,7 +71,7 @@
 auto AgentRegistration::IsDue(TimePoint now,
                               const RegistrationState& situation) const
     -> bool {
-  if (!appends_.idle()) {
+  if (stopped_ || !appends_.idle()) {
     return false;
   }
   if (!situation.left_worker_id.empty() &&
--- a/Source/Jobs/agent_registration.h
+++ b/Source/Jobs/agent_registration.h
@@ -38,13 +38,20 @@
 // notified, the news would be lost with an owner that is cut off or replaced at
 // that moment. A new owner would then wait for the agent until leases of the
 // previous owner have expired, and long-running tasks would stay down for some
-// 20 s although there is capacity for them.
+// 20 s although there is capacity for them. The same holds for an agent that is
+// told to stop: it may not come back, and only its own word tells a new owner
+// until when its worker's lease may be valid.
 class AgentRegistration {
  public:
   explicit AgentRegistration(AgentRegistrationOptions options);
 
   // Prepares an entry if one is due; returns false otherwise.
   auto RegisterIfDue(TimePoint now, const RegistrationState& situation) -> bool;
+  // Prepares the last entry of a process that was told to stop. The worker's
+  // lease may still be valid for `lease_left`.
+  auto RecordStop(const RegistrationState& state, Duration lease_left) -> void;
+  // Whether the log contains the last entry.
+  auto stop_recorded() const -> bool { return stopped_ && appends_.idle(); }
   // The append to make now, if any. Its outcome is passed to `OnResult`.
   auto Next(TimePoint now) -> std::optional<AppendCall>;
   auto OnResult(TimePoint now, const AppendResult& result) -> void;
@@ -55,11 +62,14 @@
 
  private:
   auto IsDue(TimePoint now, const RegistrationState& situation) const -> bool;
+  auto MakeEntry(const RegistrationState& state) const -> AgentEntry;
+  auto Write(const AgentEntry& entry) -> void;
 
   AgentRegistrationOptions options_;
   AppendBatcher appends_;
   TimePoint registered_at_;
   std::string left_worker_written_;
+  bool stopped_ = false;
 };
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -54,6 +54,7 @@
       metrics_(metrics),
       log_("jobs"),
       fold_(hooks_.is_link_endpoint),
+      agent_stops_(OwnerOptions(options_).clock_drift),
       election_(ElectionOptions(options_)),
       owner_(OwnerOptions(options_), MakeOwnerHooks()),
       job_follower_(FollowerOptions(LogTopic::kJobs),
@@ -199,6 +200,12 @@
   if (change.kind == RecordKind::kResignation) {
     OnResignationRead(now, change.name);
   }
+  if (change.kind == RecordKind::kAgent) {
+    const auto entry = fold_.agents().find(change.name);
+    agent_stops_.OnEntry(
+        now, change.name,
+        entry == fold_.agents().end() ? nullptr : &entry->second);
+  }
   owner_.OnChange(now, change);
 }
 
@@ -439,6 +446,10 @@
   hooks.exclusive_until = [this]() -> TimePoint {
     return election_.exclusive_until();
   };
+  hooks.stopped_lease_end =
+      [this](const std::string& agent) -> std::optional<TimePoint> {
+    return agent_stops_.LeaseEnd(agent);
+  };
   hooks.log_position = [this]() -> LogPosition { return log_position_; };
   hooks.wall_clock = hooks_.wall_clock;
   hooks.ask_advice = hooks_.ask_advice;
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 
+#include "Jobs/agent_stops.h"
 #include "Jobs/append_batcher.h"
 #include "Jobs/diagnostic_limiter.h"
 #include "Jobs/job_check.h"
@@ -173,6 +174,7 @@
   bool ready_ = false;
 
   JobFold fold_;
+  AgentStops agent_stops_;
   DiagnosticLimiter skipped_records_;
   // The fold contains all records up to some offset of the log.
   bool fold_current_ = false;
--- a/Source/Jobs/job_fold.cc
+++ b/Source/Jobs/job_fold.cc
@@ -86,6 +86,15 @@
          entry->second.left_worker_id() == grants->second.worker_id();
 }
 
+auto JobFold::granted_process_has_stopped(const std::string& agent) const
+    -> bool {
+  const auto entry = agents_.find(agent);
+  const auto grants = grants_.find(agent);
+  return entry != agents_.end() && grants != grants_.end() &&
+         entry->second.has_stop() && grants->second.agent_incarnation() != 0 &&
+         grants->second.agent_incarnation() == entry->second.incarnation();
+}
+
 auto JobFold::ends_logged(const std::string& worker_id) const -> uint64_t {
   const auto found = worker_ends_.find(worker_id);
   return found == worker_ends_.end() ? 0 : found->second.last_end();
--- a/Source/Jobs/job_fold.h
+++ b/Source/Jobs/job_fold.h
@@ -80,6 +80,10 @@
   // running there. An owner grants nothing to the worker's next process before
   // the log contains the grant.
   auto worker_has_left(const std::string& agent) const -> bool;
+  // Whether the only process of the agent to which an owner may have granted
+  // has recorded that it was told to stop. No owner grants to a process before
+  // the log names it.
+  auto granted_process_has_stopped(const std::string& agent) const -> bool;
   // Number of the last task end in the log for a worker id; zero if there is
   // none.
   auto ends_logged(const std::string& worker_id) const -> uint64_t;
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -156,6 +156,10 @@
   // a lease that expired before it are over; a later lease may have been
   // renewed by a successor.
   std::function<auto()->TimePoint> exclusive_until;
+  // When the lease of the agent's worker has expired, by the record of the
+  // agent's process that it was told to stop; none if there is no such record.
+  std::function<auto(const std::string& agent)->std::optional<TimePoint>>
+      stopped_lease_end;
   // Returns what the fold contains.
   std::function<auto()->LogPosition> log_position;
   // Time since the Unix epoch.
@@ -238,6 +242,12 @@
     uint64_t number = 0;
   };
 
+  // The processes of an agent and of its worker for which grants are recorded.
+  struct GrantedProcesses {
+    std::string worker_id;
+    uint64_t agent_incarnation = 0;
+  };
+
   struct NamedRun {
     TaskName task;
     uint64_t run = 0;
@@ -268,6 +278,9 @@
   // Applies a log record that the worker has left, as if the agent had reported
   // it.
   auto ApplyWorkerLeave(TimePoint now, WorkerView& worker) -> void;
+  // Applies a log record that the agent's process was told to stop: waits for
+  // its runs no longer than the lease that the process has stated.
+  auto ApplyAgentStop(WorkerView& worker) -> void;
   auto AddAgent(TimePoint now, const AgentEntry& entry) -> void;
   auto EraseWorker(WorkerView& worker) -> void;
   auto SetConfirmed(WorkerView& worker, bool confirmed) -> void;
@@ -506,8 +519,8 @@
   // Agents that have listed their runs, until the log records that this owner
   // grants to them; then those in the batch being stored.
   std::set<std::string> grants_to_record_;
-  // The agent's worker id when the batch was made, by agent name.
-  std::map<std::string, std::string> batch_grants_;
+  // By agent name.
+  std::map<std::string, GrantedProcesses> batch_grants_;
   uint64_t next_order_ = 1;
   uint64_t next_run_ = 1;
   TimePoint moved_at_;
--- a/Source/Jobs/jobs.h
+++ b/Source/Jobs/jobs.h
@@ -6,6 +6,7 @@
 // and the agents' part. No I/O, locks, clocks or threads.
 
 #include "Jobs/agent_registration.h"
+#include "Jobs/agent_stops.h"
 #include "Jobs/append_batcher.h"
 #include "Jobs/crash_record.h"
 #include "Jobs/diagnostic_limiter.h"
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -77,6 +77,13 @@
   if (worker.agent_incarnation != report.incarnation()) {
     worker.agent_incarnation = report.incarnation();
     worker.reported_us = 0;
+    // The previous process may have recorded that it stops. If this one were
+    // granted to before the log names it, a new owner would rely on that record
+    // and start elsewhere what runs here.
+    worker.grants_recorded = false;
+    if (worker.confirmed) {
+      grants_to_record_.insert(worker.agent);
+    }
   }
   const bool accepted = worker.Accepts(now);
   const ResourceAmounts capacity = worker.capacity;
--- a/Source/Jobs/owner_members.cc
+++ b/Source/Jobs/owner_members.cc
@@ -40,6 +40,20 @@
   worker.earlier_runs_ended = worker.earlier_runs_ended || worker.left;
 }
 
+auto JobOwner::ApplyAgentStop(WorkerView& worker) -> void {
+  const auto lease_end = hooks_.stopped_lease_end(worker.agent);
+  const bool next_process_reports =
+      worker.agent_incarnation != 0 &&
+      worker.agent_incarnation != worker.registration.incarnation();
+  if (!lease_end || !fold_->granted_process_has_stopped(worker.agent) ||
+      worker.confirmed || next_process_reports) {
+    return;
+  }
+  // Grants to the process that has ended would extend the bound.
+  worker.reported_us = 0;
+  SetLeaseBound(worker, std::min(worker.lease_bound, *lease_end));
+}
+
 auto JobOwner::OnRegistrationGone(const std::string& name) -> void {
   agents_being_deleted_.erase(name);
   const auto found = workers_.find(name);
@@ -68,6 +82,7 @@
   worker->registered_at = now;
   PollSoon(*worker);
   ApplyWorkerLeave(now, *worker);
+  ApplyAgentStop(*worker);
 }
 
 auto JobOwner::EraseWorker(WorkerView& worker) -> void {
--- a/Source/Jobs/owner_polls.cc
+++ b/Source/Jobs/owner_polls.cc
@@ -87,7 +87,8 @@
   AgentOrders orders;
   orders.set_fence(fence_);
   orders.set_owner_incarnation(options_.incarnation);
-  if (worker.reported_us > 0 && worker.grants_recorded) {
+  const bool grants = worker.reported_us > 0 && worker.grants_recorded;
+  if (grants) {
     orders.set_granted_from_us(worker.reported_us);
     orders.set_granted_to_incarnation(worker.agent_incarnation);
     orders.set_lease_ttl_ms(static_cast<uint64_t>(options_.lease_ttl.count()));
@@ -113,7 +114,11 @@
     AddPressures(worker, &orders);
   }
   for (auto& [number, order] : worker.orders) {
-    if (!order.sent || now - order.sent_at >= options_.repeat_after) {
+    // An agent without a lease would reject a start, and end its run if the
+    // agent's previous process has already started it.
+    const bool allowed = grants || !order.start;
+    if (allowed &&
+        (!order.sent || now - order.sent_at >= options_.repeat_after)) {
       AddOrder(order, now, &orders);
     }
   }
--- a/Source/Jobs/owner_reconciliation.cc
+++ b/Source/Jobs/owner_reconciliation.cc
@@ -92,7 +92,9 @@
   };
   const auto granted_by = fold_->granted_by(worker.agent);
   std::string why = "owner_unknown";
-  if (worker.last_contact_at >= begun_at_) {
+  if (hooks_.stopped_lease_end(worker.agent) == worker.lease_bound) {
+    why = "told_to_stop";
+  } else if (worker.last_contact_at >= begun_at_) {
     why = "worker_unlisted";
   } else if (granted_by) {
     why = *granted_by + 1 < fence_ ? "earlier_owner" : "last_owner";
--- a/Source/Jobs/owner_records.cc
+++ b/Source/Jobs/owner_records.cc
@@ -83,22 +83,24 @@
     if (found == workers_.end()) {
       continue;
     }
-    const std::string& granted_worker_id = found->second->worker_id;
-    batch_grants_[name] = granted_worker_id;
+    const WorkerView& worker = *found->second;
+    batch_grants_[name] = {worker.worker_id, worker.agent_incarnation};
     AgentGrants grants;
     grants.set_name(name);
     grants.set_fence(fence_);
-    grants.set_worker_id(granted_worker_id);
+    grants.set_worker_id(worker.worker_id);
+    grants.set_agent_incarnation(worker.agent_incarnation);
     records->push_back(MakeRecord(RecordKind::kAgentGrants, name, grants));
   }
 }
 
 auto JobOwner::OnGrantsRecorded() -> void {
-  for (const auto& [name, granted_worker_id] : batch_grants_) {
+  for (const auto& [name, granted] : batch_grants_) {
     const auto found = workers_.find(name);
-    // A worker that registered meanwhile has to wait for a record of its own.
+    // A process that reported meanwhile has to wait for a record of its own.
     if (found != workers_.end() &&
-        found->second->worker_id == granted_worker_id) {
+        found->second->worker_id == granted.worker_id &&
+        found->second->agent_incarnation == granted.agent_incarnation) {
       found->second->grants_recorded = true;
       changes_.Record(*found->second);
       PollSoon(*found->second);
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -38,6 +38,9 @@
 auto TaskAgent::OnOrders(TimePoint now,
                          const std::string& peer,
                          const AgentOrders& orders) -> void {
+  if (stopped_) {
+    return;
+  }
   if (orders.fence() < fence_) {
     // The fence in the report notifies a replaced owner of its replacement.
     AgentReport report;
@@ -127,8 +130,16 @@
   }
 }
 
+auto TaskAgent::Stop(TimePoint now) -> Duration {
+  stopped_ = true;
+  return LeaseLeft(now);
+}
+
 auto TaskAgent::next_wake() const -> TimePoint {
   TimePoint wake = TimePoint::max();
+  if (stopped_) {
+    return wake;
+  }
   if (!listing_in_flight_ && !heartbeat_.worker_id.empty() && fence_ != 0) {
     wake = list_not_before_;
   }
@@ -192,8 +203,8 @@
 }
 
 auto TaskAgent::ListIfDue(TimePoint now) -> void {
-  if (listing_in_flight_ || heartbeat_.worker_id.empty() || fence_ == 0 ||
-      now < list_not_before_) {
+  if (stopped_ || listing_in_flight_ || heartbeat_.worker_id.empty() ||
+      fence_ == 0 || now < list_not_before_) {
     return;
   }
   ListCall call;
@@ -305,6 +316,18 @@
   return now > *worker_lease_until_ + drift + kLeaseMargin;
 }
 
+auto TaskAgent::LeaseLeft(TimePoint now) const -> Duration {
+  if (worker_left_) {
+    return Duration(0);
+  }
+  const auto drift = std::chrono::duration_cast<Duration>(
+      options_.max_lease * options_.worker_clock_drift);
+  // Without a known lease, an earlier process may have extended it until now.
+  const TimePoint until =
+      worker_lease_until_.value_or(now + options_.max_lease);
+  return std::max(Duration(0), until + drift + kLeaseMargin - now);
+}
+
 auto TaskAgent::Report(TimePoint now, bool with_running) -> void {
   if (owner_peer_.empty()) {
     return;
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -100,6 +100,10 @@
   // The worker has announced that it stops as planned.
   auto OnLeave(TimePoint now, const std::string& worker_id) -> void;
   auto Tick(TimePoint now) -> void;
+  // The process was told to stop: from now on, the agent extends no lease of
+  // its worker and starts nothing. Returns for how long the worker's lease may
+  // still be valid, whatever the rate of the worker's clock.
+  auto Stop(TimePoint now) -> Duration;
   auto next_wake() const -> TimePoint;
 
   auto draining() const -> bool { return heartbeat_.draining; }
@@ -208,6 +212,7 @@
   // Whether the lease of an unresponsive worker has expired, also by the
   // worker's clock.
   auto LeaseLapsed(TimePoint now) const -> bool;
+  auto LeaseLeft(TimePoint now) const -> Duration;
   auto Report(TimePoint now, bool with_running) -> void;
 
   TaskAgentOptions options_;
@@ -260,6 +265,7 @@
   // unknown, as after a start.
   std::optional<TimePoint> worker_lease_until_;
   bool report_due_ = false;
+  bool stopped_ = false;
   // Whether the worker's failure domain is evacuated, by the latest orders.
   bool evacuated_ = false;
 };
--- a/Source/Jobs/task_agent_orders.cc
+++ b/Source/Jobs/task_agent_orders.cc
@@ -177,7 +177,7 @@
 
 auto TaskAgent::ExecuteOrders(TimePoint now) -> void {
   SettleLapsed(now);
-  if (!listed_) {
+  if (!listed_ || stopped_) {
     return;
   }
   // Iterates over a copy, since a call that returns at once changes the map.
--- a/Tests/Jobs/agent_registration_test.cc
+++ b/Tests/Jobs/agent_registration_test.cc
@@ -115,5 +115,42 @@
   EXPECT_EQ(entry->left_worker_id(), kWorkerId);
 }
 
+// Guards against an owner that waits for an agent that was told to stop as for
+// one that is cut off: the agent's last act is to record the stop, even just
+// after it has registered, and it records nothing afterwards.
+TEST_F(AgentRegistrationTest, StopIsTheLastEntry) {
+  ASSERT_TRUE(Write(kStart, {}).has_value());
+  registration_.RecordStop({kStart, kWorkerId},
+                           std::chrono::microseconds(1500));
+  EXPECT_FALSE(registration_.stop_recorded());
+  const auto call = registration_.Next(kStart);
+  ASSERT_TRUE(call.has_value());
+  AgentEntry entry;
+  ASSERT_TRUE(entry.ParseFromString(call->records.front().value));
+  EXPECT_EQ(entry.name(), "agent-0");
+  EXPECT_EQ(entry.incarnation(), 7U);
+  EXPECT_EQ(entry.left_worker_id(), kWorkerId);
+  ASSERT_TRUE(entry.has_stop());
+  // Rounded up: the lease must not be taken for over before it is.
+  EXPECT_EQ(entry.stop().lease_left_ms(), 2U);
+  registration_.OnResult(kStart, {AppendOutcome::kAppended, 0});
+  EXPECT_TRUE(registration_.stop_recorded());
+  EXPECT_FALSE(Write(kStart + seconds(60), {}).has_value());
+}
+
+// The log loses the answer: the same append is repeated until it is confirmed.
+TEST_F(AgentRegistrationTest, StopIsRepeatedUntilItIsRecorded) {
+  registration_.RecordStop({}, Duration(0));
+  auto call = registration_.Next(kStart);
+  ASSERT_TRUE(call.has_value());
+  registration_.OnResult(kStart, {AppendOutcome::kUnknown, 0});
+  EXPECT_FALSE(registration_.stop_recorded());
+  const auto repeat = registration_.Next(kStart + seconds(1));
+  ASSERT_TRUE(repeat.has_value());
+  EXPECT_EQ(repeat->sequence, call->sequence);
+  registration_.OnResult(kStart + seconds(1), {AppendOutcome::kAppended, 0});
+  EXPECT_TRUE(registration_.stop_recorded());
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -74,6 +75,10 @@
     hooks.exclusive_until = [this]() -> TimePoint {
       return std::min(now_, exclusive_until_);
     };
+    hooks.stopped_lease_end =
+        [this](const std::string& agent) -> std::optional<TimePoint> {
+      return agent_stops_.LeaseEnd(agent);
+    };
     hooks.log_position = [this]() -> LogPosition {
       return {now_ - log_age_, offset_ + 1};
     };
@@ -88,9 +93,28 @@
   auto Put(KeyedRecord record) -> void {
     record.offset = ++offset_;
     const auto change = fold_.Apply(record);
+    if (change.kind == RecordKind::kAgent) {
+      const auto entry = fold_.agents().find(change.name);
+      agent_stops_.OnEntry(
+          now_, change.name,
+          entry == fold_.agents().end() ? nullptr : &entry->second);
+    }
     owner_.OnChange(now_, change);
   }
 
+  // Stores the record of the agent's process that it was told to stop.
+  auto PutStop(const std::string& agent,
+               uint64_t incarnation,
+               milliseconds lease_left) -> void {
+    AgentEntry entry;
+    entry.set_name(agent);
+    entry.set_link_endpoint(agent);
+    entry.set_incarnation(incarnation);
+    entry.mutable_stop()->set_lease_left_ms(
+        static_cast<uint64_t>(lease_left.count()));
+    Put(MakeRecord(RecordKind::kAgent, agent, entry));
+  }
+
   // Stores the agent's registration. A non-empty `left_worker_id` is the id of
   // a worker process that the registration reports as having left.
   auto PutAgent(const std::string& agent,
@@ -112,11 +136,13 @@
   }
 
   // Stores an owner's record that it grants leases to the agent, for the worker
-  // process `worker_id` if that is not empty.
+  // process `worker_id` and the agent's process `agent_incarnation`, if set.
   auto PutGrants(const std::string& agent,
                  uint64_t fence,
-                 const std::string& worker_id = "") -> void {
+                 const std::string& worker_id = "",
+                 uint64_t agent_incarnation = 0) -> void {
     AgentGrants grants;
+    grants.set_agent_incarnation(agent_incarnation);
     grants.set_name(agent);
     grants.set_fence(fence);
     grants.set_worker_id(worker_id);
@@ -226,6 +252,7 @@
   uint64_t offset_ = 0;
   QueueRules rules_;
   JobFold fold_;
+  AgentStops agent_stops_{JobOwnerOptions().clock_drift};
   std::map<std::string, int> polls_;
   // From the latest poll of each agent.
   std::map<std::string, uint64_t> crashes_logged_;
--- a/Tests/Jobs/owner_agents_test.cc
+++ b/Tests/Jobs/owner_agents_test.cc
@@ -562,6 +562,123 @@
                     LeftRecordCase{"grants_name_no_life", "life-1", "", true}),
     [](const auto& info) { return info.param.name; });
 
+struct StopRecordCase {
+  std::string name;
+  // Process of agent 1 that recorded its stop, and the one that the previous
+  // owner granted leases to; zero if the record names none.
+  uint64_t stopped = 0;
+  uint64_t granted = 0;
+  milliseconds lease_left{0};
+  // When the record was read; the owner begins 2 s later.
+  double starts_after = 0.0;
+};
+
+class StopRecordTest : public JobOwnerTest,
+                       public testing::WithParamInterface<StopRecordCase> {};
+
+// Guards against tasks that stay down for some 20 s although there is room. An
+// agent was told to stop and left with its worker, its owner was lost, and the
+// next one waited for leases of the lost one. What the agent recorded counts
+// from when it was read, and only for the process that was granted leases.
+TEST_P(StopRecordTest, EndsTheWaitWithTheLeaseOfTheGrantedProcess) {
+  PutJob({Step(1)});
+  PutClaim();
+  PutGrants("agent-1", kFence - 1, "life-1", GetParam().granted);
+  PutStop("agent-1", GetParam().stopped, GetParam().lease_left);
+  now_ += seconds(2);
+  Begin();
+  const TimePoint started_at = now_;
+  while (Starts() == 0 && now_ < started_at + seconds(60)) {
+    now_ += milliseconds(100);
+    Report("agent-0", ReportOf("agent-0"));
+  }
+  EXPECT_NEAR(std::chrono::duration<double>(now_ - started_at).count(),
+              GetParam().starts_after, 0.2);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    StopRecordTest,
+    testing::Values(
+        StopRecordCase{"nothing_can_run", 11, 11, milliseconds(0), 0.1},
+        StopRecordCase{"lease_over_meanwhile", 11, 11, milliseconds(1900), 0.1},
+        StopRecordCase{"lease_still_valid", 11, 11, milliseconds(5000), 3.1},
+        // No longer than without the record.
+        StopRecordCase{"lease_of_a_foreign_writer", 11, 11,
+                       milliseconds(500000), 20.0},
+        StopRecordCase{"next_process_is_in_use", 11, 12, milliseconds(0), 20.0},
+        StopRecordCase{"grants_name_no_process", 11, 0, milliseconds(0), 20.0},
+        StopRecordCase{"stop_names_no_process", 0, 0, milliseconds(0), 20.0}),
+    [](const auto& info) { return info.param.name; });
+
+// The agent answers the new owner, its worker cannot be listed, and the agent
+// is told to stop: leases of this owner end with it, too.
+TEST_F(JobOwnerTest, AgentThatStopsDuringReconciliationEndsTheWait) {
+  constexpr uint64_t kIncarnation = 11;
+  PutJob({Step(1)});
+  PutClaim();
+  PutGrants("agent-1", kFence - 1, "life-1", kIncarnation);
+  Begin();
+  auto unlisted = ReportOf("agent-1");
+  unlisted.set_incarnation(kIncarnation);
+  unlisted.set_complete(false);
+  Report("agent-1", unlisted);
+  PutStop("agent-1", kIncarnation, milliseconds(1000));
+  const TimePoint stopped_at = now_;
+  while (Starts() == 0 && now_ < stopped_at + seconds(60)) {
+    now_ += milliseconds(100);
+    Report("agent-0", ReportOf("agent-0"));
+  }
+  EXPECT_NEAR(std::chrono::duration<double>(now_ - stopped_at).count(), 1.1,
+              0.15);
+}
+
+// The record of an earlier process is stored late, after the next process has
+// answered: it says nothing about that one.
+TEST_F(JobOwnerTest, LateStopRecordDoesNotCountForTheNextProcess) {
+  PutJob({Step(1)});
+  PutClaim();
+  PutGrants("agent-1", kFence - 1, "life-1", 11);
+  Begin();
+  auto unlisted = ReportOf("agent-1");
+  unlisted.set_incarnation(12);
+  unlisted.set_complete(false);
+  Report("agent-1", unlisted);
+  PutStop("agent-1", 11, milliseconds(0));
+  now_ += seconds(3);
+  Report("agent-0", ReportOf("agent-0"));
+  EXPECT_EQ(Starts(), 0U);
+}
+
+// Guards against tasks that run in two places. An agent is restarted; its
+// previous process has recorded that it stopped, so a new owner would not wait
+// for runs that the next process keeps under leases that the log does not name.
+TEST_F(JobOwnerTest, NextAgentProcessIsGrantedNothingBeforeTheLogNamesIt) {
+  PutJob({Step(1)});
+  Begin();
+  for (const char* agent : {"agent-0", "agent-1"}) {
+    auto report = ReportOf(agent);
+    report.set_incarnation(11);
+    Report(agent, report);
+  }
+  ASSERT_EQ(Starts(), 1U);
+  const std::string agent = starts_.begin()->first;
+  auto next = ReportOf(agent);
+  next.set_incarnation(12);
+  starts_.clear();
+  EXPECT_TRUE(owner_.OnReport(now_, agent, next));
+  now_ += milliseconds(500);
+  owner_.Tick(now_);
+  EXPECT_EQ(latest_orders_[agent].granted_from_us(), 0U);
+  // Without a lease, the process would reject the start and end its run.
+  EXPECT_EQ(Starts(), 0U);
+  StoreBatch();
+  now_ += milliseconds(500);
+  owner_.Tick(now_);
+  EXPECT_GT(latest_orders_[agent].granted_from_us(), 0U);
+  EXPECT_EQ(starts_[agent].size(), 1U);
+}
+
 // The record that the worker has left is read during the reconciliation.
 TEST_F(JobOwnerTest, WorkerThatLeavesDuringReconciliationEndsTheWait) {
   PutJob({Step(1)});
--- a/Tests/Jobs/simulated_cluster.cc
+++ b/Tests/Jobs/simulated_cluster.cc
@@ -43,6 +43,9 @@
 constexpr std::chrono::milliseconds kOpportunisticWork{4000};
 // Time from the report that a worker has left to the exit of its agent.
 constexpr std::chrono::milliseconds kExitDelay{50};
+// Maximum time that an agent takes to record that it was told to stop.
+constexpr std::chrono::milliseconds kMaxStopTime{1000};
+constexpr std::chrono::milliseconds kStopCheckInterval{5};
 
 auto Configuration(const std::vector<std::string>& services)
     -> QueueConfiguration {
@@ -302,6 +305,56 @@
   time_.After(kExitDelay, end);
 }
 
+auto SimulatedCluster::RemoveWorker(int number) -> void {
+  workers_.at(number)->Remove();
+}
+
+auto SimulatedCluster::StopAgent(int number, Duration down) -> void {
+  Process* process = agents_.at(number).get();
+  if (!process->up || process->frozen_until > time_.now()) {
+    return;
+  }
+  Deliver(process, [this, process]() -> void {
+    const TimePoint now = time_.now();
+    const Duration lease_left = process->agent->Stop(now);
+    process->registration->RecordStop(
+        {process->agent->ordered_at(), process->agent->left_worker()},
+        lease_left);
+    SendRegistration(process);
+  });
+  EndWhenRecorded(process, time_.now() + kMaxStopTime,
+                  [this, number, down]() -> void { KillAgent(number, down); });
+}
+
+auto SimulatedCluster::StopAgentForGood(int number) -> void {
+  StopAgent(number, Duration(0));
+  agents_.at(number)->removed = true;
+  workers_.at(number)->Remove();
+}
+
+auto SimulatedCluster::EndWhenRecorded(Process* process,
+                                       TimePoint limit,
+                                       const std::function<auto()->void>& end)
+    -> void {
+  time_.After(kStopCheckInterval, [this, process, limit, end,
+                                   generation = process->generation]() {
+    if (process->generation != generation) {
+      return;
+    }
+    if (process->registration->stop_recorded() || time_.now() >= limit) {
+      end();
+    } else {
+      EndWhenRecorded(process, limit, end);
+    }
+  });
+}
+
+auto SimulatedCluster::RemoveEntry(int number) -> void {
+  Process* process = entries_.at(number).get();
+  process->removed = true;
+  Kill(process, Duration(0), []() -> void {});
+}
+
 auto SimulatedCluster::Agents() const -> std::vector<int> {
   std::vector<int> numbers;
   for (int number = 0; number < static_cast<int>(agents_.size()); ++number) {
@@ -487,6 +540,10 @@
   process->registration->RegisterIfDue(
       time_.now(),
       {process->agent->ordered_at(), process->agent->left_worker()});
+  SendRegistration(process);
+}
+
+auto SimulatedCluster::SendRegistration(Process* process) -> void {
   const auto call = process->registration->Next(time_.now());
   if (!call) {
     return;
@@ -666,7 +723,8 @@
     return;
   }
   const auto heartbeat = workers_.at(number)->Heartbeat();
-  if (process->up && !workers_.at(number)->down()) {
+  const auto& worker = *workers_.at(number);
+  if (process->up && !worker.down() && !worker.removed()) {
     Deliver(process, [this, process, heartbeat]() -> void {
       if (!process->agent->OnHeartbeat(time_.now(), heartbeat)) {
         Trace(absl::StrCat(process->name, " rejects ", heartbeat.worker_id));
@@ -1068,7 +1126,9 @@
   RecordCompleted();
   for (const auto& id : accepted_) {
     for (int entry = 0; entry < options_.entries; ++entry) {
-      CheckStateOf(id, entry);
+      if (!entries_[entry]->removed) {
+        CheckStateOf(id, entry);
+      }
     }
   }
   for (const auto& [task, since] : startable_since_) {
--- a/Tests/Jobs/simulated_cluster.h
+++ b/Tests/Jobs/simulated_cluster.h
@@ -113,6 +113,15 @@
   // Removes an agent and its worker permanently. `planned`: the agent still
   // reports that its worker has left.
   auto RemoveAgent(int number, bool planned) -> void;
+  // Removes the worker permanently; its agent keeps running.
+  auto RemoveWorker(int number) -> void;
+  // The agent is told to stop: it ends as soon as it has recorded that, or
+  // after a second. Its next process starts after `down`.
+  auto StopAgent(int number, Duration down) -> void;
+  // The same, but the agent and its worker are then removed permanently.
+  auto StopAgentForGood(int number) -> void;
+  // Removes the entry permanently.
+  auto RemoveEntry(int number) -> void;
   // Numbers of the agents that have not been removed.
   auto Agents() const -> std::vector<int>;
   // Whether a fault is active now.
@@ -191,7 +200,12 @@
   // Appends the registration record of the agent when it is due, as its daemon
   // does.
   auto Register(Process* process) -> void;
+  auto SendRegistration(Process* process) -> void;
   auto KeepRegistered(Process* process) -> void;
+  // Calls `end` once the agent has recorded its stop, or at `limit`.
+  auto EndWhenRecorded(Process* process,
+                       TimePoint limit,
+                       const std::function<auto()->void>& end) -> void;
   auto Kill(Process* process, Duration down, std::function<auto()->void> start)
       -> void;
   // Runs `event` in the process if it has not been restarted since; if the
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -850,5 +850,87 @@
   EXPECT_FALSE(agent_.OnHeartbeat(now_, late));
 }
 
+// Guards against a lease that an agent extends after it has recorded that it
+// was told to stop: a new owner relies on the record and starts elsewhere what
+// still runs.
+TEST_F(TaskAgentTest, ExtendsNoLeaseOnceItWasToldToStop) {
+  SendHeartbeat(kWorkerId);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  AnswerList();
+  agent_.OnOrders(now_, "owner", WithStart(Orders(1), /*repeated=*/false));
+  ASSERT_EQ(starts_.size(), 1U);
+  ASSERT_FALSE(lists_.empty());
+  const auto lists = lists_.size();
+  agent_.Stop(now_);
+  on_start_(now_, {WorkerCallOutcome::kUnknown});
+  AnswerList();
+  for (int round = 0; round < 30; ++round) {
+    now_ += milliseconds(100);
+    agent_.OnOrders(now_, "owner", WithStart(Orders(1), /*repeated=*/true));
+    agent_.Tick(now_);
+    SendHeartbeat(kWorkerId);
+  }
+  SendHeartbeat("life-2");
+  agent_.Tick(now_);
+  EXPECT_EQ(lists_.size(), lists);
+  EXPECT_EQ(starts_.size(), 1U);
+  EXPECT_EQ(agent_.next_wake(), TimePoint::max());
+}
+
+struct LeaseLeftCase {
+  std::string name;
+  bool knows_worker = true;
+  bool granted = true;
+  bool left = false;
+  // From the latest grant until the stop.
+  milliseconds waited{0};
+  // Bounds of the answer, which covers a clock that is 2% slow.
+  milliseconds at_least{0};
+  milliseconds at_most{0};
+};
+
+class LeaseLeftTest : public TaskAgentTest,
+                      public testing::WithParamInterface<LeaseLeftCase> {};
+
+// Guards against an agent that states too short a lease when it is told to
+// stop, and against one that needlessly states the longest.
+TEST_P(LeaseLeftTest, CoversEveryLeaseThatTheWorkerMayHold) {
+  if (GetParam().knows_worker) {
+    SendHeartbeat(kWorkerId);
+    // The lease that an earlier process may have extended is over.
+    now_ += std::chrono::seconds(20);
+  }
+  if (GetParam().granted) {
+    agent_.OnOrders(now_, "owner", Orders(1));
+    AnswerList();
+  }
+  if (GetParam().left) {
+    agent_.OnLeave(now_, kWorkerId);
+  }
+  now_ += GetParam().waited;
+  const auto left = agent_.Stop(now_);
+  EXPECT_GE(left, GetParam().at_least);
+  EXPECT_LE(left, GetParam().at_most);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    LeaseLeftTest,
+    testing::Values(
+        LeaseLeftCase{"just_granted", true, true, false, milliseconds(0),
+                      milliseconds(5100), milliseconds(5400)},
+        LeaseLeftCase{"granted_before", true, true, false, milliseconds(3000),
+                      milliseconds(2100), milliseconds(2400)},
+        LeaseLeftCase{"over", true, true, false, milliseconds(6000),
+                      milliseconds(0), milliseconds(0)},
+        LeaseLeftCase{"never_granted", true, false, false, milliseconds(0),
+                      milliseconds(0), milliseconds(0)},
+        LeaseLeftCase{"worker_left", true, true, true, milliseconds(0),
+                      milliseconds(0), milliseconds(0)},
+        // An earlier process may have extended it just before.
+        LeaseLeftCase{"worker_unknown", false, false, false, milliseconds(0),
+                      milliseconds(10200), milliseconds(10400)}),
+    [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
