Jobs: Owners record the next process of a crashed worker

Callers would see tasks of before a takeover stand for some 20 s (LOST): a worker crashed, its next process left as planned, and the owner was lost.

Cause: after a crash the next process is used without a new record of grants, so that an outage of the log does not keep it empty, and none was written later. The log named the crashed process for good, so the entry that the next one had left did not count. The record is written now without being waited for.

NextProcessOfACrashedWorkerIsRecorded fails without it.

--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -59,6 +59,11 @@
         now, worker,
         left || worker.draining ? WorkerExit::kPlanned : WorkerExit::kCrashed);
     worker.grants_recorded = still_recorded;
+    if (still_recorded) {
+      // Once the log names the next worker process, the record that it leaves
+      // counts for a new owner.
+      grants_to_record_.insert(worker.agent);
+    }
   }
   worker.left = (worker.left || left) && report.worker_id().empty();
   if (report.worker_id().empty()) {
--- a/Tests/Jobs/owner_agents_test.cc
+++ b/Tests/Jobs/owner_agents_test.cc
@@ -760,6 +760,26 @@
                               false}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against tasks that stay down for some 20 s although there is room. A
+// worker crashed and its next process left as planned, then the owner was lost.
+// The log still named the process that had crashed, so the record that the next
+// one had left did not count, and the new owner waited for leases of the lost
+// one.
+TEST_F(JobOwnerTest, NextProcessOfACrashedWorkerIsRecorded) {
+  constexpr uint64_t kIncarnation = 1;
+  Begin();
+  auto report = ReportOf("agent-1");
+  report.set_incarnation(kIncarnation);
+  Report("agent-1", report);
+  report.set_worker_id("next-life");
+  report.set_sent_us(++sent_us_);
+  EXPECT_TRUE(owner_.OnReport(now_, "agent-1", report));
+  EXPECT_TRUE(owner_.workers().at("agent-1")->grants_recorded);
+  StoreBatch();
+  PutAgent("agent-1", "next-life");
+  EXPECT_TRUE(fold_.worker_has_left("agent-1"));
+}
+
 // A record of grants that was in flight when the next worker process reported
 // does not cover that process.
 TEST_F(JobOwnerTest, RecordForThePreviousProcessAllowsNoGrants) {
