Jobs: Owners ignore late reports of an agent process that has ended

Callers would see a task in two places (TWICE): a report of an agent's previous process lies on its way until the next one has been granted leases; the owner records grants to the previous process again, that one's record of its stop counts again, and the next owner starts elsewhere what the next process runs.

Cause: the newest message was taken for the one of the newest process. The owner keeps which process was before the current one, and passes over its reports.

LateReportOfAnEndedAgentProcessIsIgnored fails without it.

--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -161,6 +161,12 @@
     return true;
   }
   WorkerView& worker = *found->second;
+  if (report.incarnation() != 0 &&
+      report.incarnation() == worker.ended_agent_incarnation) {
+    // Delivered late. Grants would be recorded for a process that has ended,
+    // and its record that it stops would count for the one that has followed.
+    return true;
+  }
   OnCrashedRuns(worker, report);
   UpdateWorker(now, worker, report);
   const bool reconciling = !worker.confirmed && !reconciliation_done_;
--- a/Tests/Jobs/owner_agents_test.cc
+++ b/Tests/Jobs/owner_agents_test.cc
@@ -760,6 +760,24 @@
                               false}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against tasks that run in two places. A report of an agent's previous
+// process arrives after the next one was granted leases. If the owner recorded
+// grants to the previous process again, the record that it had stopped would
+// count, and a new owner would start elsewhere what the next process runs.
+TEST_F(JobOwnerTest, LateReportOfAnEndedAgentProcessIsIgnored) {
+  Begin();
+  auto late = ReportOf("agent-1");
+  late.set_incarnation(11);
+  Report("agent-1", late);
+  auto next = ReportOf("agent-1");
+  next.set_incarnation(12);
+  Report("agent-1", next);
+  Report("agent-1", late);
+  PutStop("agent-1", 11, milliseconds(0));
+  EXPECT_FALSE(fold_.granted_process_has_stopped("agent-1"));
+  EXPECT_EQ(owner_.workers().at("agent-1")->agent_incarnation, 12U);
+}
+
 // Guards against tasks that stay down for some 20 s although there is room. A
 // worker crashed and its next process left as planned, then the owner was lost.
 // The log still named the process that had crashed, so the record that the next
