Tests: Agents that are told to stop, as real processes

A new owner names the bound told_to_stop for an agent that got SIGTERM before its owner was killed; an agent ends within 5 s while the log rejects everything.

--- a/Tests/Process/platform_test.cc
+++ b/Tests/Process/platform_test.cc
@@ -307,6 +307,42 @@
   ExpectNoProblems();
 }
 
+// Guards against a new owner that waits for an agent that was told to stop as
+// for one that is cut off together with the previous owner. The agent records
+// its stop before it ends; then the owner is lost and does not come back.
+TEST_F(PlatformTest, NewOwnerKnowsThatAnAgentWasToldToStop) {
+  ASSERT_TRUE(Submit("00000000000000a1"));
+  ASSERT_TRUE(WaitCompleted(0, "00000000000000a1"));
+  processes_["agent-0"]->Signal(SIGTERM);
+  EXPECT_EQ(processes_["agent-0"]->WaitExit(seconds(5)), 0);
+  const auto shows = [this](const std::string& process,
+                            const std::string& text) -> bool {
+    return processes_[process]->Output().find(text) != std::string::npos;
+  };
+  EXPECT_TRUE(shows("agent-0", "\"event\":\"agent_stops\""));
+  EXPECT_FALSE(shows("agent-0", "\"event\":\"stop_not_recorded\""));
+  const bool first = shows("entry-0", "\"event\":\"owner_begin\"");
+  processes_[first ? "entry-0" : "entry-1"]->Kill();
+  EXPECT_TRUE(WaitFor(
+      [&shows, first]() -> bool {
+        return shows(first ? "entry-1" : "entry-0", "agent-0=told_to_stop:");
+      },
+      kTakeoverTimeout));
+  ExpectNoProblems();
+}
+
+// Guards against an agent that does not end while the log is unavailable.
+TEST_F(PlatformTest, AgentStopsWhileTheLogIsUnavailable) {
+  ASSERT_TRUE(Submit("00000000000000a1"));
+  ASSERT_TRUE(WaitCompleted(0, "00000000000000a1"));
+  platform_->SetLogMode(jobs::VirtualLog::Mode::kRejects);
+  processes_["agent-0"]->Signal(SIGTERM);
+  EXPECT_EQ(processes_["agent-0"]->WaitExit(seconds(5)), 0);
+  EXPECT_NE(processes_["agent-0"]->Output().find("stop_not_recorded"),
+            std::string::npos);
+  ExpectNoProblems();
+}
+
 // Guards against an acknowledged job that is lost while a job reported as
 // rejected runs. The log executes an append, the connection is reset before the
 // answer, and new connections are refused for a while. If the HTTP client
