Jobs: What a review of agents' stops found

A late report of an agent's ended process made its owner deaf to the live one for up to a lease and a registration: one remembered process is too few, and which of two came first cannot be seen from the order of their reports. The owner passes over processes that others have followed, but for the one that the log names as registered last. ReportOrderTest late_to_a_new_owner and late_twice fail without the latter.

An agent that was told to stop still passed on stops and paces; a worker's farewell that came after its agent's stop was answered and not written: it is recorded now with a lease of nothing. The test of the former checks stops too.

The foreign writer's lease in StopRecordTest is beyond the clamp now; it was below and passed without it. A record that is read twice has a test.

--- a/Source/Daemon/job_agent.cc
+++ b/Source/Daemon/job_agent.cc
@@ -93,7 +93,11 @@
         log_.Write("worker_leaves", {{"worker", worker_id}});
         agent_.OnLeave(now, worker_id);
         respond(true);
-        Register(now);
+        if (agent_.stopped()) {
+          RecordStop(now);
+        } else {
+          Register(now);
+        }
       });
   if (!posted) {
     respond(false);
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -147,6 +147,16 @@
   placement_due_ = true;
 }
 
+// Grants would be recorded for a process that has ended, and its record that it
+// stops would count for the one that has followed. Reports of two processes may
+// arrive in any order; the log says which of them registered last.
+auto JobOwner::IsOfEndedAgentProcess(const WorkerView& worker,
+                                     const AgentReport& report) -> bool {
+  return report.incarnation() != 0 &&
+         report.incarnation() != worker.registration.incarnation() &&
+         worker.followed_agent_incarnations.contains(report.incarnation());
+}
+
 auto JobOwner::OnReport(TimePoint now,
                         const std::string& agent,
                         const AgentReport& report) -> bool {
@@ -161,10 +171,7 @@
     return true;
   }
   WorkerView& worker = *found->second;
-  if (report.incarnation() != 0 &&
-      report.incarnation() == worker.ended_agent_incarnation) {
-    // Delivered late. Grants would be recorded for a process that has ended,
-    // and its record that it stops would count for the one that has followed.
+  if (IsOfEndedAgentProcess(worker, report)) {
     return true;
   }
   OnCrashedRuns(worker, report);
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -292,6 +292,9 @@
   // When grants of earlier owners to the agent have expired.
   auto EarlierGrantsEnd(const std::string& agent) const -> TimePoint;
   auto ForgetUnresponsiveAgents(TimePoint now) -> void;
+  // Whether a late report was sent by a process of the agent that has ended.
+  static auto IsOfEndedAgentProcess(const WorkerView& worker,
+                                    const AgentReport& report) -> bool;
   auto UpdateWorker(TimePoint now,
                     WorkerView& worker,
                     const AgentReport& report) -> void;
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -81,8 +81,8 @@
     worker.ends_processed = worker.ends_logged;
   }
   if (worker.agent_incarnation != report.incarnation()) {
-    worker.ended_agent_incarnation =
-        std::exchange(worker.agent_incarnation, report.incarnation());
+    worker.followed_agent_incarnations.insert(
+        std::exchange(worker.agent_incarnation, report.incarnation()));
     worker.reported_us = 0;
     // The previous process may have recorded that it stops. If this one were
     // granted to before the log names it, a new owner would rely on that record
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -229,6 +229,9 @@
 auto TaskAgent::OnListing(TimePoint asked, TimePoint now, WorkerListing listing)
     -> void {
   listing_in_flight_ = false;
+  if (stopped_) {
+    return;
+  }
   if (!listing.answered) {
     if (!unresponsive_since_) {
       unresponsive_since_ = asked;
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -106,6 +106,7 @@
   auto Stop(TimePoint now) -> Duration;
   auto next_wake() const -> TimePoint;
 
+  auto stopped() const -> bool { return stopped_; }
   auto draining() const -> bool { return heartbeat_.draining; }
   // Id of the worker that was known last and has left; empty if a worker is
   // known now or none has been known.
--- a/Source/Jobs/task_agent_orders.cc
+++ b/Source/Jobs/task_agent_orders.cc
@@ -325,6 +325,9 @@
                           const OrderPtr& order,
                           WorkerCallResult result) -> void {
   order->state = OrderState::kWaiting;
+  if (stopped_) {
+    return;
+  }
   if (result.outcome == WorkerCallOutcome::kDone) {
     LogStart(now, *order, "started", "");
     run_watch_.OnStarted(now, order->task, order->run);
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -89,8 +89,8 @@
   bool evacuated = false;
   // Incarnation of the agent that reported the worker id.
   uint64_t agent_incarnation = 0;
-  // The one before it, which has ended; zero if there was none.
-  uint64_t ended_agent_incarnation = 0;
+  // Incarnations that reported before another one did.
+  std::set<uint64_t> followed_agent_incarnations;
   // The agent has listed its runs under this owner's fence.
   bool confirmed = false;
   // The log records that this owner grants to the agent. The owner may grant
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -118,8 +118,10 @@
   // Stores the agent's registration. A non-empty `left_worker_id` is the id of
   // a worker process that the registration reports as having left.
   auto PutAgent(const std::string& agent,
-                const std::string& left_worker_id = "") -> void {
+                const std::string& left_worker_id = "",
+                uint64_t incarnation = 0) -> void {
     AgentEntry entry;
+    entry.set_incarnation(incarnation);
     entry.set_name(agent);
     entry.set_link_endpoint(agent);
     entry.set_left_worker_id(left_worker_id);
--- a/Tests/Jobs/owner_agents_test.cc
+++ b/Tests/Jobs/owner_agents_test.cc
@@ -604,8 +604,8 @@
         StopRecordCase{"lease_over_meanwhile", 11, 11, milliseconds(1900), 0.1},
         StopRecordCase{"lease_still_valid", 11, 11, milliseconds(5000), 3.1},
         // No longer than without the record.
-        StopRecordCase{"lease_of_a_foreign_writer", 11, 11,
-                       milliseconds(500000), 20.0},
+        StopRecordCase{"lease_of_a_foreign_writer", 11, 11, milliseconds::max(),
+                       20.0},
         StopRecordCase{"next_process_is_in_use", 11, 12, milliseconds(0), 20.0},
         StopRecordCase{"grants_name_no_process", 11, 0, milliseconds(0), 20.0},
         StopRecordCase{"stop_names_no_process", 0, 0, milliseconds(0), 20.0}),
@@ -769,6 +769,7 @@
   auto late = ReportOf("agent-1");
   late.set_incarnation(11);
   Report("agent-1", late);
+  PutAgent("agent-1", "", 12);
   auto next = ReportOf("agent-1");
   next.set_incarnation(12);
   Report("agent-1", next);
@@ -778,6 +779,59 @@
   EXPECT_EQ(owner_.workers().at("agent-1")->agent_incarnation, 12U);
 }
 
+struct ReportOrderCase {
+  std::string name;
+  // Processes of the agent in the order in which their reports arrive; the
+  // last one is alive and registered.
+  std::vector<uint64_t> reports;
+};
+
+class ReportOrderTest : public JobOwnerTest,
+                        public testing::WithParamInterface<ReportOrderCase> {};
+
+// Guards against an agent that is not heard any more because a late report of
+// its previous process was taken for a newer one.
+TEST_P(ReportOrderTest, LiveProcessIsHeardWhicheverReportsComeLate) {
+  PutAgent("agent-1", "", GetParam().reports.back());
+  Begin();
+  for (const uint64_t incarnation : GetParam().reports) {
+    auto report = ReportOf("agent-1");
+    report.set_incarnation(incarnation);
+    Report("agent-1", report);
+  }
+  const auto& worker = *owner_.workers().at("agent-1");
+  EXPECT_EQ(worker.agent_incarnation, GetParam().reports.back());
+  EXPECT_TRUE(worker.grants_recorded);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    ReportOrderTest,
+    testing::Values(ReportOrderCase{"in_order", {11, 12}},
+                    ReportOrderCase{"late_to_a_new_owner", {12, 11, 12}},
+                    ReportOrderCase{"late_twice", {12, 11, 12, 11, 12}},
+                    ReportOrderCase{"late_by_two", {11, 12, 13, 11, 13}}),
+    [](const auto& info) { return info.param.name; });
+
+// The log has lost its history and the record of the stop is read again: the
+// lease that it states has not begun anew.
+TEST_F(JobOwnerTest, StopThatIsReadAgainCountsFromTheFirstTime) {
+  PutJob({Step(1)});
+  PutClaim();
+  PutGrants("agent-1", kFence - 1, "life-1", 11);
+  PutStop("agent-1", 11, milliseconds(5000));
+  now_ += seconds(2);
+  PutStop("agent-1", 11, milliseconds(5000));
+  Begin();
+  const TimePoint started_at = now_;
+  while (Starts() == 0 && now_ < started_at + seconds(60)) {
+    now_ += milliseconds(100);
+    Report("agent-0", ReportOf("agent-0"));
+  }
+  EXPECT_NEAR(std::chrono::duration<double>(now_ - started_at).count(), 3.1,
+              0.2);
+}
+
 // Guards against tasks that stay down for some 20 s although there is room. A
 // worker crashed and its next process left as planned, then the owner was lost.
 // The log still named the process that had crashed, so the record that the next
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -862,7 +862,8 @@
   ASSERT_FALSE(lists_.empty());
   const auto lists = lists_.size();
   agent_.Stop(now_);
-  on_start_(now_, {WorkerCallOutcome::kUnknown});
+  // A start that may be rejected is stopped otherwise.
+  on_start_(now_, {WorkerCallOutcome::kNoRoom});
   AnswerList();
   for (int round = 0; round < 30; ++round) {
     now_ += milliseconds(100);
@@ -874,6 +875,7 @@
   agent_.Tick(now_);
   EXPECT_EQ(lists_.size(), lists);
   EXPECT_EQ(starts_.size(), 1U);
+  EXPECT_EQ(stops_.size(), 0U);
   EXPECT_EQ(agent_.next_wake(), TimePoint::max());
 }
 
