--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -2,7 +2,6 @@
 #define RHUBARBHAVEN_JOBS_JOB_OWNER_H_
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -14,6 +13,8 @@
 #include "Base/base.h"
 #include "Jobs/image_interference.h"
 #include "Jobs/job_fold.h"
+#include "Jobs/job_owner_hooks.h"
+#include "Jobs/job_owner_options.h"
 #include "Jobs/job_work.h"
 #include "Jobs/owner_election.h"
 #include "Jobs/place_choice.h"
@@ -25,149 +26,6 @@
 
 namespace rhubarbhaven::jobs {
 
-struct JobOwnerOptions {
-  uint64_t incarnation = 0;
-  // How long an agent may act on a grant. With a longer lease, runs survive
-  // longer silence of their agent or owner; with a shorter one, tasks of a lost
-  // worker start elsewhere sooner. Agents that lose power return within 3 to 5
-  // seconds.
-  std::chrono::milliseconds lease_ttl{5000};
-  // Assumed maximum relative difference in clock speed.
-  double clock_drift = 0.02;
-  std::chrono::milliseconds lease_margin{300};
-  std::chrono::milliseconds poll_interval{300};
-  // Until an agent has listed its runs, it is polled at this shorter interval
-  // during `first_poll_period`: the first poll only opens the connection, and a
-  // takeover waits for the listing.
-  std::chrono::milliseconds first_poll_interval{40};
-  std::chrono::milliseconds first_poll_period{2000};
-  // Minimum time between first polls to all agents together. A higher rate
-  // would use up the processor of a small owner, which is needed to open
-  // connections.
-  std::chrono::milliseconds min_first_poll_spacing{1};
-  // An order without a result is resent after this.
-  std::chrono::milliseconds repeat_after{400};
-  // How often an agent is sent the learned interference of the images on its
-  // worker.
-  std::chrono::milliseconds pressure_send_interval{1000};
-  // How often the learned interference is written to the log for the next
-  // owner. An owner that starts without it would place opportunistic tasks
-  // where they disturb serving tasks.
-  std::chrono::milliseconds pressure_store_interval{3000};
-  // A run without progress for this long is stopped and started elsewhere.
-  // Workers report whole percents of tasks that take seconds.
-  std::chrono::milliseconds stalled_after{2000};
-  std::chrono::milliseconds stalled_quarantine{4000};
-  // How long ended jobs stay readable; the platform requires 120 s.
-  std::chrono::seconds ended_job_retention{150};
-  // An agent that has not answered for this long, and holds no lease any more,
-  // is removed from the members; it registers again if it is still running.
-  // With a longer time, the reconciliation of the next owner waits for agents
-  // on which this owner knows that nothing runs, and long-running tasks stay
-  // down for that time, some 20 s. Covers a lease and its margin.
-  std::chrono::milliseconds forget_agent_after{6000};
-  // The same for an agent whose worker has ended as planned: five polls.
-  std::chrono::milliseconds forget_left_after{1500};
-
-  // Longest time that a lease may be valid after the report it was granted for.
-  auto LongestLease() const -> Duration {
-    return std::chrono::duration_cast<Duration>(lease_ttl *
-                                                (1.0 + clock_drift)) +
-           lease_margin;
-  }
-};
-
-// A decision of the owner about one or several runs, for logging.
-struct OwnerDecision {
-  std::string what;
-  // Task of the first run.
-  TaskName task;
-  uint64_t run = 0;
-  // Empty if the runs are on several agents.
-  std::string agent;
-  std::string why;
-  std::size_t runs = 1;
-  // Tasks of several runs, at most as many as a log line should hold.
-  std::vector<TaskName> some_tasks = {};
-};
-
-// State of a new owner's reconciliation. Tasks of jobs accepted before its
-// claim wait until it is done.
-struct ReconciliationState {
-  bool done = false;
-  // Time since the owner began.
-  Duration waited{0};
-  // Longest remaining wait if no missing agent answers.
-  Duration longest{0};
-  std::size_t agents = 0;
-  // Agents that it waits for, and the names of some of them.
-  std::size_t missing = 0;
-  std::vector<std::string> missing_names;
-  // For each of these agents, why it is waited for, for how long, and when it
-  // last answered.
-  std::vector<std::string> missing_bounds;
-};
-
-// A job that has no run although one of its steps is ready.
-struct StarvedJob {
-  // The first waiting task.
-  TaskName task;
-  Duration waited{0};
-  std::string why;
-  // Age of the oldest report among workers that have listed their runs.
-  Duration oldest_report{0};
-};
-
-// How much of the log a copy contains: all records that the log had at `as_of`,
-// and all before the offset `read_to`.
-struct LogPosition {
-  TimePoint as_of;
-  uint64_t read_to = 0;
-};
-
-struct JobOwnerHooks {
-  // Sends orders over the link to the agent at the endpoint.
-  std::function<auto(const std::string& link_endpoint, AgentOrders)->void> send;
-  std::function<auto(const OwnerDecision&)->void> log;
-  // Logs a decision about an agent as a whole: "agent_known" or
-  // "agent_forgotten".
-  std::function<auto(const std::string& what, const std::string& agent)->void>
-      log_agent;
-  // Reports that reconciliation still waits or is done.
-  std::function<auto(const ReconciliationState&)->void> log_reconciliation;
-  // Logs a starved job. The number of lines per second is limited over all
-  // jobs.
-  std::function<auto(const StarvedJob&)->void> log_starved;
-  // Reports the number of jobs that have been starved for long enough to be
-  // logged, whenever it changes.
-  std::function<auto(std::size_t)->void> report_starved;
-  // Reports each second the longest delay of a poll since the previous report.
-  std::function<auto(Duration)->void> report_lag;
-  // Reports each second the longest time from the decision on a start until its
-  // result, among the results since the previous report.
-  std::function<auto(Duration)->void> report_start_delay;
-  // Returns the queue's rules in the newest configuration, or null if it has
-  // none.
-  std::function<auto(const std::string& queue)->const QueueRules*> rules;
-  // Whether operators have evacuated the failure domain, so that nothing may
-  // start in it.
-  std::function<auto(const std::string& failure_domain)->bool> is_evacuated;
-  // The time until which no other owner can have followed this one. Runs under
-  // a lease that expired before it are over; a later lease may have been
-  // renewed by a successor.
-  std::function<auto()->TimePoint> exclusive_until;
-  // When the lease of the agent's worker has expired, by the record of the
-  // agent's process that it was told to stop; none if there is no such record.
-  std::function<auto(const std::string& agent)->std::optional<TimePoint>>
-      stopped_lease_end;
-  // Returns what the fold contains.
-  std::function<auto()->LogPosition> log_position;
-  // Time since the Unix epoch.
-  std::function<auto()->std::chrono::milliseconds> wall_clock;
-  // Requests tickets from the policy.
-  AskAdvice ask_advice;
-};
-
 // Makes the decisions for the cell from claiming it until losing it: where
 // tasks run, what the ends of runs mean, and what is written to the log.
 // Reports of agents count only if they carry this owner's fence.
--- /dev/null
+++ b/Source/Jobs/job_owner_hooks.h
@@ -0,0 +1,110 @@
+#ifndef RHUBARBHAVEN_JOBS_JOB_OWNER_HOOKS_H_
+#define RHUBARBHAVEN_JOBS_JOB_OWNER_HOOKS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Base/base.h"
+#include "Jobs/job_work.h"
+#include "Jobs/ticket_cache.h"
+
+namespace rhubarbhaven::jobs {
+
+// A decision of the owner about one or several runs, for logging.
+struct OwnerDecision {
+  std::string what;
+  // Task of the first run.
+  TaskName task;
+  uint64_t run = 0;
+  // Empty if the runs are on several agents.
+  std::string agent;
+  std::string why;
+  std::size_t runs = 1;
+  // Tasks of several runs, at most as many as a log line should hold.
+  std::vector<TaskName> some_tasks = {};
+};
+
+// State of a new owner's reconciliation. Tasks of jobs accepted before its
+// claim wait until it is done.
+struct ReconciliationState {
+  bool done = false;
+  // Time since the owner began.
+  Duration waited{0};
+  // Longest remaining wait if no missing agent answers.
+  Duration longest{0};
+  std::size_t agents = 0;
+  // Agents that it waits for, and the names of some of them.
+  std::size_t missing = 0;
+  std::vector<std::string> missing_names;
+  // For each of these agents, why it is waited for, for how long, and when it
+  // last answered.
+  std::vector<std::string> missing_bounds;
+};
+
+// A job that has no run although one of its steps is ready.
+struct StarvedJob {
+  // The first waiting task.
+  TaskName task;
+  Duration waited{0};
+  std::string why;
+  // Age of the oldest report among workers that have listed their runs.
+  Duration oldest_report{0};
+};
+
+// How much of the log a copy contains: all records that the log had at `as_of`,
+// and all before the offset `read_to`.
+struct LogPosition {
+  TimePoint as_of;
+  uint64_t read_to = 0;
+};
+
+struct JobOwnerHooks {
+  // Sends orders over the link to the agent at the endpoint.
+  std::function<auto(const std::string& link_endpoint, AgentOrders)->void> send;
+  std::function<auto(const OwnerDecision&)->void> log;
+  // Logs a decision about an agent as a whole: "agent_known" or
+  // "agent_forgotten".
+  std::function<auto(const std::string& what, const std::string& agent)->void>
+      log_agent;
+  // Reports that reconciliation still waits or is done.
+  std::function<auto(const ReconciliationState&)->void> log_reconciliation;
+  // Logs a starved job. The number of lines per second is limited over all
+  // jobs.
+  std::function<auto(const StarvedJob&)->void> log_starved;
+  // Reports the number of jobs that have been starved for long enough to be
+  // logged, whenever it changes.
+  std::function<auto(std::size_t)->void> report_starved;
+  // Reports each second the longest delay of a poll since the previous report.
+  std::function<auto(Duration)->void> report_lag;
+  // Reports each second the longest time from the decision on a start until its
+  // result, among the results since the previous report.
+  std::function<auto(Duration)->void> report_start_delay;
+  // Returns the queue's rules in the newest configuration, or null if it has
+  // none.
+  std::function<auto(const std::string& queue)->const QueueRules*> rules;
+  // Whether operators have evacuated the failure domain, so that nothing may
+  // start in it.
+  std::function<auto(const std::string& failure_domain)->bool> is_evacuated;
+  // The time until which no other owner can have followed this one. Runs under
+  // a lease that expired before it are over; a later lease may have been
+  // renewed by a successor.
+  std::function<auto()->TimePoint> exclusive_until;
+  // When the lease of the agent's worker has expired, by the record of the
+  // agent's process that it was told to stop; none if there is no such record.
+  std::function<auto(const std::string& agent)->std::optional<TimePoint>>
+      stopped_lease_end;
+  // Returns what the fold contains.
+  std::function<auto()->LogPosition> log_position;
+  // Time since the Unix epoch.
+  std::function<auto()->std::chrono::milliseconds> wall_clock;
+  // Requests tickets from the policy.
+  AskAdvice ask_advice;
+};
+
+}  // namespace rhubarbhaven::jobs
+
+#endif  // RHUBARBHAVEN_JOBS_JOB_OWNER_HOOKS_H_
