Jobs: Ask for a run's expected time in one place

Rank, outlook and moves read the caller's estimate themselves. They now ask ExpectedRunTime, which returns the estimate until a step has a learned time, so that a learned time reaches all of them.

--- a/Source/Jobs/job_order.cc
+++ b/Source/Jobs/job_order.cc
@@ -62,10 +62,13 @@
     for (const uint32_t earlier : step.after()) {
       end = std::max(end, ends[earlier]);
     }
-    const bool done = !whole && open != nullptr &&
-                      open->steps[static_cast<std::size_t>(number)].complete();
+    const StepWork* state =
+        open == nullptr ? nullptr
+                        : &open->steps[static_cast<std::size_t>(number)];
+    const bool done = !whole && state != nullptr && state->complete();
     if (!done) {
-      end += std::chrono::milliseconds(step.estimated_ms());
+      end += state == nullptr ? std::chrono::milliseconds(step.estimated_ms())
+                              : ExpectedRunTime(step, *state);
     }
     ends.push_back(end);
     longest = std::max(longest, end);
--- a/Source/Jobs/job_order.h
+++ b/Source/Jobs/job_order.h
@@ -25,8 +25,8 @@
   }
 };
 
-// The longest chain of unfinished work among a job's steps, by the caller's
-// estimates. Includes finished work if `whole`.
+// The longest chain of unfinished work among a job's steps, by the expected run
+// times. Includes finished work if `whole`.
 auto LongestChain(const JobWork& work, bool whole) -> std::chrono::milliseconds;
 
 // What a job's rank depends on besides the clock. It changes with the job's
--- a/Source/Jobs/job_work.cc
+++ b/Source/Jobs/job_work.cc
@@ -113,6 +113,12 @@
   }
 }
 
+auto ExpectedRunTime(const JobStep& spec, const StepWork& step)
+    -> std::chrono::milliseconds {
+  return step.expected_run_time.value_or(
+      std::chrono::milliseconds(spec.estimated_ms()));
+}
+
 auto OccurrenceWork::complete() const -> bool {
   return std::all_of(
       steps.begin(), steps.end(),
--- a/Source/Jobs/job_work.h
+++ b/Source/Jobs/job_work.h
@@ -1,6 +1,7 @@
 #ifndef RHUBARBHAVEN_JOBS_JOB_WORK_H_
 #define RHUBARBHAVEN_JOBS_JOB_WORK_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -85,6 +86,9 @@
   uint64_t rejected_mark = 0;
   // The same for opportunistic tasks that may start at any speed.
   uint64_t rejected_mark_any_speed = 0;
+  // Learned time of one whole run of a task at full speed; none while only the
+  // caller's estimate is known.
+  std::optional<std::chrono::milliseconds> expected_run_time;
 
   auto tasks() -> std::vector<TaskWork>& { return tasks_; }
   auto tasks() const -> const std::vector<TaskWork>& { return tasks_; }
@@ -115,6 +119,11 @@
   uint32_t first_waiting_ = 0;
 };
 
+// Expected time of one whole run of a task at full speed: the learned time, or
+// else the caller's estimate.
+auto ExpectedRunTime(const JobStep& spec, const StepWork& step)
+    -> std::chrono::milliseconds;
+
 struct OccurrenceWork {
   std::vector<StepWork> steps;
 
--- a/Source/Jobs/owner_moves.cc
+++ b/Source/Jobs/owner_moves.cc
@@ -27,10 +27,10 @@
 
 using Seconds = std::chrono::duration<double>;
 
-// Remaining time of a run at full speed, by the caller's estimate.
-auto WorkLeft(const JobStep& step, uint32_t percent) -> Seconds {
+// Remaining time of a run at full speed.
+auto WorkLeft(const TaskPlace& place, uint32_t percent) -> Seconds {
   const double left = 1.0 - std::min(1.0, percent / kWholePercent);
-  return std::chrono::milliseconds(step.estimated_ms()) * left;
+  return ExpectedRunTime(place.spec(), place.step_work()) * left;
 }
 
 auto IsMovable(TimePoint now, const TaskPlace& place, const RunWork& run)
@@ -55,12 +55,12 @@
         if (run.worker != worker.get() || !IsMovable(now, place, run)) {
           continue;
         }
-        const Seconds left = WorkLeft(place.spec(), run.percent);
+        const Seconds left = WorkLeft(place, run.percent);
         const Seconds here = left / std::max(kMinSpeed, *run.speed);
         const Seconds elsewhere =
             kMoveTime + (place.spec().checkpointing()
                              ? left
-                             : WorkLeft(place.spec(), /*percent=*/0));
+                             : WorkLeft(place, /*percent=*/0));
         if (here - elsewhere >= kMinGain) {
           slowed.push_back({place, run.run, here - elsewhere});
         }
