Jobs: Agents ask their worker for the process that the log names

After a loss of all power an agent that had just started knew its worker only from the worker's next heartbeat, up to 1.5 s later, and a new owner waited for the last of them before any task of before could start.

The owner's orders now name the worker process of its record of grants until the agent has listed its runs (AgentOrders.recorded_worker_id). The agent asks its worker for a listing of exactly that process. If it answers, no later process exists, and the agent lists its runs under the new fence. Until a heartbeat has come the report has no service and no capacity, so nothing is placed there: the worker may be draining. An answer of another process shows nothing.

--- a/Source/Daemon/job_agent.cc
+++ b/Source/Daemon/job_agent.cc
@@ -216,6 +216,14 @@
   hooks.log = [this](const jobs::AgentDecision& decision) -> void {
     LogDecision(decision);
   };
+  hooks.log_worker =
+      [this](const jobs::WorkerObservation& observation) -> void {
+    metrics_->Add(absl::StrCat("rhubarbhaven_", observation.what, "_total"));
+    log_.Write(
+        observation.what,
+        {{"worker", observation.worker_id},
+         {"since_start_ms", InMilliseconds(Clock::now() - started_at_)}});
+  };
   return hooks;
 }
 
--- a/Source/Daemon/job_agent.h
+++ b/Source/Daemon/job_agent.h
@@ -56,6 +56,7 @@
   EventLog log_;
   jobs::TaskAgent agent_;
   jobs::AgentRegistration registration_;
+  const TimePoint started_at_ = Clock::now();
   TimePoint last_tick_;
   // Set once the log contains that this process has stopped using its worker.
   std::promise<void> stop_recorded_;
--- a/Source/Jobs/job_fold.cc
+++ b/Source/Jobs/job_fold.cc
@@ -78,6 +78,13 @@
                                 : std::optional(found->second.fence());
 }
 
+auto JobFold::granted_worker(const std::string& agent) const -> std::string {
+  const auto found = grants_.find(agent);
+  return found == grants_.end() || worker_has_left(agent)
+             ? ""
+             : found->second.worker_id();
+}
+
 auto JobFold::worker_has_left(const std::string& agent) const -> bool {
   const auto entry = agents_.find(agent);
   const auto grants = grants_.find(agent);
--- a/Source/Jobs/job_fold.h
+++ b/Source/Jobs/job_fold.h
@@ -75,6 +75,9 @@
   // Fence of the newest owner that may have granted something to the agent;
   // none if no owner has recorded a grant.
   auto granted_by(const std::string& agent) const -> std::optional<uint64_t>;
+  // The agent's worker process for which an owner last recorded a grant; empty
+  // if there is none, or if it has left.
+  auto granted_worker(const std::string& agent) const -> std::string;
   // Whether the agent has registered that its worker has left, with the same
   // worker id that an owner granted to last. If so, no owner has anything
   // running there. An owner grants nothing to the worker's next process before
--- a/Source/Jobs/owner_polls.cc
+++ b/Source/Jobs/owner_polls.cc
@@ -101,6 +101,11 @@
   orders.set_log_read_to(log.read_to);
   orders.set_evacuated(worker.evacuated);
   orders.set_worker_id(worker.worker_id);
+  if (!worker.confirmed) {
+    orders.set_recorded_worker_id(worker.worker_id.empty()
+                                      ? fold_->granted_worker(worker.agent)
+                                      : worker.worker_id);
+  }
   orders.set_ends_logged(worker.ends_logged);
   orders.set_results_seen(worker.results_seen);
   orders.set_crashes_logged(worker.crashes_logged);
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -66,6 +66,7 @@
     DiscardCrashes(now, orders.crashes_logged());
   }
   AcceptOrders(now, orders);
+  RecoverWorker(now, orders.recorded_worker_id());
   ExecuteOrders(now);
   ListIfDue(now);
   Report(now, /*with_running=*/true);
@@ -87,26 +88,37 @@
     return false;
   }
   if (heartbeat.worker_id == heartbeat_.worker_id) {
-    if (heartbeat.sequence <= heartbeat_.sequence) {
+    if (described_ && heartbeat.sequence <= heartbeat_.sequence) {
       return true;
     }
+    const bool first = !std::exchange(described_, true);
     const bool drains = heartbeat.draining && !heartbeat_.draining;
     const bool resized = !SameAmounts(heartbeat.capacity, heartbeat_.capacity);
     heartbeat_ = heartbeat;
-    if (drains || resized) {
+    if (first || drains || resized) {
       Report(now, /*with_running=*/true);
     }
     return true;
   }
+  if (IsWorkerCertain()) {
+    AdoptHeartbeat(now, heartbeat);
+  } else {
+    VerifyHeartbeat(now, heartbeat);
+  }
+  return true;
+}
+
+auto TaskAgent::AdoptHeartbeat(TimePoint now, const WorkerHeartbeat& heartbeat)
+    -> void {
   if (!heartbeat_.worker_id.empty()) {
     ended_worker_ids_.insert(heartbeat_.worker_id);
     NoteCrash(now);
   }
   heartbeat_ = heartbeat;
+  described_ = true;
   worker_left_ = false;
   ResetWorker(now);
   ListIfDue(now);
-  return true;
 }
 
 auto TaskAgent::OnLeave(TimePoint now, const std::string& worker_id) -> void {
@@ -114,6 +126,7 @@
   left_worker_id_ = worker_id;
   if (worker_id == heartbeat_.worker_id) {
     heartbeat_ = WorkerHeartbeat();
+    described_ = false;
     worker_left_ = true;
     run_watch_.Clear();
     ResetWorker(now);
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "Base/base.h"
+#include "Jobs/agent_recovery.h"
 #include "Jobs/opportunistic_pacing.h"
 #include "Jobs/order_basis.h"
 #include "Jobs/run_tracker.h"
@@ -72,6 +73,12 @@
   std::optional<StartAges> ages = std::nullopt;
 };
 
+// An observation of the agent about the process of its worker, for logging.
+struct WorkerObservation {
+  std::string what;
+  std::string worker_id;
+};
+
 // The agent's calls to other components.
 struct TaskAgentHooks {
   WorkerPort worker;
@@ -80,6 +87,7 @@
   // Sends a report to the owner whose orders have the highest fence.
   std::function<auto(const std::string& peer, AgentReport)->void> report;
   std::function<auto(const AgentDecision&)->void> log;
+  std::function<auto(const WorkerObservation&)->void> log_worker;
 };
 
 // An agent's decisions. It is the only caller of its worker. It starts and
@@ -156,6 +164,22 @@
   // Whether a stop that was received earlier applies to the start.
   auto HasStop(const StartOrder& start) const -> bool;
   auto ResetWorker(TimePoint now) -> void;
+  // Uses the process that sent the heartbeat as the worker.
+  auto AdoptHeartbeat(TimePoint now, const WorkerHeartbeat& heartbeat) -> void;
+  // Asks the worker whether it still is the process that the log names, unless
+  // a worker is known.
+  auto RecoverWorker(TimePoint now, const std::string& recorded_id) -> void;
+  auto OnRecoveryAnswer(TimePoint now,
+                        const std::string& worker_id,
+                        uint64_t epoch,
+                        const WorkerListing& listing) -> void;
+  // Asks the worker whether it is the process that sent the heartbeat. Another
+  // one has answered, so the heartbeat may be a delayed one of a process that
+  // has ended; the live one must not be taken for ended.
+  auto VerifyHeartbeat(TimePoint now, const WorkerHeartbeat& heartbeat) -> void;
+  auto OnHeartbeatVerified(TimePoint now, const WorkerListing& listing) -> void;
+  // Whether no worker is known, or one that has sent a heartbeat.
+  auto IsWorkerCertain() const -> bool;
   // Handles a new worker id when the previous worker did not leave.
   auto NoteCrash(TimePoint now) -> void;
   // Discards crashes that an owner has stored, and old ones.
@@ -233,7 +257,14 @@
   std::map<uint64_t, OrderPtr> orders_;
   uint64_t results_seen_ = 0;
 
+  AgentRecovery recovery_;
+  // Until the worker has sent a heartbeat, only its id is set.
   WorkerHeartbeat heartbeat_;
+  // Whether the worker has sent a heartbeat to this process.
+  bool described_ = false;
+  // The newest heartbeat of another process than the worker while a call that
+  // verifies it is outstanding.
+  std::optional<WorkerHeartbeat> unverified_heartbeat_;
   std::set<std::string> ended_worker_ids_;
   std::string left_worker_id_;
   // The worker that was known last has left, and no other has appeared since.
--- /dev/null
+++ b/Source/Jobs/task_agent_recovery.cc
@@ -0,0 +1,92 @@
+#include <utility>
+
+#include "Jobs/task_agent.h"
+
+// How an agent that has just started finds its worker, before a heartbeat has
+// come.
+namespace rhubarbhaven::jobs {
+
+auto TaskAgent::RecoverWorker(TimePoint now, const std::string& recorded_id)
+    -> void {
+  if (stopped_ || !heartbeat_.worker_id.empty() || worker_left_ ||
+      ended_worker_ids_.contains(recorded_id)) {
+    return;
+  }
+  const auto worker_id = recovery_.Next(now, recorded_id);
+  if (!worker_id) {
+    return;
+  }
+  ListCall call;
+  call.fence = fence_;
+  call.worker_id = *worker_id;
+  hooks_.worker.list(call,
+                     [this, worker_id = *worker_id, epoch = epoch_](
+                         TimePoint then, const WorkerListing& listing) -> void {
+                       OnRecoveryAnswer(then, worker_id, epoch, listing);
+                     });
+}
+
+auto TaskAgent::OnRecoveryAnswer(TimePoint now,
+                                 const std::string& worker_id,
+                                 uint64_t epoch,
+                                 const WorkerListing& listing) -> void {
+  const WorkerProcess process = ProcessOf(listing);
+  recovery_.OnAnswer(now, worker_id, process);
+  if (process == WorkerProcess::kEnded) {
+    hooks_.log_worker({"worker_recovery_rejected", worker_id});
+  }
+  // Meanwhile a heartbeat or a notice that the worker has left may have come,
+  // or an owner with another fence.
+  if (stopped_ || epoch != epoch_ || process != WorkerProcess::kPresent ||
+      ended_worker_ids_.contains(worker_id)) {
+    return;
+  }
+  hooks_.log_worker({"worker_recovered", worker_id});
+  heartbeat_ = WorkerHeartbeat();
+  heartbeat_.worker_id = worker_id;
+  worker_left_ = false;
+  described_ = false;
+  ResetWorker(now);
+  ListIfDue(now);
+}
+
+auto TaskAgent::VerifyHeartbeat(TimePoint now, const WorkerHeartbeat& heartbeat)
+    -> void {
+  const bool outstanding = unverified_heartbeat_.has_value();
+  unverified_heartbeat_ = heartbeat;
+  if (outstanding) {
+    return;
+  }
+  ListCall call;
+  call.fence = fence_;
+  call.worker_id = heartbeat.worker_id;
+  hooks_.worker.list(
+      call, [this](TimePoint then, const WorkerListing& listing) -> void {
+        OnHeartbeatVerified(then, listing);
+      });
+}
+
+auto TaskAgent::OnHeartbeatVerified(TimePoint now, const WorkerListing& listing)
+    -> void {
+  const auto heartbeat = std::exchange(unverified_heartbeat_, std::nullopt);
+  if (stopped_ || !heartbeat || IsWorkerCertain()) {
+    return;
+  }
+  switch (ProcessOf(listing)) {
+    case WorkerProcess::kPresent:
+      AdoptHeartbeat(now, *heartbeat);
+      break;
+    case WorkerProcess::kEnded:
+      ended_worker_ids_.insert(heartbeat->worker_id);
+      break;
+    case WorkerProcess::kUnknown:
+      // The process's next heartbeat is verified again.
+      break;
+  }
+}
+
+auto TaskAgent::IsWorkerCertain() const -> bool {
+  return heartbeat_.worker_id.empty() || described_;
+}
+
+}  // namespace rhubarbhaven::jobs
--- a/Tests/Jobs/simulated_cluster.cc
+++ b/Tests/Jobs/simulated_cluster.cc
@@ -519,6 +519,10 @@
                        DescribeTask(decision.task), " run ", decision.run, " ",
                        decision.why));
   };
+  hooks.log_worker = [this, process](const WorkerObservation& observation) {
+    Trace(absl::StrCat(process->name, " ", observation.what, " ",
+                       observation.worker_id));
+  };
   TaskAgentOptions agent;
   agent.incarnation = generation;
   process->agent = std::make_unique<TaskAgent>(agent, hooks);
@@ -717,6 +721,32 @@
   return found != cuts_.end() && time_.now() < found->second;
 }
 
+auto SimulatedCluster::LosePower(Duration down) -> void {
+  for (int number = 0; number < options_.entries; ++number) {
+    KillEntry(number, down);
+  }
+  for (const int number : Agents()) {
+    KillAgent(number, down);
+  }
+}
+
+auto SimulatedCluster::PauseHeartbeats(Duration span) -> void {
+  heartbeats_paused_until_ = time_.now() + span;
+}
+
+auto SimulatedCluster::DeliverLateHeartbeat(int number, Duration delay)
+    -> void {
+  const auto heartbeat = workers_.at(number)->Heartbeat();
+  time_.After(delay, [this, number, heartbeat]() -> void {
+    Process* process = agents_.at(number).get();
+    if (process->up && !process->removed) {
+      Deliver(process, [this, process, heartbeat]() -> void {
+        process->agent->OnHeartbeat(time_.now(), heartbeat);
+      });
+    }
+  });
+}
+
 auto SimulatedCluster::SendHeartbeat(int number) -> void {
   Process* process = agents_.at(number).get();
   if (process->removed) {
@@ -724,7 +754,8 @@
   }
   const auto heartbeat = workers_.at(number)->Heartbeat();
   const auto& worker = *workers_.at(number);
-  if (process->up && !worker.down() && !worker.removed()) {
+  const bool paused = time_.now() < heartbeats_paused_until_;
+  if (process->up && !worker.down() && !worker.removed() && !paused) {
     Deliver(process, [this, process, heartbeat]() -> void {
       if (!process->agent->OnHeartbeat(time_.now(), heartbeat)) {
         Trace(absl::StrCat(process->name, " rejects ", heartbeat.worker_id));
--- a/Tests/Jobs/simulated_cluster.h
+++ b/Tests/Jobs/simulated_cluster.h
@@ -115,6 +115,14 @@
   auto RemoveAgent(int number, bool planned) -> void;
   // Removes the worker permanently; its agent keeps running.
   auto RemoveWorker(int number) -> void;
+  // Kills all entries and agents at once; they start again after `down`. The
+  // workers live on.
+  auto LosePower(Duration down) -> void;
+  // Workers send no heartbeats for this time.
+  auto PauseHeartbeats(Duration span) -> void;
+  // The agent receives a heartbeat that its worker's present process has sent,
+  // this much later: the worker may have restarted meanwhile.
+  auto DeliverLateHeartbeat(int number, Duration delay) -> void;
   // The agent is told to stop: it ends as soon as it has recorded that, or
   // after a second. Its next process starts after `down`.
   auto StopAgent(int number, Duration down) -> void;
@@ -301,6 +309,7 @@
   // Jobs that an entry has shown as completed at some time.
   std::set<std::string> completed_;
   int long_running_restarts_ = 0;
+  TimePoint heartbeats_paused_until_;
   TimePoint last_fault_at_;
   // When there was last no owner whose reconciliation was in progress.
   TimePoint no_reconciliation_at_;
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -55,6 +55,9 @@
     hooks.log = [this](const AgentDecision& decision) {
       decisions_.push_back(decision);
     };
+    hooks.log_worker = [this](const WorkerObservation& observation) {
+      observations_.push_back(observation.what);
+    };
     return hooks;
   }
 
@@ -130,6 +133,7 @@
   KeyedLogPort::OnRead on_read_;
   std::vector<AgentReport> reports_;
   std::vector<AgentDecision> decisions_;
+  std::vector<std::string> observations_;
   TaskAgent agent_;
 };
 
@@ -934,5 +938,169 @@
                       milliseconds(10200), milliseconds(10400)}),
     [](const auto& info) { return info.param.name; });
 
+// Agents that have just started, and an owner that names the worker process
+// that the log records.
+class RecoveryTest : public TaskAgentTest {
+ protected:
+  auto SendOrders(const std::string& recorded_id) -> void {
+    auto orders = Orders(1);
+    orders.set_recorded_worker_id(recorded_id);
+    agent_.OnOrders(now_, "owner", orders);
+  }
+
+  auto AnswerOther() -> void {
+    WorkerListing listing;
+    listing.answered = true;
+    listing.other_worker_id = true;
+    const auto done = on_list_;
+    done(now_, listing);
+  }
+
+  // The worker has answered that it is still the recorded process.
+  auto Recover() -> void {
+    SendOrders(kWorkerId);
+    AnswerList();
+    AnswerList();
+  }
+
+  auto SendFullHeartbeat(const std::string& worker, bool draining = false)
+      -> bool {
+    WorkerHeartbeat heartbeat;
+    heartbeat.worker_id = worker;
+    heartbeat.sequence = ++heartbeats_;
+    heartbeat.service = "service";
+    heartbeat.capacity.set_millicores(4000);
+    heartbeat.draining = draining;
+    return agent_.OnHeartbeat(now_, heartbeat);
+  }
+};
+
+// Guards against a new owner that waits for the next heartbeat of every worker
+// after all processes have lost power. The agent must not report room or a
+// service before a heartbeat has come: the worker may be draining.
+TEST_F(RecoveryTest, ListsRunsOfTheRecordedProcessBeforeAHeartbeat) {
+  SendOrders(kWorkerId);
+  ASSERT_EQ(lists_.size(), 1U);
+  EXPECT_EQ(lists_[0].worker_id, kWorkerId);
+  EXPECT_EQ(lists_[0].deadline.count(), 0);
+  EXPECT_EQ(reports_.back().worker_id(), "");
+  AnswerList();
+  ASSERT_EQ(lists_.size(), 2U);
+  RunningTask row;
+  row.set_run(7);
+  AnswerList({row});
+  EXPECT_EQ(reports_.back().worker_id(), kWorkerId);
+  EXPECT_TRUE(reports_.back().complete());
+  EXPECT_EQ(reports_.back().running_size(), 1);
+  EXPECT_EQ(reports_.back().service(), "");
+  EXPECT_EQ(reports_.back().capacity().millicores(), 0U);
+  EXPECT_TRUE(SendFullHeartbeat(kWorkerId, /*draining=*/true));
+  EXPECT_EQ(reports_.back().service(), "service");
+  EXPECT_EQ(reports_.back().capacity().millicores(), 4000U);
+  EXPECT_TRUE(reports_.back().draining());
+  EXPECT_EQ(observations_, std::vector<std::string>{"worker_recovered"});
+}
+
+// Guards against an agent that takes the answer of another process for that of
+// the recorded one: runs may be on a later process that the log does not name.
+TEST_F(RecoveryTest, AnotherProcessShowsNothing) {
+  SendOrders(kWorkerId);
+  AnswerOther();
+  EXPECT_EQ(reports_.back().worker_id(), "");
+  EXPECT_FALSE(reports_.back().worker_lapsed());
+  EXPECT_FALSE(reports_.back().complete());
+  now_ += milliseconds(1000);
+  SendOrders(kWorkerId);
+  EXPECT_EQ(lists_.size(), 1U);
+  SendFullHeartbeat("life-2");
+  EXPECT_EQ(lists_.back().worker_id, "life-2");
+  EXPECT_EQ(observations_,
+            std::vector<std::string>{"worker_recovery_rejected"});
+}
+
+// Guards against an agent that gives up after a lost answer.
+TEST_F(RecoveryTest, AsksAgainWithoutAnAnswer) {
+  SendOrders(kWorkerId);
+  SendOrders(kWorkerId);
+  EXPECT_EQ(lists_.size(), 1U);
+  const auto done = on_list_;
+  done(now_, WorkerListing());
+  SendOrders(kWorkerId);
+  EXPECT_EQ(lists_.size(), 1U);
+  now_ += milliseconds(150);
+  SendOrders(kWorkerId);
+  EXPECT_EQ(lists_.size(), 2U);
+}
+
+// Guards against a late answer that replaces the worker that a heartbeat has
+// made known meanwhile.
+TEST_F(RecoveryTest, HeartbeatBeforeTheAnswerCounts) {
+  SendOrders(kWorkerId);
+  const auto recovered = on_list_;
+  SendFullHeartbeat("life-2");
+  WorkerListing listing;
+  listing.answered = true;
+  recovered(now_, listing);
+  AnswerList();
+  EXPECT_EQ(reports_.back().worker_id(), "life-2");
+  EXPECT_TRUE(SendFullHeartbeat("life-2"));
+}
+
+// Guards against a listing under the fence of an owner that has been replaced.
+TEST_F(RecoveryTest, AnswerUnderAnEarlierFenceDoesNotCount) {
+  SendOrders(kWorkerId);
+  const auto earlier = on_list_;
+  auto orders = Orders(2);
+  agent_.OnOrders(now_, "next owner", orders);
+  WorkerListing listing;
+  listing.answered = true;
+  earlier(now_, listing);
+  EXPECT_EQ(reports_.back().worker_id(), "");
+}
+
+// Guards against asking for a worker that has announced that it leaves.
+TEST_F(RecoveryTest, WorkerThatHasLeftIsNotAskedFor) {
+  agent_.OnLeave(now_, kWorkerId);
+  SendOrders(kWorkerId);
+  EXPECT_TRUE(lists_.empty());
+}
+
+struct OtherHeartbeatCase {
+  std::string name;
+  // Whether the process that has sent the heartbeat answers a listing.
+  bool present = false;
+  std::string worker_id;
+};
+
+class OtherHeartbeatTest
+    : public RecoveryTest,
+      public testing::WithParamInterface<OtherHeartbeatCase> {};
+
+// Guards against a delayed heartbeat of a process that has ended: the live
+// process would be taken for ended, and its heartbeats would be rejected from
+// then on.
+TEST_P(OtherHeartbeatTest, OnlyTheProcessThatAnswersIsTheWorker) {
+  Recover();
+  EXPECT_TRUE(SendFullHeartbeat("life-other"));
+  EXPECT_EQ(lists_.back().worker_id, "life-other");
+  if (GetParam().present) {
+    AnswerList();
+    AnswerList();
+  } else {
+    AnswerOther();
+  }
+  agent_.OnOrders(now_, "owner", Orders(1));
+  EXPECT_EQ(reports_.back().worker_id(), GetParam().worker_id);
+  EXPECT_EQ(SendFullHeartbeat(kWorkerId), !GetParam().present);
+  EXPECT_EQ(SendFullHeartbeat("life-other"), GetParam().present);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    OtherHeartbeatTest,
+    testing::Values(OtherHeartbeatCase{"earlier_process", false, kWorkerId},
+                    OtherHeartbeatCase{"later_process", true, "life-other"}),
+    [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
