Jobs: Serve jobs by what can be in time when there is too little room

Jobs of queues with a target are now divided by the Moore-Hodgson rule: those with the most work waiting are displaced until all others can be in time. A late job that is nearly done goes first if that makes no other job late. The rate is what the workers that accept tasks give to reserved and to opportunistic tasks. Without overload the order is the one of before.

A place for a run that is moved was held only within the round, and for memory only: demand for processors did not count it, so that two moved runs could be sent to the same place. It is now held until the run starts, at most 2 s.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -4,6 +4,7 @@
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace rhubarbhaven::jobs {
@@ -15,6 +16,8 @@
 constexpr std::chrono::milliseconds kReadyReadAge{2500};
 // Maximum interval between two checks of the election and the readiness.
 constexpr std::chrono::milliseconds kMaxTickInterval{100};
+// An overload has ended once no job has been displaced for this long.
+constexpr std::chrono::milliseconds kOverloadPause{2000};
 
 auto CallerAppendOptions(const EntryOptions& options) -> AppendBatcherOptions {
   AppendBatcherOptions appends;
@@ -362,6 +365,34 @@
   }
 }
 
+auto EntryDecisions::NoteOverload(const OverloadState& state) -> void {
+  metrics_->SetGauge("rhubarbhaven_jobs_displaced",
+                     static_cast<double>(state.displaced));
+  metrics_->SetGauge("rhubarbhaven_jobs_in_time",
+                     static_cast<double>(state.in_time));
+  if (state.displaced > 0) {
+    displaced_at_ = last_tick_;
+  }
+  // A short pause between two waves of jobs does not end an overload.
+  const bool overloaded =
+      state.displaced > 0 ||
+      (overloaded_ && last_tick_ - displaced_at_ < kOverloadPause);
+  if (overloaded == std::exchange(overloaded_, overloaded)) {
+    return;
+  }
+  log_.Write("overload",
+             {{"state", overloaded ? "begins" : "ends"},
+              {"fence", absl::StrCat(election_.fence())},
+              {"displaced", absl::StrCat(state.displaced)},
+              {"in_time", absl::StrCat(state.in_time)},
+              {"work_left_core_s",
+               absl::StrCat(std::llround(state.work_left.count()))},
+              {"reserved_cores",
+               absl::StrCat(std::llround(state.rates.reserved_cores))},
+              {"opportunistic_cores",
+               absl::StrCat(std::llround(state.rates.opportunistic_cores))}});
+}
+
 auto EntryDecisions::LogReconciliation(const ReconciliationState& state)
     -> void {
   if (state.done) {
@@ -432,6 +463,9 @@
   hooks.report_starved = [this](std::size_t jobs) -> void {
     metrics_->SetGauge("rhubarbhaven_standing_jobs", static_cast<double>(jobs));
   };
+  hooks.report_overload = [this](const OverloadState& state) -> void {
+    NoteOverload(state);
+  };
   hooks.report_lag = [this](Duration lag) -> void { NoteLag(lag); };
   hooks.report_start_delay = [this](Duration delay) -> void {
     NoteStartDelay(delay);
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -163,6 +163,7 @@
   auto MakeOwnerHooks() -> JobOwnerHooks;
   auto NoteLag(Duration lag) -> void;
   auto NoteStartDelay(Duration delay) -> void;
+  auto NoteOverload(const OverloadState& state) -> void;
   auto LogReconciliation(const ReconciliationState& state) -> void;
   auto LogStarvedJob(const StarvedJob& job) -> void;
   auto LogDecision(const OwnerDecision& decision) -> void;
@@ -188,6 +189,9 @@
   LogPosition log_position_;
   LagMonitor owner_lag_;
   LagMonitor start_delay_;
+  // Whether jobs displace each other, and when one was last displaced.
+  bool overloaded_ = false;
+  TimePoint displaced_at_;
   JobOwner owner_;
   KeyedLogFollower job_follower_;
   KeyedLogFollower operator_follower_;
--- a/Source/Jobs/job_order.cc
+++ b/Source/Jobs/job_order.cc
@@ -11,6 +11,8 @@
 constexpr int kTooLateFactor = 3;
 // A long-running job has no end; it should be running within this time.
 constexpr std::chrono::milliseconds kLongRunningStart{5000};
+constexpr std::chrono::milliseconds kNever =
+    std::chrono::milliseconds::max() - std::chrono::milliseconds(1);
 
 auto Target(const JobWork& work) -> std::chrono::milliseconds {
   const auto chain = LongestChain(work, /*whole=*/true);
@@ -76,6 +78,10 @@
   return longest;
 }
 
+auto JobTimes::has_due_time() const -> bool {
+  return in_time_until != kNever;
+}
+
 auto JobTimes::OutlookAt(std::chrono::milliseconds now) const -> JobOutlook {
   if (now > of_use_until) {
     return JobOutlook::kTooLate;
@@ -99,8 +105,6 @@
 }
 
 auto TimesOf(const JobWork& work) -> JobTimes {
-  constexpr std::chrono::milliseconds kNever =
-      std::chrono::milliseconds::max() - std::chrono::milliseconds(1);
   JobTimes times;
   const auto began = DueStart(work);
   if (IsLongRunning(work)) {
@@ -119,9 +123,8 @@
 
 auto RankOf(const JobWork& work,
             const JobTimes& times,
-            std::chrono::milliseconds now) -> JobRank {
-  return {work.rules.priority(), times.OutlookAt(now), times.due,
-          work.entry->accepted_at};
+            const OverloadPosition& position) -> JobRank {
+  return {work.rules.priority(), position, times.due, work.entry->accepted_at};
 }
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/job_order.h
+++ b/Source/Jobs/job_order.h
@@ -6,22 +6,34 @@
 #include <tuple>
 
 #include "Jobs/job_work.h"
+#include "Jobs/overload_order.h"
 
 namespace rhubarbhaven::jobs {
 
+// Where the order under overload puts a job.
+struct OverloadPosition {
+  OverloadClass overload_class = OverloadClass::kInTime;
+  // Grows with the work that is left. Zero if that does not matter, as for jobs
+  // in time.
+  int work_level = 0;
+
+  auto operator==(const OverloadPosition&) const -> bool = default;
+};
+
 // Rank of a job in the order in which jobs are served; the smallest is first.
 // The queue's priority decides, then whether the job can still be in time:
 // under overload, serving the oldest first would make every job late.
 struct JobRank {
   uint32_t priority = 0;
-  JobOutlook outlook = JobOutlook::kInTime;
+  OverloadPosition position;
   std::chrono::milliseconds due{0};
   uint64_t accepted_at = 0;
 
   auto operator<(const JobRank& other) const -> bool {
-    return std::tie(priority, outlook, due, accepted_at) <
-           std::tie(other.priority, other.outlook, other.due,
-                    other.accepted_at);
+    return std::tie(priority, position.overload_class, position.work_level, due,
+                    accepted_at) <
+           std::tie(other.priority, other.position.overload_class,
+                    other.position.work_level, other.due, other.accepted_at);
   }
 };
 
@@ -38,6 +50,12 @@
   std::chrono::milliseconds in_time_until{0};
   std::chrono::milliseconds of_use_until{0};
 
+  // The longest chain of unfinished work.
+  auto chain_left() const -> std::chrono::milliseconds {
+    return due - in_time_until;
+  }
+  // Whether the job has a time at which it is due.
+  auto has_due_time() const -> bool;
   auto OutlookAt(std::chrono::milliseconds now) const -> JobOutlook;
   // When the outlook next gets worse.
   auto NextWorse(std::chrono::milliseconds now) const
@@ -46,10 +64,11 @@
 
 auto TimesOf(const JobWork& work) -> JobTimes;
 
-// `now` is the time since the Unix epoch.
+// The rank of a job at the position that its outlook or the order under
+// overload gives it.
 auto RankOf(const JobWork& work,
             const JobTimes& times,
-            std::chrono::milliseconds now) -> JobRank;
+            const OverloadPosition& position) -> JobRank;
 
 }  // namespace rhubarbhaven::jobs
 
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -19,6 +19,10 @@
       hooks_(std::move(hooks)),
       tickets_([this](const AdviceCall& call, const auto& done) -> void {
         hooks_.ask_advice(call, done);
+      }),
+      held_places_([this](WorkerView& worker) -> void {
+        changes_.Record(worker);
+        placement_due_ = true;
       }) {}
 
 JobOwner::~JobOwner() = default;
@@ -57,7 +61,9 @@
   fence_ = 0;
   reconciliation_done_ = false;
   ReportStarved(0);
+  EndOverload();
   check_starved_at_ = TimePoint();
+  held_places_.Clear();
   order_.Clear();
   jobs_.clear();
   dirty_jobs_.clear();
@@ -242,6 +248,7 @@
     PlaceAll(now);
   }
   CheckStarvedJobs(now);
+  held_places_.Expire(now);
   MoveSlowedRuns(now);
   ExpireOldJobs(now);
   if (now - pressures_stored_at_ >= options_.pressure_store_interval) {
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "Base/base.h"
+#include "Jobs/held_places.h"
 #include "Jobs/image_interference.h"
 #include "Jobs/job_fold.h"
 #include "Jobs/job_owner_hooks.h"
@@ -228,6 +229,12 @@
   // Placement.
   auto PlaceAll(TimePoint now) -> void;
   auto UpdateOrder() -> void;
+  // Ranks jobs again if there is too little room for all of them.
+  auto CheckOverload(TimePoint now) -> void;
+  // Reports an empty state if another one was reported before.
+  auto EndOverload() -> void;
+  // What workers that accept tasks give to those that end.
+  auto MeasureRates(TimePoint now) const -> CellRates;
   auto ApplyOutlook(JobWork& work, JobOutlook outlook) -> void;
   auto PlaceStep(TimePoint now, const PlacementOrder::WaitingStep& waiting)
       -> void;
@@ -394,6 +401,10 @@
   int starved_lines_ = 0;
   TimePoint starved_lines_since_;
   std::size_t starved_jobs_ = 0;
+  // Places of tasks that are being moved.
+  HeldPlaces held_places_;
+  // Whether a state of overload was reported that has not been reset.
+  bool overload_reported_ = false;
   bool placement_due_ = false;
   // Starts left in the current placement round.
   int starts_left_ = 0;
--- a/Source/Jobs/job_owner_hooks.h
+++ b/Source/Jobs/job_owner_hooks.h
@@ -10,6 +10,7 @@
 
 #include "Base/base.h"
 #include "Jobs/job_work.h"
+#include "Jobs/placement_order.h"
 #include "Jobs/ticket_cache.h"
 
 namespace rhubarbhaven::jobs {
@@ -78,6 +79,9 @@
   // Reports the number of jobs that have been starved for long enough to be
   // logged, whenever it changes.
   std::function<auto(std::size_t)->void> report_starved;
+  // Reports which jobs can be in time, whenever that has been computed, and an
+  // empty state once no task waits.
+  std::function<auto(const OverloadState&)->void> report_overload;
   // Reports each second the longest delay of a poll since the previous report.
   std::function<auto(Duration)->void> report_lag;
   // Reports each second the longest time from the decision on a start until its
--- a/Source/Jobs/opportunistic_speed.cc
+++ b/Source/Jobs/opportunistic_speed.cc
@@ -14,17 +14,27 @@
 // The estimated use of the processors that other runs hold. Serving tasks are
 // sized for their peaks and use about half.
 constexpr double kUsedShareOfHeld = 0.5;
+
+auto AddDemand(const JobStep& step,
+               const WorkerView& worker,
+               OpportunisticDemand* demand) -> void {
+  if (step.uses_spare_processors()) {
+    const auto millicores = static_cast<double>(step.need().millicores());
+    demand->millicores += millicores;
+    demand->share_by_image[step.image()] +=
+        millicores / static_cast<double>(worker.capacity.millicores);
+  }
+}
+
+// Places that are held count like runs: two tasks that are moved at once would
+// otherwise go to the same place and slow each other there.
 auto DemandOf(const WorkerView& worker) -> OpportunisticDemand {
   OpportunisticDemand demand;
-  const auto capacity = static_cast<double>(worker.capacity.millicores);
   for (const auto& [number, other] : worker.runs) {
-    const auto& step = other.spec();
-    if (!step.uses_spare_processors()) {
-      continue;
-    }
-    const auto millicores = static_cast<double>(step.need().millicores());
-    demand.millicores += millicores;
-    demand.share_by_image[step.image()] += millicores / capacity;
+    AddDemand(other.spec(), worker, &demand);
+  }
+  for (const auto& [number, step] : worker.held_places) {
+    AddDemand(*step, worker, &demand);
   }
   return demand;
 }
--- a/Source/Jobs/owner_ends.cc
+++ b/Source/Jobs/owner_ends.cc
@@ -71,6 +71,7 @@
     step.SetDone(index);
     TaskPlace member = place;
     member.index = index;
+    held_places_.Release(member);
     for (auto& run : step.tasks()[index].runs) {
       if (!place.spec().gang()) {
         StopRun(member, run, "another run of the task is done");
--- a/Source/Jobs/owner_jobs.cc
+++ b/Source/Jobs/owner_jobs.cc
@@ -29,6 +29,7 @@
 }
 
 auto JobOwner::EndJob(JobWork& work, const std::string& why) -> void {
+  held_places_.ReleaseJob(work);
   std::vector<NamedRun> stopped;
   std::set<std::string> agents;
   for (auto& [number, occurrence] : work.occurrences) {
@@ -71,6 +72,7 @@
 auto JobOwner::EraseJob(const std::string& id) -> void {
   const auto found = jobs_.find(id);
   if (found != jobs_.end()) {
+    held_places_.ReleaseJob(*found->second);
     order_.Forget(*found->second);
     jobs_.erase(found);
   }
--- a/Source/Jobs/owner_members.cc
+++ b/Source/Jobs/owner_members.cc
@@ -86,6 +86,7 @@
 }
 
 auto JobOwner::EraseWorker(WorkerView& worker) -> void {
+  held_places_.ReleaseWorker(worker);
   numbered_.erase(worker.number);
   unconfirmed_.erase(worker.agent);
   changes_.Forget(worker);
--- a/Source/Jobs/owner_moves.cc
+++ b/Source/Jobs/owner_moves.cc
@@ -21,6 +21,9 @@
 // second, and agents adjust the pace each 300 ms.
 constexpr std::chrono::milliseconds kSpeedSettlingTime{900};
 constexpr std::chrono::milliseconds kMoveInterval{300};
+// How long a place is held for a task that is moved. A stop takes effect and is
+// reported within a second.
+constexpr std::chrono::milliseconds kHoldTime{2000};
 // Speed assumed for a stalled run, so that times stay finite.
 constexpr double kMinSpeed = 0.05;
 constexpr double kWholePercent = 100.0;
@@ -28,7 +31,7 @@
 using Seconds = std::chrono::duration<double>;
 
 // Remaining time of a run at full speed.
-auto WorkLeft(const TaskPlace& place, uint32_t percent) -> Seconds {
+auto RunTimeLeft(const TaskPlace& place, uint32_t percent) -> Seconds {
   const double left = 1.0 - std::min(1.0, percent / kWholePercent);
   return ExpectedRunTime(place.spec(), place.step_work()) * left;
 }
@@ -55,12 +58,12 @@
         if (run.worker != worker.get() || !IsMovable(now, place, run)) {
           continue;
         }
-        const Seconds left = WorkLeft(place, run.percent);
+        const Seconds left = RunTimeLeft(place, run.percent);
         const Seconds here = left / std::max(kMinSpeed, *run.speed);
         const Seconds elsewhere =
             kMoveTime + (place.spec().checkpointing()
                              ? left
-                             : WorkLeft(place, /*percent=*/0));
+                             : RunTimeLeft(place, /*percent=*/0));
         if (here - elsewhere >= kMinGain) {
           slowed.push_back({place, run.run, here - elsewhere});
         }
@@ -81,8 +84,6 @@
     return;
   }
   moved_at_ = now;
-  // Capacity reserved for the moves of this round.
-  std::vector<std::pair<WorkerView*, const JobStep*>> reservations;
   for (const auto& slowed : SlowedOpportunisticRuns(now)) {
     auto& runs = slowed.place.task().runs;
     const auto run = std::find_if(
@@ -93,13 +94,10 @@
     if (to == nullptr || run == runs.end() || to == run->worker) {
       continue;
     }
-    to->Hold(slowed.place.spec(), 0);
-    reservations.emplace_back(to, &slowed.place.spec());
+    held_places_.Hold(now + kHoldTime, slowed.place, *to);
+    Log("hold", slowed.place, slowed.run, to, "its task is moved here");
     StopRun(slowed.place, *run, "it is slowed here and would not be elsewhere");
   }
-  for (const auto& [worker, step] : reservations) {
-    worker->Release(*step, 0);
-  }
 }
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -30,6 +30,7 @@
 
 auto JobOwner::PlaceAll(TimePoint now) -> void {
   UpdateOrder();
+  CheckOverload(now);
   starts_left_ = kMaxStartsPerRound;
   for (const auto& step : order_.steps()) {
     if (step.spec->gang()) {
@@ -96,6 +97,7 @@
       continue;
     }
     limits.any_speed = MayIgnoreInterference(place);
+    held_places_.Release(place);
     WorkerView* worker =
         ChoosePlace(now, changes_.Since(RejectedMark(step, limits)), place,
                     interference_, limits);
--- a/Source/Jobs/placement_order.h
+++ b/Source/Jobs/placement_order.h
@@ -2,19 +2,31 @@
 #define RHUBARBHAVEN_JOBS_PLACEMENT_ORDER_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <set>
 #include <utility>
 #include <vector>
 
 #include "Jobs/job_order.h"
+#include "Jobs/overload_order.h"
 #include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 
 namespace rhubarbhaven::jobs {
 
+// What the last check for overload found, over all jobs with a target.
+struct OverloadState {
+  // Jobs that can be in time, and jobs that others displace.
+  std::size_t in_time = 0;
+  std::size_t displaced = 0;
+  CoreSeconds work_left{0};
+  CellRates rates;
+};
+
 // The ready steps of open jobs that have tasks without a run, in the order in
 // which they are served. Updated incrementally: a job is ranked again only if
 // it has changed or time has made it late.
@@ -42,7 +54,15 @@
   // outlook changes.
   auto Update(std::chrono::milliseconds wall, const OnOutlook& on_outlook)
       -> void;
-  // As of the last `Update`.
+  // Whether the order under overload should be computed again: tasks wait, and
+  // it is older than its interval.
+  auto IsOverloadCheckDue(std::chrono::milliseconds wall) const -> bool;
+  // Computes which jobs can be in time at these rates and ranks jobs again that
+  // others displace or that should be finished first.
+  auto CheckOverload(std::chrono::milliseconds wall,
+                     const CellRates& rates,
+                     const OnOutlook& on_outlook) -> OverloadState;
+  // As of the last `Update` or `CheckOverload`.
   auto steps() const -> const Steps& { return steps_; }
 
  private:
@@ -50,11 +70,30 @@
   // Position of an open job in the order.
   struct Entry {
     std::vector<WaitingStep> steps;
+    JobTimes times;
     // When its outlook next gets worse.
     std::chrono::milliseconds worse_at{0};
   };
+  // Jobs that compete for the same processors.
+  struct Competitors {
+    std::vector<JobWork*> works;
+    std::vector<OverloadJob> jobs;
+    // Of all these jobs that are not too late.
+    CoreSeconds work_left{0};
+  };
+  // By whether the jobs are opportunistic, then by priority.
+  using CompetitorsByKind = std::map<bool, std::map<uint32_t, Competitors>>;
 
   auto MarkLateChanged(std::chrono::milliseconds wall) -> void;
+  auto Remove(JobWork& work) -> void;
+  auto FindCompetitors(std::chrono::milliseconds wall) const
+      -> CompetitorsByKind;
+  auto PositionOf(JobWork& work, JobOutlook outlook) const -> OverloadPosition;
+  // Ranks the job again if its position has changed.
+  auto SetPosition(JobWork& work,
+                   const OverloadPosition& position,
+                   std::chrono::milliseconds wall,
+                   const OnOutlook& on_outlook) -> void;
   auto Rank(JobWork& work,
             std::chrono::milliseconds wall,
             const OnOutlook& on_outlook) -> void;
@@ -62,9 +101,12 @@
 
   absl::flat_hash_set<JobWork*> changed_jobs_;
   absl::flat_hash_map<JobWork*, Entry> entries_;
+  // Positions that differ from those by the jobs' outlook alone.
+  absl::flat_hash_map<JobWork*, OverloadPosition> positions_;
   Steps steps_;
   std::set<OutlookTime> worse_at_;
   std::chrono::milliseconds updated_at_{0};
+  std::chrono::milliseconds checked_at_{0};
 };
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/worker_view.cc
+++ b/Source/Jobs/worker_view.cc
@@ -88,4 +88,18 @@
   }
 }
 
+auto WorkerView::HoldPlace(const JobStep& step, uint64_t number) -> void {
+  held_places[number] = &step;
+  Hold(step, /*run=*/0);
+}
+
+auto WorkerView::ReleasePlace(uint64_t number) -> void {
+  const auto found = held_places.find(number);
+  if (found != held_places.end()) {
+    const JobStep& step = *found->second;
+    held_places.erase(found);
+    Release(step, /*run=*/0);
+  }
+}
+
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -122,6 +122,8 @@
   uint64_t load_version = 1;
   OpportunisticSpeeds opportunistic_speeds;
   absl::btree_map<uint64_t, TaskPlace> runs;
+  // Steps of tasks for which a place is held here until they start, by number.
+  std::map<uint64_t, const JobStep*> held_places;
   // Numbers of those runs whose tasks may have crashed a worker.
   std::set<uint64_t> suspects;
 
@@ -155,6 +157,10 @@
   auto CountOf(const TaskPlace& place) const -> uint32_t;
   auto Hold(const JobStep& step, uint64_t run) -> void;
   auto Release(const JobStep& step, uint64_t run) -> void;
+  // Holds a place for a task of the step, as a run of it would take, until
+  // `ReleasePlace`.
+  auto HoldPlace(const JobStep& step, uint64_t number) -> void;
+  auto ReleasePlace(uint64_t number) -> void;
 };
 
 }  // namespace rhubarbhaven::jobs
--- a/Tests/Benchmarks/Jobs/owner_simulation.cc
+++ b/Tests/Benchmarks/Jobs/owner_simulation.cc
@@ -84,6 +84,7 @@
   hooks.log_reconciliation = [](const ReconciliationState&) {};
   hooks.log_starved = [](const StarvedJob&) {};
   hooks.report_starved = [](std::size_t) {};
+  hooks.report_overload = [](const OverloadState&) {};
   hooks.report_lag = [](Duration) {};
   hooks.rules = [this](const std::string& queue) {
     return queue == kUrgentQueue ? &urgent_rules_ : &rules_;
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -64,6 +64,9 @@
       logged_starved_jobs_.push_back(job);
     };
     hooks.report_starved = [this](std::size_t jobs) { starved_jobs_ = jobs; };
+    hooks.report_overload = [this](const OverloadState& state) {
+      overload_ = state;
+    };
     hooks.report_lag = [this](Duration lag) { lags_.push_back(lag); };
     hooks.report_start_delay = [this](Duration delay) {
       start_delays_.push_back(delay);
@@ -271,6 +274,8 @@
   // Starved jobs that the owner logged, and the number that it last reported.
   std::vector<StarvedJob> logged_starved_jobs_;
   std::size_t starved_jobs_ = 0;
+  // The latest state of overload that the owner reported.
+  OverloadState overload_;
   // Decisions on runs that the owner logged.
   std::vector<OwnerDecision> decisions_;
   // Logged reasons why tasks wait.
