Jobs: Agents report a worker process only once it has answered

A heartbeat of a worker process that had ended reached an agent late. The agent took the live process for ended and reported the other one; the owner declared the runs lost by a crash and started their tasks elsewhere.

An agent now reports a process only once it has answered a listing of this agent process, and replaces a known one only by one that answers. A notice that a process has left counts as "nothing runs" only if that process had answered.

--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -100,20 +100,16 @@
     }
     return true;
   }
-  if (IsWorkerCertain()) {
-    AdoptHeartbeat(now, heartbeat);
+  if (heartbeat_.worker_id.empty() || fence_ == 0) {
+    UseWorker(now, heartbeat);
   } else {
-    VerifyHeartbeat(now, heartbeat);
+    VerifyHeartbeat(heartbeat);
   }
   return true;
 }
 
-auto TaskAgent::AdoptHeartbeat(TimePoint now, const WorkerHeartbeat& heartbeat)
+auto TaskAgent::UseWorker(TimePoint now, const WorkerHeartbeat& heartbeat)
     -> void {
-  if (!heartbeat_.worker_id.empty()) {
-    ended_worker_ids_.insert(heartbeat_.worker_id);
-    NoteCrash(now);
-  }
   heartbeat_ = heartbeat;
   described_ = true;
   worker_left_ = false;
@@ -124,14 +120,17 @@
 auto TaskAgent::OnLeave(TimePoint now, const std::string& worker_id) -> void {
   ended_worker_ids_.insert(worker_id);
   left_worker_id_ = worker_id;
-  if (worker_id == heartbeat_.worker_id) {
-    heartbeat_ = WorkerHeartbeat();
-    described_ = false;
-    worker_left_ = true;
-    run_watch_.Clear();
-    ResetWorker(now);
-    Report(now, /*with_running=*/true);
+  if (worker_id != heartbeat_.worker_id) {
+    return;
   }
+  // Both the heartbeats of this process and its notice may have been delayed
+  // while runs are on a later one. An answer shows that no later one existed.
+  worker_left_ = answered_ && !unverified_heartbeat_;
+  heartbeat_ = WorkerHeartbeat();
+  described_ = false;
+  run_watch_.Clear();
+  ResetWorker(now);
+  Report(now, /*with_running=*/true);
 }
 
 auto TaskAgent::Tick(TimePoint now) -> void {
@@ -207,6 +206,7 @@
   }
   forget_through_ = 0;
   listed_ = false;
+  answered_ = false;
   listing_ = WorkerListing();
   listing_in_flight_ = false;
   list_not_before_ = now;
@@ -265,6 +265,7 @@
   const bool first = !listed_;
   listing_ = std::move(listing);
   listed_ = true;
+  answered_ = true;
   listed_at_ = asked;
   worker_clock_ = listing_.clock;
   worker_clock_at_ = now;
@@ -352,7 +353,9 @@
   AgentReport report;
   report.set_fence(fence_);
   report.set_sent_us(Microseconds(now));
-  report.set_worker_id(heartbeat_.worker_id);
+  // A heartbeat may be a delayed one of a process that has ended. An owner that
+  // took that process for the present one would start elsewhere what runs here.
+  report.set_worker_id(answered_ ? heartbeat_.worker_id : "");
   report.set_left_worker_id(left_worker_id_);
   report.set_incarnation(options_.incarnation);
   report.set_service(heartbeat_.service);
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -164,22 +164,20 @@
   // Whether a stop that was received earlier applies to the start.
   auto HasStop(const StartOrder& start) const -> bool;
   auto ResetWorker(TimePoint now) -> void;
-  // Uses the process that sent the heartbeat as the worker.
-  auto AdoptHeartbeat(TimePoint now, const WorkerHeartbeat& heartbeat) -> void;
+  // Takes the process that sent the heartbeat for the worker.
+  auto UseWorker(TimePoint now, const WorkerHeartbeat& heartbeat) -> void;
   // Asks the worker whether it still is the process that the log names, unless
-  // a worker is known.
+  // another one has answered.
   auto RecoverWorker(TimePoint now, const std::string& recorded_id) -> void;
   auto OnRecoveryAnswer(TimePoint now,
                         const std::string& worker_id,
                         uint64_t epoch,
                         const WorkerListing& listing) -> void;
   // Asks the worker whether it is the process that sent the heartbeat. Another
-  // one has answered, so the heartbeat may be a delayed one of a process that
-  // has ended; the live one must not be taken for ended.
-  auto VerifyHeartbeat(TimePoint now, const WorkerHeartbeat& heartbeat) -> void;
+  // one is known, so the heartbeat may be a delayed one of a process that has
+  // ended; the live one must not be taken for ended.
+  auto VerifyHeartbeat(const WorkerHeartbeat& heartbeat) -> void;
   auto OnHeartbeatVerified(TimePoint now, const WorkerListing& listing) -> void;
-  // Whether no worker is known, or one that has sent a heartbeat.
-  auto IsWorkerCertain() const -> bool;
   // Handles a new worker id when the previous worker did not leave.
   auto NoteCrash(TimePoint now) -> void;
   // Discards crashes that an owner has stored, and old ones.
@@ -260,8 +258,6 @@
   AgentRecovery recovery_;
   // Until the worker has sent a heartbeat, only its id is set.
   WorkerHeartbeat heartbeat_;
-  // Whether the worker has sent a heartbeat to this process.
-  bool described_ = false;
   // The newest heartbeat of another process than the worker while a call that
   // verifies it is outstanding.
   std::optional<WorkerHeartbeat> unverified_heartbeat_;
@@ -269,6 +265,10 @@
   std::string left_worker_id_;
   // The worker that was known last has left, and no other has appeared since.
   bool worker_left_ = false;
+  // Whether the worker has sent a heartbeat to this process, and whether it has
+  // answered a listing. Until then, it may be a process that has ended.
+  bool described_ = false;
+  bool answered_ = false;
   // Increases when the worker id or the fence changes, to detect responses to
   // earlier calls.
   uint64_t epoch_ = 0;
--- a/Source/Jobs/task_agent_recovery.cc
+++ b/Source/Jobs/task_agent_recovery.cc
@@ -8,7 +8,8 @@
 
 auto TaskAgent::RecoverWorker(TimePoint now, const std::string& recorded_id)
     -> void {
-  if (stopped_ || !heartbeat_.worker_id.empty() || worker_left_ ||
+  if (stopped_ || answered_ || worker_left_ ||
+      recorded_id == heartbeat_.worker_id ||
       ended_worker_ids_.contains(recorded_id)) {
     return;
   }
@@ -42,21 +43,27 @@
     return;
   }
   hooks_.log_worker({"worker_recovered", worker_id});
-  heartbeat_ = WorkerHeartbeat();
-  heartbeat_.worker_id = worker_id;
-  worker_left_ = false;
+  if (!heartbeat_.worker_id.empty()) {
+    ended_worker_ids_.insert(heartbeat_.worker_id);
+  }
+  WorkerHeartbeat recovered;
+  recovered.worker_id = worker_id;
+  UseWorker(now, recovered);
   described_ = false;
-  ResetWorker(now);
-  ListIfDue(now);
+  answered_ = true;
 }
 
-auto TaskAgent::VerifyHeartbeat(TimePoint now, const WorkerHeartbeat& heartbeat)
-    -> void {
-  const bool outstanding = unverified_heartbeat_.has_value();
-  unverified_heartbeat_ = heartbeat;
-  if (outstanding) {
+auto TaskAgent::VerifyHeartbeat(const WorkerHeartbeat& heartbeat) -> void {
+  if (stopped_) {
+    return;
+  }
+  if (unverified_heartbeat_) {
+    if (unverified_heartbeat_->worker_id == heartbeat.worker_id) {
+      unverified_heartbeat_ = heartbeat;
+    }
     return;
   }
+  unverified_heartbeat_ = heartbeat;
   ListCall call;
   call.fence = fence_;
   call.worker_id = heartbeat.worker_id;
@@ -69,12 +76,18 @@
 auto TaskAgent::OnHeartbeatVerified(TimePoint now, const WorkerListing& listing)
     -> void {
   const auto heartbeat = std::exchange(unverified_heartbeat_, std::nullopt);
-  if (stopped_ || !heartbeat || IsWorkerCertain()) {
+  if (stopped_ || !heartbeat || heartbeat->worker_id == heartbeat_.worker_id ||
+      ended_worker_ids_.contains(heartbeat->worker_id)) {
     return;
   }
   switch (ProcessOf(listing)) {
     case WorkerProcess::kPresent:
-      AdoptHeartbeat(now, *heartbeat);
+      if (!heartbeat_.worker_id.empty()) {
+        ended_worker_ids_.insert(heartbeat_.worker_id);
+        NoteCrash(now);
+      }
+      UseWorker(now, *heartbeat);
+      answered_ = true;
       break;
     case WorkerProcess::kEnded:
       ended_worker_ids_.insert(heartbeat->worker_id);
@@ -85,8 +98,4 @@
   }
 }
 
-auto TaskAgent::IsWorkerCertain() const -> bool {
-  return heartbeat_.worker_id.empty() || described_;
-}
-
 }  // namespace rhubarbhaven::jobs
