Jobs: Check polls against the time for which they were scheduled

The interval of first polls shrinks as agents list their runs. The check of the indexes compared the queue with the interval at the time of the check, and failed in cells of more than 40 agents although each poll was in the queue. The time is now kept with the worker when the poll is scheduled; the reported lag counts from it too.

--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -322,6 +322,7 @@
   auto Poll(TimePoint now, WorkerView& worker) -> void;
   auto PollAll(TimePoint now) -> void;
   auto ReportLag(TimePoint now) -> void;
+  auto SchedulePoll(WorkerView& worker) -> void;
   auto NextPoll(const WorkerView& worker) const -> TimePoint;
   // Time between two polls of an agent that has not listed its runs yet.
   auto FirstPollInterval() const -> std::chrono::milliseconds;
--- a/Source/Jobs/owner_index_check.cc
+++ b/Source/Jobs/owner_index_check.cc
@@ -125,7 +125,7 @@
           worker.agent, " lists a suspected run that does not exist"));
     }
   }
-  if (polls_.next() > NextPoll(worker) && !worker.poll_due) {
+  if (polls_.next() > worker.poll_at && !worker.poll_due) {
     problems->push_back(absl::StrCat(worker.agent, " has no poll scheduled"));
   }
 }
--- a/Source/Jobs/owner_members.cc
+++ b/Source/Jobs/owner_members.cc
@@ -105,7 +105,7 @@
     unconfirmed_[worker.agent] = &worker;
   }
   if (!worker.poll_due) {
-    polls_.Set(worker.number, NextPoll(worker));
+    SchedulePoll(worker);
   }
 }
 
--- a/Source/Jobs/owner_polls.cc
+++ b/Source/Jobs/owner_polls.cc
@@ -45,7 +45,7 @@
   while (const auto number = polls_.PopDue(now)) {
     WorkerView& worker = *numbered_.at(*number);
     if (worker.polled_at >= begun_at_) {
-      longest_lag_ = std::max(longest_lag_, now - NextPoll(worker));
+      longest_lag_ = std::max(longest_lag_, now - worker.poll_at);
     }
     Poll(now, worker);
   }
@@ -67,6 +67,11 @@
   }
 }
 
+auto JobOwner::SchedulePoll(WorkerView& worker) -> void {
+  worker.poll_at = NextPoll(worker);
+  polls_.Set(worker.number, worker.poll_at);
+}
+
 auto JobOwner::NextPoll(const WorkerView& worker) const -> TimePoint {
   const bool first = !worker.confirmed &&
                      worker.polled_at < begun_at_ + options_.first_poll_period;
@@ -83,7 +88,7 @@
 auto JobOwner::Poll(TimePoint now, WorkerView& worker) -> void {
   worker.poll_due = false;
   worker.polled_at = now;
-  polls_.Set(worker.number, NextPoll(worker));
+  SchedulePoll(worker);
   AgentOrders orders;
   orders.set_fence(fence_);
   orders.set_owner_incarnation(options_.incarnation);
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -130,6 +130,8 @@
   std::map<uint64_t, PendingOrder> orders;
   uint64_t results_seen = 0;
   TimePoint polled_at;
+  // When it is polled next, unless it is due at once.
+  TimePoint poll_at;
   TimePoint pressures_sent_at;
   // Is due at once in the owner's queue of polls.
   bool poll_due = false;
