Jobs: Learn how long runs take

Rank, outlook and moves rested on callers' estimates, which are off by up to a factor of two. The owner learns the ratio of the run time at full speed to the estimate, by queue, step and image, as the median of a P2 sketch of Boost that is begun anew every 128 samples. Tasks of one step tell of each other once most of them have ended or are half done; the first ends, which are the shortest, do not. The ratios are stored in the log for the next owner (key l/, at most each 10 s, 8 KiB); an unreadable record is passed over.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds kMaxTickInterval{100};
 // An overload has ended once no job has been displaced for this long.
 constexpr std::chrono::milliseconds kOverloadPause{2000};
+// Weight of one run in the mean error of expected run lengths.
+constexpr double kErrorWeight = 0.005;
 
 auto CallerAppendOptions(const EntryOptions& options) -> AppendBatcherOptions {
   AppendBatcherOptions appends;
@@ -365,6 +367,18 @@
   }
 }
 
+auto EntryDecisions::NoteRunLength(const RunLengthSample& sample) -> void {
+  const auto update = [](double ratio, double* error) -> void {
+    *error += kErrorWeight * (std::abs(std::log(ratio)) - *error);
+  };
+  update(sample.by_estimate, &estimate_error_);
+  update(sample.by_learned, &learned_error_);
+  metrics_->SetGauge("rhubarbhaven_run_length_error_ratio_estimate",
+                     std::exp(estimate_error_));
+  metrics_->SetGauge("rhubarbhaven_run_length_error_ratio",
+                     std::exp(learned_error_));
+}
+
 auto EntryDecisions::NoteOverload(const OverloadState& state) -> void {
   metrics_->SetGauge("rhubarbhaven_jobs_displaced",
                      static_cast<double>(state.displaced));
@@ -466,6 +480,17 @@
   hooks.report_overload = [this](const OverloadState& state) -> void {
     NoteOverload(state);
   };
+  hooks.report_run_length = [this](const RunLengthSample& sample) -> void {
+    NoteRunLength(sample);
+  };
+  hooks.log_run_lengths = [this](const std::string& what,
+                                 std::size_t keys) -> void {
+    log_.Write("run_lengths",
+               {{"what", what},
+                {"keys", absl::StrCat(keys)},
+                {"error_estimate", absl::StrCat(std::exp(estimate_error_))},
+                {"error_learned", absl::StrCat(std::exp(learned_error_))}});
+  };
   hooks.report_lag = [this](Duration lag) -> void { NoteLag(lag); };
   hooks.report_start_delay = [this](Duration delay) -> void {
     NoteStartDelay(delay);
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -164,6 +164,7 @@
   auto NoteLag(Duration lag) -> void;
   auto NoteStartDelay(Duration delay) -> void;
   auto NoteOverload(const OverloadState& state) -> void;
+  auto NoteRunLength(const RunLengthSample& sample) -> void;
   auto LogReconciliation(const ReconciliationState& state) -> void;
   auto LogStarvedJob(const StarvedJob& job) -> void;
   auto LogDecision(const OwnerDecision& decision) -> void;
@@ -183,14 +184,19 @@
   std::set<std::string> evacuated_domains_;
   // Whether the latest claim states that this owner reads too late.
   bool reads_late_ = false;
+  // Whether jobs displace each other.
+  bool overloaded_ = false;
   OwnerElection election_;
   // When the log was last read to its end. Kept while the newest records are
   // being re-read: the fold still contains these.
   LogPosition log_position_;
   LagMonitor owner_lag_;
   LagMonitor start_delay_;
-  // Whether jobs displace each other, and when one was last displaced.
-  bool overloaded_ = false;
+  // Mean absolute error of the expected length of runs, as the logarithm of the
+  // factor, by callers' estimates and by what was learned.
+  double estimate_error_ = 0;
+  double learned_error_ = 0;
+  // When a job was last displaced by others.
   TimePoint displaced_at_;
   JobOwner owner_;
   KeyedLogFollower job_follower_;
--- a/Source/Jobs/job_fold.cc
+++ b/Source/Jobs/job_fold.cc
@@ -57,6 +57,8 @@
       return ApplyResignation(key.name, record);
     case RecordKind::kPressures:
       return ApplyPressures(key.name, record);
+    case RecordKind::kRunLengths:
+      return ApplyRunLengths(key.name, record);
     case RecordKind::kUnknown:
       break;
   }
@@ -298,6 +300,16 @@
   return absl::OkStatus();
 }
 
+auto JobFold::ApplyRunLengths(const std::string& name,
+                              const KeyedRecord& record) -> absl::Status {
+  auto learned = ReadRunLengths(name, record.value);
+  if (!learned.ok()) {
+    return learned.status();
+  }
+  run_lengths_ = *std::move(learned);
+  return absl::OkStatus();
+}
+
 auto JobFold::RemoveJob(const std::string& id) -> void {
   cancelled_ahead_.erase(id);
   const auto found = jobs_.find(id);
--- a/Source/Jobs/job_fold.h
+++ b/Source/Jobs/job_fold.h
@@ -98,6 +98,8 @@
   auto resigned_fence(const std::string& entry) const -> uint64_t;
   // Pressures between images, as learned by the latest owners.
   auto pressures() const -> const LearnedPressures& { return pressures_; }
+  // How long runs take, as learned by the latest owners.
+  auto run_lengths() const -> const LearnedRunLengths& { return run_lengths_; }
   // Whether the log contains a cancellation of the job but not the job itself
   // (yet).
   auto CancelledAhead(const std::string& job) const -> bool;
@@ -135,6 +137,8 @@
       -> absl::Status;
   auto ApplyPressures(const std::string& name, const KeyedRecord& record)
       -> absl::Status;
+  auto ApplyRunLengths(const std::string& name, const KeyedRecord& record)
+      -> absl::Status;
   auto RemoveJob(const std::string& id) -> void;
   auto FindOrCreate(const std::string& id) -> StoredJob&;
 
@@ -149,6 +153,7 @@
   std::map<std::string, WorkerEnds> worker_ends_;
   std::map<std::string, uint64_t> resigned_fences_;
   LearnedPressures pressures_;
+  LearnedRunLengths run_lengths_;
   OwnerClaim claim_;
   uint64_t claim_at_ = 0;
   bool claim_known_ = false;
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -42,6 +42,9 @@
   longest_start_delay_ = Duration(0);
   interference_.Load(fold->pressures());
   pressures_stored_at_ = now;
+  run_lengths_.Load(fold->run_lengths());
+  run_lengths_stored_at_ = now;
+  hooks_.log_run_lengths("loaded", run_lengths_.size());
   for (const auto& [name, entry] : fold->agents()) {
     AddAgent(now, entry);
   }
@@ -83,6 +86,7 @@
   grants_to_record_.clear();
   batch_grants_.clear();
   batch_pending_ = false;
+  run_lengths_due_ = false;
   crashes_due_.clear();
   batch_crashes_.clear();
   ends_due_.clear();
@@ -255,6 +259,7 @@
     pressures_stored_at_ = now;
     pressures_due_ = !interference_.Learned().pressures().empty();
   }
+  StoreRunLengthsIfDue(now);
   PollAll(now);
 }
 
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -20,6 +20,7 @@
 #include "Jobs/owner_election.h"
 #include "Jobs/place_choice.h"
 #include "Jobs/placement_order.h"
+#include "Jobs/run_lengths.h"
 #include "Jobs/ticket_cache.h"
 #include "Jobs/worker_changes.h"
 #include "Jobs/worker_view.h"
@@ -226,6 +227,23 @@
                  uint64_t run,
                  const WorkerView* worker) -> bool;
 
+  // How long runs take.
+  // Adds the time since the last report, at the speed that was last reported.
+  static auto MeasureRun(TimePoint now, const TaskPlace& place, RunWork& run)
+      -> void;
+  auto NoteProgress(const TaskPlace& place, RunWork& run) -> void;
+  auto NoteRunDone(TimePoint now,
+                   const TaskPlace& place,
+                   uint64_t number,
+                   const WorkerView& worker) -> void;
+  // Notes how long a run that is at `percent` takes in all; none if it says
+  // nothing about others.
+  auto SetRunTime(const TaskPlace& place, const RunWork& run, uint32_t percent)
+      -> std::optional<std::chrono::milliseconds>;
+  auto UpdateExpectedRunTime(const TaskPlace& place) -> void;
+  auto SetExpectedRunTimes(JobWork& work, uint32_t occurrence) -> void;
+  auto StoreRunLengthsIfDue(TimePoint now) -> void;
+
   // Placement.
   auto PlaceAll(TimePoint now) -> void;
   auto UpdateOrder() -> void;
@@ -375,7 +393,10 @@
   ImageInterference interference_;
   TicketCache tickets_;
   TimePoint pressures_stored_at_;
+  RunLengths run_lengths_;
+  TimePoint run_lengths_stored_at_;
   bool pressures_due_ = false;
+  bool run_lengths_due_ = false;
   // Ended jobs until their records are deleted.
   TimerQueue<std::string> ended_jobs_;
   std::vector<std::string> keys_to_delete_;
--- a/Source/Jobs/job_owner_hooks.h
+++ b/Source/Jobs/job_owner_hooks.h
@@ -46,6 +46,12 @@
   std::vector<std::string> missing_bounds;
 };
 
+// How long a run took, relative to what was expected when it started.
+struct RunLengthSample {
+  double by_estimate = 1;
+  double by_learned = 1;
+};
+
 // A job that has no run although one of its steps is ready.
 struct StarvedJob {
   // The first waiting task.
@@ -82,6 +88,12 @@
   // Reports which jobs can be in time, whenever that has been computed, and an
   // empty state once no task waits.
   std::function<auto(const OverloadState&)->void> report_overload;
+  // Reports a run that ended well.
+  std::function<auto(const RunLengthSample&)->void> report_run_length;
+  // Logs that learned run lengths were "loaded" or "stored", for this number of
+  // keys.
+  std::function<auto(const std::string& what, std::size_t keys)->void>
+      log_run_lengths;
   // Reports each second the longest delay of a poll since the previous report.
   std::function<auto(Duration)->void> report_lag;
   // Reports each second the longest time from the decision on a start until its
--- a/Source/Jobs/job_records.cc
+++ b/Source/Jobs/job_records.cc
@@ -10,7 +10,7 @@
   char letter;
 };
 
-constexpr std::array<KeyPrefix, 9> kPrefixes = {{
+constexpr std::array<KeyPrefix, 10> kPrefixes = {{
     {RecordKind::kJob, 'j'},
     {RecordKind::kProgress, 'p'},
     {RecordKind::kCancellation, 'c'},
@@ -20,6 +20,7 @@
     {RecordKind::kClaim, 'o'},
     {RecordKind::kResignation, 'r'},
     {RecordKind::kPressures, 'i'},
+    {RecordKind::kRunLengths, 'l'},
 }};
 
 }  // namespace
--- a/Source/Jobs/job_records.h
+++ b/Source/Jobs/job_records.h
@@ -27,6 +27,7 @@
   kClaim,
   kResignation,
   kPressures,
+  kRunLengths,
   kUnknown,
 };
 
--- a/Source/Jobs/job_work.h
+++ b/Source/Jobs/job_work.h
@@ -40,6 +40,15 @@
   TimePoint progress_at;
   // Time of the latest report of its agent that lists it.
   TimePoint seen_at;
+  // How long it would have taken so far at full speed, as of `measured_at`.
+  Duration full_speed_time{0};
+  TimePoint measured_at;
+  // Its first reported percentage; none before its first report.
+  std::optional<uint32_t> first_percent;
+  // Whether its progress has told how long it takes in all.
+  bool told_length = false;
+  // The expected time of a whole run when it started.
+  std::chrono::milliseconds expected_at_start{0};
   // Of an opportunistic run: the share of its requested processors that it used
   // recently; none while unknown.
   std::optional<double> speed;
@@ -89,6 +98,9 @@
   // Learned time of one whole run of a task at full speed; none while only the
   // caller's estimate is known.
   std::optional<std::chrono::milliseconds> expected_run_time;
+  // Times that runs of its tasks take at full speed, by index; zero if unknown.
+  // Empty while none is known.
+  std::vector<std::chrono::milliseconds> run_times;
 
   auto tasks() -> std::vector<TaskWork>& { return tasks_; }
   auto tasks() const -> const std::vector<TaskWork>& { return tasks_; }
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -167,6 +167,10 @@
   run.progress_at = now;
   run.seen_at = now;
   run.percent = row.percent();
+  // It began before this owner; only its share from now on is measured.
+  run.measured_at = now;
+  run.first_percent = row.percent();
+  run.expected_at_start = ExpectedRunTime(place->spec(), place->step_work());
   const bool wanted = !task.done && !place->work->entry->over() &&
                       (task.runs.empty() || place->spec().allow_duplicates());
   RunWork& adopted = place->step_work().AddRun(place->index, run);
@@ -201,6 +205,9 @@
       continue;
     }
     run.seen_at = now;
+    if (run.phase != RunPhase::kStarting) {
+      MeasureRun(now, *place, run);
+    }
     if (run.percent != row.percent()) {
       run.percent = row.percent();
       run.progress_at = now;
@@ -212,6 +219,9 @@
     if (step.uses_spare_processors() && step.need().millicores() > 0) {
       run.speed = static_cast<double>(row.load()) / step.need().millicores();
     }
+    if (run.phase != RunPhase::kStarting) {
+      NoteProgress(*place, run);
+    }
   }
 }
 
--- a/Source/Jobs/owner_ends.cc
+++ b/Source/Jobs/owner_ends.cc
@@ -29,6 +29,9 @@
     return;
   }
   auto& task = place->task();
+  if (row.end() == RUN_DONE) {
+    NoteRunDone(now, *place, row.run(), worker);
+  }
   const bool known = RemoveRun(now, *place, row.run(), &worker);
   if (!known && !reconciling) {
     // The run was declared lost after its worker's lease had expired: the end
@@ -147,6 +150,7 @@
         run.phase = RunPhase::kRunning;
         run.progress_at = now;
         run.seen_at = now;
+        run.measured_at = now;
       }
     }
     if (place->work->state == JOB_QUEUED) {
--- a/Source/Jobs/owner_jobs.cc
+++ b/Source/Jobs/owner_jobs.cc
@@ -24,6 +24,9 @@
   JobWork& added = *work;
   EraseJob(entry.job.id());
   jobs_[entry.job.id()] = std::move(work);
+  for (const auto& [number, occurrence] : added.occurrences) {
+    SetExpectedRunTimes(added, number);
+  }
   order_.MarkChanged(added);
   OpenDue(now, added);
 }
@@ -115,7 +118,9 @@
       occurrence_due_at_ = std::min(occurrence_due_at_, now + left);
       return;
     }
-    work.Open(now, work.opened, uncertain);
+    const uint32_t number = work.opened;
+    work.Open(now, number, uncertain);
+    SetExpectedRunTimes(work, number);
     order_.MarkChanged(work);
     placement_due_ = true;
   }
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -166,6 +166,8 @@
   work.ordered_at = now;
   work.progress_at = now;
   work.seen_at = now;
+  work.measured_at = now;
+  work.expected_at_start = ExpectedRunTime(place.spec(), place.step_work());
   --starts_left_;
   place.step_work().AddRun(place.index, work);
   if (place.step_work().waiting() == 0) {
--- a/Source/Jobs/owner_records.cc
+++ b/Source/Jobs/owner_records.cc
@@ -32,6 +32,13 @@
     records.push_back(
         MakeRecord(RecordKind::kPressures, "", interference_.Learned()));
   }
+  if (std::exchange(run_lengths_due_, false)) {
+    const auto learned = run_lengths_.Learned();
+    run_lengths_.MarkStored();
+    records.push_back(MakeRecord(RecordKind::kRunLengths, "", learned));
+    hooks_.log_run_lengths("stored",
+                           static_cast<std::size_t>(learned.lengths_size()));
+  }
   batch_pending_ = !records.empty();
   if (!batch_pending_) {
     // Crashes of which nothing has to be stored.
--- a/Source/Jobs/placement_order.cc
+++ b/Source/Jobs/placement_order.cc
@@ -16,7 +16,8 @@
 auto WorkLevel(CoreSeconds work) -> int {
   const auto whole =
       std::chrono::duration_cast<std::chrono::milliseconds>(work).count();
-  return std::bit_width(static_cast<uint64_t>(std::max<int64_t>(0, whole)));
+  return static_cast<int>(
+      std::bit_width(static_cast<uint64_t>(std::max<int64_t>(0, whole))));
 }
 
 auto IsOpportunistic(const JobWork& work) -> bool {
--- a/Source/Jobs/record_reader.cc
+++ b/Source/Jobs/record_reader.cc
@@ -11,6 +11,10 @@
 namespace rhubarbhaven::jobs {
 namespace {
 
+constexpr std::size_t kMaxRunLengthsBytes = 8192;
+// A learned ratio of run times is between this and its inverse.
+constexpr double kMaxRunLengthRatio = 64.0;
+
 auto Problem(const std::string& text) -> absl::Status {
   return absl::InvalidArgumentError(text);
 }
@@ -245,4 +249,32 @@
   return learned;
 }
 
+auto ReadRunLengths(const std::string& name, const std::string& value)
+    -> absl::StatusOr<LearnedRunLengths> {
+  auto status = CheckNoName(name);
+  if (!status.ok()) {
+    return status;
+  }
+  if (value.size() > kMaxRunLengthsBytes) {
+    return Problem(absl::StrCat("it has ", value.size(), " bytes"));
+  }
+  auto learned = Parse<LearnedRunLengths>(value);
+  if (!learned.ok()) {
+    return learned;
+  }
+  for (const auto& length : learned->lengths()) {
+    // Other values would make every job of the queue late, or none.
+    const bool valid = length.median() >= 1.0 / kMaxRunLengthRatio &&
+                       length.median() <= kMaxRunLengthRatio &&
+                       length.upper() >= length.median() &&
+                       std::isfinite(length.upper());
+    if (!valid) {
+      return Problem(absl::StrCat("its ratios of queue \"", length.queue(),
+                                  "\" are ", length.median(), " and ",
+                                  length.upper()));
+    }
+  }
+  return learned;
+}
+
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/record_reader.h
+++ b/Source/Jobs/record_reader.h
@@ -33,13 +33,16 @@
     -> absl::StatusOr<AgentGrants>;
 auto ReadWorkerEnds(const std::string& worker_id, const std::string& value)
     -> absl::StatusOr<WorkerEnds>;
-// There is one claim and one record of pressures. Their keys contain no name.
+// There is one claim, and one record of pressures and of run lengths. Their
+// keys contain no name.
 auto ReadClaim(const std::string& name, const std::string& value)
     -> absl::StatusOr<OwnerClaim>;
 auto ReadResignation(const std::string& name, const std::string& value)
     -> absl::StatusOr<OwnerResignation>;
 auto ReadPressures(const std::string& name, const std::string& value)
     -> absl::StatusOr<LearnedPressures>;
+auto ReadRunLengths(const std::string& name, const std::string& value)
+    -> absl::StatusOr<LearnedRunLengths>;
 
 }  // namespace rhubarbhaven::jobs
 
--- a/Tests/Benchmarks/Jobs/owner_simulation.cc
+++ b/Tests/Benchmarks/Jobs/owner_simulation.cc
@@ -85,6 +85,8 @@
   hooks.log_starved = [](const StarvedJob&) {};
   hooks.report_starved = [](std::size_t) {};
   hooks.report_overload = [](const OverloadState&) {};
+  hooks.report_run_length = [](const RunLengthSample&) {};
+  hooks.log_run_lengths = [](const std::string&, std::size_t) {};
   hooks.report_lag = [](Duration) {};
   hooks.rules = [this](const std::string& queue) {
     return queue == kUrgentQueue ? &urgent_rules_ : &rules_;
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -67,6 +67,10 @@
     hooks.report_overload = [this](const OverloadState& state) {
       overload_ = state;
     };
+    hooks.report_run_length = [this](const RunLengthSample& sample) {
+      run_lengths_.push_back(sample);
+    };
+    hooks.log_run_lengths = [](const std::string&, std::size_t) {};
     hooks.report_lag = [this](Duration lag) { lags_.push_back(lag); };
     hooks.report_start_delay = [this](Duration delay) {
       start_delays_.push_back(delay);
@@ -274,6 +278,7 @@
   // Starved jobs that the owner logged, and the number that it last reported.
   std::vector<StarvedJob> logged_starved_jobs_;
   std::size_t starved_jobs_ = 0;
+  std::vector<RunLengthSample> run_lengths_;
   // The latest state of overload that the owner reported.
   OverloadState overload_;
   // Decisions on runs that the owner logged.
--- a/Tests/Jobs/overload_order_test.cc
+++ b/Tests/Jobs/overload_order_test.cc
@@ -218,6 +218,7 @@
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<LoadedJob*> order;
+    order.reserve(ranked.size());
     for (const auto& [job_class, due, job] : ranked) {
       order.push_back(job);
     }
