--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -1,10 +1,8 @@
 #include "Jobs/entry_decisions.h"
 
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_join.h>
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace rhubarbhaven::jobs {
@@ -16,10 +14,6 @@
 constexpr std::chrono::milliseconds kReadyReadAge{2500};
 // Maximum interval between two checks of the election and the readiness.
 constexpr std::chrono::milliseconds kMaxTickInterval{100};
-// An overload has ended once no job has been displaced for this long.
-constexpr std::chrono::milliseconds kOverloadPause{2000};
-// Weight of one run in the mean error of expected run lengths.
-constexpr double kErrorWeight = 0.005;
 
 auto CallerAppendOptions(const EntryOptions& options) -> AppendBatcherOptions {
   AppendBatcherOptions appends;
@@ -345,118 +339,6 @@
            operator_follower_.CaughtUpWithin(now, kReadyReadAge);
 }
 
-auto EntryDecisions::NoteLag(Duration lag) -> void {
-  metrics_->RecordLatency("rhubarbhaven_owner_lag_seconds", lag);
-  const auto change = owner_lag_.Record(lag);
-  if (change != LagMonitor::Change::kNone) {
-    log_.Write(
-        change == LagMonitor::Change::kLate ? "owner_late" : "owner_in_time",
-        {{"fence", absl::StrCat(election_.fence())},
-         {"lag_ms", InMilliseconds(lag)}});
-  }
-}
-
-auto EntryDecisions::NoteStartDelay(Duration delay) -> void {
-  metrics_->RecordLatency("rhubarbhaven_owner_start_delay_seconds", delay);
-  const auto change = start_delay_.Record(delay);
-  if (change != LagMonitor::Change::kNone) {
-    log_.Write(
-        change == LagMonitor::Change::kLate ? "starts_late" : "starts_in_time",
-        {{"fence", absl::StrCat(election_.fence())},
-         {"delay_ms", InMilliseconds(delay)}});
-  }
-}
-
-auto EntryDecisions::NoteRunLength(const RunLengthSample& sample) -> void {
-  const auto update = [](double ratio, double* error) -> void {
-    *error += kErrorWeight * (std::abs(std::log(ratio)) - *error);
-  };
-  update(sample.by_estimate, &estimate_error_);
-  update(sample.by_learned, &learned_error_);
-  metrics_->SetGauge("rhubarbhaven_run_length_error_ratio_estimate",
-                     std::exp(estimate_error_));
-  metrics_->SetGauge("rhubarbhaven_run_length_error_ratio",
-                     std::exp(learned_error_));
-}
-
-auto EntryDecisions::NoteOverload(const OverloadState& state) -> void {
-  metrics_->SetGauge("rhubarbhaven_jobs_displaced",
-                     static_cast<double>(state.displaced));
-  metrics_->SetGauge("rhubarbhaven_jobs_in_time",
-                     static_cast<double>(state.in_time));
-  if (state.displaced > 0) {
-    displaced_at_ = last_tick_;
-  }
-  // A short pause between two waves of jobs does not end an overload.
-  const bool overloaded =
-      state.displaced > 0 ||
-      (overloaded_ && last_tick_ - displaced_at_ < kOverloadPause);
-  if (overloaded == std::exchange(overloaded_, overloaded)) {
-    return;
-  }
-  log_.Write("overload",
-             {{"state", overloaded ? "begins" : "ends"},
-              {"fence", absl::StrCat(election_.fence())},
-              {"displaced", absl::StrCat(state.displaced)},
-              {"in_time", absl::StrCat(state.in_time)},
-              {"work_left_core_s",
-               absl::StrCat(std::llround(state.work_left.count()))},
-              {"reserved_cores",
-               absl::StrCat(std::llround(state.rates.reserved_cores))},
-              {"opportunistic_cores",
-               absl::StrCat(std::llround(state.rates.opportunistic_cores))}});
-}
-
-auto EntryDecisions::LogReconciliation(const ReconciliationState& state)
-    -> void {
-  if (state.done) {
-    metrics_->RecordLatency("rhubarbhaven_census_seconds", state.waited);
-  }
-  log_.Write(state.done ? "census_done" : "census_waits",
-             {{"fence", absl::StrCat(election_.fence())},
-              {"waited_ms", InMilliseconds(state.waited)},
-              {"at_most_ms", InMilliseconds(state.longest)},
-              {"agents", absl::StrCat(state.agents)},
-              {"missing", absl::StrCat(state.missing)},
-              {"names", absl::StrJoin(state.missing_names, " ")},
-              {"bounds", absl::StrJoin(state.missing_bounds, " ")}});
-}
-
-auto EntryDecisions::LogStarvedJob(const StarvedJob& job) -> void {
-  log_.Write("stands",
-             {{"job", job.task.job()},
-              {"task", DescribeTask(job.task)},
-              {"fence", absl::StrCat(election_.fence())},
-              {"waited_ms", InMilliseconds(job.waited)},
-              {"why", job.why},
-              {"log_age_ms",
-               InMilliseconds(last_tick_ - job_follower_.caught_up_at())},
-              {"oldest_report_ms", InMilliseconds(job.oldest_report)}});
-}
-
-auto EntryDecisions::LogDecision(const OwnerDecision& decision) -> void {
-  metrics_->Add(absl::StrCat("rhubarbhaven_runs_", decision.what, "_total"),
-                decision.runs);
-  if (decision.runs == 1) {
-    log_.Write(
-        decision.what,
-        {{"task", DescribeTask(decision.task)},
-         {"run", absl::StrCat(decision.run)},
-         {"agent", decision.agent},
-         {"why", decision.why},
-         {"log_age_ms", InMilliseconds(last_tick_ - log_position_.as_of)}});
-    return;
-  }
-  const auto describe = [](std::string* text, const TaskName& task) -> void {
-    absl::StrAppend(text, DescribeTask(task));
-  };
-  log_.Write(decision.what,
-             {{"runs", absl::StrCat(decision.runs)},
-              {"agent", decision.agent},
-              {"why", decision.why},
-              {"tasks", absl::StrJoin(decision.some_tasks, " ", describe)}});
-}
-
 auto EntryDecisions::MakeOwnerHooks() -> JobOwnerHooks {
   JobOwnerHooks hooks;
   hooks.send = hooks_.send;
@@ -485,11 +367,7 @@
   };
   hooks.log_run_lengths = [this](const std::string& what,
                                  std::size_t keys) -> void {
-    log_.Write("run_lengths",
-               {{"what", what},
-                {"keys", absl::StrCat(keys)},
-                {"error_estimate", absl::StrCat(std::exp(estimate_error_))},
-                {"error_learned", absl::StrCat(std::exp(learned_error_))}});
+    LogRunLengths(what, keys);
   };
   hooks.report_lag = [this](Duration lag) -> void { NoteLag(lag); };
   hooks.report_start_delay = [this](Duration delay) -> void {
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -165,6 +165,7 @@
   auto NoteStartDelay(Duration delay) -> void;
   auto NoteOverload(const OverloadState& state) -> void;
   auto NoteRunLength(const RunLengthSample& sample) -> void;
+  auto LogRunLengths(const std::string& what, std::size_t keys) -> void;
   auto LogReconciliation(const ReconciliationState& state) -> void;
   auto LogStarvedJob(const StarvedJob& job) -> void;
   auto LogDecision(const OwnerDecision& decision) -> void;
