--- a/Source/Jobs/agent_recovery.h
+++ b/Source/Jobs/agent_recovery.h
@@ -41,7 +41,7 @@
  private:
   bool outstanding_ = false;
   TimePoint not_before_;
-  // Processes that have ended; they never come back.
+  // Processes that have ended. Their ids are not used again.
   std::set<std::string> ended_;
 };
 
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -236,8 +236,8 @@
                    const TaskPlace& place,
                    uint64_t number,
                    const WorkerView& worker) -> void;
-  // Notes how long a run that is at `percent` takes in all; none if it says
-  // nothing about others.
+  // Stores the total time of a run that is at `percent`. Returns none if it
+  // does not apply to other tasks.
   auto SetRunTime(const TaskPlace& place, const RunWork& run, uint32_t percent)
       -> std::optional<std::chrono::milliseconds>;
   auto UpdateExpectedRunTime(const TaskPlace& place) -> void;
--- a/Source/Jobs/job_work.h
+++ b/Source/Jobs/job_work.h
@@ -45,8 +45,8 @@
   TimePoint measured_at;
   // Its first reported percentage; none before its first report.
   std::optional<uint32_t> first_percent;
-  // Whether its progress has told how long it takes in all.
-  bool told_length = false;
+  // Whether its total time has been extrapolated from its progress.
+  bool extrapolated = false;
   // The expected time of a whole run when it started.
   std::chrono::milliseconds expected_at_start{0};
   // Of an opportunistic run: the share of its requested processors that it used
--- a/Source/Jobs/owner_overload.cc
+++ b/Source/Jobs/owner_overload.cc
@@ -3,8 +3,8 @@
 
 #include "Jobs/job_owner.h"
 
-// The order of jobs when there is too little room, and what the cell gives
-// them.
+// The order of jobs when there is too little room for all, and the processors
+// that they get.
 namespace rhubarbhaven::jobs {
 namespace {
 
--- a/Source/Jobs/owner_run_lengths.cc
+++ b/Source/Jobs/owner_run_lengths.cc
@@ -3,15 +3,15 @@
 
 #include "Jobs/job_owner.h"
 
-// What the owner learns from runs about how long they take.
+// What the owner learns about the lengths of runs.
 namespace rhubarbhaven::jobs {
 namespace {
 
 constexpr double kWholePercent = 100.0;
-// A run that did less than this share says little about a whole one.
+// The total time of a run that did less than this share is too uncertain.
 constexpr double kMinShare = 0.25;
-// From this progress on, a run that is still at work tells how long it takes.
-constexpr uint32_t kTellingPercent = 50;
+// From this progress on, the total time of a run is extrapolated.
+constexpr uint32_t kExtrapolationPercent = 50;
 // Change of an expected time that is worth ranking its job again.
 constexpr double kRankedChange = 0.05;
 constexpr std::chrono::seconds kRecordInterval{10};
@@ -32,9 +32,9 @@
   return times;
 }
 
-// Whether how long runs of the step take says something about others: they are
-// not slowed by where they run, and not together.
-auto IsTelling(const JobStep& step, const WorkerView& worker) -> bool {
+// Whether the run times of the step's tasks apply to other tasks: they are not
+// slowed by other members of a gang, or by the distance from their data.
+auto IsRepresentative(const JobStep& step, const WorkerView& worker) -> bool {
   const bool near_data =
       step.data_rack().empty() || step.data_rack() == worker.rack;
   return !step.long_running() && !step.gang() && step.estimated_ms() > 0 &&
@@ -58,8 +58,8 @@
     // A run that resumes from a checkpoint does not begin at zero.
     run.first_percent = place.task().checkpoint.empty() ? 0 : run.percent;
   }
-  if (run.percent >= kTellingPercent && !run.told_length) {
-    run.told_length = true;
+  if (run.percent >= kExtrapolationPercent && !run.extrapolated) {
+    run.extrapolated = true;
     SetRunTime(place, run, run.percent);
   }
 }
@@ -98,7 +98,7 @@
   const double share =
       (percent - std::min(percent, run.first_percent.value_or(0))) /
       kWholePercent;
-  if (share < kMinShare || !IsTelling(place.spec(), *run.worker)) {
+  if (share < kMinShare || !IsRepresentative(place.spec(), *run.worker)) {
     return std::nullopt;
   }
   auto& step = place.step_work();
