Jobs: Log why leases lapse, silent agents, and long-running tasks that wait

A record of tasks that did not run named runs whose leases had lapsed, and nothing told why: an agent that is gone, frozen or starved, an owner that is silent or grants nothing, and a worker that does not answer look the same at the worker.

- Agents warn of each run that lapsed, with the longest recent gaps between their own ticks, the owner's orders, its grants and the worker's answers, and whether they have only just started.
- Owners warn of agents that have not reported for 1.5 s, again each 5 s.
- `stands` names long-running tasks that wait although others of their job run.
- `stands` and `census_waits` are warnings, since callers miss something.

--- a/Source/Base/event_log.cc
+++ b/Source/Base/event_log.cc
@@ -37,7 +37,18 @@
 
 auto EventLog::Write(std::string_view event,
                      std::initializer_list<EventField> fields) -> void {
-  if (!logger_->should_log(spdlog::level::info)) {
+  WriteAt(spdlog::level::info, event, fields);
+}
+
+auto EventLog::Warn(std::string_view event,
+                    std::initializer_list<EventField> fields) -> void {
+  WriteAt(spdlog::level::warn, event, fields);
+}
+
+auto EventLog::WriteAt(spdlog::level::level_enum level,
+                       std::string_view event,
+                       std::initializer_list<EventField> fields) -> void {
+  if (!logger_->should_log(level)) {
     return;
   }
   std::string line(1, kEventMark);
@@ -48,7 +59,7 @@
       AppendField(field.name, field.value, &line);
     }
   }
-  logger_->log(spdlog::level::info, spdlog::string_view_t(line));
+  logger_->log(level, spdlog::string_view_t(line));
 }
 
 }  // namespace rhubarbhaven
--- a/Source/Base/event_log.h
+++ b/Source/Base/event_log.h
@@ -29,8 +29,16 @@
   explicit EventLog(const std::string& component);
   auto Write(std::string_view event, std::initializer_list<EventField> fields)
       -> void;
+  // The same at the level of a warning, for events after which callers may miss
+  // something that was promised.
+  auto Warn(std::string_view event, std::initializer_list<EventField> fields)
+      -> void;
 
  private:
+  auto WriteAt(spdlog::level::level_enum level,
+               std::string_view event,
+               std::initializer_list<EventField> fields) -> void;
+
   std::shared_ptr<spdlog::logger> logger_;
 };
 
--- a/Source/Daemon/job_agent.cc
+++ b/Source/Daemon/job_agent.cc
@@ -182,6 +182,13 @@
 
 auto JobAgent::LogDecision(const jobs::AgentDecision& decision) -> void {
   metrics_->Add(absl::StrCat("rhubarbhaven_worker_", decision.what, "_total"));
+  if (decision.what == "lapsed") {
+    log_.Warn(decision.what, {{"task", DescribeTask(decision.task)},
+                              {"run", absl::StrCat(decision.run)},
+                              {"fence", absl::StrCat(agent_.fence())},
+                              {"why", decision.why}});
+    return;
+  }
   if (!decision.ages) {
     log_.Write(decision.what, {{"task", DescribeTask(decision.task)},
                                {"run", absl::StrCat(decision.run)},
--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -356,6 +356,9 @@
   hooks.log_starved = [this](const StarvedJob& job) -> void {
     LogStarvedJob(job);
   };
+  hooks.log_silent = [this](const SilentAgents& silent) -> void {
+    LogSilentAgents(silent);
+  };
   hooks.report_starved = [this](std::size_t jobs) -> void {
     metrics_->SetGauge("rhubarbhaven_standing_jobs", static_cast<double>(jobs));
   };
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -168,6 +168,7 @@
   auto LogRunLengths(const std::string& what, std::size_t keys) -> void;
   auto LogReconciliation(const ReconciliationState& state) -> void;
   auto LogStarvedJob(const StarvedJob& job) -> void;
+  auto LogSilentAgents(const SilentAgents& silent) -> void;
   auto LogDecision(const OwnerDecision& decision) -> void;
 
   EntryOptions options_;
--- a/Source/Jobs/entry_logging.cc
+++ b/Source/Jobs/entry_logging.cc
@@ -15,6 +15,13 @@
 // Weight of one run in the mean error of expected run lengths.
 constexpr double kErrorWeight = 0.005;
 
+auto DescribeTasks(const std::vector<TaskName>& tasks) -> std::string {
+  return absl::StrJoin(tasks, " ",
+                       [](std::string* text, const TaskName& task) -> void {
+                         absl::StrAppend(text, DescribeTask(task));
+                       });
+}
+
 }  // namespace
 
 auto EntryDecisions::NoteLag(Duration lag) -> void {
@@ -93,26 +100,41 @@
   if (state.done) {
     metrics_->RecordLatency("rhubarbhaven_census_seconds", state.waited);
   }
-  log_.Write(state.done ? "census_done" : "census_waits",
-             {{"fence", absl::StrCat(election_.fence())},
-              {"waited_ms", InMilliseconds(state.waited)},
-              {"at_most_ms", InMilliseconds(state.longest)},
-              {"agents", absl::StrCat(state.agents)},
-              {"missing", absl::StrCat(state.missing)},
-              {"names", absl::StrJoin(state.missing_names, " ")},
-              {"bounds", absl::StrJoin(state.missing_bounds, " ")}});
+  const std::initializer_list<EventField> fields = {
+      {"fence", absl::StrCat(election_.fence())},
+      {"waited_ms", InMilliseconds(state.waited)},
+      {"at_most_ms", InMilliseconds(state.longest)},
+      {"agents", absl::StrCat(state.agents)},
+      {"missing", absl::StrCat(state.missing)},
+      {"names", absl::StrJoin(state.missing_names, " ")},
+      {"bounds", absl::StrJoin(state.missing_bounds, " ")}};
+  if (state.done) {
+    log_.Write("census_done", fields);
+  } else {
+    log_.Warn("census_waits", fields);
+  }
 }
 
 auto EntryDecisions::LogStarvedJob(const StarvedJob& job) -> void {
-  log_.Write("stands",
-             {{"job", job.task.job()},
-              {"task", DescribeTask(job.task)},
-              {"fence", absl::StrCat(election_.fence())},
-              {"waited_ms", InMilliseconds(job.waited)},
-              {"why", job.why},
-              {"log_age_ms",
-               InMilliseconds(last_tick_ - job_follower_.caught_up_at())},
-              {"oldest_report_ms", InMilliseconds(job.oldest_report)}});
+  log_.Warn("stands",
+            {{"job", job.task.job()},
+             {"task", DescribeTask(job.task)},
+             {"fence", absl::StrCat(election_.fence())},
+             {"waited_ms", InMilliseconds(job.waited)},
+             {"why", job.why},
+             {"log_age_ms",
+              InMilliseconds(last_tick_ - job_follower_.caught_up_at())},
+             {"oldest_report_ms", InMilliseconds(job.oldest_report)},
+             {"waiting", job.waiting > 0 ? absl::StrCat(job.waiting) : ""},
+             {"tasks", DescribeTasks(job.tasks)}});
+}
+
+auto EntryDecisions::LogSilentAgents(const SilentAgents& silent) -> void {
+  log_.Warn("agents_silent", {{"fence", absl::StrCat(election_.fence())},
+                              {"silent", absl::StrCat(silent.silent)},
+                              {"agents", absl::StrCat(silent.agents)},
+                              {"longest_ms", InMilliseconds(silent.longest)},
+                              {"names", absl::StrJoin(silent.names, " ")}});
 }
 
 auto EntryDecisions::LogDecision(const OwnerDecision& decision) -> void {
@@ -128,14 +150,10 @@
          {"log_age_ms", InMilliseconds(last_tick_ - log_position_.as_of)}});
     return;
   }
-  const auto describe = [](std::string* text, const TaskName& task) -> void {
-    absl::StrAppend(text, DescribeTask(task));
-  };
-  log_.Write(decision.what,
-             {{"runs", absl::StrCat(decision.runs)},
-              {"agent", decision.agent},
-              {"why", decision.why},
-              {"tasks", absl::StrJoin(decision.some_tasks, " ", describe)}});
+  log_.Write(decision.what, {{"runs", absl::StrCat(decision.runs)},
+                             {"agent", decision.agent},
+                             {"why", decision.why},
+                             {"tasks", DescribeTasks(decision.some_tasks)}});
 }
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -66,6 +66,7 @@
   ReportStarved(0);
   EndOverload();
   check_starved_at_ = TimePoint();
+  check_silent_at_ = TimePoint();
   held_places_.Clear();
   order_.Clear();
   jobs_.clear();
@@ -252,6 +253,7 @@
     PlaceAll(now);
   }
   CheckStarvedJobs(now);
+  CheckSilentAgents(now);
   held_places_.Expire(now);
   MoveSlowedRuns(now);
   ExpireOldJobs(now);
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -281,6 +281,16 @@
   auto CheckStarvedJobs(TimePoint now) -> void;
   auto LogStarvedJob(TimePoint now, const PlacementOrder::WaitingStep& step)
       -> void;
+  // Whether one more line about a starved job may be logged now, for this job.
+  auto TakeStarvedLine(TimePoint now, JobWork& work) -> bool;
+  // Logs long-running tasks of the job that have had no run for some time,
+  // although others of the job run.
+  auto LogWaitingLongRunning(TimePoint now, JobWork& work) -> void;
+  // Names the waiting tasks of the step, from the given one on, if they are
+  // long-running.
+  static auto AddWaitingTasks(TaskPlace place, StarvedJob* starved) -> void;
+  // Logs agents that have not reported lately.
+  auto CheckSilentAgents(TimePoint now) -> void;
   auto DescribeStarvation(TimePoint now, const TaskPlace& place) const
       -> std::string;
   auto DescribeMissing(TimePoint now) const -> std::string;
@@ -419,6 +429,7 @@
   Duration longest_start_delay_{0};
   TimePoint lag_reported_at_;
   TimePoint check_starved_at_;
+  TimePoint check_silent_at_;
   // Lines logged in the second that began at `starved_lines_since_`.
   int starved_lines_ = 0;
   TimePoint starved_lines_since_;
--- a/Source/Jobs/job_owner_hooks.h
+++ b/Source/Jobs/job_owner_hooks.h
@@ -52,7 +52,8 @@
   double by_learned = 1;
 };
 
-// A job that has no run although one of its steps is ready.
+// A job that has no run although one of its steps is ready, or a ready step of
+// long-running tasks some of which have no run.
 struct StarvedJob {
   // The first waiting task.
   TaskName task;
@@ -60,6 +61,19 @@
   std::string why;
   // Age of the oldest report among workers that have listed their runs.
   Duration oldest_report{0};
+  // Waiting long-running tasks, at most as many as a log line should hold, and
+  // the number of all of them.
+  std::vector<TaskName> tasks = {};
+  std::size_t waiting = 0;
+};
+
+// Agents that this owner uses and that have not reported lately.
+struct SilentAgents {
+  std::size_t silent = 0;
+  std::size_t agents = 0;
+  Duration longest{0};
+  // At most as many as a log line should hold.
+  std::vector<std::string> names;
 };
 
 // How much of the log a copy contains: all records that the log had at `as_of`,
@@ -82,6 +96,8 @@
   // Logs a starved job. The number of lines per second is limited over all
   // jobs.
   std::function<auto(const StarvedJob&)->void> log_starved;
+  // Logs agents that have not reported lately, repeatedly while there are any.
+  std::function<auto(const SilentAgents&)->void> log_silent;
   // Reports the number of jobs that have been starved for long enough to be
   // logged, whenever it changes.
   std::function<auto(std::size_t)->void> report_starved;
--- a/Source/Jobs/owner_starvation.cc
+++ b/Source/Jobs/owner_starvation.cc
@@ -20,6 +20,10 @@
 constexpr std::chrono::milliseconds kLogInterval{5000};
 // Over all jobs together.
 constexpr int kMaxLogLinesPerSecond = 5;
+// Number of tasks or agents named in one line.
+constexpr std::size_t kMaxNames = 20;
+// Five missed polls. Leases last longer.
+constexpr std::chrono::milliseconds kSilentAfter{1500};
 
 // Whether less than half of the service's processors are held: beyond that,
 // more slow opportunistic tasks only make the others late.
@@ -54,6 +58,7 @@
       continue;
     }
     if (!work.NothingRuns()) {
+      LogWaitingLongRunning(now, work);
       continue;
     }
     const TimePoint since = work.starved.since.value_or(now);
@@ -72,23 +77,91 @@
   ReportStarved(starved);
 }
 
-auto JobOwner::LogStarvedJob(TimePoint now,
-                             const PlacementOrder::WaitingStep& step) -> void {
+auto JobOwner::TakeStarvedLine(TimePoint now, JobWork& work) -> bool {
   if (now - starved_lines_since_ >= std::chrono::seconds(1)) {
     starved_lines_since_ = now;
     starved_lines_ = 0;
   }
-  auto& starved = step.place.work->starved;
   if (starved_lines_ >= kMaxLogLinesPerSecond ||
-      now - starved.logged_at < kLogInterval) {
-    return;
+      now - work.starved.logged_at < kLogInterval) {
+    return false;
   }
-  starved.logged_at = now;
+  work.starved.logged_at = now;
   ++starved_lines_;
+  return true;
+}
+
+auto JobOwner::LogStarvedJob(TimePoint now,
+                             const PlacementOrder::WaitingStep& step) -> void {
+  JobWork& work = *step.place.work;
+  if (!TakeStarvedLine(now, work)) {
+    return;
+  }
   TaskPlace place = step.place;
   place.index = step.state->first_waiting();
-  hooks_.log_starved({place.Name(), now - *starved.since,
-                      DescribeStarvation(now, place), OldestReport(now)});
+  StarvedJob starved{place.Name(), now - *work.starved.since,
+                     DescribeStarvation(now, place), OldestReport(now)};
+  AddWaitingTasks(place, &starved);
+  hooks_.log_starved(starved);
+}
+
+auto JobOwner::LogWaitingLongRunning(TimePoint now, JobWork& work) -> void {
+  for (auto& [number, occurrence] : work.occurrences) {
+    for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      TaskPlace place{&work, number, step, 0};
+      if (!place.spec().long_running() || place.step_work().waiting() == 0 ||
+          !work.Ready(occurrence, step)) {
+        continue;
+      }
+      place.index = place.step_work().first_waiting();
+      const Duration waited = now - place.task().waiting_since;
+      if (waited < kLogDelay || !TakeStarvedLine(now, work)) {
+        continue;
+      }
+      StarvedJob starved{place.Name(), waited, DescribeStarvation(now, place),
+                         OldestReport(now)};
+      AddWaitingTasks(place, &starved);
+      hooks_.log_starved(starved);
+    }
+  }
+}
+
+auto JobOwner::AddWaitingTasks(TaskPlace place, StarvedJob* starved) -> void {
+  if (!place.spec().long_running()) {
+    return;
+  }
+  starved->waiting = place.step_work().waiting();
+  const auto& tasks = place.step_work().tasks();
+  for (; place.index < tasks.size(); ++place.index) {
+    const auto& task = tasks[place.index];
+    if (starved->tasks.size() < kMaxNames && !task.done && task.runs.empty()) {
+      starved->tasks.push_back(place.Name());
+    }
+  }
+}
+
+auto JobOwner::CheckSilentAgents(TimePoint now) -> void {
+  if (now < check_silent_at_) {
+    return;
+  }
+  check_silent_at_ = now + kCheckInterval;
+  SilentAgents silent;
+  silent.agents = workers_.size();
+  for (const auto& [name, worker] : workers_) {
+    const Duration since = now - worker->last_contact_at;
+    if (!worker->confirmed || since < kSilentAfter) {
+      continue;
+    }
+    ++silent.silent;
+    silent.longest = std::max(silent.longest, since);
+    if (silent.names.size() < kMaxNames) {
+      silent.names.push_back(name);
+    }
+  }
+  if (silent.silent > 0) {
+    check_silent_at_ = now + kLogInterval;
+    hooks_.log_silent(silent);
+  }
 }
 
 auto JobOwner::DescribeStarvation(TimePoint now, const TaskPlace& place) const
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -55,6 +55,7 @@
   }
   owner_peer_ = peer;
   ordered_at_ = now;
+  orders_received_.OnEvent(now);
   if (!LeaseHolds(now)) {
     // The owner may have started this worker's runs elsewhere during the gap.
     // Orders from before the gap must not start under a later lease.
@@ -79,6 +80,7 @@
   if (from) {
     lease_until_ = std::max(
         lease_until_, *from + std::chrono::milliseconds(orders.lease_ttl_ms()));
+    grants_.OnEvent(now);
   }
 }
 
@@ -134,6 +136,8 @@
 }
 
 auto TaskAgent::Tick(TimePoint now) -> void {
+  active_since_ = active_since_.value_or(now);
+  ticks_.OnEvent(now);
   start_check_.Tick(now);
   ExecuteOrders(now);
   ListIfDue(now);
@@ -263,7 +267,9 @@
   const bool new_ends =
       !listing.ended.empty() && listing.ended.back().number() > newest_known;
   const bool first = !listed_;
+  listings_.OnEvent(now);
   listing_ = std::move(listing);
+  LogLapsedRuns(now, newest_known);
   listed_ = true;
   answered_ = true;
   listed_at_ = asked;
@@ -284,6 +290,35 @@
   ListIfDue(now);
 }
 
+auto TaskAgent::LogLapsedRuns(TimePoint now, uint64_t newest_known) const
+    -> void {
+  std::string why;
+  for (const auto& row : listing_.ended) {
+    if (row.number() <= newest_known || row.end() != RUN_LEASE_LAPSED) {
+      continue;
+    }
+    if (why.empty()) {
+      why = DescribeGaps(now);
+    }
+    hooks_.log({"lapsed", row.task(), row.run(), why});
+  }
+}
+
+auto TaskAgent::DescribeGaps(TimePoint now) const -> std::string {
+  const auto text = [now](const RecentGap& gap) -> std::string {
+    return absl::StrCat(InMilliseconds(gap.Longest(now)), " ms");
+  };
+  std::string why = absl::StrCat(
+      "its lease has expired; longest recent gaps: of this process ",
+      text(ticks_), ", of orders ", text(orders_received_), ", of grants ",
+      text(grants_), ", of the worker's answers ", text(listings_));
+  if (active_since_ && now - *active_since_ < kGapMemory) {
+    absl::StrAppend(&why, "; this process started ",
+                    InMilliseconds(now - *active_since_), " ms ago");
+  }
+  return why;
+}
+
 auto TaskAgent::Pace(TimePoint now) -> void {
   for (const auto& change : pacing_.OnListing(
            now, listing_.running, heartbeat_.capacity.millicores())) {
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -15,6 +15,7 @@
 #include "Jobs/agent_recovery.h"
 #include "Jobs/opportunistic_pacing.h"
 #include "Jobs/order_basis.h"
+#include "Jobs/recent_gap.h"
 #include "Jobs/run_tracker.h"
 #include "Jobs/start_check.h"
 #include "Jobs/worker_port.h"
@@ -221,6 +222,10 @@
   auto ListIfDue(TimePoint now) -> void;
   auto OnListing(TimePoint asked, TimePoint now, WorkerListing listing) -> void;
   auto SettleVerified(TimePoint asked) -> void;
+  // Logs the runs whose lease has expired, among ends after `newest_known`.
+  auto LogLapsedRuns(TimePoint now, uint64_t newest_known) const -> void;
+  // Why leases may have expired: what this agent has missed lately.
+  auto DescribeGaps(TimePoint now) const -> std::string;
   auto Pace(TimePoint now) -> void;
   auto LeaseHolds(TimePoint now) const -> bool { return now < lease_until_; }
   // The time until which a call made now may extend the worker's lease. The
@@ -273,6 +278,15 @@
   // earlier calls.
   uint64_t epoch_ = 0;
 
+  // How long a gap is remembered: the longest lease, and the time until its end
+  // has been listed.
+  static constexpr std::chrono::seconds kGapMemory{15};
+  // When this process was first active.
+  std::optional<TimePoint> active_since_;
+  RecentGap ticks_{kGapMemory};
+  RecentGap orders_received_{kGapMemory};
+  RecentGap grants_{kGapMemory};
+  RecentGap listings_{kGapMemory};
   RunTracker run_watch_;
   // Runs ended by crashes of the worker, oldest first.
   struct ReportedCrash {
--- a/Tests/Benchmarks/Jobs/owner_simulation.cc
+++ b/Tests/Benchmarks/Jobs/owner_simulation.cc
@@ -93,6 +93,7 @@
   };
   hooks.is_evacuated = [](const std::string&) { return false; };
   hooks.report_start_delay = [](Duration) {};
+  hooks.log_silent = [](const SilentAgents&) {};
   hooks.exclusive_until = [this]() -> TimePoint { return now_; };
   hooks.log_position = [this]() -> LogPosition { return {now_, 0}; };
   hooks.wall_clock = [this]() -> std::chrono::milliseconds {
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -63,6 +63,9 @@
     hooks.log_starved = [this](const StarvedJob& job) {
       logged_starved_jobs_.push_back(job);
     };
+    hooks.log_silent = [this](const SilentAgents& silent) {
+      logged_silent_agents_.push_back(silent);
+    };
     hooks.report_starved = [this](std::size_t jobs) { starved_jobs_ = jobs; };
     hooks.report_overload = [this](const OverloadState& state) {
       overload_ = state;
@@ -278,6 +281,7 @@
   // Starved jobs that the owner logged, and the number that it last reported.
   std::vector<StarvedJob> logged_starved_jobs_;
   std::size_t starved_jobs_ = 0;
+  std::vector<SilentAgents> logged_silent_agents_;
   std::vector<RunLengthSample> run_lengths_;
   // The latest state of overload that the owner reported.
   OverloadState overload_;
--- a/Tests/Jobs/owner_standing_test.cc
+++ b/Tests/Jobs/owner_standing_test.cc
@@ -149,6 +149,53 @@
   EXPECT_THAT(logged_starved_jobs_, SizeIs(2 * kJobs));
 }
 
+// Guards against long-running tasks that stay down without a log line because
+// others of their job run.
+TEST_F(StarvedJobsTest, LongRunningTasksAreNamedAlthoughOthersRun) {
+  constexpr uint32_t kTasks = 10;
+  auto step = Step(kTasks);
+  step.set_long_running(true);
+  Begin();
+  PutJob({step});
+  SendReportsFor(milliseconds(3200), {"agent-0", "agent-1"},
+                 [this](const std::string& agent, AgentReport* report) {
+                   *report = Started(agent, 1);
+                 });
+  // Each worker has room for four.
+  ASSERT_EQ(Starts(), 8U);
+  ASSERT_THAT(logged_starved_jobs_, SizeIs(1));
+  const auto& logged = logged_starved_jobs_.front();
+  EXPECT_EQ(logged.why, "no room 2");
+  EXPECT_EQ(logged.waiting, 2U);
+  ASSERT_THAT(logged.tasks, SizeIs(2));
+  EXPECT_EQ(DescribeTask(logged.tasks[0]), std::string(kJobId) + ".0.0.8");
+  EXPECT_EQ(DescribeTask(logged.tasks[1]), std::string(kJobId) + ".0.0.9");
+  // A job of which something runs does not count as starved.
+  EXPECT_EQ(starved_jobs_, 0U);
+}
+
+// Guards against leases that lapse together because the owner does not hear
+// from its agents, without a line that says so.
+TEST_F(StarvedJobsTest, SilentAgentsAreLoggedRepeatedly) {
+  Begin();
+  ReportAll();
+  const auto nothing = [](const std::string&, AgentReport*) {};
+  SendReportsFor(milliseconds(1400), {"agent-0"}, nothing);
+  EXPECT_THAT(logged_silent_agents_, SizeIs(0));
+  SendReportsFor(milliseconds(600), {"agent-0"}, nothing);
+  ASSERT_THAT(logged_silent_agents_, SizeIs(1));
+  const auto& logged = logged_silent_agents_.front();
+  EXPECT_EQ(logged.silent, 1U);
+  EXPECT_EQ(logged.agents, 2U);
+  EXPECT_THAT(logged.names, testing::ElementsAre("agent-1"));
+  EXPECT_GE(logged.longest, milliseconds(1500));
+  SendReportsFor(milliseconds(3000), {"agent-0"}, nothing);
+  EXPECT_THAT(logged_silent_agents_, SizeIs(1));
+  SendReportsFor(milliseconds(500), {"agent-0", "agent-1"}, nothing);
+  SendReportsFor(milliseconds(1400), {"agent-0", "agent-1"}, nothing);
+  EXPECT_THAT(logged_silent_agents_, SizeIs(1));
+}
+
 // Guards against a count of starved jobs that remains after they run or after
 // their owner has ended.
 TEST_F(StarvedJobsTest, CountFallsOnceTheyRun) {
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -1,6 +1,7 @@
 // Tests of how an agent handles orders when calls to its worker fail, and of
 // what a process that has just started may report.
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <optional>
@@ -1150,5 +1151,111 @@
                            "life-other"}),
     [](const auto& info) { return info.param.name; });
 
+struct LapseCase {
+  std::string name;
+  // What happens during the six seconds before the lapse is listed.
+  bool process_runs = true;
+  bool orders_come = true;
+  bool orders_grant = true;
+  bool worker_answers = true;
+  std::string why;
+};
+
+class LapseTest : public TaskAgentTest,
+                  public testing::WithParamInterface<LapseCase> {
+ protected:
+  static constexpr milliseconds kStep{100};
+
+  auto Step(const LapseCase& param) -> void {
+    now_ += kStep;
+    agent_.Tick(now_);
+    if (param.orders_come) {
+      auto orders = Orders(1);
+      if (!param.orders_grant) {
+        orders.clear_granted_from_us();
+      }
+      agent_.OnOrders(now_, "owner", orders);
+    }
+    if (param.worker_answers && on_list_ != nullptr) {
+      AnswerList();
+    }
+  }
+};
+
+// Guards against tasks whose leases lapse without a line that tells why: the
+// causes look the same at the worker.
+TEST_P(LapseTest, LineTellsWhatWasMissing) {
+  constexpr int kSteps = 60;
+  const auto& param = GetParam();
+  SendHeartbeat(kWorkerId);
+  for (int step = 0; step < 200; ++step) {
+    Step({});
+  }
+  if (param.process_runs) {
+    for (int step = 0; step < kSteps; ++step) {
+      Step(param);
+    }
+  } else {
+    now_ += kSteps * kStep;
+  }
+  // Leaves the next listing to be answered below.
+  LapseCase last;
+  last.worker_answers = false;
+  Step(last);
+  WorkerListing listing;
+  listing.answered = true;
+  EndedTask ended;
+  ended.set_number(1);
+  ended.set_run(10);
+  ended.mutable_task()->set_job(kJobId);
+  ended.set_end(RUN_LEASE_LAPSED);
+  listing.ended = {ended};
+  const auto done = on_list_;
+  done(now_, listing);
+  ASSERT_FALSE(decisions_.empty());
+  EXPECT_EQ(decisions_.back().what, "lapsed");
+  EXPECT_EQ(decisions_.back().task.job(), kJobId);
+  EXPECT_EQ(decisions_.back().run, 10U);
+  EXPECT_THAT(decisions_.back().why, testing::HasSubstr(param.why));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    LapseTest,
+    testing::Values(
+        LapseCase{.name = "process_was_frozen",
+                  .process_runs = false,
+                  .why = "of this process 6100 ms, of orders 6100 ms"},
+        LapseCase{.name = "owner_was_silent",
+                  .orders_come = false,
+                  .why = "of this process 100 ms, of orders 6100 ms"},
+        LapseCase{.name = "owner_granted_nothing",
+                  .orders_grant = false,
+                  .why = "of orders 100 ms, of grants 6100 ms"},
+        LapseCase{.name = "worker_was_unresponsive",
+                  .worker_answers = false,
+                  .why = "of grants 100 ms, of the worker's answers 6100 ms"}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against a lapse that looks like a silent owner although the agent
+// itself was gone.
+TEST_F(TaskAgentTest, LapseBeforeThisProcessIsToldAsSuch) {
+  agent_.Tick(now_);
+  now_ += milliseconds(300);
+  SendHeartbeat(kWorkerId);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  WorkerListing listing;
+  listing.answered = true;
+  EndedTask ended;
+  ended.set_number(1);
+  ended.set_end(RUN_LEASE_LAPSED);
+  listing.ended = {ended};
+  const auto done = on_list_;
+  done(now_, listing);
+  ASSERT_FALSE(decisions_.empty());
+  EXPECT_THAT(decisions_.back().why,
+              testing::HasSubstr("this process started 300 ms ago"));
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
