Soak: Owners and agents that do not come back; 7 s for tasks that last

That counts as a fault only in the moments of the kill and of the start.

A task that lasts has to run after 3 s of capacity and the 4 s before them, so the bound of `lasts` falls from 10 s of calm to 7 s.

--- a/Tests/Soak/checks.cc
+++ b/Tests/Soak/checks.cc
@@ -16,7 +16,7 @@
 // The shortest time that a platform allows for a cancel.
 constexpr seconds kStopsAfterCancel{3};
 constexpr seconds kKnownAfter{3};
-constexpr seconds kRunsAfter{10};
+constexpr seconds kRunsAfter{7};
 // Time without faults after which a cancel must be effective.
 constexpr seconds kSettled{4};
 
--- a/Tests/Soak/fault_injector.cc
+++ b/Tests/Soak/fault_injector.cc
@@ -69,18 +69,36 @@
   while (!active_faults_.empty() && active_faults_.begin()->first <= now) {
     const Fault fault = active_faults_.begin()->second;
     active_faults_.erase(active_faults_.begin());
+    if (IsMomentary(fault.kind)) {
+      fault_free_->Begin(fault.kind, now);
+    }
     End(fault);
     fault_free_->End(fault.kind, Clock::now());
   }
   while (next_ < schedule_.size() && start_ + schedule_[next_].at <= now) {
-    const Fault& fault = schedule_[next_++];
-    fault_free_->Begin(fault.kind, now);
-    Begin(fault);
-    active_faults_.emplace(now + fault.duration, fault);
+    const auto fault = Resolve(schedule_[next_++]);
+    if (!fault) {
+      continue;
+    }
+    fault_free_->Begin(fault->kind, now);
+    Begin(*fault);
+    if (IsMomentary(fault->kind)) {
+      fault_free_->End(fault->kind, Clock::now());
+    }
+    active_faults_.emplace(now + fault->duration, *fault);
   }
   StepSlowEntry(now);
 }
 
+auto FaultInjector::Resolve(Fault fault) const -> std::optional<Fault> {
+  if (fault.kind != FaultKind::kGone || fault.target != Target::kOwner) {
+    return fault;
+  }
+  fault.target = Target::kEntry;
+  fault.number = processes_->Owner();
+  return IsDown(NameOf(fault)) ? std::nullopt : std::optional(fault);
+}
+
 auto FaultInjector::IsDown(const std::string& name) const -> bool {
   const auto found = down_.find(name);
   return found != down_.end() && found->second;
@@ -159,6 +177,7 @@
   auto& process = ProcessOf(fault);
   switch (fault.kind) {
     case FaultKind::kKill:
+    case FaultKind::kGone:
       down_[NameOf(fault)] = true;
       process.Kill();
       break;
--- a/Tests/Soak/fault_injector.h
+++ b/Tests/Soak/fault_injector.h
@@ -33,6 +33,9 @@
     TimePoint runs_at;
   };
 
+  // Returns the fault with the entry that owns the cell now, if it is for the
+  // owner; none if that entry is down already.
+  auto Resolve(Fault fault) const -> std::optional<Fault>;
   auto Begin(const Fault& fault) -> void;
   auto End(const Fault& fault) -> void;
   auto SlowOwner(std::chrono::milliseconds pause) -> void;
--- a/Tests/Soak/schedule.cc
+++ b/Tests/Soak/schedule.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <numeric>
 #include <random>
 #include <utility>
 
@@ -137,6 +138,17 @@
   return kinds;
 }
 
+auto GoneKinds() -> const std::vector<KindRow>& {
+  using enum FaultKind;
+  using enum Target;
+  static const std::vector<KindRow> kinds = {{kGone,
+                                              "gone",
+                                              {kAgent, kOwner},
+                                              milliseconds(14000),
+                                              milliseconds(18000)}};
+  return kinds;
+}
+
 // Returns nullptr if no row is of this kind.
 auto FindRow(const std::vector<KindRow>& rows, FaultKind kind)
     -> const KindRow* {
@@ -205,9 +217,75 @@
   return fault;
 }
 
+// Returns distinct numbers of agents, less than half of all.
+auto DrawAgents(int agents, RandomSource* random_source) -> std::vector<int> {
+  const int most = std::max(1, (agents - 1) / 2);
+  std::vector<int> numbers(static_cast<std::size_t>(agents));
+  std::iota(numbers.begin(), numbers.end(), 0);
+  const auto count = random_source->Pick(1, most);
+  for (int64_t drawn = 0; drawn < count; ++drawn) {
+    std::swap(numbers[drawn], numbers[random_source->Pick(drawn, agents - 1)]);
+  }
+  numbers.resize(static_cast<std::size_t>(count));
+  return numbers;
+}
+
+auto MakeGoneFault(Target target,
+                   int number,
+                   milliseconds at,
+                   RandomSource* random_source) -> Fault {
+  const KindRow& row = GoneKinds().front();
+  Fault fault;
+  fault.kind = row.kind;
+  fault.target = target;
+  fault.number = number;
+  fault.at = at;
+  fault.duration = random_source->Pick(row.min_duration, row.max_duration);
+  return fault;
+}
+
+// Groups of agents that are gone within a short time of their owner, and
+// sometimes of the next one.
+auto MakeGoneSchedule(const SoakOptions& options) -> std::vector<Fault> {
+  constexpr milliseconds kSpread{2000};
+  constexpr milliseconds kMinNextOwner{2000};
+  constexpr milliseconds kMaxNextOwner{6000};
+  constexpr int kEntriesForTwoOwners = 4;
+  RandomSource random_source(options.seed);
+  std::vector<Fault> faults;
+  const milliseconds end = options.load - kFinalFaultFreeTime;
+  const milliseconds longest = GoneKinds().front().max_duration;
+  milliseconds at = kWarmUp + kMaxOffset;
+  while (at + kMaxNextOwner + kSpread + longest < end) {
+    const milliseconds lost_at = at + kSpread;
+    for (const int agent : DrawAgents(options.agents, &random_source)) {
+      faults.push_back(MakeGoneFault(
+          Target::kAgent, agent,
+          at + random_source.Pick(milliseconds(0), kSpread), &random_source));
+    }
+    faults.push_back(MakeGoneFault(Target::kOwner, 0, lost_at, &random_source));
+    if (options.entries >= kEntriesForTwoOwners &&
+        random_source.Pick(0, 1) == 0) {
+      faults.push_back(MakeGoneFault(
+          Target::kOwner, 0,
+          lost_at + random_source.Pick(kMinNextOwner, kMaxNextOwner),
+          &random_source));
+    }
+    at = lost_at + kMaxNextOwner + longest +
+         random_source.Pick(kMinFaultFreeTime, kMaxFaultFreeTime);
+  }
+  std::stable_sort(
+      faults.begin(), faults.end(),
+      [](const Fault& a, const Fault& b) -> bool { return a.at < b.at; });
+  return faults;
+}
+
 }  // namespace
 
 auto MakeSchedule(const SoakOptions& options) -> std::vector<Fault> {
+  if (options.faults == FaultSet::kGone) {
+    return MakeGoneSchedule(options);
+  }
   RandomSource random_source(options.seed);
   std::vector<Fault> faults;
   std::map<std::pair<Target, int>, milliseconds> busy_until;
@@ -238,6 +316,10 @@
   return faults;
 }
 
+auto IsMomentary(FaultKind kind) -> bool {
+  return FindRow(GoneKinds(), kind) != nullptr;
+}
+
 auto ExcusesLateStarts(FaultKind kind) -> bool {
   return FindRow(SlowOwnerKinds(), kind) == nullptr;
 }
@@ -245,6 +327,7 @@
 auto Describe(const Fault& fault) -> std::string {
   const auto* slow = FindRow(SlowOwnerKinds(), fault.kind);
   const auto* row = slow != nullptr ? slow : FindRow(Kinds(), fault.kind);
+  row = row != nullptr ? row : FindRow(GoneKinds(), fault.kind);
   const std::string delay =
       slow != nullptr ? absl::StrCat(" by ", fault.delay.count(), " ms") : "";
   return absl::StrFormat("%6d ms, for %4d ms: %s %d: %s%s", fault.at.count(),
--- a/Tests/Soak/schedule.h
+++ b/Tests/Soak/schedule.h
@@ -30,6 +30,9 @@
   kWorkerCrash,
   kSlowProcess,
   kSlowOrders,
+  // The process is killed and started again much later. Counts as a fault only
+  // when that happens: what depends on the process has to recover meanwhile.
+  kGone,
 };
 
 // What a fault is applied to.
@@ -57,6 +60,9 @@
   std::chrono::milliseconds delay{0};
 };
 
+// Whether the fault counts only for the moments in which it begins and ends.
+auto IsMomentary(FaultKind kind) -> bool;
+
 // Whether a start may be late beside a fault of this kind, at any agent.
 auto ExcusesLateStarts(FaultKind kind) -> bool;
 
--- a/Tests/Soak/soak_options.cc
+++ b/Tests/Soak/soak_options.cc
@@ -12,6 +12,10 @@
              40,
              "Duration of load and faults in seconds, at least 20.");
 DEFINE_string(scale, "3/5", "Number of entries and agents.");
+DEFINE_string(faults,
+              "mixed",
+              "Faults to inject: \"mixed\", or \"gone\" for owners and agents "
+              "that do not come back for long.");
 DEFINE_string(keep_logs, "", "Folder for all logs and the schedule.");
 DEFINE_bool(list, false, "Print the schedule of the seed and exit.");
 DEFINE_string(binary,
@@ -41,6 +45,10 @@
       options.agents < 1) {
     return absl::InvalidArgumentError("--scale takes ENTRIES/AGENTS");
   }
+  if (FLAGS_faults != "mixed" && FLAGS_faults != "gone") {
+    return absl::InvalidArgumentError("--faults takes mixed or gone");
+  }
+  options.faults = FLAGS_faults == "gone" ? FaultSet::kGone : FaultSet::kMixed;
   if (FLAGS_seconds < kShortestSeconds) {
     return absl::InvalidArgumentError("--seconds is too short for a fault");
   }
--- a/Tests/Soak/soak_options.h
+++ b/Tests/Soak/soak_options.h
@@ -9,12 +9,20 @@
 
 namespace rhubarbhaven::soak {
 
+enum class FaultSet {
+  // All kinds of faults that end within seconds.
+  kMixed,
+  // Owners that do not come back for long, beside agents that do not either.
+  kGone,
+};
+
 struct SoakOptions {
   uint64_t seed = 1;
   // Duration of load and faults; the final checks take additional time.
   std::chrono::seconds load{40};
   int entries = 3;
   int agents = 5;
+  FaultSet faults = FaultSet::kMixed;
   // Folder in which logs and schedule are kept, also after a run that passes;
   // empty to keep them only after a failure.
   std::string keep_logs;
