Jobs: Grant without renewals only while a majority of the agents follows

Callers saw tasks that should last down for 20 s after their leases had lapsed, although there was room. Agents were gone without a word beside an owner that was gone for good. The next owner waited for all that the lost one could grant if both were only cut off: 16 s without the log, and a lease.

The cause is a wait bounded by what a grantor might do in the worst partition, although those that it needs could tell. An agent follows the highest fence it has seen. So an owner that the log stores no renewal for now counts each lease from no later than the time since which more than half of the agents with a record of grants follow it. A next owner that more than half of the same agents follow knows when the last such majority ended, since they state since when they have reported to no earlier owner, and waits one lease from there: 5.4 s after the last sign of the lost owner.

Answers count from when the orders that they answer were built, since they may be late, and only from the process of an agent that the log names, since the next process does not remember which owner it followed.

A renewal of the previous owner that was read after this entry's claim was made did not extend the wait for that owner's grants; it does now.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -386,6 +386,10 @@
   hooks.exclusive_until = [this]() -> TimePoint {
     return election_.exclusive_until();
   };
+  hooks.renewed_at = [this]() -> TimePoint { return election_.renewed_at(); };
+  hooks.on_last_owner_bound = [this](TimePoint now, TimePoint end) -> void {
+    election_.OnLastOwnerBound(now, end);
+  };
   hooks.stopped_lease_end =
       [this](const std::string& agent) -> std::optional<TimePoint> {
     return agent_stops_.LeaseEnd(agent);
--- a/Source/Jobs/entry_ownership.cc
+++ b/Source/Jobs/entry_ownership.cc
@@ -144,6 +144,9 @@
   const TimePoint sent = owner_appends_->first_sent();
   for (const auto& entry : owner_appends_->OnResult(now, result)) {
     election_.OnClaimStored(sent);
+    if (entry.ticket == kClaimTicket) {
+      election_.OnRenewalStored(sent);
+    }
     if (entry.ticket == kBatchTicket) {
       owner_.OnBatchStored();
     }
--- a/Source/Jobs/job_fold.cc
+++ b/Source/Jobs/job_fold.cc
@@ -80,6 +80,15 @@
                                 : std::optional(found->second.fence());
 }
 
+auto JobFold::granted_agents() const -> std::vector<std::string> {
+  std::vector<std::string> names;
+  names.reserve(grants_.size());
+  for (const auto& [name, grants] : grants_) {
+    names.push_back(name);
+  }
+  return names;
+}
+
 auto JobFold::granted_worker(const std::string& agent) const -> std::string {
   const auto found = grants_.find(agent);
   return found == grants_.end() || worker_has_left(agent)
--- a/Source/Jobs/job_fold.h
+++ b/Source/Jobs/job_fold.h
@@ -75,6 +75,10 @@
   // Fence of the newest owner that may have granted something to the agent;
   // none if no owner has recorded a grant.
   auto granted_by(const std::string& agent) const -> std::optional<uint64_t>;
+  // Names of all agents to which owners have recorded a grant.
+  auto granted_agents() const -> std::vector<std::string>;
+  // Number of these agents.
+  auto granted_count() const -> std::size_t { return grants_.size(); }
   // The agent's worker process for which an owner last recorded a grant; empty
   // if there is none, or if it has left.
   auto granted_worker(const std::string& agent) const -> std::string;
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -45,6 +45,7 @@
   run_lengths_.Load(fold->run_lengths());
   run_lengths_stored_at_ = now;
   hooks_.log_run_lengths("loaded", run_lengths_.size());
+  NoteEarlierMembers();
   for (const auto& [name, entry] : fold->agents()) {
     AddAgent(now, entry);
   }
@@ -86,6 +87,11 @@
   agents_to_restore_.clear();
   grants_to_record_.clear();
   batch_grants_.clear();
+  unread_grants_.clear();
+  majority_follows_since_ = TimePoint();
+  majority_computed_at_ = TimePoint();
+  bound_from_ = 0;
+  bound_computed_at_ = TimePoint();
   batch_pending_ = false;
   run_lengths_due_ = false;
   crashes_due_.clear();
@@ -135,6 +141,9 @@
     case RecordKind::kAgent:
       OnAgentRecord(now, change.name);
       break;
+    case RecordKind::kAgentGrants:
+      unread_grants_.erase(change.name);
+      break;
     default:
       break;
   }
@@ -187,6 +196,7 @@
   }
   OnCrashedRuns(worker, report);
   UpdateWorker(now, worker, report);
+  NoteFollowed(now, worker, report);
   const bool reconciling = !worker.confirmed && !reconciliation_done_;
   if (report.complete() && !worker.confirmed) {
     AdoptListing(now, worker, report);
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -188,6 +188,34 @@
   auto DescribeBound(TimePoint now, const WorkerView& worker) const
       -> std::string;
 
+  // Grants.
+  // Notes that the agent's process follows this owner.
+  auto NoteFollowed(TimePoint now,
+                    WorkerView& worker,
+                    const AgentReport& report) -> void;
+  // Notes when the agent last reported to an earlier owner.
+  auto NoteEarlierOwner(TimePoint now,
+                        const WorkerView& worker,
+                        const AgentReport& report) -> void;
+  // The time since which a majority of the agents granted to follows this
+  // owner; the epoch if there is none. The next owner then hears from at least
+  // one of them, which follows this owner no more.
+  auto MajorityFollowsSince(TimePoint now) -> TimePoint;
+  // The time from which a lease for the worker counts: its newest report, but
+  // not later than the newest evidence that there is no other owner.
+  auto GrantFrom(TimePoint now, const WorkerView& worker) -> TimePoint;
+  // The lease that the worker's agent may be granted, from its newest report;
+  // zero if none.
+  auto LeaseFor(TimePoint now, const WorkerView& worker)
+      -> std::chrono::milliseconds;
+  // Notes the agents to which earlier owners may have granted.
+  auto NoteEarlierMembers() -> void;
+  // Shortens the wait for the direct predecessor's grants once a majority of
+  // the agents follows this owner.
+  auto BoundLastOwner(TimePoint now) -> void;
+  // Applies `earlier_` to the agents that reconciliation waits for.
+  auto ShortenWaits(TimePoint now) -> void;
+
   // Ends and results.
   auto OnEnd(TimePoint now,
              WorkerView& worker,
@@ -421,6 +449,19 @@
   std::set<std::string> grants_to_record_;
   // By agent name.
   std::map<std::string, GrantedProcesses> batch_grants_;
+  // Agents for which a first record of grants was appended and not read yet.
+  std::set<std::string> unread_grants_;
+  TimePoint majority_follows_since_;
+  TimePoint majority_computed_at_;
+  // Agents with a record of grants when this owner began: their number, the
+  // names of those that have not reported to this owner yet, and when the
+  // others last reported to an earlier one.
+  std::size_t earlier_member_count_ = 0;
+  std::set<std::string> earlier_members_;
+  std::vector<TimePoint> earlier_reports_;
+  // Number of reports from which the bound was computed, and when.
+  std::size_t bound_from_ = 0;
+  TimePoint bound_computed_at_;
   uint64_t next_order_ = 1;
   uint64_t next_run_ = 1;
   TimePoint moved_at_;
--- a/Source/Jobs/job_owner_hooks.h
+++ b/Source/Jobs/job_owner_hooks.h
@@ -125,6 +125,11 @@
   // a lease that expired before it are over; a later lease may have been
   // renewed by a successor.
   std::function<auto()->TimePoint> exclusive_until;
+  // When the newest renewal of this owner's claim that the log has stored was
+  // sent.
+  std::function<auto()->TimePoint> renewed_at;
+  // Reports that the grants of the direct predecessor expire at `end`.
+  std::function<auto(TimePoint now, TimePoint end)->void> on_last_owner_bound;
   // When the lease of the agent's worker has expired, by the record of the
   // agent's process that it was told to stop; none if there is no such record.
   std::function<auto(const std::string& agent)->std::optional<TimePoint>>
--- a/Source/Jobs/owner_election.cc
+++ b/Source/Jobs/owner_election.cc
@@ -38,6 +38,9 @@
   if (claim.fence() >= fence_) {
     // Another entry's claim follows this entry's claim.
     OnClaimLost();
+  } else {
+    // The predecessor has renewed its claim since this entry's claim was made.
+    earlier_ = GrantsBefore(now);
   }
 }
 
@@ -69,6 +72,17 @@
   stored_ = true;
 }
 
+auto OwnerElection::OnRenewalStored(TimePoint sent) -> void {
+  renewed_ = std::max(renewed_, sent);
+}
+
+auto OwnerElection::OnLastOwnerBound(TimePoint now, TimePoint end) -> void {
+  if (fence_ != 0 && end < earlier_.last_owner) {
+    earlier_.last_owner = end;
+    claim_due_ = now;
+  }
+}
+
 auto OwnerElection::OnClaimLost() -> void {
   fence_ = 0;
   confirmed_ = false;
@@ -95,6 +109,7 @@
   claim.set_renewal(++renewal_);
   claim.set_earlier_grants_ms(EarlierGrantsLeft(now));
   claim.set_notes_grants(true);
+  claim.set_grants_need_majority(true);
   claim.set_reads_nothing(confirmed_ && reads_late(now));
   return claim;
 }
@@ -126,6 +141,9 @@
   }
   if (!newest_.released() && !predecessor_has_ended()) {
     grants.last_owner = newest_read_ + longest;
+    if (newest_.grants_need_majority()) {
+      grants.last_owner_renewed = newest_read_;
+    }
   }
   // A claim of a foreign writer may contain any value. No grant lasts longer
   // than this.
--- a/Source/Jobs/owner_election.h
+++ b/Source/Jobs/owner_election.h
@@ -44,6 +44,9 @@
   // earlier owners.
   TimePoint last_owner;
   TimePoint before_last_owner;
+  // If set, the direct predecessor granted nothing that rests on renewals after
+  // this time, and nothing else without a majority of agents.
+  std::optional<TimePoint> last_owner_renewed = std::nullopt;
 };
 
 // Decides when this entry claims the cell and whether it may decide for it. The
@@ -64,8 +67,14 @@
   auto OnResignationRead(TimePoint now,
                          const std::string& entry,
                          uint64_t fence) -> bool;
-  // A claim that was sent at `sent` is stored in the log.
+  // An append under this entry's claim that was sent at `sent` is stored in the
+  // log.
   auto OnClaimStored(TimePoint sent) -> void;
+  // A claim or renewal that was sent at `sent` is stored in the log.
+  auto OnRenewalStored(TimePoint sent) -> void;
+  // The direct predecessor's grants are known to expire at `end`. States that
+  // with a renewal that is due at once.
+  auto OnLastOwnerBound(TimePoint now, TimePoint end) -> void;
   // The current claim was fenced or lost.
   auto OnClaimLost() -> void;
 
@@ -99,6 +108,9 @@
   // claim: the log accepted an append under this entry's fence that was sent
   // then.
   auto exclusive_until() const -> TimePoint { return verified_; }
+  // When the newest renewal that is stored in the log was sent. The next owner
+  // reads it before its own claim.
+  auto renewed_at() const -> TimePoint { return renewed_; }
   // All records that the log had at this time have been read.
   auto read_as_of() const -> TimePoint { return read_as_of_; }
   auto earlier_grants() const -> const EarlierGrants& { return earlier_; }
@@ -137,6 +149,7 @@
   bool stored_ = false;
   TimePoint claim_due_;
   TimePoint verified_;
+  TimePoint renewed_;
   EarlierGrants earlier_;
   std::string replaced_owner_;
 };
--- a/Source/Jobs/owner_polls.cc
+++ b/Source/Jobs/owner_polls.cc
@@ -92,11 +92,13 @@
   AgentOrders orders;
   orders.set_fence(fence_);
   orders.set_owner_incarnation(options_.incarnation);
-  const bool grants = worker.reported_us > 0 && worker.grants_recorded;
+  orders.set_built_at_us(MicrosecondsOf(now.time_since_epoch()));
+  const auto lease = LeaseFor(now, worker);
+  const bool grants = lease > std::chrono::milliseconds(0);
   if (grants) {
     orders.set_granted_from_us(worker.reported_us);
     orders.set_granted_to_incarnation(worker.agent_incarnation);
-    orders.set_lease_ttl_ms(static_cast<uint64_t>(options_.lease_ttl.count()));
+    orders.set_lease_ttl_ms(static_cast<uint64_t>(lease.count()));
     orders.set_built_after_us(MicrosecondsOf(now - worker.reported_at));
     worker.lease_bound =
         std::max(worker.lease_bound, LeaseBound(worker.reported_at));
--- a/Source/Jobs/owner_reconciliation.cc
+++ b/Source/Jobs/owner_reconciliation.cc
@@ -40,6 +40,7 @@
   if (reconciliation_done_ || !active()) {
     return;
   }
+  BoundLastOwner(now);
   if (hooks_.exclusive_until() < ReconciliationDeadline()) {
     LogReconciliationWait(now);
     return;
@@ -115,17 +116,23 @@
     return;
   }
   earlier_ = earlier;
+  ShortenWaits(now);
+  FinishReconciliation(now);
+}
+
+auto JobOwner::ShortenWaits(TimePoint now) -> void {
   for (const auto& [name, worker] : unconfirmed_) {
     if (BlocksReconciliation(*worker)) {
       // This owner may also have granted to it, before it lost the agent's
       // listing.
-      const TimePoint own_grants = LeaseBound(now);
+      const bool may_have_granted = worker->reported_at != TimePoint();
+      const TimePoint own_grants =
+          may_have_granted ? LeaseBound(now) : TimePoint();
       SetLeaseBound(*worker,
                     std::min(worker->lease_bound,
                              std::max(own_grants, EarlierGrantsEnd(name))));
     }
   }
-  FinishReconciliation(now);
 }
 
 auto JobOwner::BeginReconciliation(TimePoint now) -> void {
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -41,6 +41,7 @@
   if (stopped_) {
     return;
   }
+  active_since_ = active_since_.value_or(now);
   if (orders.fence() < fence_) {
     // The fence in the report notifies a replaced owner of its replacement.
     AgentReport report;
@@ -53,6 +54,7 @@
     owner_incarnation_ = orders.owner_incarnation();
     AdoptFence(now, orders.fence());
   }
+  orders_built_at_us_ = std::max(orders_built_at_us_, orders.built_at_us());
   owner_peer_ = peer;
   ordered_at_ = now;
   orders_received_.OnEvent(now);
@@ -167,7 +169,15 @@
   return wake;
 }
 
+auto TaskAgent::SinceEarlierOwner(TimePoint now) const -> Duration {
+  // An earlier process of this agent has ended before this one was active.
+  const auto since = std::max(earlier_owner_reported_at_, active_since_);
+  return since ? now - *since : Duration(0);
+}
+
 auto TaskAgent::AdoptFence(TimePoint now, uint64_t fence) -> void {
+  earlier_owner_reported_at_ = reported_at_;
+  orders_built_at_us_ = 0;
   fence_ = fence;
   ++epoch_;
   run_watch_.OnCallsAbandoned(now);
@@ -388,6 +398,11 @@
   AgentReport report;
   report.set_fence(fence_);
   report.set_sent_us(Microseconds(now));
+  report.set_orders_built_at_us(orders_built_at_us_);
+  report.set_since_earlier_owner_ms(static_cast<uint64_t>(
+      std::chrono::floor<std::chrono::milliseconds>(SinceEarlierOwner(now))
+          .count()));
+  reported_at_ = now;
   // A heartbeat may be a delayed one of a process that has ended. An owner that
   // took that process for the present one would start elsewhere what runs here.
   report.set_worker_id(answered_ ? heartbeat_.worker_id : "");
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -154,6 +154,9 @@
   using OrderPtr = std::shared_ptr<Order>;
 
   auto AdoptFence(TimePoint now, uint64_t fence) -> void;
+  // For how long this process has certainly not reported to an owner with a
+  // lower fence.
+  auto SinceEarlierOwner(TimePoint now) const -> Duration;
   // Renews the lease if the orders grant one to this process.
   auto RenewLease(TimePoint now, const AgentOrders& orders) -> void;
   auto AcceptOrders(TimePoint now, const AgentOrders& orders) -> void;
@@ -252,6 +255,13 @@
   uint64_t fence_ = 0;
   std::string owner_peer_;
   uint64_t owner_incarnation_ = 0;
+  // `built_at_us` of the newest orders under this fence.
+  uint64_t orders_built_at_us_ = 0;
+  // When this process reported last, and when it did so under an earlier fence.
+  std::optional<TimePoint> reported_at_;
+  std::optional<TimePoint> earlier_owner_reported_at_;
+  // When this process was first active.
+  std::optional<TimePoint> active_since_;
   TimePoint ordered_at_;
   TimePoint lease_until_;
   // Number of leases that began after a gap.
@@ -281,8 +291,6 @@
   // How long a gap is remembered: the longest lease, and the time until its end
   // has been listed.
   static constexpr std::chrono::seconds kGapMemory{15};
-  // When this process was first active.
-  std::optional<TimePoint> active_since_;
   RecentGap ticks_{kGapMemory};
   RecentGap orders_received_{kGapMemory};
   RecentGap grants_{kGapMemory};
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -105,6 +105,9 @@
   TimePoint registered_at;
   // When the agent last answered, even without a worker.
   TimePoint last_contact_at;
+  // When the owner built the newest orders that the process for which grants
+  // are recorded has answered.
+  TimePoint followed_at;
   // Time of the latest report with a worker, and the agent's clock in it, which
   // grants echo.
   TimePoint reported_at;
--- a/Tests/Benchmarks/Jobs/owner_simulation.cc
+++ b/Tests/Benchmarks/Jobs/owner_simulation.cc
@@ -95,6 +95,8 @@
   hooks.report_start_delay = [](Duration) {};
   hooks.log_silent = [](const SilentAgents&) {};
   hooks.exclusive_until = [this]() -> TimePoint { return now_; };
+  hooks.renewed_at = [this]() -> TimePoint { return now_; };
+  hooks.on_last_owner_bound = [](TimePoint, TimePoint) {};
   hooks.log_position = [this]() -> LogPosition { return {now_, 0}; };
   hooks.wall_clock = [this]() -> std::chrono::milliseconds {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -85,6 +85,12 @@
     hooks.exclusive_until = [this]() -> TimePoint {
       return std::min(now_, exclusive_until_);
     };
+    hooks.renewed_at = [this]() -> TimePoint {
+      return std::min(now_, exclusive_until_);
+    };
+    hooks.on_last_owner_bound = [this](TimePoint, TimePoint end) -> void {
+      last_owner_bounds_.push_back(end);
+    };
     hooks.stopped_lease_end =
         [this](const std::string& agent) -> std::optional<TimePoint> {
       return agent_stops_.LeaseEnd(agent);
@@ -187,6 +193,13 @@
                  {now_ + seconds(20), now_ + kEarlierGrantsDuration});
   }
 
+  static auto MicrosecondsOf(TimePoint time) -> uint64_t {
+    return static_cast<uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            time.time_since_epoch())
+            .count());
+  }
+
   static auto ReportOf(const std::string& agent) -> AgentReport {
     AgentReport report;
     report.set_fence(kFence);
@@ -199,7 +212,12 @@
     return report;
   }
 
-  auto Report(const std::string& agent, const AgentReport& report) -> void {
+  // Delivers the report as an answer to orders that were built just now, unless
+  // it names others.
+  auto Report(const std::string& agent, AgentReport report) -> void {
+    if (report.orders_built_at_us() == 0) {
+      report.set_orders_built_at_us(MicrosecondsOf(now_));
+    }
     EXPECT_TRUE(owner_.OnReport(now_, agent, report));
     RecordGrants();
     owner_.Tick(now_);
@@ -276,6 +294,8 @@
   std::map<std::string, std::map<uint64_t, StopOrder>> stops_;
   // States of the reconciliation that the owner logged.
   std::vector<ReconciliationState> logged_reconciliations_;
+  // Bounds on the direct predecessor's grants that the owner reported.
+  std::vector<TimePoint> last_owner_bounds_;
   std::vector<Duration> lags_;
   std::vector<Duration> start_delays_;
   // Starved jobs that the owner logged, and the number that it last reported.
--- a/Tests/Jobs/owner_election_test.cc
+++ b/Tests/Jobs/owner_election_test.cc
@@ -194,6 +194,100 @@
                     ResignationCase{"of_another_entry", "third", 3, false}),
     [](const auto& info) { return info.param.name; });
 
+struct LateRenewalCase {
+  std::string name;
+  // The log has confirmed this entry's claim before the renewal is read.
+  bool stored = false;
+};
+
+class LateRenewalTest : public testing::TestWithParam<LateRenewalCase> {};
+
+// Guards against tasks that run in two places. The previous owner's last
+// renewal is stored just before this entry's claim and read after that was
+// made: it may grant for that much longer.
+TEST_P(LateRenewalTest, ExtendsTheWaitForThePreviousOwner) {
+  constexpr milliseconds kLate{2500};
+  auto options = Options("me");
+  options.lease = kLease;
+  OwnerElection election(options);
+  auto before = ClaimOf("other", 3, false);
+  before.set_notes_grants(true);
+  before.set_grants_need_majority(true);
+  election.OnCaughtUp(kStart, kStart);
+  election.OnClaimRead(kStart, before);
+  TimePoint now = kStart;
+  std::optional<OwnerClaim> claim;
+  while (!claim) {
+    now += milliseconds(500);
+    election.OnCaughtUp(now, now);
+    claim = election.ClaimDue(now);
+  }
+  EXPECT_EQ(election.earlier_grants().last_owner_renewed, kStart);
+  if (GetParam().stored) {
+    election.OnClaimStored(now);
+    election.OnRenewalStored(now);
+  }
+  before.set_renewal(7);
+  const TimePoint read_at = kStart + kLate;
+  election.OnClaimRead(read_at, before);
+  election.OnClaimRead(read_at, *claim);
+  EXPECT_EQ(election.fence(), claim->fence());
+  EXPECT_EQ(election.earlier_grants().last_owner,
+            read_at + kUnverified + kLease);
+  EXPECT_EQ(election.earlier_grants().last_owner_renewed, read_at);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         LateRenewalTest,
+                         testing::Values(LateRenewalCase{"not_confirmed",
+                                                         false},
+                                         LateRenewalCase{"confirmed", true}),
+                         [](const auto& info) { return info.param.name; });
+
+struct BoundCase {
+  std::string name;
+  milliseconds bound{0};
+  milliseconds stated{0};
+};
+
+class BoundTest : public testing::TestWithParam<BoundCase> {};
+
+// Guards against several owners in a row that each wait for the first one: what
+// one of them has learned is stated by its next renewal, which is due at once.
+TEST_P(BoundTest, IsStatedByTheNextRenewal) {
+  auto options = Options("me");
+  options.lease = kLease;
+  OwnerElection election(options);
+  auto before = ClaimOf("other", 3, false);
+  before.set_notes_grants(true);
+  election.OnCaughtUp(kStart, kStart);
+  election.OnClaimRead(kStart, before);
+  TimePoint now = kStart;
+  std::optional<OwnerClaim> claim;
+  while (!claim) {
+    now += milliseconds(500);
+    election.OnCaughtUp(now, now);
+    claim = election.ClaimDue(now);
+  }
+  election.OnClaimRead(now, *claim);
+  now += milliseconds(10);
+  EXPECT_FALSE(election.ClaimDue(now));
+  election.OnLastOwnerBound(now, now + GetParam().bound);
+  const auto renewal = election.ClaimDue(now);
+  ASSERT_EQ(renewal.has_value(), GetParam().bound < kUnverified);
+  if (renewal) {
+    EXPECT_EQ(renewal->earlier_grants_ms(), GetParam().stated.count());
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    BoundTest,
+    testing::Values(BoundCase{"sooner", milliseconds(3000), milliseconds(3000)},
+                    BoundCase{"no_sooner", milliseconds(30000),
+                              milliseconds(0)}),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against all entries claiming the cell when the log is back after an
 // outage: no owner could renew its claim while the log was unavailable.
 TEST(OwnerElectionTest, OutageOfTheLogDoesNotCountAsMissingRenewals) {
