--- a/Tests/Soak/schedule.cc
+++ b/Tests/Soak/schedule.cc
@@ -219,7 +219,7 @@
 
 // Returns distinct numbers of agents, less than half of all.
 auto DrawAgents(int agents, RandomSource* random_source) -> std::vector<int> {
-  const int most = std::max(1, (agents - 1) / 2);
+  const int most = (agents - 1) / 2;
   std::vector<int> numbers(static_cast<std::size_t>(agents));
   std::iota(numbers.begin(), numbers.end(), 0);
   const auto count = random_source->Pick(1, most);
--- a/Tests/Soak/soak_options.cc
+++ b/Tests/Soak/soak_options.cc
@@ -15,7 +15,7 @@
 DEFINE_string(faults,
               "mixed",
               "Faults to inject: \"mixed\", or \"gone\" for owners and agents "
-              "that do not come back for long.");
+              "that stay down for 14 to 18 s.");
 DEFINE_string(keep_logs, "", "Folder for all logs and the schedule.");
 DEFINE_bool(list, false, "Print the schedule of the seed and exit.");
 DEFINE_string(binary,
@@ -26,6 +26,9 @@
 namespace {
 
 constexpr int kShortestSeconds = 20;
+// The first daemons are gone until 35 s, and the last 11 s are free of faults.
+constexpr int kShortestGoneSeconds = 46;
+constexpr int kFewestAgentsForGone = 3;
 
 }  // namespace
 
@@ -49,7 +52,12 @@
     return absl::InvalidArgumentError("--faults takes mixed or gone");
   }
   options.faults = FLAGS_faults == "gone" ? FaultSet::kGone : FaultSet::kMixed;
-  if (FLAGS_seconds < kShortestSeconds) {
+  const bool gone = options.faults == FaultSet::kGone;
+  if (gone && options.agents < kFewestAgentsForGone) {
+    return absl::InvalidArgumentError("--faults=gone takes 3 agents or more");
+  }
+  const int shortest = gone ? kShortestGoneSeconds : kShortestSeconds;
+  if (FLAGS_seconds < shortest) {
     return absl::InvalidArgumentError("--seconds is too short for a fault");
   }
   return options;
--- a/Tests/Soak/soak_options.h
+++ b/Tests/Soak/soak_options.h
@@ -12,7 +12,7 @@
 enum class FaultSet {
   // All kinds of faults that end within seconds.
   kMixed,
-  // Owners that do not come back for long, beside agents that do not either.
+  // Owners that stay down for 14 to 18 s, beside agents that do as well.
   kGone,
 };
 
