Jobs: Name an agent's recorded stop also where a shorter bound applies

With two agents, process_platform_test NewOwnerKnowsThatAnAgentWasToldToStop failed: a majority follows the new owner, whose wait for the agent that was told to stop is then bounded by the previous owner's grants, 5.4 s, instead of by the 10 s that the agent stated. `bounds` said `last_owner` where the test expects `told_to_stop`. The line names the stop now wherever it counts and the wait is no longer than it says.

--- a/Source/Jobs/owner_reconciliation.cc
+++ b/Source/Jobs/owner_reconciliation.cc
@@ -96,8 +96,10 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
   };
   const auto granted_by = fold_->granted_by(worker.agent);
+  const auto stopped = hooks_.stopped_lease_end(worker.agent);
   std::string why = "owner_unknown";
-  if (hooks_.stopped_lease_end(worker.agent) == worker.lease_bound) {
+  if (stopped && worker.lease_bound <= *stopped &&
+      fold_->granted_process_has_stopped(worker.agent)) {
     why = "told_to_stop";
   } else if (worker.last_contact_at >= begun_at_) {
     why = "worker_unlisted";
