Jobs: Log slow calls to the log, and by which configuration a job was accepted

An entry's logs could not tell why it handles a request by an old configuration: which call to the log was in flight, since when, and how old the copy of the configuration was.

Adds log_call for calls that take 500 ms longer than the wait they ask for and for the first answered call after a failure; accepted and no_such_queue name the version and the age of the copy.

--- a/Source/Daemon/job_service.cc
+++ b/Source/Daemon/job_service.cc
@@ -48,7 +48,7 @@
 
 auto JobService::Start() -> void {
   thread_.Start();
-  thread_.PostOrWait([this](TimePoint) -> void { decisions_.Start(); });
+  thread_.PostOrWait([this](TimePoint now) -> void { decisions_.Start(now); });
 }
 
 auto JobService::Call(jobs::JobCall call, jobs::JobResponder respond) -> bool {
--- a/Source/Jobs/entry_callers.cc
+++ b/Source/Jobs/entry_callers.cc
@@ -47,7 +47,8 @@
     log_.Write("no_such_queue",
                {{"host", call.host},
                 {"path", call.path},
-                {"config_version", absl::StrCat(queues_.version())}});
+                {"config_version", absl::StrCat(queues_.version())},
+                {"config_age_ms", InMilliseconds(ConfigurationAge(now))}});
     respond(VerdictReply(JobVerdict::kNoSuchQueue,
                          "No queue of the configuration has this host and "
                          "path."));
@@ -103,7 +104,8 @@
   const auto record = MakeRecord(RecordKind::kJob, id, call.job);
   Store(now,
         {SubmissionKind::kSubmitJob, id, queue.name, respond, now,
-         now + call.deadline - kAnswerMargin},
+         now + call.deadline - kAnswerMargin, queues_.version(),
+         ConfigurationAge(now)},
         record);
 }
 
--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -73,9 +73,9 @@
 
 EntryDecisions::~EntryDecisions() = default;
 
-auto EntryDecisions::Start() -> void {
-  job_follower_.Start();
-  operator_follower_.Start();
+auto EntryDecisions::Start(TimePoint now) -> void {
+  job_follower_.Start(now);
+  operator_follower_.Start(now);
 }
 
 auto EntryDecisions::Call(TimePoint now,
@@ -172,6 +172,10 @@
     };
     hooks.pause = [this]() -> std::chrono::milliseconds { return ReadPause(); };
   }
+  hooks.on_call = [this, is_jobs](TimePoint now,
+                                  const FollowerCall& call) -> void {
+    LogFollowerCall(now, is_jobs ? "jobs" : "operators", call);
+  };
   hooks.on_reachable = [this, is_jobs](const std::string& error) -> void {
     log_.Write(error.empty() ? "log_found" : "log_lost",
                {{"topic", is_jobs ? "jobs" : "operators"}, {"why", error}});
@@ -325,13 +329,21 @@
       continue;
     }
     const bool is_cancel = submission.kind == SubmissionKind::kCancel;
-    log_.Write(is_cancel ? "cancelled" : "accepted",
-               {{"job", submission.job}, {"queue", submission.queue}});
+    if (is_cancel) {
+      log_.Write("cancelled",
+                 {{"job", submission.job}, {"queue", submission.queue}});
+    } else {
+      LogAccepted(submission);
+    }
     submission.respond(VerdictReply(
         is_cancel ? JobVerdict::kCancelled : JobVerdict::kAccepted, ""));
   }
 }
 
+auto EntryDecisions::ConfigurationAge(TimePoint now) const -> Duration {
+  return now - operator_follower_.caught_up_at();
+}
+
 auto EntryDecisions::UpdateReady(TimePoint now) -> void {
   // The load balancer sends callers to entries of other failure domains as soon
   // as this one is not ready. Often only some entries are disconnected from the
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -62,7 +62,7 @@
   auto operator=(const EntryDecisions&) -> EntryDecisions& = delete;
   ~EntryDecisions();
 
-  auto Start() -> void;
+  auto Start(TimePoint now) -> void;
   // Calls `respond` exactly once.
   auto Call(TimePoint now, JobCall call, const JobResponder& respond) -> void;
   auto OnReport(TimePoint now, const std::string& agent, AgentReport report)
@@ -103,6 +103,10 @@
     JobResponder respond;
     TimePoint received;
     TimePoint expires_at;
+    // Of a job: the configuration by which its queue was found, and the age of
+    // the copy at that time, for the log.
+    uint64_t config_version = 0;
+    Duration config_age{0};
   };
 
   auto Handle(TimePoint now, JobCall call, const JobResponder& respond) -> void;
@@ -161,6 +165,12 @@
   auto OnResignationRead(TimePoint now, const std::string& entry) -> void;
   auto UpdateReady(TimePoint now) -> void;
   auto MakeOwnerHooks() -> JobOwnerHooks;
+  auto LogFollowerCall(TimePoint now,
+                       const std::string& topic,
+                       const FollowerCall& call) -> void;
+  // Time since the copy of the operators' log was known to be current.
+  auto ConfigurationAge(TimePoint now) const -> Duration;
+  auto LogAccepted(const Submission& submission) -> void;
   auto NoteLag(Duration lag) -> void;
   auto NoteStartDelay(Duration delay) -> void;
   auto NoteOverload(const OverloadState& state) -> void;
--- a/Source/Jobs/entry_logging.cc
+++ b/Source/Jobs/entry_logging.cc
@@ -10,6 +10,9 @@
 namespace rhubarbhaven::jobs {
 namespace {
 
+// A call to the log is logged if it takes this much longer than the wait for a
+// record that it asked for.
+constexpr std::chrono::milliseconds kSlowLogCall{500};
 // An overload has ended once no job has been displaced for this long.
 constexpr std::chrono::milliseconds kOverloadPause{2000};
 // Weight of one run in the mean error of expected run lengths.
@@ -24,6 +27,32 @@
 
 }  // namespace
 
+auto EntryDecisions::LogFollowerCall(TimePoint now,
+                                     const std::string& topic,
+                                     const FollowerCall& call) -> void {
+  const Duration took = now - call.requested_at;
+  const bool found = call.error.empty() && call.after_failure;
+  if (!found && took < call.wait + kSlowLogCall) {
+    return;
+  }
+  log_.Write("log_call", {{"topic", topic},
+                          {"call", call.newest ? "newest" : "read"},
+                          {"took_ms", InMilliseconds(took)},
+                          {"wait_ms", absl::StrCat(call.wait.count())},
+                          {"from", absl::StrCat(call.from)},
+                          {"records", absl::StrCat(call.records)},
+                          {"end", absl::StrCat(call.end)},
+                          {"why", call.error}});
+}
+
+auto EntryDecisions::LogAccepted(const Submission& submission) -> void {
+  log_.Write("accepted",
+             {{"job", submission.job},
+              {"queue", submission.queue},
+              {"config_version", absl::StrCat(submission.config_version)},
+              {"config_age_ms", InMilliseconds(submission.config_age)}});
+}
+
 auto EntryDecisions::NoteLag(Duration lag) -> void {
   metrics_->RecordLatency("rhubarbhaven_owner_lag_seconds", lag);
   const auto change = owner_lag_.Record(lag);
--- a/Source/Jobs/keyed_log_follower.cc
+++ b/Source/Jobs/keyed_log_follower.cc
@@ -21,15 +21,16 @@
       read_bytes_(options.max_bytes),
       page_timeout_(options.min_page_timeout) {}
 
-auto KeyedLogFollower::Start() -> void {
-  RequestNewest();
+auto KeyedLogFollower::Start(TimePoint now) -> void {
+  RequestNewest(now);
 }
 
-auto KeyedLogFollower::RequestNewest() -> void {
+auto KeyedLogFollower::RequestNewest(TimePoint now) -> void {
   if (first_page_) {
     current_ = false;
     hooks_.on_restart();
   }
+  requested_at_ = now;
   port_.newest({options_.topic, after_, page_timeout_},
                [this](TimePoint now, const NewestResult& result) -> void {
                  OnNewest(now, result);
@@ -38,6 +39,7 @@
 
 auto KeyedLogFollower::OnNewest(TimePoint now, const NewestResult& result)
     -> void {
+  ReportPage(now, result);
   if (!result.answered) {
     page_timeout_ = std::min(page_timeout_ * 2, options_.max_page_timeout);
     OnFailure(now, result.error, /*read_on=*/false);
@@ -55,7 +57,7 @@
     Deliver(now, record);
   }
   if (result.more && !result.records.empty()) {
-    RequestNewest();
+    RequestNewest(now);
     return;
   }
   after_.clear();
@@ -92,6 +94,7 @@
 }
 
 auto KeyedLogFollower::OnRead(TimePoint now, const ReadResult& result) -> void {
+  ReportRead(now, result);
   switch (result.outcome) {
     case ReadOutcome::kFailed:
       if (result.timed_out) {
@@ -104,7 +107,7 @@
     case ReadOutcome::kGone:
       // Records that were not read have been deleted by compaction. The newest
       // record of each key is still available.
-      RequestNewest();
+      RequestNewest(now);
       return;
     case ReadOutcome::kRecords:
       break;
@@ -112,7 +115,7 @@
   if (result.end < next_) {
     // The log was replaced or restored from a backup, so its history differs
     // from the one that was read.
-    RequestNewest();
+    RequestNewest(now);
     return;
   }
   OnSuccess();
@@ -184,11 +187,30 @@
     if (read_on) {
       Read(then);
     } else {
-      RequestNewest();
+      RequestNewest(then);
     }
   });
 }
 
+auto KeyedLogFollower::ReportPage(TimePoint now,
+                                  const NewestResult& result) const -> void {
+  if (hooks_.on_call) {
+    hooks_.on_call(
+        now, {/*newest=*/true, requested_at_, std::chrono::milliseconds(0),
+              /*from=*/0, result.records.size(), result.end, result.error,
+              !reachable_});
+  }
+}
+
+auto KeyedLogFollower::ReportRead(TimePoint now, const ReadResult& result) const
+    -> void {
+  if (hooks_.on_call) {
+    hooks_.on_call(
+        now, {/*newest=*/false, requested_at_, requested_wait_, next_,
+              result.records.size(), result.end, result.error, !reachable_});
+  }
+}
+
 auto KeyedLogFollower::OnSuccess() -> void {
   backoff_ = std::chrono::milliseconds(0);
   if (!reachable_) {
--- a/Source/Jobs/keyed_log_follower.h
+++ b/Source/Jobs/keyed_log_follower.h
@@ -30,6 +30,24 @@
   std::chrono::milliseconds max_backoff{400};
 };
 
+// One call of a follower to the log, as it ended.
+struct FollowerCall {
+  // A page of newest records was requested, not the records from an offset on.
+  bool newest = false;
+  TimePoint requested_at;
+  // How long the log was asked to wait for a record.
+  std::chrono::milliseconds wait{0};
+  // Offset from which records were requested. Zero for newest records.
+  uint64_t from = 0;
+  std::size_t records = 0;
+  // Offset after the last record of the log, as the response has it.
+  uint64_t end = 0;
+  // Empty if the call was answered.
+  std::string error;
+  // The call before this one failed, or there was none.
+  bool after_failure = false;
+};
+
 struct KeyedLogFollowerHooks {
   // Schedules a function for that time, on the thread to which the follower
   // belongs.
@@ -52,6 +70,8 @@
   // How long to wait before the next read after a response with records, so
   // that one read returns several new records. If null, there is no wait.
   std::function<auto()->std::chrono::milliseconds> pause;
+  // A call to the log has ended. If null, calls are not reported.
+  std::function<auto(TimePoint, const FollowerCall&)->void> on_call;
   // The log became unreachable (with the error) or reachable again (empty).
   std::function<auto(const std::string& error)->void> on_reachable;
 };
@@ -68,7 +88,7 @@
   KeyedLogFollower(const KeyedLogFollower&) = delete;
   auto operator=(const KeyedLogFollower&) -> KeyedLogFollower& = delete;
 
-  auto Start() -> void;
+  auto Start(TimePoint now) -> void;
   // Ends a pause between two reads.
   auto ResumeReading(TimePoint now) -> void;
   auto reachable() const -> bool { return reachable_; }
@@ -86,12 +106,14 @@
   }
 
  private:
-  auto RequestNewest() -> void;
+  auto RequestNewest(TimePoint now) -> void;
   auto OnNewest(TimePoint now, const NewestResult& result) -> void;
   auto RemoveMissingKeys(TimePoint now) -> void;
   auto Read(TimePoint now) -> void;
   auto OnRead(TimePoint now, const ReadResult& result) -> void;
   auto GrowReadSize() -> void;
+  auto ReportPage(TimePoint now, const NewestResult& result) const -> void;
+  auto ReportRead(TimePoint now, const ReadResult& result) const -> void;
   auto Deliver(TimePoint now, const KeyedRecord& record) -> void;
   auto PauseOrRead(TimePoint now, bool may_pause) -> void;
   auto OnFailure(TimePoint now, const std::string& error, bool read_on) -> void;
@@ -111,7 +133,7 @@
   // requested.
   bool current_ = false;
   TimePoint caught_up_at_;
-  // Start time and wait of the read in flight.
+  // Start time of the call in flight, and wait of the read.
   TimePoint requested_at_;
   std::chrono::milliseconds requested_wait_{0};
   std::chrono::milliseconds backoff_{0};
--- a/Tests/Jobs/entry_decisions_fixture.h
+++ b/Tests/Jobs/entry_decisions_fixture.h
@@ -27,7 +27,7 @@
 class EntryDecisionsTest : public testing::Test {
  protected:
   EntryDecisionsTest() : entry_({kEntryName, 1}, Hooks(), &metrics_) {
-    entry_.Start();
+    entry_.Start(now_);
   }
 
   auto Hooks() -> EntryHooks {
--- a/Tests/Jobs/keyed_log_follower_test.cc
+++ b/Tests/Jobs/keyed_log_follower_test.cc
@@ -72,7 +72,7 @@
 // missed at once, on a path that cannot transfer as much within the time limit
 // of one read.
 TEST_P(SlowPathTest, ReaderCatchesUpWithTheEnd) {
-  follower_.Start();
+  follower_.Start(time_.now());
   RunFor(seconds(1));
   ASSERT_NE(follower_.caught_up_at(), TimePoint());
   log_.SetModeFor(kReader, VirtualLog::Mode::kUnresponsive);
--- a/Tests/Jobs/simulated_cluster.cc
+++ b/Tests/Jobs/simulated_cluster.cc
@@ -458,7 +458,8 @@
   };
   process->entry = std::make_unique<EntryDecisions>(
       EntryOptions{process->name, process->generation}, hooks, &metrics_);
-  Deliver(process, [process]() -> void { process->entry->Start(); });
+  Deliver(process,
+          [this, process]() -> void { process->entry->Start(time_.now()); });
 }
 
 auto SimulatedCluster::StartAgent(int number) -> void {
