Jobs: Grow the time-out of a page only after pages that arrive too slowly

Callers saw up to 14 s without any service, and long-running tasks stayed down, after entries had started while the log first rejected calls and then did not answer.

Cause: the follower doubled the time-out of a page of newest records after every failure, also after a 503 within a millisecond, up to 16 s. The one call that was sent into the silence was waited for up to 16 s, however soon the log served again. Its time-out now grows only after a page of which a part had arrived, which is the case that the growth is meant for.

OutageTest failed in 3 of its 4 cases before: a reader had not caught up 2.5 s after the log served again.

VirtualLog answered such pages with a rejection in every mode, so that no test had a page that timed out. It now times out like its reads, also on a slow path.

--- a/Source/Jobs/keyed_log.h
+++ b/Source/Jobs/keyed_log.h
@@ -51,6 +51,9 @@
   bool timed_out = false;
 };
 
+// Sorts after every key.
+inline constexpr char kAfterAllKeys[] = "\x7f";
+
 struct NewestCall {
   LogTopic topic = LogTopic::kJobs;
   // Lists the keys after this one. Empty for the first page.
@@ -65,7 +68,10 @@
   std::vector<KeyedRecord> records;
   bool more = false;
   uint64_t end = 0;
+  // If not answered: the error, for log lines.
   std::string error;
+  // If not answered: the timeout passed while the response was arriving.
+  bool incomplete = false;
 };
 
 // Calls to the log. Each calls back exactly once, also when the log is
--- a/Source/Jobs/keyed_log_follower.cc
+++ b/Source/Jobs/keyed_log_follower.cc
@@ -41,7 +41,9 @@
     -> void {
   ReportPage(now, result);
   if (!result.answered) {
-    page_timeout_ = std::min(page_timeout_ * 2, options_.max_page_timeout);
+    if (result.incomplete) {
+      page_timeout_ = std::min(page_timeout_ * 2, options_.max_page_timeout);
+    }
     OnFailure(now, result.error, /*read_on=*/false);
     return;
   }
--- a/Source/Jobs/keyed_log_follower.h
+++ b/Source/Jobs/keyed_log_follower.h
@@ -22,7 +22,9 @@
   std::size_t min_bytes = 16 << 10;
   std::size_t max_bytes = 1 << 20;
   // Bounds of the timeout for a page of newest records. The timeout doubles
-  // after each failure, since a smaller page cannot be requested.
+  // after a page that arrived too slowly, since a smaller page cannot be
+  // requested. It does not grow while the log is silent: a request that was
+  // sent into the silence would outlast it by as long.
   std::chrono::milliseconds min_page_timeout{2000};
   std::chrono::milliseconds max_page_timeout{16000};
   // Pause after a failure.
--- a/Tests/Jobs/keyed_log_follower_test.cc
+++ b/Tests/Jobs/keyed_log_follower_test.cc
@@ -28,9 +28,9 @@
   seconds catches_up_within{0};
 };
 
-class SlowPathTest : public testing::TestWithParam<SlowPathCase> {
+class KeyedLogFollowerTest : public testing::Test {
  protected:
-  SlowPathTest()
+  KeyedLogFollowerTest()
       : follower_({}, log_.PortFor(kReader, [] { return true; }), Hooks()) {}
 
   auto Hooks() -> KeyedLogFollowerHooks {
@@ -52,8 +52,8 @@
     }
   }
 
-  auto Put() -> void {
-    log_.Put(LogTopic::kJobs, {"key", std::string(kRecordBytes, 'x'), 0});
+  auto Put(const std::string& key = "key") -> void {
+    log_.Put(LogTopic::kJobs, {key, std::string(kRecordBytes, 'x'), 0});
   }
 
   auto PutPeriodically() -> void {
@@ -68,6 +68,9 @@
   KeyedLogFollower follower_;
 };
 
+class SlowPathTest : public KeyedLogFollowerTest,
+                     public testing::WithParamInterface<SlowPathCase> {};
+
 // Guards against a reader that repeatedly requests everything that it has
 // missed at once, on a path that cannot transfer as much within the time limit
 // of one read.
@@ -98,5 +101,53 @@
                     SlowPathCase{"narrow", 100000, seconds(30)}),
     [](const auto& info) { return info.param.name; });
 
+struct OutageCase {
+  std::string name;
+  // The log rejects calls, then does not answer them.
+  milliseconds rejects{0};
+  milliseconds silent{0};
+};
+
+class OutageTest : public KeyedLogFollowerTest,
+                   public testing::WithParamInterface<OutageCase> {};
+
+// Guards against a reader that starts while the log fails and does not hear the
+// log for many seconds after it serves again, since its request was sent into
+// the outage with a timeout that had grown with each failure.
+TEST_P(OutageTest, ReaderThatStartsDuringItCatchesUpSoonAfterIt) {
+  Put();
+  log_.SetModeFor(kReader, VirtualLog::Mode::kRejects);
+  follower_.Start(time_.now());
+  RunFor(GetParam().rejects);
+  log_.SetModeFor(kReader, VirtualLog::Mode::kUnresponsive);
+  RunFor(GetParam().silent);
+  log_.SetModeFor(kReader, VirtualLog::Mode::kServes);
+  const KeyedLogFollowerOptions options;
+  RunFor(options.min_page_timeout + options.max_backoff + milliseconds(100));
+  EXPECT_NE(follower_.caught_up_at(), TimePoint());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    OutageTest,
+    testing::Values(OutageCase{"rejects", seconds(8), seconds(0)},
+                    OutageCase{"rejects_then_silent", seconds(4), seconds(3)},
+                    OutageCase{"silent", seconds(0), seconds(5)},
+                    OutageCase{"long_silent", seconds(0), seconds(20)}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against a reader on a narrow path that never receives a whole page,
+// because it does not wait longer for it.
+TEST_F(KeyedLogFollowerTest, ReaderOnANarrowPathWaitsLongerForPages) {
+  constexpr int kKeys = 50;
+  for (int key = 0; key < kKeys; ++key) {
+    Put("key-" + std::to_string(key));
+  }
+  log_.SetBandwidthFor(kReader, 100000);
+  follower_.Start(time_.now());
+  RunFor(seconds(20));
+  EXPECT_NE(follower_.caught_up_at(), TimePoint());
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
--- a/Tests/Jobs/virtual_log.cc
+++ b/Tests/Jobs/virtual_log.cc
@@ -38,7 +38,7 @@
   };
   port.newest = [this, client, alive](const NewestCall& call,
                                       const KeyedLogPort::OnNewest& done) {
-    Newest(client, call,
+    Newest(client, call, time_->now() + call.timeout,
            [alive, done](TimePoint now, const NewestResult& result) {
              if (alive()) {
                done(now, result);
@@ -59,6 +59,19 @@
   }
 }
 
+auto VirtualLog::EndForReads(LogTopic topic) const -> uint64_t {
+  const auto held = ends_for_reads_.find(topic);
+  if (held != ends_for_reads_.end()) {
+    return held->second;
+  }
+  const auto found = topics_.find(topic);
+  return found == topics_.end() ? 0 : found->second.records.size();
+}
+
+auto VirtualLog::AnswersReads(Mode mode) -> bool {
+  return mode == Mode::kServes || mode == Mode::kRejects;
+}
+
 auto VirtualLog::ModeOf(const std::string& client) const -> Mode {
   const auto found = client_modes_.find(client);
   return found == client_modes_.end() ? mode_ : found->second;
@@ -184,12 +197,9 @@
   const auto& topic = topics_[call.topic];
   const bool compacted =
       call.topic == LogTopic::kJobs && call.from < first_kept_;
-  const bool waits =
-      call.from >= topic.records.size() && time_->now() + kReadSlack < deadline;
-  const bool unanswered = mode == Mode::kUnresponsive ||
-                          mode == Mode::kHoldsAppends ||
-                          mode == Mode::kReadsUnanswered;
-  if (unanswered || (waits && !compacted)) {
+  const uint64_t end = EndForReads(call.topic);
+  const bool waits = call.from >= end && time_->now() + kReadSlack < deadline;
+  if (!AnswersReads(mode) || (waits && !compacted)) {
     time_->After(kReadRetryInterval,
                  [this, client, call, deadline, done]() -> void {
                    Read(client, call, deadline, done);
@@ -198,9 +208,9 @@
   }
   ReadResult result;
   result.outcome = compacted ? ReadOutcome::kGone : ReadOutcome::kRecords;
-  result.end = topic.records.size();
+  result.end = end;
   std::size_t bytes = 0;
-  for (uint64_t at = call.from; !compacted && at < topic.records.size(); ++at) {
+  for (uint64_t at = call.from; !compacted && at < end; ++at) {
     bytes += topic.records[at].key.size() + topic.records[at].value.size();
     if (bytes > call.max_bytes && !result.records.empty()) {
       break;
@@ -220,13 +230,28 @@
 
 auto VirtualLog::Newest(const std::string& client,
                         const NewestCall& call,
+                        TimePoint deadline,
                         const KeyedLogPort::OnNewest& done) -> void {
-  if (ModeOf(client) != Mode::kServes) {
+  const Mode mode = ModeOf(client);
+  if (mode == Mode::kRejects) {
     time_->After(latency_, [this, done]() -> void {
-      done(time_->now(), {false, {}, false, 0, "refused"});
+      done(time_->now(), {false, {}, false, 0, "refused", false});
+    });
+    return;
+  }
+  if (!AnswersReads(mode) || time_->now() >= deadline) {
+    time_->At(deadline, [this, done]() -> void {
+      done(time_->now(), {false, {}, false, 0, "timeout", false});
     });
     return;
   }
+  if (ends_for_reads_.contains(call.topic)) {
+    time_->After(kReadRetryInterval,
+                 [this, client, call, deadline, done]() -> void {
+                   Newest(client, call, deadline, done);
+                 });
+    return;
+  }
   NewestResult result;
   result.answered = true;
   const auto& topic = topics_[call.topic];
@@ -239,7 +264,15 @@
     }
     result.records.push_back(item->second);
   }
-  time_->After(latency_,
+  const auto delay = latency_ + TransferTime(client, result.records);
+  if (time_->now() + delay > deadline) {
+    const bool begun = time_->now() + latency_ < deadline;
+    time_->At(deadline, [this, done, begun]() -> void {
+      done(time_->now(), {false, {}, false, 0, "timeout", begun});
+    });
+    return;
+  }
+  time_->After(delay,
                [this, done, result]() -> void { done(time_->now(), result); });
 }
 
--- a/Tests/Jobs/virtual_log.h
+++ b/Tests/Jobs/virtual_log.h
@@ -75,6 +75,13 @@
   auto SetLatency(std::chrono::milliseconds latency) -> void {
     latency_ = latency;
   }
+  // Simulates an append to the topic that is in progress: until `ReleaseReads`,
+  // reads do not return records that are stored from now on and report the
+  // present end, and requests for newest records are not answered.
+  auto HoldReads(LogTopic topic) -> void {
+    ends_for_reads_[topic] = EndForReads(topic);
+  }
+  auto ReleaseReads(LogTopic topic) -> void { ends_for_reads_.erase(topic); }
   // Sets the rate at which reads of the client are answered, in bytes per
   // second; zero for no limit.
   auto SetBandwidthFor(const std::string& client, std::size_t bytes) -> void {
@@ -112,6 +119,8 @@
   };
 
   auto ModeOf(const std::string& client) const -> Mode;
+  static auto AnswersReads(Mode mode) -> bool;
+  auto EndForReads(LogTopic topic) const -> uint64_t;
   // Applies held appends of the clients that are served again.
   auto ApplyHeldAppends() -> void;
   auto end() const -> uint64_t {
@@ -132,6 +141,7 @@
             const KeyedLogPort::OnRead& done) -> void;
   auto Newest(const std::string& client,
               const NewestCall& call,
+              TimePoint deadline,
               const KeyedLogPort::OnNewest& done) -> void;
 
   VirtualTime* time_;
@@ -141,6 +151,8 @@
   std::chrono::milliseconds latency_ = kLatency;
   uint64_t first_kept_ = 0;
   std::map<LogTopic, Topic> topics_;
+  // Of the topics whose reads are held.
+  std::map<LogTopic, uint64_t> ends_for_reads_;
   std::map<std::string, Producer> producers_;
   std::vector<HeldAppend> held_;
   std::map<std::string, std::size_t> bandwidths_;
