Jobs: Handle requests only by a configuration that is confirmed

Callers saw a queue answered that had been removed, and 404 for a queue that had been added, up to 5 s after the log had acknowledged the version.

Cause: an entry took a read of the operators' log that returned no records as proof that its copy is current. While an append to the log is in progress, a read does not return the records behind it and reports the end before it, although the log has acknowledged them. Requests for the newest records are withheld for that time instead. And the age of the copy was asked for only on paths that match no queue; a job was accepted, and a queue's pending jobs were told, by a copy of any age.

An entry now confirms its configuration four times within its bound, with the barrier that already tells that a job is not known: the end of the log, from the newest records, must have been read, and the copy counts as of when this was asked. Without it, new jobs, questions about a queue, and paths that match none are answered with 503. The bound is a setting, no longer a constant. Queries and cancels of a job by its id are answered as before: what is known of a job stays true. The barrier takes the end from the newest records for the log of jobs as well; reads of that log that fell behind were not seen.

Evidence: a trial that requested newest records and the end each 250 ms: reads answered with end 36 for 2.3 s, while pages of newest records asked for meanwhile were answered together, with ends 45 to 51, at the moment when reads returned the first of these records.

--- a/Source/Jobs/entry_callers.cc
+++ b/Source/Jobs/entry_callers.cc
@@ -13,6 +13,7 @@
 // Maximum number of cancellations for which the log has no job, until they are
 // removed. Cancelling jobs that do not exist must not fill the log.
 constexpr std::size_t kMaxCancelledAhead = 4096;
+constexpr char kUnconfirmed[] = "The configuration may have changed.";
 constexpr char kLogUnavailable[] = "The log cannot be read at present.";
 
 auto NoSuchJobReply(bool certain) -> JobReply {
@@ -38,9 +39,12 @@
   // A path that does not end in an id may belong to a new queue whose prefix is
   // longer.
   const bool matches = queue != nullptr && (id.empty() || CheckJobId(id).ok());
-  if (!matches && !operator_follower_.CaughtUpWithin(now, kCurrentReadAge)) {
-    respond(VerdictReply(JobVerdict::kUnavailable,
-                         "The configuration may have changed."));
+  // A new version may have added the queue, or removed it. What is known of a
+  // job stays true.
+  const bool about_queue =
+      !matches || (call.kind == JobCallKind::kQuery && id.empty());
+  if (about_queue && !ConfigurationConfirmed(now)) {
+    respond(VerdictReply(JobVerdict::kUnavailable, kUnconfirmed));
     return;
   }
   if (queue == nullptr) {
@@ -83,6 +87,12 @@
                             const std::string& id,
                             JobCall call,
                             const JobResponder& respond) -> void {
+  if (!ConfigurationConfirmed(now) && fold_.Find(id) == nullptr) {
+    // The queue may have been removed, or moved to another service.
+    Reject({SubmissionKind::kSubmitJob, id, queue.name, respond, now, now},
+           kUnconfirmed);
+    return;
+  }
   call.job.set_id(id);
   call.job.set_queue(queue.name);
   *call.job.mutable_rules() = queue.rules;
--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -15,6 +15,10 @@
 // Maximum interval between two checks of the election and the readiness.
 constexpr std::chrono::milliseconds kMaxTickInterval{100};
 
+// The configuration is confirmed this many times within its bound, so that a
+// call without an answer does not reject submissions.
+constexpr int kConfirmationsPerBound = 4;
+
 auto CallerAppendOptions(const EntryOptions& options) -> AppendBatcherOptions {
   AppendBatcherOptions appends;
   appends.producer =
@@ -62,13 +66,20 @@
       operator_follower_(FollowerOptions(LogTopic::kOperators),
                          hooks_.log,
                          FollowerHooksFor(LogTopic::kOperators)),
-      job_barrier_({hooks_.log.read,
+      job_barrier_({LogTopic::kJobs, hooks_.log.newest,
                     [this]() -> std::optional<uint64_t> {
                       return job_follower_.read_to();
                     },
                     [this](TimePoint now) -> void {
                       job_follower_.ResumeReading(now);
                     }}),
+      operator_barrier_({LogTopic::kOperators, hooks_.log.newest,
+                         [this]() -> std::optional<uint64_t> {
+                           return operator_follower_.read_to();
+                         },
+                         [this](TimePoint now) -> void {
+                           operator_follower_.ResumeReading(now);
+                         }}),
       caller_appends_(CallerAppendOptions(options_)) {}
 
 EntryDecisions::~EntryDecisions() = default;
@@ -113,6 +124,11 @@
   ClaimIfDue(now);
   owner_.Tick(now);
   job_barrier_.Tick(now);
+  operator_barrier_.Tick(now);
+  if (now >= next_confirmation_) {
+    ConfirmConfiguration(now);
+  }
+  LogConfirmation(now);
   ExpireSubmissions(now);
   UpdateReady(now);
   SendAppends(now);
@@ -124,7 +140,7 @@
     wake = std::min(wake, scheduled_.begin()->first);
   }
   wake = std::min({wake, owner_.next_wake(), caller_appends_.next_wake(),
-                   job_barrier_.next_wake()});
+                   job_barrier_.next_wake(), operator_barrier_.next_wake()});
   if (owner_appends_ != nullptr) {
     wake = std::min(wake, owner_appends_->next_wake());
   }
@@ -163,6 +179,8 @@
   hooks.on_caught_up = [this, is_jobs](TimePoint now, TimePoint as_of) -> void {
     if (is_jobs) {
       OnCaughtUp(now, as_of);
+    } else {
+      OnOperatorsCaughtUp(now);
     }
   };
   if (is_jobs) {
@@ -277,6 +295,30 @@
   SendAppends(now);
 }
 
+auto EntryDecisions::OnOperatorsCaughtUp(TimePoint now) -> void {
+  operator_barrier_.OnReadTo(now);
+  if (!ConfigurationConfirmed(now)) {
+    ConfirmConfiguration(now);
+  }
+}
+
+auto EntryDecisions::ConfirmConfiguration(TimePoint now) -> void {
+  next_confirmation_ =
+      now + options_.configuration_bound / kConfirmationsPerBound;
+  operator_barrier_.Await(
+      now, now + options_.configuration_bound,
+      [this, requested_at = now](TimePoint, bool current) -> void {
+        if (current) {
+          configuration_as_of_ = std::max(configuration_as_of_, requested_at);
+        }
+      });
+}
+
+auto EntryDecisions::ConfigurationConfirmed(TimePoint now) const -> bool {
+  return configuration_as_of_ != TimePoint() &&
+         ConfigurationAge(now) < options_.configuration_bound;
+}
+
 auto EntryDecisions::SendAppends(TimePoint now) -> void {
   SendCallerBatch(now);
   SendOwnerBatch(now);
@@ -341,7 +383,7 @@
 }
 
 auto EntryDecisions::ConfigurationAge(TimePoint now) const -> Duration {
-  return now - operator_follower_.caught_up_at();
+  return now - configuration_as_of_;
 }
 
 auto EntryDecisions::UpdateReady(TimePoint now) -> void {
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -28,6 +28,9 @@
   // Name of this entry, unique in the deployment.
   std::string name;
   uint64_t incarnation = 0;
+  // A request is handled by each version of the configuration that was
+  // acknowledged this long before it, or by a newer one.
+  std::chrono::milliseconds configuration_bound{2000};
 };
 
 struct EntryHooks {
@@ -85,8 +88,8 @@
   static constexpr uint64_t kResignationTicket =
       std::numeric_limits<uint64_t>::max();
 
-  // The local copy of a log counts as current for this long after a read that
-  // reached the end.
+  // The local copy of the jobs' log counts as current for this long after a
+  // read that reached the end.
   static constexpr std::chrono::milliseconds kCurrentReadAge{2000};
 
   enum class SubmissionKind {
@@ -140,6 +143,14 @@
   auto OnEvacuation(const std::string& failure_domain, bool in_force) -> void;
   auto OnCaughtUp(TimePoint now, TimePoint as_of) -> void;
 
+  auto OnOperatorsCaughtUp(TimePoint now) -> void;
+  // Requests the end of the operators' log, to which the configuration must
+  // have been read.
+  auto ConfirmConfiguration(TimePoint now) -> void;
+  // Whether no version was acknowledged, more than the bound ago, that is newer
+  // than the one in force here.
+  auto ConfigurationConfirmed(TimePoint now) const -> bool;
+
   auto SendAppends(TimePoint now) -> void;
   auto SendCallerBatch(TimePoint now) -> void;
   auto OnCallerBatch(TimePoint now, const AppendResult& result) -> void;
@@ -168,8 +179,9 @@
   auto LogFollowerCall(TimePoint now,
                        const std::string& topic,
                        const FollowerCall& call) -> void;
-  // Time since the copy of the operators' log was known to be current.
+  // Time since which newer versions of the configuration may exist.
   auto ConfigurationAge(TimePoint now) const -> Duration;
+  auto LogConfirmation(TimePoint now) -> void;
   auto LogAccepted(const Submission& submission) -> void;
   auto NoteLag(Duration lag) -> void;
   auto NoteStartDelay(Duration delay) -> void;
@@ -214,6 +226,13 @@
   KeyedLogFollower job_follower_;
   KeyedLogFollower operator_follower_;
   ReadBarrier job_barrier_;
+  ReadBarrier operator_barrier_;
+  // The copy of the operators' log contains all that the log contained at this
+  // time.
+  TimePoint configuration_as_of_;
+  TimePoint next_confirmation_;
+  // Whether the log has a line that the configuration is not confirmed.
+  bool unconfirmed_logged_ = false;
   std::multimap<TimePoint, std::function<auto(TimePoint)->void>> scheduled_;
 
   AppendBatcher caller_appends_;
--- a/Source/Jobs/entry_logging.cc
+++ b/Source/Jobs/entry_logging.cc
@@ -45,6 +45,17 @@
                           {"why", call.error}});
 }
 
+auto EntryDecisions::LogConfirmation(TimePoint now) -> void {
+  const bool unconfirmed = queues_.known() && !ConfigurationConfirmed(now);
+  if (unconfirmed == unconfirmed_logged_) {
+    return;
+  }
+  unconfirmed_logged_ = unconfirmed;
+  log_.Write(unconfirmed ? "config_unconfirmed" : "config_confirmed",
+             {{"config_version", absl::StrCat(queues_.version())},
+              {"config_age_ms", InMilliseconds(ConfigurationAge(now))}});
+}
+
 auto EntryDecisions::LogAccepted(const Submission& submission) -> void {
   log_.Write("accepted",
              {{"job", submission.job},
--- a/Source/Jobs/read_barrier.cc
+++ b/Source/Jobs/read_barrier.cc
@@ -9,11 +9,10 @@
 // Maximum number of concurrent waiters. Each waits for a few milliseconds, or
 // until its deadline if the log is unavailable.
 constexpr std::size_t kMaxWaiters = 1024;
-// Minimum interval between two reads. Requests for jobs that do not exist must
+// Minimum interval between two requests. Calls for jobs that do not exist must
 // not exhaust the read capacity of the log.
-constexpr std::chrono::milliseconds kMinReadInterval{20};
-// A read from an offset after the end returns the end and no records.
-constexpr uint64_t kBeyondEnd = 1ULL << 40;
+constexpr std::chrono::milliseconds kMinRequestInterval{20};
+constexpr std::chrono::milliseconds kEndTimeout{1200};
 
 }  // namespace
 
@@ -50,8 +49,8 @@
 }
 
 auto ReadBarrier::next_wake() const -> TimePoint {
-  TimePoint wake =
-      !request_in_flight_ && NeedsRead() ? next_request_at_ : TimePoint::max();
+  TimePoint wake = !request_in_flight_ && NeedsRequest() ? next_request_at_
+                                                         : TimePoint::max();
   for (const auto& waiter : waiters_) {
     wake = std::min(wake, waiter.expires_at);
   }
@@ -59,27 +58,26 @@
 }
 
 auto ReadBarrier::RequestEnd(TimePoint now) -> void {
-  if (request_in_flight_ || now < next_request_at_ || !NeedsRead()) {
+  if (request_in_flight_ || now < next_request_at_ || !NeedsRequest()) {
     return;
   }
   request_in_flight_ = true;
-  next_request_at_ = now + kMinReadInterval;
+  next_request_at_ = now + kMinRequestInterval;
+  read_before_request_ = hooks_.read_to().value_or(0);
   for (auto& waiter : waiters_) {
     waiter.requested = true;
   }
-  ReadCall call;
-  call.from = kBeyondEnd;
-  hooks_.read(call, [this](TimePoint then, const ReadResult& result) -> void {
-    OnEnd(then, result);
-  });
+  hooks_.newest({hooks_.topic, kAfterAllKeys, kEndTimeout},
+                [this](TimePoint then, const NewestResult& result) -> void {
+                  OnEnd(then, result);
+                });
 }
 
-auto ReadBarrier::OnEnd(TimePoint now, const ReadResult& result) -> void {
+auto ReadBarrier::OnEnd(TimePoint now, const NewestResult& result) -> void {
   request_in_flight_ = false;
-  const auto read_to = hooks_.read_to();
-  // If the log ends before the last record read, it has been replaced.
-  const bool answered = result.outcome == ReadOutcome::kRecords && read_to &&
-                        *read_to <= result.end;
+  // If the log ends before a record that had been read, it has been replaced.
+  const bool answered =
+      result.answered && hooks_.read_to() && read_before_request_ <= result.end;
   if (answered) {
     for (auto& waiter : waiters_) {
       if (waiter.requested && !waiter.end) {
@@ -96,7 +94,7 @@
   RequestEnd(now);
 }
 
-auto ReadBarrier::NeedsRead() const -> bool {
+auto ReadBarrier::NeedsRequest() const -> bool {
   return std::any_of(
       waiters_.begin(), waiters_.end(),
       [](const Waiter& waiter) -> bool { return !waiter.requested; });
--- a/Source/Jobs/read_barrier.h
+++ b/Source/Jobs/read_barrier.h
@@ -11,7 +11,8 @@
 namespace rhubarbhaven::jobs {
 
 struct ReadBarrierHooks {
-  std::function<auto(const ReadCall&, KeyedLogPort::OnRead)->void> read;
+  LogTopic topic = LogTopic::kJobs;
+  std::function<auto(const NewestCall&, KeyedLogPort::OnNewest)->void> newest;
   // Offset after the last record of the log that was read; none while the
   // newest records are being re-read.
   std::function<auto()->std::optional<uint64_t>> read_to;
@@ -22,6 +23,10 @@
 // Reports when the local copy of the log contains everything that the log
 // contained at the time of a request. Only then can the absence of a record be
 // confirmed. All state belongs to one thread, on which reads call back.
+//
+// The end of the log is taken from a request for newest records. A read of
+// records may report an earlier end: while an append to the log is in progress,
+// it does not return records behind that one, although they are acknowledged.
 class ReadBarrier {
  public:
   // `passed` is false if this could not be determined in time.
@@ -43,17 +48,17 @@
   struct Waiter {
     TimePoint expires_at;
     OnPassed on_passed;
-    // The read in flight began after this waiter was added.
+    // The request in flight began after this waiter was added.
     bool requested = false;
-    // The log's end, as reported by a read that began after this waiter was
+    // The log's end, as reported by a request that began after this waiter was
     // added.
     std::optional<uint64_t> end;
   };
 
   auto RequestEnd(TimePoint now) -> void;
-  auto OnEnd(TimePoint now, const ReadResult& result) -> void;
-  // Whether a waiter needs a read that has not begun.
-  auto NeedsRead() const -> bool;
+  auto OnEnd(TimePoint now, const NewestResult& result) -> void;
+  // Whether a waiter needs a request that has not begun.
+  auto NeedsRequest() const -> bool;
   // Removes the waiters for which `done` is true and calls them back.
   auto Settle(TimePoint now,
               bool passed,
@@ -62,7 +67,9 @@
   ReadBarrierHooks hooks_;
   std::vector<Waiter> waiters_;
   bool request_in_flight_ = false;
-  // The earliest start of the next read.
+  // What had been read when the request in flight was sent.
+  uint64_t read_before_request_ = 0;
+  // The earliest start of the next request.
   TimePoint next_request_at_;
 };
 
--- a/Tests/Jobs/entry_decisions_fixture.h
+++ b/Tests/Jobs/entry_decisions_fixture.h
@@ -18,8 +18,6 @@
 inline constexpr char kQueueHost[] = "queue.example";
 inline constexpr char kQueuePrefix[] = "/jobs/";
 inline constexpr char kEvacuationKey[] = "key of an evacuation";
-// More records than the log of any test has.
-inline constexpr uint64_t kMaxRecords = 1000;
 // Offset after the last record of the log.
 inline constexpr uint64_t kEnd = 9;
 
@@ -38,14 +36,14 @@
       on_append_.push_back(done);
     };
     hooks.log.read = [this](const ReadCall& call, const auto& done) {
-      if (call.from > kMaxRecords) {
-        on_end_read_ = done;
-      } else {
-        on_read_[call.topic] = done;
-      }
+      on_read_[call.topic] = done;
     };
     hooks.log.newest = [this](const NewestCall& call, const auto& done) {
-      on_newest_[call.topic] = done;
+      if (call.after == kAfterAllKeys) {
+        on_end_[call.topic] = done;
+      } else {
+        on_newest_[call.topic] = done;
+      }
     };
     hooks.send = [](const std::string&, const AgentOrders&) {};
     hooks.wall_clock = []() -> std::chrono::milliseconds {
@@ -82,6 +80,13 @@
     newest.records = std::move(records);
     std::exchange(on_newest_[LogTopic::kOperators], nullptr)(now_, newest);
     AnswerOperatorsRead();
+    AnswerOperatorsEnd();
+  }
+
+  // Answers that the operators' log has no record that the entry has not read.
+  // Returns whether this was asked.
+  auto AnswerOperatorsEnd() -> bool {
+    return AnswerEnd(LogTopic::kOperators, /*answered=*/true, 0);
   }
 
   auto AnswerOperatorsRead() -> void {
@@ -110,13 +115,12 @@
     std::exchange(on_read_[LogTopic::kJobs], nullptr)(now_, result);
   }
 
-  // Answers a read that asks only for the end of the log. Returns whether there
-  // was one.
-  auto AnswerEndRead(ReadOutcome outcome, uint64_t end) -> bool {
-    const auto done = std::exchange(on_end_read_, nullptr);
+  // Answers a request for the end of the log. Returns whether there was one.
+  auto AnswerEnd(LogTopic topic, bool answered, uint64_t end) -> bool {
+    const auto done = std::exchange(on_end_[topic], nullptr);
     if (done != nullptr) {
-      ReadResult result;
-      result.outcome = outcome;
+      NewestResult result;
+      result.answered = answered;
       result.end = end;
       done(now_, result);
     }
@@ -153,7 +157,7 @@
   std::vector<KeyedRecord> appended_;
   std::vector<KeyedLogPort::OnAppend> on_append_;
   std::map<LogTopic, KeyedLogPort::OnRead> on_read_;
-  KeyedLogPort::OnRead on_end_read_;
+  std::map<LogTopic, KeyedLogPort::OnNewest> on_end_;
   std::map<LogTopic, KeyedLogPort::OnNewest> on_newest_;
   EntryDecisions entry_;
 };
--- a/Tests/Jobs/stale_copy_test.cc
+++ b/Tests/Jobs/stale_copy_test.cc
@@ -61,11 +61,11 @@
   // Answers with the state of the log after the call.
   auto ShowLog(Copy copy) -> void {
     if (copy == Copy::kUnknown) {
-      AnswerEndRead(ReadOutcome::kFailed, 0);
+      AnswerEnd(LogTopic::kJobs, /*answered=*/false, 0);
       return;
     }
     const bool behind = copy == Copy::kBehind;
-    AnswerEndRead(ReadOutcome::kRecords, behind ? kEnd + 1 : kEnd);
+    AnswerEnd(LogTopic::kJobs, /*answered=*/true, behind ? kEnd + 1 : kEnd);
     if (behind) {
       EXPECT_TRUE(replies_.empty());
       AnswerRead(ReadOutcome::kRecords, {JobRecord()});
@@ -112,7 +112,7 @@
 struct OldQueuesCase {
   std::string name;
   JobCallKind kind = JobCallKind::kQuery;
-  // Time since the log of the operators was read to its end.
+  // Time since the configuration was confirmed.
   milliseconds age{0};
   JobVerdict verdict = JobVerdict::kUnavailable;
 };
@@ -125,7 +125,7 @@
 TEST_P(OldQueuesTest, DoNotConfirmThatAJobIsUnknown) {
   AdvanceTime(GetParam().age);
   Call(GetParam().kind, std::string("new/") + kJob);
-  AnswerEndRead(ReadOutcome::kRecords, kEnd);
+  AnswerEnd(LogTopic::kJobs, /*answered=*/true, kEnd);
   ASSERT_EQ(replies_.size(), 1U);
   EXPECT_EQ(replies_.front(), GetParam().verdict);
 }
@@ -157,12 +157,12 @@
   auto cancellation = Appended(RecordKind::kCancellation);
   ASSERT_TRUE(cancellation.has_value());
   cancellation->offset = kEnd;
-  AnswerEndRead(ReadOutcome::kRecords, kEnd + 1);
+  AnswerEnd(LogTopic::kJobs, /*answered=*/true, kEnd + 1);
   AnswerRead(ReadOutcome::kRecords, {*cancellation});
   appended_.clear();
   AdvanceTime(milliseconds(100));
   Call(JobCallKind::kCancel);
-  EXPECT_TRUE(AnswerEndRead(ReadOutcome::kRecords, kEnd + 1));
+  EXPECT_TRUE(AnswerEnd(LogTopic::kJobs, /*answered=*/true, kEnd + 1));
   EXPECT_EQ(replies_, std::vector(2, JobVerdict::kNoSuchJob));
   EXPECT_FALSE(Appended(RecordKind::kCancellation).has_value());
 }
@@ -171,7 +171,7 @@
 // restored to an earlier state.
 TEST_F(CancelAheadTest, LogThatEndsBeforeTheCopyProvesNothing) {
   Call(JobCallKind::kQuery);
-  AnswerEndRead(ReadOutcome::kRecords, kEnd - 1);
+  AnswerEnd(LogTopic::kJobs, /*answered=*/true, kEnd - 1);
   EXPECT_EQ(replies_, std::vector(1, JobVerdict::kUnavailable));
 }
 
@@ -179,10 +179,10 @@
 // failed.
 TEST_F(CancelAheadTest, FailedReadIsNoAnswerToThoseBefore) {
   Call(JobCallKind::kQuery);
-  AnswerEndRead(ReadOutcome::kRecords, kEnd + 1);
+  AnswerEnd(LogTopic::kJobs, /*answered=*/true, kEnd + 1);
   AdvanceTime(milliseconds(100));
   Call(JobCallKind::kQuery);
-  AnswerEndRead(ReadOutcome::kFailed, 0);
+  AnswerEnd(LogTopic::kJobs, /*answered=*/false, 0);
   EXPECT_EQ(replies_, std::vector(1, JobVerdict::kUnavailable));
   AnswerRead(ReadOutcome::kRecords, {JobRecord()});
   EXPECT_EQ(replies_,
