--- a/Tests/Jobs/stale_copy_test.cc
+++ b/Tests/Jobs/stale_copy_test.cc
@@ -175,6 +175,17 @@
   EXPECT_EQ(replies_, std::vector(1, JobVerdict::kUnavailable));
 }
 
+// Guards against a query that is rejected because the entry has read further
+// than the end that it requested for this query.
+TEST_F(CancelAheadTest, ReaderMayOvertakeTheAnswerAboutTheEnd) {
+  auto record = JobRecord();
+  record.key = MakeCancellation("00000000000000b2").key;
+  Call(JobCallKind::kQuery);
+  AnswerRead(ReadOutcome::kRecords, {record});
+  AnswerEnd(LogTopic::kJobs, /*answered=*/true, kEnd);
+  EXPECT_EQ(replies_, std::vector(1, JobVerdict::kNoSuchJob));
+}
+
 // Guards against a query that is rejected because the read for the next query
 // failed.
 TEST_F(CancelAheadTest, FailedReadIsNoAnswerToThoseBefore) {
