--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -198,6 +198,8 @@
   Metrics* metrics_;
   EventLog log_;
   bool ready_ = false;
+  // The latest line about the configuration says that it is not confirmed.
+  bool unconfirmed_logged_ = false;
 
   JobFold fold_;
   AgentStops agent_stops_;
@@ -231,8 +233,6 @@
   // time.
   TimePoint configuration_as_of_;
   TimePoint next_confirmation_;
-  // Whether the log has a line that the configuration is not confirmed.
-  bool unconfirmed_logged_ = false;
   std::multimap<TimePoint, std::function<auto(TimePoint)->void>> scheduled_;
 
   AppendBatcher caller_appends_;
