Jobs: Log stalls of a process, late renewals and repeated starts

Cause: the record of an incident cannot tell an owner that stood still from one that is cut off, nor an owner whose link is full of its own orders from one that is slow: 'agents_silent' says only what the owner received.

Change: 'process_stalled' of entries and agents, with the processor time used meanwhile; 'own_gap_ms' in 'agents_silent', 'claim' and 'owner_end'; 'renewal_late'; 'orders_repeated' and counters of the bytes of orders, starts, payloads and repeats; 'unrenewed_ms' in 'claim'. An entry's settings name the limits of its machine (link, processor). No decision changes.

--- a/Source/Base/base.h
+++ b/Source/Base/base.h
@@ -11,6 +11,7 @@
 #include "Base/logging.h"
 #include "Base/metrics.h"
 #include "Base/settings_check.h"
+#include "Base/stall_detector.h"
 #include "Base/time.h"
 #include "Base/timer_queue.h"
 
--- a/Source/Base/time.cc
+++ b/Source/Base/time.cc
@@ -11,4 +11,11 @@
                     std::chrono::nanoseconds(now.tv_nsec));
 }
 
+auto ThreadProcessorTime() -> Duration {
+  timespec used{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+  return std::chrono::seconds(used.tv_sec) +
+         std::chrono::nanoseconds(used.tv_nsec);
+}
+
 }  // namespace rhubarbhaven
--- a/Source/Base/time.h
+++ b/Source/Base/time.h
@@ -21,6 +21,9 @@
 using TimePoint = Clock::time_point;
 using Duration = Clock::duration;
 
+// Processor time that the calling thread has used.
+auto ThreadProcessorTime() -> Duration;
+
 }  // namespace rhubarbhaven
 
 #endif  // RHUBARBHAVEN_BASE_TIME_H_
--- a/Source/Daemon/event_loop_thread.cc
+++ b/Source/Daemon/event_loop_thread.cc
@@ -9,11 +9,21 @@
 
 constexpr std::chrono::milliseconds kMaxWait{500};
 constexpr std::chrono::microseconds kRingFullBackoff{200};
+// A renewal or a lease that is late by less has no effect.
+constexpr std::chrono::milliseconds kMinStall{1000};
 
 }  // namespace
 
+auto LogStall(EventLog& log, const Stall& stall) -> void {
+  log.Warn("process_stalled",
+           {{"lasted_ms", InMilliseconds(stall.lasted)},
+            {"processor_ms", InMilliseconds(stall.processor_time)}});
+}
+
 EventLoopThread::EventLoopThread(EventLoopOptions options)
-    : options_(std::move(options)), ring_(options_.ring_capacity) {}
+    : options_(std::move(options)),
+      ring_(options_.ring_capacity),
+      stalls_(kMinStall) {}
 
 EventLoopThread::~EventLoopThread() {
   Stop();
@@ -43,8 +53,10 @@
 auto EventLoopThread::Run() -> void {
   bool more = false;
   while (!stop_) {
+    const TimePoint until = more ? Clock::now() : WaitUntil();
+    DetectStall(until);
     if (!more) {
-      Wait();
+      Wait(until);
     }
     more = RunCallbacks();
     const TimePoint now = Clock::now();
@@ -54,12 +66,24 @@
   }
 }
 
-auto EventLoopThread::Wait() -> void {
+auto EventLoopThread::DetectStall(TimePoint due) -> void {
+  const auto stall =
+      stalls_.OnIteration(Clock::now(), ThreadProcessorTime(), due);
+  if (stall && options_.on_stall) {
+    options_.on_stall(*stall);
+  }
+}
+
+auto EventLoopThread::WaitUntil() const -> TimePoint {
   const TimePoint now = Clock::now();
-  // Clamped before the subtraction, which overflows at TimePoint::min() and
+  // Clamped before any subtraction, which overflows at TimePoint::min() and
   // TimePoint::max().
-  const TimePoint next = std::clamp(options_.next_wake(), now, now + kMaxWait);
-  const auto wait = std::chrono::ceil<std::chrono::milliseconds>(next - now);
+  return std::clamp(options_.next_wake(), now, now + kMaxWait);
+}
+
+auto EventLoopThread::Wait(TimePoint until) -> void {
+  const auto wait = std::chrono::ceil<std::chrono::milliseconds>(
+      std::max(Duration(0), until - Clock::now()));
   pollfd wake{ring_.wake_fd(), POLLIN, 0};
   poll(&wake, 1, static_cast<int>(wait.count()));
 }
--- a/Source/Daemon/event_loop_thread.h
+++ b/Source/Daemon/event_loop_thread.h
@@ -14,8 +14,14 @@
   // Runs on the loop's thread when `next_wake` is reached.
   std::function<auto(TimePoint)->void> on_tick;
   std::function<auto()->TimePoint> next_wake;
+  // Runs on the loop's thread after a time in which the thread did not run or
+  // one iteration took too long; may be null.
+  std::function<auto(const Stall&)->void> on_stall = nullptr;
 };
 
+// Writes a warning about a stall of the loop that does a component's work.
+auto LogStall(EventLog& log, const Stall& stall) -> void;
+
 // A thread that runs posted callbacks in order and a tick when it is due. State
 // that only these use needs no lock.
 class EventLoopThread {
@@ -38,12 +44,16 @@
 
  private:
   auto Run() -> void;
-  auto Wait() -> void;
+  // Returns when the wait ends at the latest.
+  auto WaitUntil() const -> TimePoint;
+  auto Wait(TimePoint until) -> void;
+  auto DetectStall(TimePoint due) -> void;
   // Returns true if more callbacks may be queued.
   auto RunCallbacks() -> bool;
 
   EventLoopOptions options_;
   BoundedRing<Callback> ring_;
+  StallDetector stalls_;
   std::atomic<bool> stop_ = false;
   std::thread thread_;
 };
--- a/Source/Daemon/job_agent.cc
+++ b/Source/Daemon/job_agent.cc
@@ -30,7 +30,10 @@
       agent_(AgentOptions(options), MakeAgentHooks()),
       registration_(std::move(options)),
       thread_({.on_tick = [this](TimePoint now) -> void { Tick(now); },
-               .next_wake = [this]() -> TimePoint { return NextWake(); }}) {}
+               .next_wake = [this]() -> TimePoint { return NextWake(); },
+               .on_stall = [this](const Stall& stall) -> void {
+                 LogStall(log_, stall);
+               }}) {}
 
 auto JobAgent::Start() -> void {
   thread_.Start();
--- a/Source/Daemon/job_service.cc
+++ b/Source/Daemon/job_service.cc
@@ -40,9 +40,13 @@
 JobService::JobService(const jobs::EntryOptions& options,
                        jobs::EntryHooks hooks,
                        Metrics* metrics)
-    : thread_({.on_tick = [this](TimePoint now) -> void { Tick(now); },
+    : log_("jobs"),
+      thread_({.on_tick = [this](TimePoint now) -> void { Tick(now); },
                .next_wake = [this]() -> TimePoint {
                  return decisions_.next_wake();
+               },
+               .on_stall = [this](const Stall& stall) -> void {
+                 LogStall(log_, stall);
                }}),
       decisions_(options, WithLogOnThread(std::move(hooks)), metrics) {}
 
--- a/Source/Daemon/job_service.h
+++ b/Source/Daemon/job_service.h
@@ -38,6 +38,7 @@
   auto WithLogOnThread(jobs::EntryHooks hooks) -> jobs::EntryHooks;
 
   std::atomic<bool> ready_ = false;
+  EventLog log_;
   EventLoopThread thread_;
   jobs::EntryDecisions decisions_;
 };
--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -38,6 +38,7 @@
 auto OwnerOptions(const EntryOptions& options) -> JobOwnerOptions {
   JobOwnerOptions owner;
   owner.incarnation = options.incarnation;
+  owner.link_mbps = options.limits.link_mbps;
   return owner;
 }
 
@@ -113,6 +114,7 @@
 
 auto EntryDecisions::Tick(TimePoint now) -> void {
   last_tick_ = now;
+  ticks_.OnEvent(now);
   while (!scheduled_.empty() && scheduled_.begin()->first <= now) {
     const auto job = std::move(scheduled_.begin()->second);
     scheduled_.erase(scheduled_.begin());
@@ -430,6 +432,9 @@
     LogRunLengths(what, keys);
   };
   hooks.report_lag = [this](Duration lag) -> void { NoteLag(lag); };
+  hooks.report_orders = [this](const OrderTraffic& traffic) -> void {
+    NoteOrderTraffic(traffic);
+  };
   hooks.report_start_delay = [this](Duration delay) -> void {
     NoteStartDelay(delay);
   };
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -21,9 +21,17 @@
 #include "Jobs/owner_election.h"
 #include "Jobs/queue_directory.h"
 #include "Jobs/read_barrier.h"
+#include "Jobs/recent_gap.h"
 
 namespace rhubarbhaven::jobs {
 
+// What an entry's machine has; zero if unknown.
+struct EntryLimits {
+  // Bandwidth of its link, in megabits per second.
+  double link_mbps = 0;
+  double processor_cores = 0;
+};
+
 struct EntryOptions {
   // Name of this entry, unique in the deployment.
   std::string name;
@@ -31,6 +39,7 @@
   // A request is handled by each version of the configuration that was
   // acknowledged this long before it, or by a newer one.
   std::chrono::milliseconds configuration_bound{2000};
+  EntryLimits limits;
 };
 
 struct EntryHooks {
@@ -191,6 +200,11 @@
   auto LogReconciliation(const ReconciliationState& state) -> void;
   auto LogStarvedJob(const StarvedJob& job) -> void;
   auto LogSilentAgents(const SilentAgents& silent) -> void;
+  // Logs a renewal that took long to be stored.
+  auto NoteRenewalStored(TimePoint now, TimePoint sent) -> void;
+  auto NoteOrderTraffic(const OrderTraffic& traffic) -> void;
+  // The longest time in which this process recently did not run.
+  auto OwnGap() const -> Duration;
   auto LogDecision(const OwnerDecision& decision) -> void;
 
   EntryOptions options_;
@@ -251,6 +265,12 @@
   bool has_caught_up_ = false;
   bool releasing_ = false;
   TimePoint last_tick_;
+  // How long a gap between two ticks is remembered: as long as what is lost by
+  // it may show.
+  static constexpr std::chrono::seconds kGapMemory{15};
+  RecentGap ticks_{kGapMemory};
+  // When the latest renewal of this entry's claim was stored.
+  TimePoint renewal_stored_at_;
 };
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/entry_logging.cc
+++ b/Source/Jobs/entry_logging.cc
@@ -13,6 +13,8 @@
 // A call to the log is logged if it takes this much longer than the wait for a
 // record that it asked for.
 constexpr std::chrono::milliseconds kSlowLogCall{500};
+// Less is logged by no line: a single lost message is repeated too.
+constexpr uint64_t kMinRepeatedBytes = 4096;
 // An overload has ended once no job has been displaced for this long.
 constexpr std::chrono::milliseconds kOverloadPause{2000};
 // Weight of one run in the mean error of expected run lengths.
@@ -174,9 +176,42 @@
                               {"silent", absl::StrCat(silent.silent)},
                               {"agents", absl::StrCat(silent.agents)},
                               {"longest_ms", InMilliseconds(silent.longest)},
+                              {"own_gap_ms", InMilliseconds(OwnGap())},
                               {"names", absl::StrJoin(silent.names, " ")}});
 }
 
+auto EntryDecisions::OwnGap() const -> Duration {
+  return ticks_.Longest(last_tick_).value_or(Duration(0));
+}
+
+auto EntryDecisions::NoteRenewalStored(TimePoint now, TimePoint sent) -> void {
+  const Duration took = now - sent;
+  metrics_->RecordLatency("rhubarbhaven_owner_renewal_seconds", took);
+  renewal_stored_at_ = now;
+  if (took >= kSlowLogCall) {
+    log_.Write("renewal_late", {{"fence", absl::StrCat(election_.fence())},
+                                {"took_ms", InMilliseconds(took)},
+                                {"own_gap_ms", InMilliseconds(OwnGap())}});
+  }
+}
+
+auto EntryDecisions::NoteOrderTraffic(const OrderTraffic& traffic) -> void {
+  metrics_->Add("rhubarbhaven_order_bytes_total", traffic.bytes);
+  metrics_->Add("rhubarbhaven_start_bytes_total", traffic.start_bytes);
+  metrics_->Add("rhubarbhaven_start_payload_bytes_total",
+                traffic.payload_bytes);
+  metrics_->Add("rhubarbhaven_start_repeated_bytes_total",
+                traffic.repeated_bytes);
+  if (traffic.repeated_bytes >= kMinRepeatedBytes) {
+    log_.Write("orders_repeated",
+               {{"fence", absl::StrCat(election_.fence())},
+                {"bytes", absl::StrCat(traffic.bytes)},
+                {"start_bytes", absl::StrCat(traffic.start_bytes)},
+                {"payload_bytes", absl::StrCat(traffic.payload_bytes)},
+                {"repeated_bytes", absl::StrCat(traffic.repeated_bytes)}});
+  }
+}
+
 auto EntryDecisions::LogDecision(const OwnerDecision& decision) -> void {
   metrics_->Add(absl::StrCat("rhubarbhaven_runs_", decision.what, "_total"),
                 decision.runs);
--- a/Source/Jobs/entry_ownership.cc
+++ b/Source/Jobs/entry_ownership.cc
@@ -54,8 +54,12 @@
   NoteReadsLate(now, claim->reads_nothing());
   if (!had_claim) {
     claimed_fence_ = claim->fence();
-    log_.Write("claim", {{"fence", absl::StrCat(claim->fence())},
-                         {"before", fold_.claim().owner()}});
+    log_.Write("claim",
+               {{"fence", absl::StrCat(claim->fence())},
+                {"before", fold_.claim().owner()},
+                {"before_released", fold_.claim().released() ? "yes" : "no"},
+                {"unrenewed_ms", InMilliseconds(election_.unrenewed_for())},
+                {"own_gap_ms", InMilliseconds(OwnGap())}});
     AppendBatcherOptions options;
     options.producer = kOwnerProducer;
     options.epoch = claim->fence();
@@ -156,6 +160,7 @@
     election_.OnAppendStored(sent);
     if (entry.ticket == kClaimTicket) {
       election_.OnRenewalStored(sent);
+      NoteRenewalStored(now, sent);
     }
     if (entry.ticket == kBatchTicket) {
       owner_.OnBatchStored();
@@ -175,8 +180,14 @@
 }
 
 auto EntryDecisions::Resign(const std::string& why) -> void {
-  log_.Write("owner_end",
-             {{"fence", absl::StrCat(claimed_fence_)}, {"why", why}});
+  log_.Write(
+      "owner_end",
+      {{"fence", absl::StrCat(claimed_fence_)},
+       {"why", why},
+       {"renewed_ms_ago", InMilliseconds(last_tick_ - renewal_stored_at_)},
+       {"read_ms_ago",
+        InMilliseconds(last_tick_ - job_follower_.caught_up_at())},
+       {"own_gap_ms", InMilliseconds(OwnGap())}});
   owner_.End();
   election_.OnClaimLost();
   owner_appends_.reset();
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -382,6 +382,7 @@
   auto Poll(TimePoint now, WorkerView& worker) -> void;
   auto PollAll(TimePoint now) -> void;
   auto ReportLag(TimePoint now) -> void;
+  auto CountOrders(const AgentOrders& orders) -> void;
   auto SchedulePoll(WorkerView& worker) -> void;
   auto NextPoll(const WorkerView& worker) const -> TimePoint;
   // Time between two polls of an agent that has not listed its runs yet.
@@ -472,6 +473,7 @@
   // Since the last report.
   Duration longest_lag_{0};
   Duration longest_start_delay_{0};
+  OrderTraffic order_traffic_;
   TimePoint lag_reported_at_;
   TimePoint check_starved_at_;
   TimePoint check_silent_at_;
--- a/Source/Jobs/job_owner_hooks.h
+++ b/Source/Jobs/job_owner_hooks.h
@@ -76,6 +76,16 @@
   std::vector<std::string> names;
 };
 
+// Bytes that the owner has sent to agents.
+struct OrderTraffic {
+  uint64_t bytes = 0;
+  // Of starts, of the jobs' payloads in them, and of starts that were sent
+  // before.
+  uint64_t start_bytes = 0;
+  uint64_t payload_bytes = 0;
+  uint64_t repeated_bytes = 0;
+};
+
 // How much of the log a copy contains: all records that the log had at `as_of`,
 // and all before the offset `read_to`.
 struct LogPosition {
@@ -115,6 +125,8 @@
   // Reports each second the longest time from the decision on a start until its
   // result, among the results since the previous report.
   std::function<auto(Duration)->void> report_start_delay;
+  // Reports each second what was sent to agents since the previous report.
+  std::function<auto(const OrderTraffic&)->void> report_orders;
   // Returns the queue's rules in the newest configuration, or null if it has
   // none.
   std::function<auto(const std::string& queue)->const QueueRules*> rules;
--- a/Source/Jobs/job_owner_options.h
+++ b/Source/Jobs/job_owner_options.h
@@ -28,6 +28,8 @@
   // would use up the processor of a small owner, which is needed to open
   // connections.
   std::chrono::milliseconds min_first_poll_spacing{1};
+  // Bandwidth of this entry's link, in megabits per second; zero if unknown.
+  double link_mbps = 0;
   // An order without a result is resent after this.
   std::chrono::milliseconds repeat_after{400};
   // How often an agent is sent the learned interference of the images on its
--- a/Source/Jobs/owner_election.h
+++ b/Source/Jobs/owner_election.h
@@ -93,6 +93,8 @@
   auto reads_late(TimePoint now) const -> bool {
     return now - read_as_of_ >= options_.max_read_age;
   }
+  // How long reads of the log have shown no renewal of the owner's claim.
+  auto unrenewed_for() const -> Duration { return unrenewed_for_; }
   // Whether the owner has missed a renewal, so that a claim may soon be due.
   auto owner_is_late() const -> bool {
     return unrenewed_for_ > 2 * options_.renew_interval;
--- a/Source/Jobs/owner_polls.cc
+++ b/Source/Jobs/owner_polls.cc
@@ -57,6 +57,17 @@
     lag_reported_at_ = now;
     hooks_.report_lag(std::exchange(longest_lag_, Duration(0)));
     hooks_.report_start_delay(std::exchange(longest_start_delay_, Duration(0)));
+    hooks_.report_orders(std::exchange(order_traffic_, {}));
+  }
+}
+
+auto JobOwner::CountOrders(const AgentOrders& orders) -> void {
+  order_traffic_.bytes += orders.ByteSizeLong();
+  for (const auto& start : orders.starts()) {
+    const uint64_t size = start.ByteSizeLong();
+    order_traffic_.start_bytes += size;
+    order_traffic_.payload_bytes += start.payload().size();
+    order_traffic_.repeated_bytes += start.repeated() ? size : 0;
   }
 }
 
@@ -134,6 +145,7 @@
       AddOrder(order, now, &orders);
     }
   }
+  CountOrders(orders);
   hooks_.send(worker.registration.link_endpoint(), std::move(orders));
 }
 
--- a/Tests/Base/base_test.cc
+++ b/Tests/Base/base_test.cc
@@ -5,11 +5,54 @@
 #include <google/protobuf/util/json_util.h>
 #include <gtest/gtest.h>
 
+#include <optional>
+#include <string>
 #include <thread>
 
 namespace rhubarbhaven {
 namespace {
 
+struct StallCase {
+  std::string name;
+  // When the second iteration begins. The first begins at zero, and the second
+  // is due after 100 ms.
+  std::chrono::milliseconds second_at{0};
+  std::optional<std::chrono::milliseconds> stall;
+};
+
+class StallDetectorTest : public testing::TestWithParam<StallCase> {};
+
+// Guards against a process that stands still and leaves no line that tells it
+// from one whose peers were silent.
+TEST_P(StallDetectorTest, ReportsTimeWithoutProgress) {
+  constexpr std::chrono::milliseconds kUsed{3};
+  const TimePoint start{std::chrono::seconds(10)};
+  StallDetector detector(std::chrono::milliseconds(1000));
+  EXPECT_FALSE(detector.OnIteration(start, std::chrono::milliseconds(5),
+                                    start + std::chrono::milliseconds(100)));
+  const TimePoint second = start + GetParam().second_at;
+  const auto stall = detector.OnIteration(
+      second, std::chrono::milliseconds(5) + kUsed, second);
+  ASSERT_EQ(stall.has_value(), GetParam().stall.has_value());
+  if (stall) {
+    EXPECT_EQ(stall->lasted, *GetParam().stall);
+    EXPECT_EQ(stall->processor_time, kUsed);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    StallDetectorTest,
+    testing::Values(StallCase{"early", std::chrono::milliseconds(20),
+                              std::nullopt},
+                    StallCase{"slightly_late", std::chrono::milliseconds(1099),
+                              std::nullopt},
+                    StallCase{"late", std::chrono::milliseconds(1100),
+                              std::chrono::milliseconds(1000)},
+                    StallCase{"frozen", std::chrono::milliseconds(12100),
+                              std::chrono::milliseconds(12000)}),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against an unbounded queue, in which a consumer that lags exhausts the
 // memory.
 TEST(BoundedRingTest, RejectsItemsBeyondCapacityAndKeepsOrder) {
--- a/Tests/Benchmarks/Jobs/owner_simulation.cc
+++ b/Tests/Benchmarks/Jobs/owner_simulation.cc
@@ -92,6 +92,7 @@
     return queue == kUrgentQueue ? &urgent_rules_ : &rules_;
   };
   hooks.is_evacuated = [](const std::string&) { return false; };
+  hooks.report_orders = [](const OrderTraffic&) {};
   hooks.report_start_delay = [](Duration) {};
   hooks.log_silent = [](const SilentAgents&) {};
   hooks.exclusive_until = [this]() -> TimePoint { return now_; };
--- a/Tests/Daemon/duty_thread_test.cc
+++ b/Tests/Daemon/duty_thread_test.cc
@@ -62,5 +62,30 @@
   EXPECT_EQ(run_before_tick, kQueued);
 }
 
+// Guards against a loop whose stall goes unnoticed: a callback that waits uses
+// no processor time, as a process that is stopped.
+TEST(EventLoopThreadTest, ReportsIterationsThatTakeTooLong) {
+  std::atomic<bool> reported = false;
+  std::atomic<Duration> processor_time = Duration(0);
+  EventLoopThread loop(
+      {.on_tick = [](TimePoint) -> void {},
+       .next_wake = []() -> TimePoint { return TimePoint::max(); },
+       .on_stall = [&](const Stall& stall) -> void {
+         processor_time = stall.processor_time;
+         reported = true;
+       }});
+  loop.Start();
+  loop.PostOrWait([](TimePoint) -> void {
+    std::this_thread::sleep_for(milliseconds(1300));
+  });
+  const TimePoint end = Clock::now() + seconds(5);
+  while (!reported && Clock::now() < end) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  loop.Stop();
+  EXPECT_TRUE(reported);
+  EXPECT_LT(processor_time.load(), milliseconds(500));
+}
+
 }  // namespace
 }  // namespace rhubarbhaven
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -75,6 +75,9 @@
     };
     hooks.log_run_lengths = [](const std::string&, std::size_t) {};
     hooks.report_lag = [this](Duration lag) { lags_.push_back(lag); };
+    hooks.report_orders = [this](const OrderTraffic& traffic) {
+      order_traffic_.push_back(traffic);
+    };
     hooks.report_start_delay = [this](Duration delay) {
       start_delays_.push_back(delay);
     };
@@ -298,6 +301,7 @@
   std::vector<TimePoint> last_owner_bounds_;
   std::vector<Duration> lags_;
   std::vector<Duration> start_delays_;
+  std::vector<OrderTraffic> order_traffic_;
   // Starved jobs that the owner logged, and the number that it last reported.
   std::vector<StarvedJob> logged_starved_jobs_;
   std::size_t starved_jobs_ = 0;
--- a/Tests/Jobs/owner_orders_test.cc
+++ b/Tests/Jobs/owner_orders_test.cc
@@ -86,5 +86,22 @@
             milliseconds(1200));
 }
 
+// Guards against logs from which nobody can tell that an owner fills its own
+// link with starts that it sends again.
+TEST_F(OwnerOrdersTest, ReportsTheBytesOfRepeatedStarts) {
+  LoseStart();
+  PollAfter(milliseconds(1200));
+  PollAfter(milliseconds(1000));
+  OrderTraffic sum;
+  for (const auto& traffic : order_traffic_) {
+    sum.bytes += traffic.bytes;
+    sum.start_bytes += traffic.start_bytes;
+    sum.repeated_bytes += traffic.repeated_bytes;
+  }
+  EXPECT_GT(sum.repeated_bytes, 0U);
+  EXPECT_GT(sum.start_bytes, sum.repeated_bytes);
+  EXPECT_GT(sum.bytes, sum.start_bytes);
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
