Jobs: Bound what an owner has under way to agents

An owner's orders share its link with its renewals and its reads of the log. Each start carried its job's payload, and was sent again every 400 ms until its result came. Once a burst had filled the link for longer than that, repeats doubled and trebled what was sent; renewals came late, another entry claimed and began in the same way.

- An order is repeated only once the agent has acknowledged the message that carried it, or a later one.
- Starts that no agent has acknowledged take at most what the link carries in 200 ms, a quarter of it to one agent.
Those that wait go out in the order of their decisions; placement is held while they would fill a window.
Polls and stops are not counted: where agents answer slowly, polls alone would fill the window.
Withdrawn starts do not wait.
An agent is unresponsive when it has acknowledged nothing for 1 s; one that is merely slow still gets starts.
- A job's payload is sent once to each process of an agent.

The simulated cluster plays entries whose orders, appends and reads share a link with a rate, gives jobs payloads that are long enough to be left out, and reports a run that starts with another payload than its job's.

--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -23,7 +23,8 @@
       held_places_([this](WorkerView& worker) -> void {
         changes_.Record(worker);
         placement_due_ = true;
-      }) {}
+      }),
+      window_(OrderWindowFor(options.link_mbps)) {}
 
 JobOwner::~JobOwner() = default;
 
@@ -73,6 +74,11 @@
   jobs_.clear();
   dirty_jobs_.clear();
   changes_.Clear();
+  window_.Clear();
+  waiting_for_room_.clear();
+  unsent_start_bytes_ = 0;
+  window_changed_ = false;
+  placement_held_ = false;
   unconfirmed_.clear();
   numbered_.clear();
   polls_ = {};
@@ -199,6 +205,7 @@
   OnCrashedRuns(worker, report);
   UpdateWorker(now, worker, report);
   NoteFollowed(now, worker, report);
+  NoteReceived(now, worker, report);
   const bool reconciling = !worker.confirmed && !reconciliation_done_;
   if (report.complete() && !worker.confirmed) {
     AdoptListing(now, worker, report);
@@ -274,14 +281,17 @@
     pressures_due_ = !interference_.Learned().pressures().empty();
   }
   StoreRunLengthsIfDue(now);
+  UseWindow(now);
   PollAll(now);
+  ResumePlacement();
 }
 
 auto JobOwner::next_wake() const -> TimePoint {
   if (!active()) {
     return TimePoint::max();
   }
-  if (placement_due_) {
+  const bool may_send = window_changed_ && !waiting_for_room_.empty();
+  if (placement_due_ || may_send) {
     return TimePoint();
   }
   const TimePoint wake = std::min({occurrence_due_at_, retry_at_,
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -17,6 +17,7 @@
 #include "Jobs/job_owner_hooks.h"
 #include "Jobs/job_owner_options.h"
 #include "Jobs/job_work.h"
+#include "Jobs/order_window.h"
 #include "Jobs/owner_election.h"
 #include "Jobs/place_choice.h"
 #include "Jobs/placement_order.h"
@@ -377,6 +378,49 @@
   auto CheckWorker(const WorkerView& worker,
                    std::vector<std::string>* problems) const -> void;
 
+  // Orders in messages.
+
+  // Adds the orders that are due, as far as the window has room for starts.
+  auto AddOrders(TimePoint now,
+                 WorkerView& worker,
+                 bool grants,
+                 AgentOrders* orders) -> void;
+  auto AddStart(TimePoint now,
+                WorkerView& worker,
+                PendingOrder& order,
+                AgentOrders* orders) -> void;
+  // Whether the order is due to be sent, for the first time or again.
+  auto MaySend(TimePoint now,
+               const WorkerView& worker,
+               const PendingOrder& order) const -> bool;
+  // Whether the agent has been sent the payload of the start's job, or does not
+  // need it.
+  auto MayOmitPayload(const WorkerView& worker, const PendingOrder& order) const
+      -> bool;
+  auto BytesOf(const WorkerView& worker, const PendingOrder& order) const
+      -> std::size_t;
+  // Records which messages the agent has received.
+  auto NoteReceived(TimePoint now,
+                    WorkerView& worker,
+                    const AgentReport& report) -> void;
+  // Sends starts again whose payloads the agent lacks.
+  auto ResendPayloads(WorkerView& worker, const AgentReport& report) -> void;
+  // Polls agents whose starts fit into the window now.
+  auto UseWindow(TimePoint now) -> void;
+  // Whether the start may be sent now. Otherwise, its agent is polled as soon
+  // as it may be.
+  auto HasRoom(TimePoint now,
+               WorkerView& worker,
+               uint64_t number,
+               std::size_t unsent,
+               std::size_t bytes) -> bool;
+  // Updates `unsent_start_bytes_`.
+  auto CountUnsent(TimePoint now, WorkerView& worker) -> void;
+  // Bytes of further starts that may be decided now.
+  auto StartBytesLeft() const -> std::size_t;
+  // Lets placement go on if few starts wait for the window.
+  auto ResumePlacement() -> void;
+
   // Messages.
   auto PollSoon(WorkerView& worker) -> void;
   auto Poll(TimePoint now, WorkerView& worker) -> void;
@@ -486,8 +530,21 @@
   // Whether a state of overload was reported that has not been reset.
   bool overload_reported_ = false;
   bool placement_due_ = false;
-  // Starts left in the current placement round.
+  // Starts, and bytes of starts, left in the current placement round.
   int starts_left_ = 0;
+  std::size_t start_bytes_left_ = 0;
+  OrderWindow window_;
+  // Workers with starts that the window had no room for, by the number of the
+  // first such order. Those that only wait until their own agent has received
+  // earlier ones are not included.
+  std::map<uint64_t, WorkerView*> waiting_for_room_;
+  // Starts that wait for the window, without those to unresponsive agents; as
+  // of the latest message to each agent.
+  std::size_t unsent_start_bytes_ = 0;
+  // Something has arrived since the window was last used.
+  bool window_changed_ = false;
+  // Placement waits until the window has room.
+  bool placement_held_ = false;
   bool batch_pending_ = false;
   // Agents whose workers have ends to be recorded in the log, and the ends in
   // the batch being stored.
--- a/Source/Jobs/job_owner_options.h
+++ b/Source/Jobs/job_owner_options.h
@@ -30,7 +30,11 @@
   std::chrono::milliseconds min_first_poll_spacing{1};
   // Bandwidth of this entry's link, in megabits per second; zero if unknown.
   double link_mbps = 0;
-  // An order without a result is resent after this.
+  // An order without a result is resent after this, once the agent has received
+  // the message that contained it or a later one: until then the first copy is
+  // probably still queued, and another one would only lengthen the queue. A
+  // repeat also confirms that the order stands, see
+  // `TaskAgentOptions::max_unconfirmed`.
   std::chrono::milliseconds repeat_after{400};
   // How often an agent is sent the learned interference of the images on its
   // worker.
--- a/Source/Jobs/job_work.h
+++ b/Source/Jobs/job_work.h
@@ -144,6 +144,13 @@
 
 // State of an unfinished job that the owner keeps beyond the log.
 struct JobWork {
+  // The process of an agent that was sent the job's payload, and `built_at_us`
+  // of the message that contained it.
+  struct SentPayload {
+    uint64_t agent_incarnation = 0;
+    uint64_t sent_in_us = 0;
+  };
+
   const StoredJob* entry = nullptr;
   // Rules of the job's queue in the newest configuration.
   QueueRules rules;
@@ -156,6 +163,8 @@
   // To be written to a record, since it has changed.
   bool dirty = false;
   JobStarvation starved;
+  // By the numbers of the owner's workers.
+  absl::flat_hash_map<uint64_t, SentPayload> payloads_sent;
 
   auto total_occurrences() const -> uint32_t;
   auto job() const -> const Job& { return entry->job; }
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -84,6 +84,8 @@
     worker.followed_agent_incarnations.insert(
         std::exchange(worker.agent_incarnation, report.incarnation()));
     worker.reported_us = 0;
+    worker.received_us = 0;
+    window_.Forget(worker.number);
     // The previous process may have recorded that it stops. If this one were
     // granted to before the log names it, a new owner would rely on that record
     // and start elsewhere what runs here.
--- a/Source/Jobs/owner_index_check.cc
+++ b/Source/Jobs/owner_index_check.cc
@@ -68,8 +68,24 @@
       }
     }
   }
+  std::size_t unsent = 0;
   for (const auto& [name, worker] : workers_) {
     CheckWorker(*worker, &problems);
+    unsent += worker->unsent_start_bytes;
+  }
+  if (unsent != unsent_start_bytes_) {
+    problems.push_back(absl::StrCat(
+        unsent_start_bytes_, " bytes of starts count as unsent, not ", unsent));
+  }
+  for (const auto& [number, worker] : waiting_for_room_) {
+    const auto found = std::find_if(workers_.begin(), workers_.end(),
+                                    [view = worker](const auto& item) -> bool {
+                                      return item.second.get() == view;
+                                    });
+    if (found == workers_.end() || worker->waits_for_room != number) {
+      problems.push_back(
+          absl::StrCat("order ", number, " waits for the window by mistake"));
+    }
   }
   return problems;
 }
--- a/Source/Jobs/owner_members.cc
+++ b/Source/Jobs/owner_members.cc
@@ -90,6 +90,9 @@
   numbered_.erase(worker.number);
   unconfirmed_.erase(worker.agent);
   changes_.Forget(worker);
+  window_.Forget(worker.number);
+  waiting_for_room_.erase(worker.waits_for_room);
+  unsent_start_bytes_ -= worker.unsent_start_bytes;
   polls_.Cancel(worker.number);
   leases_.Cancel(worker.number);
   quarantines_.Cancel(worker.number);
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -32,6 +32,11 @@
   UpdateOrder();
   CheckOverload(now);
   starts_left_ = kMaxStartsPerRound;
+  start_bytes_left_ = StartBytesLeft();
+  placement_held_ = start_bytes_left_ == 0;
+  if (placement_held_) {
+    return;
+  }
   for (const auto& step : order_.steps()) {
     if (step.spec->gang()) {
       PlaceGang(now, step);
@@ -39,7 +44,8 @@
       PlaceStep(now, step);
     }
     if (starts_left_ <= 0) {
-      placement_due_ = true;
+      placement_held_ = start_bytes_left_ == 0;
+      placement_due_ = !placement_held_;
       return;
     }
   }
@@ -183,10 +189,17 @@
   *order.mutable_task() = place.Name();
   order.set_run(run);
   order.set_payload(place.work->job().payload());
+  order.set_payload_hash(StableHash(order.payload()));
   order.set_checkpoint(task.checkpoint);
   order.set_worker_id(worker.worker_id);
   order.set_ticket(ticket);
   worker.orders[number] = {std::move(order), std::nullopt, now, false, now};
+  start_bytes_left_ -=
+      std::min(start_bytes_left_, BytesOf(worker, worker.orders[number]));
+  if (start_bytes_left_ == 0) {
+    // What is decided later rests on newer knowledge.
+    starts_left_ = 0;
+  }
   if (place.spec().target_latency_ms() > 0 ||
       place.spec().uses_spare_processors()) {
     ++worker.pacing_version;
--- a/Source/Jobs/owner_polls.cc
+++ b/Source/Jobs/owner_polls.cc
@@ -24,21 +24,6 @@
           .count());
 }
 
-// Adds an order to the message, for the first time or again.
-auto AddOrder(PendingOrder& order, TimePoint now, AgentOrders* orders) -> void {
-  if (order.start) {
-    auto* start = orders->add_starts();
-    *start = *order.start;
-    start->set_repeated(order.sent);
-    start->set_withdrawn(order.withdrawn);
-    start->set_decided_before_ms(MillisecondsOf(now - order.decided_at));
-  } else {
-    *orders->add_stops() = *order.stop;
-  }
-  order.sent = true;
-  order.sent_at = now;
-}
-
 }  // namespace
 
 auto JobOwner::PollAll(TimePoint now) -> void {
@@ -136,15 +121,8 @@
     worker.pressures_sent_at = now;
     AddPressures(worker, &orders);
   }
-  for (auto& [number, order] : worker.orders) {
-    // An agent without a lease would reject a start, and end its run if the
-    // agent's previous process has already started it.
-    const bool allowed = grants || !order.start;
-    if (allowed &&
-        (!order.sent || now - order.sent_at >= options_.repeat_after)) {
-      AddOrder(order, now, &orders);
-    }
-  }
+  AddOrders(now, worker, grants, &orders);
+  worker.sent_us = orders.built_at_us();
   CountOrders(orders);
   hooks_.send(worker.registration.link_endpoint(), std::move(orders));
 }
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -33,7 +33,8 @@
       hooks_(std::move(hooks)),
       start_check_([this](const ReadCall& call, const auto& done) -> void {
         hooks_.read_log(call, done);
-      }) {}
+      }),
+      payloads_(options.max_payload_bytes) {}
 
 auto TaskAgent::OnOrders(TimePoint now,
                          const std::string& peer,
@@ -442,13 +443,21 @@
       }
     }
   }
+  report.set_keeps_payloads(true);
+  std::set<std::string> missing;
   for (const auto& [number, order] : orders_) {
     if (order->state == OrderState::kFinished) {
       auto* result = report.add_results();
       result->set_order(number);
       result->set_outcome(order->outcome);
     }
+    const bool waits = order->state == OrderState::kWaiting &&
+                       !order->is_stop && !order->revoked;
+    if (waits && PayloadOf(*order) == nullptr) {
+      missing.insert(order->task.job());
+    }
   }
+  report.mutable_missing_payloads()->Assign(missing.begin(), missing.end());
   hooks_.report(owner_peer_, std::move(report));
 }
 
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -15,6 +15,7 @@
 #include "Jobs/agent_recovery.h"
 #include "Jobs/opportunistic_pacing.h"
 #include "Jobs/order_basis.h"
+#include "Jobs/payload_cache.h"
 #include "Jobs/recent_gap.h"
 #include "Jobs/run_tracker.h"
 #include "Jobs/start_check.h"
@@ -51,6 +52,8 @@
   // How long runs ended by a crash of the worker are reported if no owner
   // stores them. It is longer than a takeover while the log is unavailable.
   std::chrono::milliseconds crash_report_period{30000};
+  // Payloads that are kept for later starts.
+  std::size_t max_payload_bytes = 4UL << 20;
 };
 
 // How old a start was when it was carried out or rejected. All but the last are
@@ -200,6 +203,9 @@
       -> void;
   auto OnStopped(TimePoint now, const OrderPtr& order, WorkerCallResult result)
       -> void;
+  // The payload that the start is for; null if the owner has left it out and
+  // this process does not have it.
+  auto PayloadOf(const Order& order) -> const std::string*;
   // Why the start must not be carried out, whatever it rests on; empty if it
   // may.
   auto FindRejection(const Order& order, TimePoint now) const -> std::string;
@@ -296,6 +302,7 @@
   RecentGap grants_{kGapMemory};
   RecentGap listings_{kGapMemory};
   RunTracker run_watch_;
+  PayloadCache payloads_;
   // Runs ended by crashes of the worker, oldest first.
   struct ReportedCrash {
     TimePoint until;
--- a/Source/Jobs/task_agent_orders.cc
+++ b/Source/Jobs/task_agent_orders.cc
@@ -11,6 +11,9 @@
 constexpr std::chrono::milliseconds kCallRetryPause{30};
 // Interval at which a start whose check is pending is looked at.
 constexpr std::chrono::milliseconds kCheckInterval{20};
+// Interval at which a start whose payload is missing is looked at. The owner is
+// asked for the payload with each report.
+constexpr std::chrono::milliseconds kPayloadInterval{100};
 
 auto SameTask(const TaskName& left, const TaskName& right) -> bool {
   return left.index() == right.index() && left.step() == right.step() &&
@@ -112,10 +115,18 @@
   if (start.order() <= results_seen_) {
     return;
   }
+  if (!start.payload_omitted() && !start.payload().empty()) {
+    payloads_.Put(start.task().job(), start.payload_hash(), start.payload());
+  }
   const auto known = orders_.find(start.order());
   if (known != orders_.end()) {
     Order& order = *known->second;
     order.withdrawn = order.withdrawn || start.withdrawn();
+    if (!start.payload_omitted() && order.start.payload_omitted()) {
+      order.start.set_payload(start.payload());
+      order.start.set_payload_omitted(false);
+      order.not_before = now;
+    }
     const bool newer = basis && (!order.basis || order.basis->confirmed_at <
                                                      basis->confirmed_at);
     if (newer && !order.withdrawn) {
@@ -200,12 +211,22 @@
     RejectStart(now, order, ORDER_REFUSED);
     return;
   }
+  if (PayloadOf(*order) == nullptr) {
+    order->not_before = now + kPayloadInterval;
+    return;
+  }
   const auto valid_until = FindValidity(now, order);
   if (valid_until) {
     CallStart(now, order, *valid_until);
   }
 }
 
+auto TaskAgent::PayloadOf(const Order& order) -> const std::string* {
+  return order.start.payload_omitted()
+             ? payloads_.Find(order.task.job(), order.start.payload_hash())
+             : &order.start.payload();
+}
+
 auto TaskAgent::FindRejection(const Order& order, TimePoint now) const
     -> std::string {
   if (heartbeat_.draining) {
@@ -289,7 +310,7 @@
   call.task = order->task;
   call.run = order->run;
   call.fence = fence_;
-  call.payload = order->start.payload();
+  call.payload = *PayloadOf(*order);
   call.checkpoint = order->start.checkpoint();
   call.ticket = order->start.ticket();
   call.deadline = std::min(WorkerDeadline(), ToWorkerTime(valid_until));
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -39,6 +39,8 @@
   TimePoint decided_at;
   // A start whose run was ordered to stop.
   bool withdrawn = false;
+  // `built_at_us` of the message that contained it last; zero if none did.
+  uint64_t sent_in_us = 0;
 };
 
 // Whether the order is to start this run of the task.
@@ -132,6 +134,17 @@
 
   std::map<uint64_t, PendingOrder> orders;
   uint64_t results_seen = 0;
+  // `built_at_us` of the newest message, and of the newest one that the agent's
+  // process has received.
+  uint64_t sent_us = 0;
+  uint64_t received_us = 0;
+  // The agent keeps the payloads of jobs; see StartOrder.
+  bool keeps_payloads = false;
+  // Number of the first start that was not sent because the window of orders
+  // was full; zero if there is none.
+  uint64_t waits_for_room = 0;
+  // Bytes of such starts, as of the latest message.
+  std::size_t unsent_start_bytes = 0;
   TimePoint polled_at;
   // When it is polled next, unless it is due at once.
   TimePoint poll_at;
--- a/Tests/Jobs/simulated_cluster.cc
+++ b/Tests/Jobs/simulated_cluster.cc
@@ -46,6 +46,9 @@
 // Maximum time that an agent takes to record that it was told to stop.
 constexpr std::chrono::milliseconds kMaxStopTime{1000};
 constexpr std::chrono::milliseconds kStopCheckInterval{5};
+constexpr double kBytesPerMegabit = 125000;
+// How long a client waits for an answer to a read, beyond the requested wait.
+constexpr std::chrono::milliseconds kReadSlack{1200};
 
 auto Configuration(const std::vector<std::string>& services)
     -> QueueConfiguration {
@@ -65,6 +68,14 @@
   return configuration;
 }
 
+auto BytesOf(const std::vector<KeyedRecord>& records) -> std::size_t {
+  std::size_t bytes = 0;
+  for (const auto& record : records) {
+    bytes += record.key.size() + record.value.size();
+  }
+  return bytes;
+}
+
 }  // namespace
 
 SimulatedCluster::SimulatedCluster(SimulatedClusterOptions options)
@@ -113,7 +124,7 @@
     -> std::string {
   std::string id = absl::StrFormat("%016x", ++next_job_);
   Job job;
-  job.set_payload(id);
+  job.set_payload(MakePayload(id));
   for (uint32_t number = 0; number < steps.size(); ++number) {
     auto* step = job.add_steps();
     step->set_count(steps[number]);
@@ -148,7 +159,7 @@
 auto SimulatedCluster::SubmitStep(const JobStep& step) -> std::string {
   std::string id = absl::StrFormat("%016x", ++next_job_);
   Job job;
-  job.set_payload(id);
+  job.set_payload(MakePayload(id));
   *job.add_steps() = step;
   job.mutable_steps(0)->mutable_need()->set_millicores(kTaskMillicores);
   submitted_[id].job = job;
@@ -401,7 +412,8 @@
   Process* process = entries_.at(number).get();
   process->up = true;
   EntryHooks hooks;
-  hooks.log = log_.PortFor(process->name, [] { return true; });
+  hooks.log =
+      OverLink(process, log_.PortFor(process->name, [] { return true; }));
   // Answers are delivered to the generation of the process that asked, and wait
   // while it is frozen.
   const auto port = hooks.log;
@@ -456,8 +468,12 @@
                ? std::optional<std::string>(domain)
                : std::nullopt;
   };
-  process->entry = std::make_unique<EntryDecisions>(
-      EntryOptions{process->name, process->generation}, hooks, &metrics_);
+  EntryOptions entry;
+  entry.name = process->name;
+  entry.incarnation = process->generation;
+  entry.limits.link_mbps =
+      static_cast<double>(options_.link_bytes_per_second) / kBytesPerMegabit;
+  process->entry = std::make_unique<EntryDecisions>(entry, hooks, &metrics_);
   Deliver(process,
           [this, process]() -> void { process->entry->Start(time_.now()); });
 }
@@ -587,6 +603,7 @@
   process->frozen_until = TimePoint();
   process->slow_until = TimePoint();
   process->busy_until = TimePoint();
+  process->link_free_at = TimePoint();
   process->inbox.clear();
   process->wake_at = TimePoint::max();
   process->entry.reset();
@@ -677,14 +694,17 @@
   if (IsCut(entry, number)) {
     return;
   }
-  time_.At(DeliveryTime(entry, number), [this, entry, number, orders]() {
+  const TimePoint sent_at =
+      Transfer(entries_.at(entry).get(), orders.ByteSizeLong());
+  const auto deliver = [this, entry, number, orders]() {
     Process* process = agents_.at(number).get();
     if (process->up && !IsCut(entry, number)) {
       Deliver(process, [this, process, entry, orders]() -> void {
         process->agent->OnOrders(time_.now(), absl::StrCat(entry), orders);
       });
     }
-  });
+  };
+  time_.At(DeliveryTime(entry, number, sent_at), deliver);
 }
 
 auto SimulatedCluster::SendReport(int agent,
@@ -704,8 +724,9 @@
   });
 }
 
-auto SimulatedCluster::DeliveryTime(int entry, int agent) -> TimePoint {
-  const TimePoint undelayed = time_.now() + time_.Milliseconds(1, 3);
+auto SimulatedCluster::DeliveryTime(int entry, int agent, TimePoint sent_at)
+    -> TimePoint {
+  const TimePoint undelayed = sent_at + time_.Milliseconds(1, 3);
   const auto found = order_delays_.find({entry, agent});
   if (found == order_delays_.end()) {
     return undelayed;
@@ -717,6 +738,78 @@
   return link.last_delivery;
 }
 
+auto SimulatedCluster::Transfer(Process* process, std::size_t bytes)
+    -> TimePoint {
+  if (options_.link_bytes_per_second == 0) {
+    return time_.now();
+  }
+  const std::chrono::duration<double> time(
+      static_cast<double>(bytes) /
+      static_cast<double>(options_.link_bytes_per_second));
+  process->link_free_at = std::max(process->link_free_at, time_.now()) +
+                          std::chrono::duration_cast<Duration>(time);
+  return process->link_free_at;
+}
+
+auto SimulatedCluster::OverLink(Process* process, const KeyedLogPort& port)
+    -> KeyedLogPort {
+  if (options_.link_bytes_per_second == 0) {
+    return port;
+  }
+  KeyedLogPort limited = port;
+  limited.append = [this, process, port](const AppendCall& call,
+                                         const KeyedLogPort::OnAppend& done) {
+    const TimePoint sent_at = Transfer(process, BytesOf(call.records));
+    const TimePoint deadline = time_.now() + call.timeout;
+    if (sent_at < deadline) {
+      AppendCall sent = call;
+      sent.timeout =
+          std::chrono::ceil<std::chrono::milliseconds>(deadline - sent_at);
+      time_.At(sent_at, [port, sent, done] { port.append(sent, done); });
+      return;
+    }
+    time_.At(sent_at, [port, call] {
+      port.append(call, [](TimePoint, const AppendResult&) {});
+    });
+    time_.At(deadline, [this, done] {
+      done(time_.now(), {AppendOutcome::kUnknown, 0});
+    });
+  };
+  limited.read = [this, process, port](const ReadCall& call,
+                                       const KeyedLogPort::OnRead& done) {
+    const TimePoint deadline = time_.now() + call.wait + kReadSlack;
+    port.read(call, [this, process, deadline, done](TimePoint,
+                                                    const ReadResult& result) {
+      const TimePoint received_at = Transfer(process, BytesOf(result.records));
+      if (received_at <= deadline) {
+        time_.At(received_at,
+                 [this, done, result] { done(time_.now(), result); });
+        return;
+      }
+      time_.At(deadline, [this, done] {
+        done(time_.now(), {ReadOutcome::kFailed, {}, 0, "timeout", true});
+      });
+    });
+  };
+  limited.newest = [this, process, port](const NewestCall& call,
+                                         const KeyedLogPort::OnNewest& done) {
+    const TimePoint deadline = time_.now() + call.timeout;
+    port.newest(call, [this, process, deadline, done](
+                          TimePoint, const NewestResult& result) {
+      const TimePoint received_at = Transfer(process, BytesOf(result.records));
+      if (received_at <= deadline) {
+        time_.At(received_at,
+                 [this, done, result] { done(time_.now(), result); });
+        return;
+      }
+      time_.At(deadline, [this, done] {
+        done(time_.now(), {false, {}, false, 0, "timeout", true});
+      });
+    });
+  };
+  return limited;
+}
+
 auto SimulatedCluster::IsCut(int entry, int agent) const -> bool {
   const auto found = cuts_.find({entry, agent});
   return found != cuts_.end() && time_.now() < found->second;
@@ -809,6 +902,10 @@
                              uint64_t run) -> void {
     OnStart(worker, task, run);
   };
+  observer.on_payload = [this](const TaskName& task,
+                               const std::string& payload) -> void {
+    CheckPayload(task, payload);
+  };
   observer.on_end = [this](const TaskName& task, RunEnd end,
                            bool recorded) -> void {
     OnEnd(task, end, recorded);
@@ -895,6 +992,22 @@
   }
 }
 
+auto SimulatedCluster::MakePayload(const std::string& job) const
+    -> std::string {
+  std::string payload = job;
+  payload.resize(std::max(payload.size(), options_.payload_bytes), '.');
+  return payload;
+}
+
+auto SimulatedCluster::CheckPayload(const TaskName& task,
+                                    const std::string& payload) -> void {
+  if (payload != MakePayload(task.job())) {
+    ReportProblem(absl::StrCat(DescribeTask(task),
+                               " starts with the payload of '",
+                               payload.substr(0, task.job().size()), "'"));
+  }
+}
+
 auto SimulatedCluster::OnCrash(const TaskName& task) -> void {
   Trace(absl::StrCat("CRASH under ", DescribeTask(task)));
   ++crashes_[DescribeTask(task)];
@@ -917,6 +1030,7 @@
   const std::string name = DescribeTask(task);
   Trace(absl::StrCat("FORGOTTEN ", name, " ", RunEnd_Name(end),
                      recorded ? " recorded" : " lapsed"));
+  lapsed_runs_ += end == RUN_LEASE_LAPSED ? 1 : 0;
   if (!recorded || IsLongRunning(task)) {
     // The lease of the worker expired before the end was recorded, so the task
     // may have been started again in the meantime.
--- a/Tests/Jobs/simulated_cluster.h
+++ b/Tests/Jobs/simulated_cluster.h
@@ -41,6 +41,12 @@
   bool allow_reconciliation = true;
   // Time from a crash under a task until the worker is restarted.
   std::chrono::milliseconds restart_delay{3300};
+  // Size of the payload of each job.
+  std::size_t payload_bytes = 300;
+  // Bandwidth of the link of each entry, which its orders, its appends and what
+  // it reads from the log share; zero for no limit. It is no fault: it excuses
+  // nothing.
+  std::size_t link_bytes_per_second = 0;
   // Called when a worker starts a run of a task.
   std::function<auto(const TaskName&)->void> on_start = [](const TaskName&) {};
 };
@@ -166,6 +172,8 @@
   // Number of runs of long-running tasks beyond the first one of each.
   auto long_running_restarts() const -> int { return long_running_restarts_; }
   auto starts() const -> int { return starts_; }
+  // Number of runs whose end by a lapsed lease was reported.
+  auto lapsed_runs() const -> int { return lapsed_runs_; }
   // Number of workers that have crashed under the crashing task of this job.
   auto crashes(const std::string& job) const -> int;
   auto problems() const -> const std::vector<std::string>& { return problems_; }
@@ -185,6 +193,8 @@
     // The process is at work on an event until then.
     TimePoint busy_until;
     TimePoint wake_at = TimePoint::max();
+    // What was sent over its link has passed it by then.
+    TimePoint link_free_at;
     std::unique_ptr<EntryDecisions> entry;
     std::unique_ptr<TaskAgent> agent;
     std::unique_ptr<AgentRegistration> registration;
@@ -229,8 +239,14 @@
   auto SendReport(int agent, const std::string& peer, const AgentReport& report)
       -> void;
   auto IsCut(int entry, int agent) const -> bool;
-  // When orders that are sent now will be delivered.
-  auto DeliveryTime(int entry, int agent) -> TimePoint;
+  // When orders that leave the entry's link at `sent_at` will be delivered.
+  auto DeliveryTime(int entry, int agent, TimePoint sent_at) -> TimePoint;
+  // The port with the calls' bytes queued on the entry's link.
+  auto OverLink(Process* process, const KeyedLogPort& port) -> KeyedLogPort;
+  // Queues these bytes on the entry's link. Returns when they have passed it.
+  auto Transfer(Process* process, std::size_t bytes) -> TimePoint;
+  auto MakePayload(const std::string& job) const -> std::string;
+  auto CheckPayload(const TaskName& task, const std::string& payload) -> void;
   auto SendHeartbeat(int number) -> void;
   // Whether the process is frozen and therefore, like its daemon, does not
   // register; only with `paced_registration`.
@@ -314,6 +330,7 @@
   // When there was last no owner whose reconciliation was in progress.
   TimePoint no_reconciliation_at_;
   int starts_ = 0;
+  int lapsed_runs_ = 0;
   int next_job_ = 0;
   std::vector<std::string> problems_;
 };
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -1315,5 +1315,62 @@
                                      milliseconds(300)}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against a task that runs with an empty payload, since the owner has
+// left it out and the agent does not have it.
+TEST_F(TaskAgentTest, StartWaitsForAPayloadThatWasLeftOut) {
+  SendHeartbeat(kWorkerId);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  AnswerList();
+  auto orders = WithStart(Orders(1), /*repeated=*/false);
+  auto* start = orders.mutable_starts(0);
+  start->set_payload_hash(7);
+  start->set_payload_omitted(true);
+  agent_.OnOrders(now_, "owner", orders);
+  EXPECT_TRUE(starts_.empty());
+  ASSERT_EQ(reports_.back().missing_payloads_size(), 1);
+  EXPECT_EQ(reports_.back().missing_payloads(0), "job");
+  EXPECT_TRUE(reports_.back().keeps_payloads());
+  start->set_payload_omitted(false);
+  start->set_payload("text");
+  start->set_repeated(true);
+  now_ += milliseconds(10);
+  agent_.OnOrders(now_, "owner", orders);
+  ASSERT_EQ(starts_.size(), 1U);
+  EXPECT_EQ(starts_.back().payload, "text");
+  EXPECT_EQ(reports_.back().missing_payloads_size(), 0);
+}
+
+TEST_F(TaskAgentTest, StartUsesThePayloadOfAnEarlierOne) {
+  SendHeartbeat(kWorkerId);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  AnswerList();
+  auto orders = WithStart(Orders(1), /*repeated=*/false);
+  orders.mutable_starts(0)->set_payload_hash(7);
+  orders.mutable_starts(0)->set_payload("text");
+  auto* second = orders.add_starts();
+  *second = orders.starts(0);
+  second->set_order(2);
+  second->set_run(11);
+  second->mutable_task()->set_index(1);
+  second->clear_payload();
+  second->set_payload_omitted(true);
+  agent_.OnOrders(now_, "owner", orders);
+  ASSERT_EQ(starts_.size(), 2U);
+  EXPECT_EQ(starts_[1].payload, "text");
+}
+
+// Guards against a start that waits for its payload after its stop was ordered.
+TEST_F(TaskAgentTest, WithdrawnStartWaitsForNoPayload) {
+  SendHeartbeat(kWorkerId);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  AnswerList();
+  auto orders = WithStart(Orders(1), /*repeated=*/false);
+  orders.mutable_starts(0)->set_payload_omitted(true);
+  orders.mutable_starts(0)->set_withdrawn(true);
+  agent_.OnOrders(now_, "owner", orders);
+  EXPECT_TRUE(starts_.empty());
+  EXPECT_EQ(Result(), ORDER_REFUSED);
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
--- a/Tests/Jobs/virtual_worker.cc
+++ b/Tests/Jobs/virtual_worker.cc
@@ -217,6 +217,7 @@
   const auto work = observer_.work(call.task);
   runs_[task] = {call.task, call.run, false, number, time_->now(), work};
   observer_.on_start(name_, call.task, call.run);
+  observer_.on_payload(call.task, call.payload);
   if (const auto after = observer_.crashes_after(call.task)) {
     CrashLater(task, number, *after);
   }
--- a/Tests/Jobs/virtual_worker.h
+++ b/Tests/Jobs/virtual_worker.h
@@ -20,6 +20,9 @@
   std::function<
       auto(const std::string& worker, const TaskName&, uint64_t run)->void>
       on_start;
+  // Called with the payload of each run that is started.
+  std::function<auto(const TaskName&, const std::string& payload)->void>
+      on_payload = [](const TaskName&, const std::string&) {};
   // `recorded` if the lease held until the end was acknowledged and may be
   // forgotten.
   std::function<auto(const TaskName&, RunEnd, bool recorded)->void> on_end;
