Jobs: Read no more at once than the link carries in 200 ms

An entry asked the log for up to 1 MiB in one read. After a burst of jobs, the answer filled a thin link for a second or more before the owner's renewals, timed out, and was asked for again. The limit was halved after each timeout, by which time another entry had claimed. An entry that knows the bandwidth of its link now begins with what the link carries in 200 ms.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -42,9 +42,14 @@
   return owner;
 }
 
-auto FollowerOptions(LogTopic topic) -> KeyedLogFollowerOptions {
+auto FollowerOptions(LogTopic topic, const EntryLimits& limits)
+    -> KeyedLogFollowerOptions {
   KeyedLogFollowerOptions options;
   options.topic = topic;
+  if (limits.link_mbps > 0) {
+    const std::size_t bytes = OrderWindowFor(limits.link_mbps).total_bytes;
+    options.max_bytes = std::clamp(bytes, options.min_bytes, options.max_bytes);
+  }
   return options;
 }
 
@@ -61,10 +66,10 @@
       agent_stops_(OwnerOptions(options_).clock_drift),
       election_(ElectionOptions(options_)),
       owner_(OwnerOptions(options_), MakeOwnerHooks()),
-      job_follower_(FollowerOptions(LogTopic::kJobs),
+      job_follower_(FollowerOptions(LogTopic::kJobs, options_.limits),
                     hooks_.log,
                     FollowerHooksFor(LogTopic::kJobs)),
-      operator_follower_(FollowerOptions(LogTopic::kOperators),
+      operator_follower_(FollowerOptions(LogTopic::kOperators, options_.limits),
                          hooks_.log,
                          FollowerHooksFor(LogTopic::kOperators)),
       job_barrier_({LogTopic::kJobs, hooks_.log.newest,
--- a/Tests/Jobs/thin_link_test.cc
+++ b/Tests/Jobs/thin_link_test.cc
@@ -60,7 +60,10 @@
                     ThinLinkCase{"long_jobs_2", 2, 20, 20, 80},
                     ThinLinkCase{"long_jobs_3", 3, 20, 20, 80},
                     ThinLinkCase{"more_agents_2", 2, 24, 20, 80},
-                    ThinLinkCase{"more_agents_5", 5, 24, 20, 80}),
+                    ThinLinkCase{"more_agents_5", 5, 24, 20, 80},
+                    ThinLinkCase{"many_jobs_1", 1, 16, 60, 16},
+                    ThinLinkCase{"many_jobs_2", 2, 16, 60, 16},
+                    ThinLinkCase{"many_jobs_3", 3, 16, 60, 16}),
     [](const auto& info) { return info.param.name; });
 
 }  // namespace
