Jobs: Forget messages that were received, and send one for several starts

Cause: found by reading the window of orders. What the window remembers of a message was only dropped when a start asked for room: an owner without starts remembered each poll, some 18 MB an hour with 62 agents, and the next start had to go through all of it. Starts of several agents in turn went out in a message each. Two messages to an agent at one moment had the same time, so that the acknowledgement of the first counted for both. A renewal was sent after the starts of its tick. With a wide link, the part of one agent could fill that agent's own link for seconds.

Change: the window forgets with each message; starts for one agent go together; times of messages to an agent increase; due renewals are sent before the starts; an agent's part is 64 KiB at most.

Measured: PollsWithoutStartsAreForgotten and MessagesOfOneMomentAreToldApart are new; jobs_thin_link_test, jobs_order_window_test and jobs_owner_agents_test pass.

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -129,6 +129,9 @@
     Resign("the claim was not verified in time or was lost");
   }
   ClaimIfDue(now);
+  // A renewal goes out before the starts of this tick, which may keep the link
+  // busy for the time of a window.
+  SendAppends(now);
   owner_.Tick(now);
   job_barrier_.Tick(now);
   operator_barrier_.Tick(now);
--- a/Source/Jobs/order_window.cc
+++ b/Source/Jobs/order_window.cc
@@ -11,6 +11,9 @@
 constexpr std::size_t kMinWindowBytes = 16UL * 1024;
 // Agents that use the whole window together.
 constexpr std::size_t kAgentsPerWindow = 4;
+// An agent's own link may be much thinner than the owner's, and carries its
+// leases too.
+constexpr std::size_t kMaxAgentBytes = 64UL * 1024;
 constexpr double kBytesPerMegabit = 125000;
 
 }  // namespace
@@ -22,7 +25,8 @@
   options.total_bytes =
       link_mbps > 0 ? std::max(kMinWindowBytes, static_cast<std::size_t>(bytes))
                     : kUnknownLinkBytes;
-  options.agent_bytes = options.total_bytes / kAgentsPerWindow;
+  options.agent_bytes =
+      std::min(options.total_bytes / kAgentsPerWindow, kMaxAgentBytes);
   return options;
 }
 
@@ -30,6 +34,8 @@
                          uint64_t agent,
                          uint64_t built_at_us,
                          std::size_t bytes) -> void {
+  // While nothing waits for room, this is the only call.
+  Expire(now);
   Channel& channel = channels_[agent];
   channel.messages.push_back({built_at_us, bytes, now});
   channel.bytes += bytes;
--- a/Source/Jobs/order_window.h
+++ b/Source/Jobs/order_window.h
@@ -59,6 +59,8 @@
   // Bytes under way, without those that were sent so long ago that their agents
   // must be unresponsive or slow.
   auto in_flight() const -> std::size_t { return in_flight_; }
+  // For tests: messages of which something is remembered.
+  auto tracked_messages() const -> std::size_t { return expiries_.size(); }
 
  private:
   struct Message {
--- a/Source/Jobs/owner_orders.cc
+++ b/Source/Jobs/owner_orders.cc
@@ -75,9 +75,10 @@
     return false;
   }
   // In the order of the decisions: a large start would otherwise wait for as
-  // long as there are small ones.
-  const bool is_next =
-      waiting_for_room_.empty() || number < waiting_for_room_.begin()->first;
+  // long as there are small ones. Further starts for the same agent go with the
+  // first one, so that an agent does not get a message for each start.
+  const bool is_next = unsent > 0 || waiting_for_room_.empty() ||
+                       number < waiting_for_room_.begin()->first;
   if (is_next && window_.FitsAll(now, unsent, bytes)) {
     return true;
   }
--- a/Source/Jobs/owner_polls.cc
+++ b/Source/Jobs/owner_polls.cc
@@ -88,7 +88,10 @@
   AgentOrders orders;
   orders.set_fence(fence_);
   orders.set_owner_incarnation(options_.incarnation);
-  orders.set_built_at_us(MicrosecondsOf(now.time_since_epoch()));
+  // Larger than that of any message before, also of one at the same time: an
+  // agent acknowledges the newest one.
+  orders.set_built_at_us(
+      std::max(MicrosecondsOf(now.time_since_epoch()), worker.sent_us + 1));
   const auto lease = LeaseFor(now, worker);
   const bool grants = lease > std::chrono::milliseconds(0);
   if (grants) {
--- a/Tests/Jobs/order_window_test.cc
+++ b/Tests/Jobs/order_window_test.cc
@@ -30,6 +30,7 @@
   std::string name;
   double link_mbps = 0;
   std::size_t total_bytes = 0;
+  std::size_t agent_bytes = 0;
 };
 
 class OrderWindowSizeTest : public testing::TestWithParam<LinkCase> {};
@@ -39,14 +40,16 @@
 TEST_P(OrderWindowSizeTest, FollowsTheLink) {
   EXPECT_EQ(OrderWindowFor(GetParam().link_mbps).total_bytes,
             GetParam().total_bytes);
+  EXPECT_EQ(OrderWindowFor(GetParam().link_mbps).agent_bytes,
+            GetParam().agent_bytes);
 }
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          OrderWindowSizeTest,
-                         testing::Values(LinkCase{"unknown", 0, 262144},
-                                         LinkCase{"tiny", 0.1, 16384},
-                                         LinkCase{"thin", 2, 50000},
-                                         LinkCase{"wide", 200, 5000000}),
+                         testing::Values(LinkCase{"unknown", 0, 262144, 65536},
+                                         LinkCase{"tiny", 0.1, 16384, 4096},
+                                         LinkCase{"thin", 2, 50000, 12500},
+                                         LinkCase{"wide", 200, 5000000, 65536}),
                          [](const auto& info) { return info.param.name; });
 
 TEST_F(OrderWindowTest, BytesCountUntilTheAgentHasReceivedThem) {
@@ -114,6 +117,17 @@
   }
 }
 
+// Guards against an owner whose memory grows with each poll, and that stands
+// still at the next start, since nothing waits for room meanwhile.
+TEST_F(OrderWindowTest, PollsWithoutStartsAreForgotten) {
+  for (uint64_t poll = 1; poll <= 1000; ++poll) {
+    window_.OnSent(now_, kAgent, poll, 0);
+    window_.OnReceived(now_, kAgent, poll);
+    now_ += milliseconds(300);
+  }
+  EXPECT_LE(window_.tracked_messages(), 4U);
+}
+
 // Guards against bytes of a process that has ended and that count forever.
 TEST_F(OrderWindowTest, ForgottenAgentFreesItsBytes) {
   window_.OnSent(now_, kAgent, 1, 300);
--- a/Tests/Jobs/owner_orders_test.cc
+++ b/Tests/Jobs/owner_orders_test.cc
@@ -322,5 +322,16 @@
   EXPECT_EQ(starts_["agent-1"].size(), 2U);
 }
 
+// Guards against a message that counts as received since another one of the
+// same time was acknowledged.
+TEST_F(OwnerOrdersTest, MessagesOfOneMomentAreToldApart) {
+  PutJobWithPayload(Step(1), 0);
+  const uint64_t first = latest_orders_["agent-0"].built_at_us();
+  Put(MakeCancellation(kJobId));
+  owner_.Tick(now_);
+  ASSERT_EQ(latest_orders_["agent-0"].stops_size(), 1);
+  EXPECT_GT(latest_orders_["agent-0"].built_at_us(), first);
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
