Jobs: Give the limits of an entry a default value

Cause: an aggregate that names fewer members (simulated_cluster.cc) is an error under -Wextra -Werror, so that the tests of the jobs did not build. Change: the member has an initializer. Measured: simulated_cluster builds.

--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -39,7 +39,7 @@
   // A request is handled by each version of the configuration that was
   // acknowledged this long before it, or by a newer one.
   std::chrono::milliseconds configuration_bound{2000};
-  EntryLimits limits;
+  EntryLimits limits{};
 };
 
 struct EntryHooks {
