Tests/Support: Let a fault proxy tell the entries apart

Cause: all entries share the proxy before an agent, so that no test could cut off one entry alone, or give the entries links of unlike size. Change: a proxy reads the routing id from the READY command of a ZeroMQ peer. Connections of one peer can be cut off (their bytes vanish, or they are reset) while the others work, and requests can be limited by a rate that several connections and proxies share.

--- a/Tests/Support/fault_proxy.cc
+++ b/Tests/Support/fault_proxy.cc
@@ -10,6 +10,8 @@
 #include <string_view>
 #include <utility>
 
+#include "Tests/Support/zmtp_identity.h"
+
 namespace rhubarbhaven::test {
 namespace {
 
@@ -20,6 +22,10 @@
 // that the sender has to wait.
 constexpr std::size_t kMaxQueuedBytes = 1 << 20;
 constexpr std::size_t kSlowChunkBytes = 1 << 10;
+// Small, so that the connections that share a rate get equal parts of it.
+constexpr std::size_t kRatedReadBytes = 4 << 10;
+// Exceeds the greeting and the READY command of a ZeroMQ peer.
+constexpr std::size_t kMaxGreetingBytes = 1 << 10;
 
 auto Loopback(int port) -> sockaddr_in {
   sockaddr_in address{};
@@ -83,6 +89,37 @@
   }
 }
 
+auto FaultProxy::SetCutOff(const std::string& source, CutOff cut_off) -> void {
+  const std::lock_guard lock(mutex_);
+  cut_offs_[source] = cut_off;
+  for (auto& connection : connections_) {
+    if (connection.source != source) {
+      continue;
+    }
+    if (cut_off == CutOff::kNone) {
+      connection.reset = connection.reset || connection.blackholed;
+    } else {
+      ApplySource(&connection);
+    }
+  }
+}
+
+auto FaultProxy::SetRequestRate(const std::string& source,
+                                std::shared_ptr<SharedRate> rate) -> void {
+  const std::lock_guard lock(mutex_);
+  request_rates_[source] = std::move(rate);
+}
+
+auto FaultProxy::ApplySource(Connection* connection) -> void {
+  const auto cut_off = cut_offs_.find(connection->source);
+  if (cut_off == cut_offs_.end()) {
+    return;
+  }
+  connection->blackholed =
+      connection->blackholed || cut_off->second == CutOff::kBlackholed;
+  connection->reset = connection->reset || cut_off->second == CutOff::kReset;
+}
+
 auto FaultProxy::ResetOnAnswerTo(const std::string& prefix) -> void {
   const std::lock_guard lock(mutex_);
   awaited_request_ = prefix;
@@ -157,6 +194,7 @@
   Connection& connection = connections_.emplace_back();
   connection.client_socket = client_socket;
   connection.server_socket = server_socket;
+  connection.request_rate = RateOf("");
   connection.thread =
       std::thread([this, &connection]() -> void { Pump(&connection); });
 }
@@ -167,9 +205,14 @@
     const ProxyFault fault = FaultFor(*connection);
     auto& requests = connection->requests;
     auto& answers = connection->answers;
-    const bool has_queued = !requests.chunks.empty() || !answers.chunks.empty();
+    const bool waits_for_rate =
+        connection->request_rate &&
+        connection->request_rate->IsFull(std::chrono::steady_clock::now());
+    const bool has_queued =
+        !requests.chunks.empty() || !answers.chunks.empty() || waits_for_rate;
     std::array<pollfd, 2> polled = {
-        pollfd{requests.end_of_stream || requests.size > kMaxQueuedBytes
+        pollfd{requests.end_of_stream || requests.size > kMaxQueuedBytes ||
+                       waits_for_rate
                    ? -1
                    : connection->client_socket,
                POLLIN, 0},
@@ -209,7 +252,9 @@
   ByteQueue& queue = is_answer ? connection->answers : connection->requests;
   const int source =
       is_answer ? connection->server_socket : connection->client_socket;
-  const ssize_t size = read(source, buffer.data(), buffer.size());
+  const auto rate = is_answer ? nullptr : connection->request_rate;
+  const ssize_t size =
+      read(source, buffer.data(), rate ? kRatedReadBytes : buffer.size());
   if (size <= 0) {
     queue.end_of_stream = true;
     return true;
@@ -218,6 +263,9 @@
     ResetAll();
     return false;
   }
+  if (!is_answer) {
+    InspectGreeting(connection, buffer.data(), size);
+  }
   if (connection->blackholed) {
     return true;
   }
@@ -233,12 +281,38 @@
   for (ssize_t at = 0; at < size; at += kSlowChunkBytes) {
     const auto part =
         std::min<ssize_t>(size - at, static_cast<ssize_t>(kSlowChunkBytes));
-    queue.chunks.push_back({now, std::string(buffer.data() + at, part)});
+    const auto ready_at = rate ? rate->Reserve(part, now) : now;
+    queue.chunks.push_back({ready_at, std::string(buffer.data() + at, part)});
   }
   queue.size += size;
   return true;
 }
 
+auto FaultProxy::InspectGreeting(Connection* connection,
+                                 const char* data,
+                                 std::size_t size) -> void {
+  auto& greeting = connection->greeting;
+  if (greeting.size() >= kMaxGreetingBytes) {
+    return;
+  }
+  greeting.append(data, std::min(size, kMaxGreetingBytes - greeting.size()));
+  auto source = ZmtpIdentity(greeting);
+  if (!source) {
+    return;
+  }
+  greeting.resize(kMaxGreetingBytes);
+  const std::lock_guard lock(mutex_);
+  connection->source = *std::move(source);
+  connection->request_rate = RateOf(connection->source);
+  ApplySource(connection);
+}
+
+auto FaultProxy::RateOf(const std::string& source) const
+    -> std::shared_ptr<SharedRate> {
+  const auto found = request_rates_.find(source);
+  return found == request_rates_.end() ? nullptr : found->second;
+}
+
 auto FaultProxy::InspectRequest(Connection* connection,
                                 const char* data,
                                 std::size_t size) -> void {
@@ -256,7 +330,7 @@
                          std::size_t bytes_per_second) -> bool {
   const auto now = std::chrono::steady_clock::now();
   while (!queue->chunks.empty() &&
-         queue->chunks.front().read_at + delay <= now &&
+         queue->chunks.front().ready_at + delay <= now &&
          (bytes_per_second == 0 || queue->next_send_at <= now)) {
     const std::string bytes = std::move(queue->chunks.front().bytes);
     queue->chunks.pop_front();
--- a/Tests/Support/fault_proxy.h
+++ b/Tests/Support/fault_proxy.h
@@ -6,10 +6,14 @@
 #include <cstddef>
 #include <deque>
 #include <list>
+#include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
 
+#include "Tests/Support/shared_rate.h"
+
 namespace rhubarbhaven::test {
 
 // Fault that a proxy applies to its connections while it is set.
@@ -26,6 +30,14 @@
   std::string request_prefix;
 };
 
+// How the connections of one source are cut off.
+enum class CutOff {
+  kNone,
+  // Their bytes are discarded in both directions, without a reset.
+  kBlackholed,
+  kReset,
+};
+
 // TCP proxy that injects network faults. It can blackhole the connections that
 // are open: their bytes are discarded in both directions without a reset, while
 // new connections work.
@@ -43,6 +55,14 @@
   // Simulates a network partition: refuses new connections and blackholes the
   // open ones. False allows new connections again.
   auto SetPartitioned(bool partitioned) -> void;
+  // Cuts off the connections of the ZeroMQ peer with this routing id, also
+  // those that it opens later; the connections of other peers work. With
+  // `kNone` its blackholed connections are reset, and new ones work.
+  auto SetCutOff(const std::string& source, CutOff cut_off) -> void;
+  // Limits the requests of the ZeroMQ peer with this routing id, or of all
+  // connections that state none, to what the rate admits.
+  auto SetRequestRate(const std::string& source,
+                      std::shared_ptr<SharedRate> rate) -> void;
   // Forwards the next request that begins with `prefix`. Instead of forwarding
   // its answer, resets all open connections and refuses new ones until
   // `ResumeListening` is called.
@@ -52,7 +72,8 @@
 
  private:
   struct Chunk {
-    std::chrono::steady_clock::time_point read_at;
+    // When it was read or, behind a shared rate, when it has passed the link.
+    std::chrono::steady_clock::time_point ready_at;
     std::string bytes;
   };
   // Bytes in transit in one direction.
@@ -67,10 +88,16 @@
     int server_socket = -1;
     std::atomic<bool> blackholed = false;
     std::atomic<bool> reset = false;
+    // Routing id of a ZeroMQ peer; empty while unknown. Guarded by the proxy's
+    // lock.
+    std::string source;
     // Used only by the thread of this connection.
     bool resets_on_answer = false;
     bool discards_answers = false;
     std::string request;
+    // First bytes of the requests, until they have told the source.
+    std::string greeting;
+    std::shared_ptr<SharedRate> request_rate;
     ByteQueue requests;
     ByteQueue answers;
     std::thread thread;
@@ -85,6 +112,15 @@
   auto InspectRequest(Connection* connection,
                       const char* data,
                       std::size_t size) -> void;
+  // Learns the source from the first bytes of the connection.
+  auto InspectGreeting(Connection* connection,
+                       const char* data,
+                       std::size_t size) -> void;
+  // Applies to a connection what is set for its source. To be called under the
+  // lock.
+  auto ApplySource(Connection* connection) -> void;
+  // To be called under the lock.
+  auto RateOf(const std::string& source) const -> std::shared_ptr<SharedRate>;
   // Sends the queued bytes that are due to `target`. Returns false if the
   // connection is to be closed.
   static auto Forward(int target,
@@ -107,6 +143,9 @@
   // Prefix of the request whose answer is replaced by a reset; empty for none.
   std::string awaited_request_;
   ProxyFault fault_;
+  // By source.
+  std::map<std::string, CutOff> cut_offs_;
+  std::map<std::string, std::shared_ptr<SharedRate>> request_rates_;
   std::thread thread_;
 };
 
