Tests/Soak: Add owners and agents that are silent, cut off, or on thin links

Cause: the soak had no run in which half of the agents or more are silent beside an owner that is gone or stands still, in which the owner alone does not reach the agents, or in which orders share a thin link with renewals. Their faults count only when they begin and end, so that the checks hold meanwhile. A run in which no job is accepted is broken. A queue of a shared rate holds 4 s.

--- a/Tests/Soak/checks.cc
+++ b/Tests/Soak/checks.cc
@@ -198,7 +198,8 @@
   return tasks;
 }
 
-auto Checks::CheckLongRunning(test::PlatformStandIn* platform) -> void {
+auto Checks::CheckLongRunning(test::PlatformStandIn* platform,
+                              const std::set<int>& unreachable) -> void {
   const TimePoint now = now_();
   const auto fault_free_since = fault_free_->all().since();
   // The stand-in calls this object while it holds its own lock. To avoid a
@@ -207,7 +208,7 @@
   for (const auto& task : LongRunningTasks(now)) {
     runs[task] = platform->Runs(task);
   }
-  const bool has_room = platform->HasRoom();
+  const bool has_room = platform->HasRoom(unreachable);
   const std::lock_guard lock(mutex_);
   if (!has_room) {
     room_since_ = now;
--- a/Tests/Soak/checks.h
+++ b/Tests/Soak/checks.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -68,8 +69,10 @@
                uint64_t run) -> void;
   auto DuplicateRunSeen(const std::string& problem) -> void;
   auto DaemonEnded(const std::string& name) -> void;
-  // Checks that the tasks which should be running do run.
-  auto CheckLongRunning(test::PlatformStandIn* platform) -> void;
+  // Checks that the tasks which should be running do run while a worker has
+  // room that is not one of `unreachable`.
+  auto CheckLongRunning(test::PlatformStandIn* platform,
+                        const std::set<int>& unreachable) -> void;
   // To be called when no more jobs are submitted and the bounds have passed.
   auto ExpectOver(const std::string& job) -> void;
   auto ExpectKnown(const std::string& job, int entry, bool known) -> void;
--- a/Tests/Soak/clients.cc
+++ b/Tests/Soak/clients.cc
@@ -9,8 +9,6 @@
 
 // Enough although a slow entry holds calls until they time out.
 constexpr int kThreadsPerEntry = 8;
-// Jobs submitted per second for each agent: about half of its capacity.
-constexpr double kJobsPerAgentSecond = 1.2;
 constexpr milliseconds kIdleInterval{2};
 constexpr milliseconds kRetryInterval{300};
 constexpr milliseconds kFirstQueryDelay{3100};
@@ -27,12 +25,13 @@
                  std::vector<std::string> addresses,
                  Checks* checks)
     : addresses_(std::move(addresses)),
+      plan_(MakeLoadPlan(options)),
       checks_(checks),
-      submit_interval_(
-          static_cast<int64_t>(1e6 / (kJobsPerAgentSecond * options.agents))),
+      submit_interval_(static_cast<int64_t>(
+          1e6 / (plan_.jobs_per_agent_second * options.agents))),
       random_(options.seed),
-      next_job_(Clock::now()),
-      max_uncancelled_long_running_(options.agents / 2 + 1) {
+      begin_(Clock::now()),
+      next_job_(begin_) {
   for (int i = 0; i < kThreadsPerEntry * options.entries; ++i) {
     threads_.emplace_back([this]() -> void { Run(); });
   }
@@ -46,7 +45,7 @@
 }
 
 auto Clients::Run() -> void {
-  EntryCaller caller(addresses_);
+  EntryCaller caller(addresses_, plan_.payloads);
   while (!stop_) {
     Action action;
     if (Next(&action)) {
@@ -68,11 +67,17 @@
   if (!submits_jobs_ || next_job_ > now) {
     return false;
   }
-  next_job_ = now + submit_interval_;
+  next_job_ = now + SubmitInterval(now);
   *action = NewJob();
   return true;
 }
 
+auto Clients::SubmitInterval(TimePoint now) const -> std::chrono::microseconds {
+  const auto since = std::chrono::duration_cast<milliseconds>(now - begin_);
+  return IsBurst(since) ? submit_interval_ / plan_.burst_factor
+                        : submit_interval_;
+}
+
 auto Clients::NewJob() -> Action {
   constexpr int64_t kLastingShare = 30;
   constexpr int64_t kWideShare = 8;
@@ -147,7 +152,7 @@
   ScheduleAfter(kFirstQueryDelay, {ActionKind::kQuery, job, AnyEntry()});
   const bool long_running = KindOf(job) == JobKind::kLongRunning;
   if (long_running &&
-      uncancelled_long_running_ < max_uncancelled_long_running_) {
+      uncancelled_long_running_ < plan_.uncancelled_long_running) {
     ++uncancelled_long_running_;
     return;
   }
--- a/Tests/Soak/clients.h
+++ b/Tests/Soak/clients.h
@@ -12,6 +12,7 @@
 #include "Tests/Soak/checks.h"
 #include "Tests/Soak/entry_caller.h"
 #include "Tests/Soak/job_plan.h"
+#include "Tests/Soak/load_plan.h"
 #include "Tests/Soak/soak_options.h"
 
 namespace rhubarbhaven::soak {
@@ -56,11 +57,14 @@
   // Removes the next action that is due and stores it in `action`; returns
   // false if there is none.
   auto Next(Action* action) -> bool;
+  // Time between two new jobs.
+  auto SubmitInterval(TimePoint now) const -> std::chrono::microseconds;
   auto NewJob() -> Action;
   auto Pick(int64_t low, int64_t high) -> int64_t;
   auto AnyEntry() -> int;
 
   std::vector<std::string> addresses_;
+  LoadPlan plan_;
   Checks* checks_;
   std::chrono::microseconds submit_interval_;
   std::atomic<bool> stop_ = false;
@@ -69,9 +73,9 @@
   std::mutex mutex_;
   std::mt19937_64 random_;
   std::multimap<TimePoint, Action> actions_;
+  TimePoint begin_;
   TimePoint next_job_;
   int uncancelled_long_running_ = 0;
-  int max_uncancelled_long_running_;
   std::vector<std::thread> threads_;
 };
 
--- a/Tests/Soak/entry_caller.cc
+++ b/Tests/Soak/entry_caller.cc
@@ -12,7 +12,7 @@
 }  // namespace
 
 auto EntryCaller::Submit(int entry, const std::string& job) -> CallerAnswer {
-  return Call(entry, "POST", job, JobBody(KindOf(job)));
+  return Call(entry, "POST", job, JobBody(job, payloads_));
 }
 
 auto EntryCaller::Query(int entry, const std::string& job) -> CallerAnswer {
--- a/Tests/Soak/entry_caller.h
+++ b/Tests/Soak/entry_caller.h
@@ -1,10 +1,12 @@
 #ifndef RHUBARBHAVEN_TESTS_SOAK_ENTRY_CALLER_H_
 #define RHUBARBHAVEN_TESTS_SOAK_ENTRY_CALLER_H_
 
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "Tests/Soak/load_plan.h"
 #include "Transport/transport.h"
 
 namespace rhubarbhaven::soak {
@@ -19,8 +21,9 @@
 // entry's process exits.
 class EntryCaller {
  public:
-  explicit EntryCaller(std::vector<std::string> addresses)
-      : addresses_(std::move(addresses)) {}
+  explicit EntryCaller(std::vector<std::string> addresses,
+                       std::optional<PayloadSizes> payloads = std::nullopt)
+      : addresses_(std::move(addresses)), payloads_(payloads) {}
 
   auto Submit(int entry, const std::string& job) -> CallerAnswer;
   auto Query(int entry, const std::string& job) -> CallerAnswer;
@@ -34,6 +37,7 @@
             const std::string& body) -> CallerAnswer;
 
   std::vector<std::string> addresses_;
+  std::optional<PayloadSizes> payloads_;
   HttpClient client_;
 };
 
--- a/Tests/Soak/fault_injector.cc
+++ b/Tests/Soak/fault_injector.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 #include <utility>
@@ -91,12 +92,43 @@
 }
 
 auto FaultInjector::Resolve(Fault fault) const -> std::optional<Fault> {
-  if (fault.kind != FaultKind::kGone || fault.target != Target::kOwner) {
+  if (!IsMomentary(fault.kind) || fault.target != Target::kOwner) {
     return fault;
   }
   fault.target = Target::kEntry;
   fault.number = processes_->Owner();
-  return IsDown(NameOf(fault)) ? std::nullopt : std::optional(fault);
+  const bool too_many = fault.kind != FaultKind::kGone &&
+                        2 * (AffectedEntries() + 1) > processes_->entry_count();
+  return IsAffected(fault.number) || too_many ? std::nullopt
+                                              : std::optional(fault);
+}
+
+auto FaultInjector::IsAffected(int entry) const -> bool {
+  return std::any_of(active_faults_.begin(), active_faults_.end(),
+                     [entry](const auto& item) -> bool {
+                       const Fault& fault = item.second;
+                       return IsMomentary(fault.kind) &&
+                              fault.target == Target::kEntry &&
+                              fault.number == entry;
+                     });
+}
+
+auto FaultInjector::AffectedEntries() const -> int {
+  int count = 0;
+  for (int entry = 0; entry < processes_->entry_count(); ++entry) {
+    count += IsAffected(entry) ? 1 : 0;
+  }
+  return count;
+}
+
+auto FaultInjector::unreachable_workers() const -> std::set<int> {
+  std::set<int> workers;
+  for (const auto& [end, fault] : active_faults_) {
+    if (LeavesNoRoom(fault)) {
+      workers.insert(fault.number);
+    }
+  }
+  return workers;
 }
 
 auto FaultInjector::IsDown(const std::string& name) const -> bool {
@@ -178,12 +210,20 @@
   switch (fault.kind) {
     case FaultKind::kKill:
     case FaultKind::kGone:
+    case FaultKind::kAbsent:
       down_[NameOf(fault)] = true;
       process.Kill();
       break;
     case FaultKind::kFreeze:
+    case FaultKind::kSilent:
       process.Freeze();
       break;
+    case FaultKind::kCutOff:
+      processes_->CutOffFromAgents(fault.number, test::CutOff::kBlackholed);
+      break;
+    case FaultKind::kCutOffReset:
+      processes_->CutOffFromAgents(fault.number, test::CutOff::kReset);
+      break;
     case FaultKind::kStop:
       down_[NameOf(fault)] = true;
       process.Signal(SIGTERM);
@@ -195,8 +235,17 @@
 }
 
 auto FaultInjector::EndAtProcess(const Fault& fault) -> void {
-  if (fault.kind == FaultKind::kFreeze) {
-    ProcessOf(fault).Resume();
+  switch (fault.kind) {
+    case FaultKind::kFreeze:
+    case FaultKind::kSilent:
+      ProcessOf(fault).Resume();
+      break;
+    case FaultKind::kCutOff:
+    case FaultKind::kCutOffReset:
+      processes_->CutOffFromAgents(fault.number, test::CutOff::kNone);
+      break;
+    default:
+      break;
   }
   if (!IsDown(NameOf(fault))) {
     return;
--- a/Tests/Soak/fault_injector.h
+++ b/Tests/Soak/fault_injector.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,8 @@
   auto Step(TimePoint now) -> void;
   // Whether the injector has stopped this daemon and not yet restarted it.
   auto IsDown(const std::string& name) const -> bool;
+  // Numbers of the workers on which tasks need not run.
+  auto unreachable_workers() const -> std::set<int>;
 
  private:
   // An entry that runs for a short time between long pauses.
@@ -33,14 +36,18 @@
     TimePoint runs_at;
   };
 
-  // Returns the fault with the entry that owns the cell now, if it is for the
-  // owner; none if that entry is down already.
+  // Returns the fault with the entry that owns the cell now, if it is a
+  // momentary one for the owner. Returns none if that entry has such a fault
+  // already, or if more than half of the entries would have one.
   auto Resolve(Fault fault) const -> std::optional<Fault>;
   auto Begin(const Fault& fault) -> void;
   auto End(const Fault& fault) -> void;
   auto SlowOwner(std::chrono::milliseconds pause) -> void;
   auto StepSlowEntry(TimePoint now) -> void;
   auto ResumeSlowEntry() -> void;
+  // Whether a momentary fault is active at this entry.
+  auto IsAffected(int entry) const -> bool;
+  auto AffectedEntries() const -> int;
   auto BeginAtProcess(const Fault& fault) -> void;
   auto EndAtProcess(const Fault& fault) -> void;
   auto BeginAtLink(const Fault& fault) -> void;
--- a/Tests/Soak/job_plan.cc
+++ b/Tests/Soak/job_plan.cc
@@ -29,6 +29,16 @@
   return rows.at(static_cast<std::size_t>(kind));
 }
 
+auto PayloadOf(const std::string& id,
+               const std::optional<PayloadSizes>& payloads) -> std::string {
+  if (!payloads) {
+    return "soak";
+  }
+  const std::size_t span = payloads->most - payloads->least + 1;
+  const std::size_t hash = std::hash<std::string>()(id);
+  return std::string(payloads->least + hash % span, 'p');
+}
+
 }  // namespace
 
 auto MakeJobId(JobKind kind, uint64_t random) -> std::string {
@@ -40,7 +50,9 @@
   return static_cast<JobKind>(id.at(0) - 'a');
 }
 
-auto JobBody(JobKind kind) -> std::string {
+auto JobBody(const std::string& id, const std::optional<PayloadSizes>& payloads)
+    -> std::string {
+  const JobKind kind = KindOf(id);
   std::string steps;
   int number = 0;
   for (const int count : FindRow(kind).steps) {
@@ -52,7 +64,8 @@
                     R"("Cpu":1000,"EstimatedMs":300,"Count":)", count, "}");
     ++number;
   }
-  return absl::StrCat(R"({"Spec":"soak","Steps":[)", steps, "]}");
+  return absl::StrCat(R"({"Spec":")", PayloadOf(id, payloads), R"(","Steps":[)",
+                      steps, "]}");
 }
 
 auto TasksOf(const std::string& id) -> std::vector<std::string> {
--- a/Tests/Soak/job_plan.h
+++ b/Tests/Soak/job_plan.h
@@ -3,10 +3,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "Jobs/jobs.h"
+#include "Tests/Soak/load_plan.h"
 
 namespace rhubarbhaven::soak {
 
@@ -22,8 +24,10 @@
 
 auto MakeJobId(JobKind kind, uint64_t random) -> std::string;
 auto KindOf(const std::string& id) -> JobKind;
-// Body of the request that submits such a job.
-auto JobBody(JobKind kind) -> std::string;
+// Body of the request that submits this job. The size of its payload depends on
+// the id.
+auto JobBody(const std::string& id, const std::optional<PayloadSizes>& payloads)
+    -> std::string;
 // Names of all tasks of the job.
 auto TasksOf(const std::string& id) -> std::vector<std::string>;
 // How long a run of the task takes. A long-running task ends, too, as failed.
--- a/Tests/Soak/processes.cc
+++ b/Tests/Soak/processes.cc
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <utility>
 
+#include "Tests/Soak/link_rates.h"
 #include "Tests/Support/free_port.h"
 #include "Tests/Support/platform_settings.h"
 
@@ -14,11 +15,17 @@
 
 // What an entry logs when it has become the owner.
 constexpr char kOwnerBegins[] = "owner_begin";
+constexpr std::size_t kBytesPerMegabit = 125'000;
 
 auto FreeAddress() -> std::string {
   return test::LoopbackAddress(test::FreePort());
 }
 
+// Also the routing id of its connections to agents.
+auto EntryName(int number) -> std::string {
+  return absl::StrCat("entry-", number);
+}
+
 auto Endpoint(int port) -> std::string {
   return "tcp://" + test::LoopbackAddress(port);
 }
@@ -28,7 +35,9 @@
 Processes::Processes(const SoakOptions& options,
                      std::string folder,
                      test::PlatformHooks watch)
-    : binary_(options.binary), folder_(std::move(folder)) {
+    : binary_(options.binary),
+      folder_(std::move(folder)),
+      link_rates_(LinkRates(options)) {
   for (int i = 0; i < options.agents; ++i) {
     heartbeat_addresses_.push_back(FreeAddress());
     link_ports_.push_back(test::FreePort());
@@ -47,6 +56,7 @@
     callers_addresses_.push_back(FreeAddress());
     ready_addresses_.push_back(FreeAddress());
     AddLink(&entry_links_, &entry_log_addresses_);
+    LimitRate(i);
     StartEntry(i);
   }
 }
@@ -75,6 +85,18 @@
   platform_->TranslateEndpoint(Endpoint(target_port), Endpoint(port));
 }
 
+auto Processes::LimitRate(int entry) -> void {
+  if (link_rates_.empty()) {
+    return;
+  }
+  const auto rate =
+      std::make_shared<test::SharedRate>(link_rates_[entry] * kBytesPerMegabit);
+  entry_links_[entry]->SetRequestRate("", rate);
+  for (auto& link : order_links_) {
+    link->SetRequestRate(EntryName(entry), rate);
+  }
+}
+
 auto Processes::Start(const std::string& name, const std::string& settings)
     -> std::unique_ptr<test::ChildProcess> {
   const std::string path = absl::StrCat(folder_, "/", name, ".json");
@@ -85,11 +107,12 @@
 }
 
 auto Processes::StartEntry(int number) -> void {
-  const std::string name = absl::StrCat("entry-", number);
+  const std::string name = EntryName(number);
   entries_[number] =
       Start(name, test::RenderSettings(test::EntryAddresses{
                       name, callers_addresses_[number],
-                      ready_addresses_[number], entry_log_addresses_[number]}));
+                      ready_addresses_[number], entry_log_addresses_[number],
+                      link_rates_.empty() ? 0 : link_rates_[number]}));
 }
 
 auto Processes::StartAgent(int number) -> void {
@@ -109,6 +132,12 @@
   }
 }
 
+auto Processes::CutOffFromAgents(int entry, test::CutOff cut_off) -> void {
+  for (auto& link : order_links_) {
+    link->SetCutOff(EntryName(entry), cut_off);
+  }
+}
+
 auto Processes::Owner() const -> int {
   int owner = 0;
   std::string newest;
--- a/Tests/Soak/processes.h
+++ b/Tests/Soak/processes.h
@@ -31,11 +31,14 @@
   auto entry_link(int number) -> test::FaultProxy& {
     return *entry_links_[number];
   }
+  auto entry_count() const -> int { return static_cast<int>(entries_.size()); }
   auto agent_link(int number) -> test::FaultProxy& {
     return *agent_links_[number];
   }
   // Sets how long the orders of all entries are under way to the agents.
   auto DelayOrders(std::chrono::milliseconds delay) -> void;
+  // Cuts off the connections between one entry and all agents.
+  auto CutOffFromAgents(int entry, test::CutOff cut_off) -> void;
   // Starts the daemon, again under the same name and addresses.
   auto StartEntry(int number) -> void;
   auto StartAgent(int number) -> void;
@@ -56,9 +59,13 @@
   // Agents register the endpoint that they bind, so the log of the stand-in
   // names the proxy's endpoint instead.
   auto AddOrderLink(int agent) -> void;
+  // What the entry sends to the agents and to the log shares one link.
+  auto LimitRate(int entry) -> void;
 
   std::string binary_;
   std::string folder_;
+  // In megabits per second, of each entry; empty if the links have no rate.
+  std::vector<int> link_rates_;
   std::vector<std::string> callers_addresses_;
   std::vector<std::string> ready_addresses_;
   std::vector<std::string> heartbeat_addresses_;
--- a/Tests/Soak/schedule.cc
+++ b/Tests/Soak/schedule.cc
@@ -6,24 +6,17 @@
 #include <algorithm>
 #include <array>
 #include <map>
-#include <numeric>
-#include <random>
 #include <utility>
 
+#include "Tests/Soak/momentary_faults.h"
+#include "Tests/Soak/random_source.h"
+#include "Tests/Soak/schedule_times.h"
+
 namespace rhubarbhaven::soak {
 namespace {
 
 using std::chrono::milliseconds;
 
-// Time in which entries and agents become ready.
-constexpr milliseconds kWarmUp{6000};
-// Fault-free time at the end of the load. Exceeds the bound within which
-// long-running tasks must run.
-constexpr milliseconds kFinalFaultFreeTime{11000};
-constexpr milliseconds kMinFaultFreeTime{500};
-// Exceeds the fault-free time that any check requires.
-constexpr milliseconds kMaxFaultFreeTime{6000};
-constexpr milliseconds kMaxOffset{2500};
 // Limits concurrent faults to one for this many daemons.
 constexpr int kDaemonsPerFault = 2;
 // A slow owner that also sends slowly places little, so it mostly is one of
@@ -138,17 +131,6 @@
   return kinds;
 }
 
-auto GoneKinds() -> const std::vector<KindRow>& {
-  using enum FaultKind;
-  using enum Target;
-  static const std::vector<KindRow> kinds = {{kGone,
-                                              "gone",
-                                              {kAgent, kOwner},
-                                              milliseconds(14000),
-                                              milliseconds(18000)}};
-  return kinds;
-}
-
 // Returns nullptr if no row is of this kind.
 auto FindRow(const std::vector<KindRow>& rows, FaultKind kind)
     -> const KindRow* {
@@ -179,26 +161,6 @@
   }
 }
 
-class RandomSource {
- public:
-  explicit RandomSource(uint64_t seed) : random_(seed) {}
-
-  auto Pick(int64_t low, int64_t high) -> int64_t {
-    const auto span = static_cast<uint64_t>(high - low + 1);
-    return low + static_cast<int64_t>(random_() % span);
-  }
-  auto Pick(milliseconds low, milliseconds high) -> milliseconds {
-    return milliseconds(Pick(low.count(), high.count()));
-  }
-  template <typename Item>
-  auto Of(const std::vector<Item>& items) -> const Item& {
-    return items[random_() % items.size()];
-  }
-
- private:
-  std::mt19937_64 random_;
-};
-
 auto DrawFault(const SoakOptions& options,
                const std::vector<KindRow>& kinds,
                milliseconds at,
@@ -217,75 +179,7 @@
   return fault;
 }
 
-// Returns distinct numbers of agents, less than half of all.
-auto DrawAgents(int agents, RandomSource* random_source) -> std::vector<int> {
-  const int most = (agents - 1) / 2;
-  std::vector<int> numbers(static_cast<std::size_t>(agents));
-  std::iota(numbers.begin(), numbers.end(), 0);
-  const auto count = random_source->Pick(1, most);
-  for (int64_t drawn = 0; drawn < count; ++drawn) {
-    std::swap(numbers[drawn], numbers[random_source->Pick(drawn, agents - 1)]);
-  }
-  numbers.resize(static_cast<std::size_t>(count));
-  return numbers;
-}
-
-auto MakeGoneFault(Target target,
-                   int number,
-                   milliseconds at,
-                   RandomSource* random_source) -> Fault {
-  const KindRow& row = GoneKinds().front();
-  Fault fault;
-  fault.kind = row.kind;
-  fault.target = target;
-  fault.number = number;
-  fault.at = at;
-  fault.duration = random_source->Pick(row.min_duration, row.max_duration);
-  return fault;
-}
-
-// Groups of agents that are gone within a short time of their owner, and
-// sometimes of the next one.
-auto MakeGoneSchedule(const SoakOptions& options) -> std::vector<Fault> {
-  constexpr milliseconds kSpread{2000};
-  constexpr milliseconds kMinNextOwner{2000};
-  constexpr milliseconds kMaxNextOwner{6000};
-  constexpr int kEntriesForTwoOwners = 4;
-  RandomSource random_source(options.seed);
-  std::vector<Fault> faults;
-  const milliseconds end = options.load - kFinalFaultFreeTime;
-  const milliseconds longest = GoneKinds().front().max_duration;
-  milliseconds at = kWarmUp + kMaxOffset;
-  while (at + kMaxNextOwner + kSpread + longest < end) {
-    const milliseconds lost_at = at + kSpread;
-    for (const int agent : DrawAgents(options.agents, &random_source)) {
-      faults.push_back(MakeGoneFault(
-          Target::kAgent, agent,
-          at + random_source.Pick(milliseconds(0), kSpread), &random_source));
-    }
-    faults.push_back(MakeGoneFault(Target::kOwner, 0, lost_at, &random_source));
-    if (options.entries >= kEntriesForTwoOwners &&
-        random_source.Pick(0, 1) == 0) {
-      faults.push_back(MakeGoneFault(
-          Target::kOwner, 0,
-          lost_at + random_source.Pick(kMinNextOwner, kMaxNextOwner),
-          &random_source));
-    }
-    at = lost_at + kMaxNextOwner + longest +
-         random_source.Pick(kMinFaultFreeTime, kMaxFaultFreeTime);
-  }
-  std::stable_sort(
-      faults.begin(), faults.end(),
-      [](const Fault& a, const Fault& b) -> bool { return a.at < b.at; });
-  return faults;
-}
-
-}  // namespace
-
-auto MakeSchedule(const SoakOptions& options) -> std::vector<Fault> {
-  if (options.faults == FaultSet::kGone) {
-    return MakeGoneSchedule(options);
-  }
+auto MakeMixedSchedule(const SoakOptions& options) -> std::vector<Fault> {
   RandomSource random_source(options.seed);
   std::vector<Fault> faults;
   std::map<std::pair<Target, int>, milliseconds> busy_until;
@@ -316,8 +210,30 @@
   return faults;
 }
 
+}  // namespace
+
+auto MakeSchedule(const SoakOptions& options) -> std::vector<Fault> {
+  switch (options.faults) {
+    case FaultSet::kGone:
+      return MakeGoneSchedule(options);
+    case FaultSet::kSilent:
+      return MakeSilentSchedule(options);
+    case FaultSet::kCutOff:
+      return MakeCutOffSchedule(options);
+    case FaultSet::kRate:
+      return MakeRateSchedule(options);
+    default:
+      return MakeMixedSchedule(options);
+  }
+}
+
 auto IsMomentary(FaultKind kind) -> bool {
-  return FindRow(GoneKinds(), kind) != nullptr;
+  return MomentaryName(kind) != nullptr;
+}
+
+auto LeavesNoRoom(const Fault& fault) -> bool {
+  return fault.target == Target::kAgent &&
+         (fault.kind == FaultKind::kAbsent || fault.kind == FaultKind::kSilent);
 }
 
 auto ExcusesLateStarts(FaultKind kind) -> bool {
@@ -327,12 +243,12 @@
 auto Describe(const Fault& fault) -> std::string {
   const auto* slow = FindRow(SlowOwnerKinds(), fault.kind);
   const auto* row = slow != nullptr ? slow : FindRow(Kinds(), fault.kind);
-  row = row != nullptr ? row : FindRow(GoneKinds(), fault.kind);
+  const char* name = row != nullptr ? row->name : MomentaryName(fault.kind);
   const std::string delay =
       slow != nullptr ? absl::StrCat(" by ", fault.delay.count(), " ms") : "";
   return absl::StrFormat("%6d ms, for %4d ms: %s %d: %s%s", fault.at.count(),
                          fault.duration.count(), TargetName(fault.target),
-                         fault.number, row->name, delay);
+                         fault.number, name, delay);
 }
 
 }  // namespace rhubarbhaven::soak
--- a/Tests/Soak/schedule.h
+++ b/Tests/Soak/schedule.h
@@ -33,6 +33,17 @@
   // The process is killed and started again much later. Counts as a fault only
   // when that happens: what depends on the process has to recover meanwhile.
   kGone,
+  // The same, for some time between seconds and that of `kGone`. Tasks need not
+  // run on the worker of an agent that is absent or silent.
+  kAbsent,
+  // The process is frozen, and counts as a fault only when that begins and
+  // ends.
+  kSilent,
+  // All connections between an entry and the agents are cut off: their bytes
+  // vanish, or they are reset. Counts as a fault only when that begins and
+  // ends.
+  kCutOff,
+  kCutOffReset,
 };
 
 // What a fault is applied to.
@@ -63,6 +74,10 @@
 // Whether the fault counts only for the moments in which it begins and ends.
 auto IsMomentary(FaultKind kind) -> bool;
 
+// Whether the fault takes the worker of the agent out of reach, so that tasks
+// need not run there.
+auto LeavesNoRoom(const Fault& fault) -> bool;
+
 // Whether a start may be late beside a fault of this kind, at any agent.
 auto ExcusesLateStarts(FaultKind kind) -> bool;
 
--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -16,6 +16,7 @@
 #include "Tests/Soak/fault_injector.h"
 #include "Tests/Soak/job_plan.h"
 #include "Tests/Soak/lag_meter.h"
+#include "Tests/Soak/link_rates.h"
 #include "Tests/Soak/processes.h"
 #include "Tests/Soak/report.h"
 #include "Tests/Soak/schedule.h"
@@ -108,7 +109,8 @@
       return;
     }
     next_check_ = now + kCheckInterval;
-    checks_.CheckLongRunning(&processes_.platform());
+    checks_.CheckLongRunning(&processes_.platform(),
+                             injector_.unreachable_workers());
     for (const auto& name : processes_.Ended()) {
       if (!injector_.IsDown(name) && ended_.insert(name).second) {
         checks_.DaemonEnded(name);
@@ -205,6 +207,9 @@
                                   "itself was late by ",
                                   lag, "; nothing is shown either way")};
   }
+  if (soak.checks().AcceptedJobs().empty()) {
+    return {kViolated, "BROKEN: no job was accepted"};
+  }
   return violated ? std::pair(kViolated, "BROKEN, lag " + lag)
                   : std::pair(kPassed, "kept, lag " + lag);
 }
@@ -213,7 +218,8 @@
   const auto schedule = MakeSchedule(options);
   const std::string title =
       absl::StrCat("seed ", options.seed, ", ", options.load.count(), " s, ",
-                   options.entries, " entries, ", options.agents, " agents\n");
+                   options.entries, " entries, ", options.agents, " agents\n",
+                   DescribeLinkRates(options));
   std::cout << title << ScheduleText(schedule) << std::flush;
   if (options.list) {
     return kPassed;
--- a/Tests/Soak/soak_options.cc
+++ b/Tests/Soak/soak_options.cc
@@ -5,8 +5,12 @@
 #include <absl/strings/str_split.h>
 #include <gflags/gflags.h>
 
+#include <map>
+#include <optional>
 #include <vector>
 
+#include "Tests/Soak/momentary_faults.h"
+
 DEFINE_uint64(seed, 1, "Seed of the schedule of faults and of the load.");
 DEFINE_int32(seconds,
              40,
@@ -14,8 +18,8 @@
 DEFINE_string(scale, "3/5", "Number of entries and agents.");
 DEFINE_string(faults,
               "mixed",
-              "Faults to inject: \"mixed\", or \"gone\" for owners and agents "
-              "that stay down for 14 to 18 s.");
+              "Faults to inject: mixed, gone, silent, cutoff or rate; see the "
+              "manual page.");
 DEFINE_string(keep_logs, "", "Folder for all logs and the schedule.");
 DEFINE_bool(list, false, "Print the schedule of the seed and exit.");
 DEFINE_string(binary,
@@ -25,10 +29,18 @@
 namespace rhubarbhaven::soak {
 namespace {
 
-constexpr int kShortestSeconds = 20;
-// The first daemons are gone until 35 s, and the last 11 s are free of faults.
-constexpr int kShortestGoneSeconds = 46;
-constexpr int kFewestAgentsForGone = 3;
+constexpr int kFewestAgents = 3;
+
+// Returns nullopt for a name that is not known.
+auto ParseFaults(const std::string& name) -> std::optional<FaultSet> {
+  static const std::map<std::string, FaultSet> names = {
+      {"mixed", FaultSet::kMixed},   {"gone", FaultSet::kGone},
+      {"silent", FaultSet::kSilent}, {"cutoff", FaultSet::kCutOff},
+      {"rate", FaultSet::kRate},
+  };
+  const auto found = names.find(name);
+  return found == names.end() ? std::nullopt : std::optional(found->second);
+}
 
 }  // namespace
 
@@ -48,16 +60,16 @@
       options.agents < 1) {
     return absl::InvalidArgumentError("--scale takes ENTRIES/AGENTS");
   }
-  if (FLAGS_faults != "mixed" && FLAGS_faults != "gone") {
-    return absl::InvalidArgumentError("--faults takes mixed or gone");
+  const auto faults = ParseFaults(FLAGS_faults);
+  if (!faults) {
+    return absl::InvalidArgumentError(
+        "--faults takes mixed, gone, silent, cutoff or rate");
   }
-  options.faults = FLAGS_faults == "gone" ? FaultSet::kGone : FaultSet::kMixed;
-  const bool gone = options.faults == FaultSet::kGone;
-  if (gone && options.agents < kFewestAgentsForGone) {
-    return absl::InvalidArgumentError("--faults=gone takes 3 agents or more");
+  options.faults = *faults;
+  if (options.faults != FaultSet::kMixed && options.agents < kFewestAgents) {
+    return absl::InvalidArgumentError("these faults take 3 agents or more");
   }
-  const int shortest = gone ? kShortestGoneSeconds : kShortestSeconds;
-  if (FLAGS_seconds < shortest) {
+  if (options.load < ShortestRun(options.faults)) {
     return absl::InvalidArgumentError("--seconds is too short for a fault");
   }
   return options;
--- a/Tests/Soak/soak_options.h
+++ b/Tests/Soak/soak_options.h
@@ -14,6 +14,13 @@
   kMixed,
   // Owners that stay down for 14 to 18 s, beside agents that do as well.
   kGone,
+  // Any number of agents that are silent for 12 to 18 s, alone or beside an
+  // owner that is killed, frozen, or frozen twice.
+  kSilent,
+  // An owner that is cut off from all agents for 8 to 20 s.
+  kCutOff,
+  // Entries with a link of 2 or 50 Mbit/s, and jobs with payloads.
+  kRate,
 };
 
 struct SoakOptions {
--- a/Tests/StandIns/Platform/platform_stand_in.cc
+++ b/Tests/StandIns/Platform/platform_stand_in.cc
@@ -320,12 +320,15 @@
                      });
 }
 
-auto PlatformStandIn::HasRoom() -> bool {
+auto PlatformStandIn::HasRoom(const std::set<int>& excluded) -> bool {
   const std::lock_guard lock(mutex_);
-  return std::any_of(workers_.begin(), workers_.end(),
-                     [](const auto& simulated_worker) {
-                       return simulated_worker.model->HasRoom();
-                     });
+  for (std::size_t i = 0; i < workers_.size(); ++i) {
+    if (!excluded.contains(static_cast<int>(i)) &&
+        workers_[i].model->HasRoom()) {
+      return true;
+    }
+  }
+  return false;
 }
 
 auto PlatformStandIn::Run() -> void {
--- a/Tests/StandIns/Platform/platform_stand_in.h
+++ b/Tests/StandIns/Platform/platform_stand_in.h
@@ -72,8 +72,9 @@
   auto ends() -> int;
   // Returns whether a worker runs the task of this name.
   auto Runs(const std::string& task) -> bool;
-  // Returns whether a worker would start one more run.
-  auto HasRoom() -> bool;
+  // Returns whether a worker whose number is not one of these would start one
+  // more run.
+  auto HasRoom(const std::set<int>& excluded = {}) -> bool;
 
  private:
   struct SimulatedWorker {
--- a/Tests/Support/platform_settings.cc
+++ b/Tests/Support/platform_settings.cc
@@ -10,12 +10,16 @@
 }
 
 auto RenderSettings(const EntryAddresses& addresses) -> std::string {
-  return absl::StrFormat(R"({"role":"entry","id":"%s","failure_domain":"zone",)"
-                         R"("logging":{"form":"json"},"platform":{)"
-                         R"("callers_address":"%s","ready_address":"%s",)"
-                         R"("log_address":"%s","stop_grace_ms":4000}})",
-                         addresses.id, addresses.callers_address,
-                         addresses.ready_address, addresses.log_address);
+  return absl::StrFormat(
+      R"({"role":"entry","id":"%s","failure_domain":"zone",)"
+      R"("logging":{"form":"json"},"platform":{)"
+      R"("callers_address":"%s","ready_address":"%s",)"
+      R"("log_address":"%s","stop_grace_ms":4000%s}})",
+      addresses.id, addresses.callers_address, addresses.ready_address,
+      addresses.log_address,
+      addresses.link_mbps > 0
+          ? absl::StrCat(",\"link_mbps\":", addresses.link_mbps)
+          : "");
 }
 
 auto RenderSettings(const AgentAddresses& addresses) -> std::string {
--- a/Tests/Support/platform_settings.h
+++ b/Tests/Support/platform_settings.h
@@ -13,6 +13,8 @@
   std::string callers_address;
   std::string ready_address;
   std::string log_address;
+  // Bandwidth of its link that it is told; zero to tell it nothing.
+  int link_mbps = 0;
 };
 
 // Id and addresses of an agent on the platform.
--- a/Tests/Support/shared_rate.cc
+++ b/Tests/Support/shared_rate.cc
@@ -5,8 +5,9 @@
 namespace rhubarbhaven::test {
 namespace {
 
-// How long a byte waits at most in the queue of the link.
-constexpr std::chrono::seconds kMaxQueue{1};
+// How long a byte waits at most in the queue of the link: that of a network
+// device with 1000 packets, at a few megabits per second.
+constexpr std::chrono::seconds kMaxQueue{4};
 
 }  // namespace
 
