Jobs: State in renewals that an owner reaches none of its agents

Callers saw long-running tasks that stayed down for as long as their owner was cut off from all agents.

Cause: an owner whose renewals are stored is replaced by nobody, whether or not it reaches an agent. The leases of all runs lapse, and the owner can start nothing elsewhere, although every other entry reaches the agents.

Change: when none of the agents that had reported has done so for 2 s, the renewals no longer count as a sign that the owner works, as those of an owner that does not read the log. An owner to which no agent has reported states nothing, so that entries do not replace each other while all agents are gone.

An owner that still reaches a few agents is not covered.

--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -170,6 +170,9 @@
   // Logs a line when this owner begins or ceases to read too late to remain the
   // owner.
   auto NoteReadsLate(TimePoint now, bool late) -> void;
+  // The same when this owner begins or ceases to reach none of the agents.
+  // Returns whether it reaches none.
+  auto NoteReachesNoAgent(TimePoint now) -> bool;
   // Pause before this entry's next read of the log.
   auto ReadPause() const -> std::chrono::milliseconds;
   auto BecomeOwnerIfClaimed(TimePoint now) -> void;
@@ -224,6 +227,7 @@
   std::set<std::string> evacuated_domains_;
   // Whether the latest claim states that this owner reads too late.
   bool reads_late_ = false;
+  bool reaches_no_agent_ = false;
   // Whether jobs displace each other.
   bool overloaded_ = false;
   OwnerElection election_;
--- a/Source/Jobs/entry_ownership.cc
+++ b/Source/Jobs/entry_ownership.cc
@@ -52,6 +52,9 @@
     claim->set_reads_nothing(true);
   }
   NoteReadsLate(now, claim->reads_nothing());
+  if (NoteReachesNoAgent(now)) {
+    claim->set_reads_nothing(true);
+  }
   if (!had_claim) {
     claimed_fence_ = claim->fence();
     log_.Write("claim",
@@ -87,6 +90,16 @@
         InMilliseconds(now - operator_follower_.caught_up_at())}});
 }
 
+auto EntryDecisions::NoteReachesNoAgent(TimePoint now) -> bool {
+  const bool reaches_none = owner_.ReachesNoAgent(now);
+  if (std::exchange(reaches_no_agent_, reaches_none) != reaches_none) {
+    log_.Write(reaches_none ? "owner_reaches_no_agent" : "owner_reaches_agents",
+               {{"fence", absl::StrCat(election_.fence())},
+                {"own_gap_ms", InMilliseconds(OwnGap())}});
+  }
+  return reaches_none;
+}
+
 auto EntryDecisions::ReadPause() const -> std::chrono::milliseconds {
   if (election_.fence() != 0 || election_.owner_is_late()) {
     // The owner starts jobs that others accept, a claimant has to read its
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -75,6 +75,11 @@
   // State shown to operators.
   auto workers() const -> const WorkerViews& { return workers_; }
   auto reconciliation_done() const -> bool { return reconciliation_done_; }
+  // Whether no agent has reported lately, although some had before: this owner
+  // may be cut off from all of them, and another entry may reach them. False
+  // for an owner to which none has reported, or the entries would replace each
+  // other while all agents are gone.
+  auto ReachesNoAgent(TimePoint now) const -> bool;
   // For tests: describes each entry of the indexes that a full scan
   // contradicts; empty if the indexes are correct.
   auto FindIndexErrors(TimePoint now) const -> std::vector<std::string>;
--- a/Source/Jobs/owner_starvation.cc
+++ b/Source/Jobs/owner_starvation.cc
@@ -25,6 +25,8 @@
 // Five poll intervals. Shorter than a lease, so that the warning precedes the
 // lapse.
 constexpr std::chrono::milliseconds kSilentAfter{1500};
+// Another entry that claims then reaches the agents before their leases lapse.
+constexpr std::chrono::milliseconds kReachesNoneAfter{2000};
 
 // Whether less than half of the service's processors are held: beyond that,
 // more slow opportunistic tasks only make the others late.
@@ -165,6 +167,14 @@
   }
 }
 
+auto JobOwner::ReachesNoAgent(TimePoint now) const -> bool {
+  TimePoint newest;
+  for (const auto& [name, worker] : workers_) {
+    newest = std::max(newest, worker->last_contact_at);
+  }
+  return active() && newest >= begun_at_ && now - newest >= kReachesNoneAfter;
+}
+
 auto JobOwner::DescribeStarvation(TimePoint now, const TaskPlace& place) const
     -> std::string {
   const auto& task = place.task();
