Jobs: Say when an owner that ends has never renewed its claim

Change: it says 'never'; the time is of the present claim. The check whether an order is due is named so.

--- a/Source/Jobs/entry_ownership.cc
+++ b/Source/Jobs/entry_ownership.cc
@@ -57,6 +57,7 @@
   }
   if (!had_claim) {
     claimed_fence_ = claim->fence();
+    renewal_stored_at_ = TimePoint();
     log_.Write("claim",
                {{"fence", absl::StrCat(claim->fence())},
                 {"before", fold_.claim().owner()},
@@ -193,11 +194,13 @@
 }
 
 auto EntryDecisions::Resign(const std::string& why) -> void {
+  const bool renewed = renewal_stored_at_ != TimePoint();
   log_.Write(
       "owner_end",
       {{"fence", absl::StrCat(claimed_fence_)},
        {"why", why},
-       {"renewed_ms_ago", InMilliseconds(last_tick_ - renewal_stored_at_)},
+       {"renewed_ms_ago",
+        renewed ? InMilliseconds(last_tick_ - renewal_stored_at_) : "never"},
        {"read_ms_ago",
         InMilliseconds(last_tick_ - job_follower_.caught_up_at())},
        {"own_gap_ms", InMilliseconds(OwnGap())}});
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -395,9 +395,9 @@
                 PendingOrder& order,
                 AgentOrders* orders) -> void;
   // Whether the order is due to be sent, for the first time or again.
-  auto MaySend(TimePoint now,
-               const WorkerView& worker,
-               const PendingOrder& order) const -> bool;
+  auto IsDue(TimePoint now,
+             const WorkerView& worker,
+             const PendingOrder& order) const -> bool;
   // Whether the agent has been sent the payload of the start's job, or does not
   // need it.
   auto MayOmitPayload(const WorkerView& worker, const PendingOrder& order) const
--- a/Source/Jobs/owner_orders.cc
+++ b/Source/Jobs/owner_orders.cc
@@ -35,7 +35,7 @@
   waiting_for_room_.erase(std::exchange(worker.waits_for_room, 0));
   std::size_t bytes = 0;
   for (auto& [number, order] : worker.orders) {
-    if (!MaySend(now, worker, order)) {
+    if (!IsDue(now, worker, order)) {
       continue;
     }
     if (order.stop) {
@@ -106,9 +106,9 @@
   NoteSent(now, order, *orders);
 }
 
-auto JobOwner::MaySend(TimePoint now,
-                       const WorkerView& worker,
-                       const PendingOrder& order) const -> bool {
+auto JobOwner::IsDue(TimePoint now,
+                     const WorkerView& worker,
+                     const PendingOrder& order) const -> bool {
   const bool received = order.sent_in_us <= worker.received_us;
   return !order.sent ||
          (received && now - order.sent_at >= options_.repeat_after);
