Tests/Jobs: Begin the loss of power while all tasks run

Cause: PowerLossSizeTest expects all 600 long-running tasks to run at one moment, 15 s after the start. Some runs end by themselves, and one of them was between two runs at that moment with the messages that the order window sends: 599, and 600 from 100 ms later on.

Change: the test waits until all run, for 6 s at most, and still requires it before the loss of power. What it requires afterwards is unchanged.

--- a/Tests/Jobs/power_loss_test.cc
+++ b/Tests/Jobs/power_loss_test.cc
@@ -93,6 +93,11 @@
     }
     return count;
   };
+  // Some runs end by themselves, also at this moment.
+  for (milliseconds more{0}; running() < tasks && more < kLimit;
+       more += kStep) {
+    cluster.RunFor(kStep);
+  }
   ASSERT_EQ(running(), tasks);
   cluster.LosePower(kDown);
   cluster.RunFor(kDown);
