--- a/review/stand_ins/deployment.cc
+++ b/review/stand_ins/deployment.cc
@@ -30,6 +30,14 @@
   return absl::StrFormat("127.0.0.1:%d", port);
 }
 
+auto SideNames(int agents) -> std::vector<std::string> {
+  std::vector<std::string> names;
+  for (int i = 0; i < agents; ++i) {
+    names.push_back(absl::StrFormat("side-a-%d", i + 1));
+  }
+  return names;
+}
+
 }  // namespace
 
 auto JobId(int number) -> std::string {
@@ -41,6 +49,21 @@
                        int agents,
                        ExecutorOptions options,
                        Record* record)
+    : Deployment(std::move(paths),
+                 entries,
+                 SideNames(agents),
+                 "",
+                 nullptr,
+                 options,
+                 record) {}
+
+Deployment::Deployment(CasePaths paths,
+                       int entries,
+                       const std::vector<std::string>& agents,
+                       const std::string& advice_address,
+                       const Json& advice,
+                       ExecutorOptions options,
+                       Record* record)
     : paths_(std::move(paths)), record_(record), executors_(options, record) {
   const Json log = {{"level", "info"}, {"form", "json"}};
   for (int i = 0; i < entries; ++i) {
@@ -58,7 +81,7 @@
                         {"ready_address", entry.ready},
                         {"log_address", store_.address()},
                         {"metrics_address", Address(FreePort())},
-                        {"advice_address", ""},
+                        {"advice_address", advice_address},
                         {"longest_lease_ms", options.max_hold_ms},
                         {"stop_grace_ms", 6000},
                         {"configuration_bound_ms", options.config_ms},
@@ -66,11 +89,11 @@
                         {"processor_cores", 0.25}}}};
     entries_.push_back(std::move(entry));
   }
-  for (int i = 0; i < agents; ++i) {
+  for (const auto& name : agents) {
     const int control = FreePort();
     const int executor = executors_.Add(control);
     Process agent;
-    agent.name = absl::StrFormat("side-a-%d", i + 1);
+    agent.name = name;
     agent.settings = {{"role", "agent"},
                       {"id", agent.name},
                       {"failure_domain", "zone-a"},
@@ -82,15 +105,18 @@
                         {"link_endpoint", "tcp://" + Address(FreePort())},
                         {"log_address", store_.address()},
                         {"metrics_address", Address(FreePort())},
-                        {"advice_address", ""},
+                        {"advice_address", advice_address},
                         {"longest_lease_ms", options.max_hold_ms}}}};
     agents_.push_back(std::move(agent));
   }
-  const Json route = {{"Name", "r-work"},      {"Host", kHost},
-                      {"PathPrefix", kPrefix}, {"Type", "unsafe"},
-                      {"TimeoutMs", 3000},     {"TargetLatencyMs", 1000},
-                      {"Priority", 0},         {"Service", options.service},
-                      {"MaxAttempts", 4},      {"Stretch", 2.0}};
+  Json route = {{"Name", "r-work"},      {"Host", kHost},
+                {"PathPrefix", kPrefix}, {"Type", "unsafe"},
+                {"TimeoutMs", 3000},     {"TargetLatencyMs", 1000},
+                {"Priority", 0},         {"Service", options.service},
+                {"MaxAttempts", 4},      {"Stretch", 2.0}};
+  if (!advice_address.empty()) {
+    route["Advice"] = advice;
+  }
   const Json service = {{"Name", options.service},
                         {"HealthCheckPath", "/health"},
                         {"MaxConnections", 64},
@@ -155,11 +181,18 @@
              .status == 200;
 }
 
-auto Deployment::Begin() -> bool {
-  for (auto* list : {&entries_, &agents_}) {
-    for (auto& process : *list) {
-      Launch(&process);
-    }
+auto Deployment::AddMachine(int agent) -> void {
+  Launch(&agents_.at(agent));
+  executors_.Join(agent);
+}
+
+auto Deployment::Begin(int agents) -> bool {
+  for (auto& entry : entries_) {
+    Launch(&entry);
+  }
+  const int first = agents < 0 ? static_cast<int>(agents_.size()) : agents;
+  for (int i = 0; i < first; ++i) {
+    AddMachine(i);
   }
   executors_.Begin();
   const int64_t until = NowMs() + kReadyWithinMs;
--- a/review/stand_ins/deployment.h
+++ b/review/stand_ins/deployment.h
@@ -31,14 +31,26 @@
              int agents,
              ExecutorOptions options,
              Record* record);
+  // The same with the names of the agents, and the address and the figures of
+  // the policy service (`Advice` of the queue); an empty address for none.
+  Deployment(CasePaths paths,
+             int entries,
+             const std::vector<std::string>& agents,
+             const std::string& advice_address,
+             const nlohmann::json& advice,
+             ExecutorOptions options,
+             Record* record);
   Deployment(const Deployment&) = delete;
   auto operator=(const Deployment&) -> Deployment& = delete;
   // Ends all processes that it started.
   ~Deployment();
 
-  // Starts everything and waits until all entries are ready; false if they
-  // aren't within 30 s.
-  auto Begin() -> bool;
+  // Starts the entries and the first `agents` agents with their executors (all
+  // by default), and waits until all entries are ready; false if they aren't
+  // within 30 s.
+  auto Begin(int agents = -1) -> bool;
+  // Starts an agent, and its executor joins.
+  auto AddMachine(int agent) -> void;
   auto KillEntry(int entry) -> void;
   auto StartEntry(int entry) -> void;
   // The entry whose claim is the newest in the store; -1 if there is none.
--- a/review/stand_ins/executors.cc
+++ b/review/stand_ins/executors.cc
@@ -72,12 +72,30 @@
   executor->control_port = control_port;
   executor->id = absl::StrFormat("i-%02x00life", executor->number);
   executor->clock_begins = -kClockApart * (executor->number + 1);
-  executor->born_unix_ms = UnixMs();
+  executor->port = FreePort();
   executors_.push_back(std::move(executor));
-  Serve(executors_.back().get());
   return executors_.back()->number;
 }
 
+auto Executors::Join(int executor) -> void {
+  const std::lock_guard lock(mutex_);
+  Executor& joining = *executors_.at(executor);
+  joining.born_unix_ms = UnixMs();
+  joining.up = true;
+  joining.joined = true;
+  Serve(&joining);
+}
+
+auto Executors::id(int executor) -> std::string {
+  const std::lock_guard lock(mutex_);
+  return executors_.at(executor)->id;
+}
+
+auto Executors::RequireTickets(CheckTicket check) -> void {
+  const std::lock_guard lock(mutex_);
+  check_ticket_ = std::move(check);
+}
+
 auto Executors::ComeBack(Executor* executor) -> void {
   ++executor->life;
   if (executor->restart == Restart::kNewId) {
@@ -99,7 +117,6 @@
       executor->port, [this, executor](const HttpRequest& request) {
         return Handle(executor, request);
       });
-  executor->port = executor->server->port();
 }
 
 auto Executors::address(int executor) const -> std::string {
@@ -241,6 +258,12 @@
     record_->Break("UNASKED: " + task + " is of no job that a client sent");
     return {400, "{}"};
   }
+  if (check_ticket_ &&
+      !check_ticket_(StepOf(task), executor->id, call.value("Ticket", ""))) {
+    record_->Write(absl::StrFormat("executor %d refuses %s run %d: ticket",
+                                   executor->number, task, number));
+    return Refuse(clock, "ticket");
+  }
   Run run;
   run.task = task;
   run.job = parts[0];
@@ -383,6 +406,10 @@
                        const std::string& task,
                        const std::string& how) -> void {
   const auto found = executor->runs.find(task);
+  if (found == executor->runs.end()) {
+    // The end of another member has ended it.
+    return;
+  }
   const Run run = found->second;
   executor->runs.erase(found);
   executor->ends.push_back(
@@ -501,7 +528,8 @@
           return;
         }
         const int64_t now = NowMs();
-        if (!executor->up && now >= executor->comes_back_at) {
+        if (executor->joined && !executor->up &&
+            now >= executor->comes_back_at) {
           ComeBack(executor.get());
         }
         if (!executor->up || now < executor->next_heartbeat) {
@@ -536,6 +564,8 @@
       if (answer.status < 200 || answer.status > 299) {
         // Nobody else takes it; it is sent again soon.
         const std::lock_guard lock(mutex_);
+        record_->Write(absl::StrFormat("heartbeat of executor %d answered %d",
+                                       executor->number, answer.status));
         executor->next_heartbeat = NowMs() + kHeartbeatTimeoutMs / 2;
       }
     }
--- a/review/stand_ins/executors.h
+++ b/review/stand_ins/executors.h
@@ -4,6 +4,7 @@
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -70,9 +71,10 @@
   auto operator=(const Executors&) -> Executors& = delete;
   ~Executors();
 
-  // Adds an executor, which sends heartbeats to 127.0.0.1:`control_port` once
-  // `Begin` was called. Returns its number, from 0 on.
+  // Adds an executor, which sends heartbeats to 127.0.0.1:`control_port` from
+  // `Join` on. Returns its number, from 0 on.
   auto Add(int control_port) -> int;
+  auto Join(int executor) -> void;
   auto address(int executor) const -> std::string;
   auto Begin() -> void;
   // Makes a client's job known before it is sent. `body` is what is submitted.
@@ -84,6 +86,12 @@
 
   // Runs that are at work at this moment.
   auto Running() -> std::vector<StartedRun>;
+  auto id(int executor) -> std::string;
+  // From now on starts need the ticket that `CheckTicket` accepts for the step,
+  // the executor's id and the ticket.
+  using CheckTicket = std::function<
+      auto(const std::string&, const std::string&, const std::string&)->bool>;
+  auto RequireTickets(CheckTicket check) -> void;
   // How many runs of the job's tasks have begun, and have ended so.
   auto starts(const std::string& job) -> int;
   auto ends(const std::string& job, const std::string& how) -> int;
@@ -123,7 +131,8 @@
     std::string id;
     uint64_t life = 0;
     uint64_t sequence = 0;
-    bool up = true;
+    bool up = false;
+    bool joined = false;
     uint64_t fence = 0;
     int64_t clock_begins = 0;
     int64_t lease_until = 0;
@@ -167,6 +176,7 @@
   static auto Clock(const Executor& executor) -> int64_t;
 
   const ExecutorOptions options_;
+  CheckTicket check_ticket_;
   Record* record_;
   std::mutex mutex_;
   std::condition_variable changed_;
--- a/review/stand_ins/http.cc
+++ b/review/stand_ins/http.cc
@@ -7,6 +7,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
+#include <random>
 #include <stdexcept>
 
 namespace review {
@@ -103,17 +105,23 @@
 }
 
 auto FreePort() -> int {
-  const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  auto address = Loopback(0);
-  socklen_t size = sizeof(address);
-  const bool bound =
-      bind(probe, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
-      getsockname(probe, reinterpret_cast<sockaddr*>(&address), &size) == 0;
-  close(probe);
-  if (!bound) {
-    throw std::runtime_error("no free port");
+  // Below the range from which the system draws ports for connections.
+  constexpr int kFirst = 12000;
+  constexpr int kPorts = 18000;
+  static std::atomic<int> next{
+      static_cast<int>(std::random_device()() % kPorts)};
+  for (int tries = 0; tries < kPorts; ++tries) {
+    const int port = kFirst + next++ % kPorts;
+    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto address = Loopback(port);
+    const bool bound = bind(probe, reinterpret_cast<const sockaddr*>(&address),
+                            sizeof(address)) == 0;
+    close(probe);
+    if (bound) {
+      return port;
+    }
   }
-  return ntohs(address.sin_port);
+  throw std::runtime_error("no free port");
 }
 
 auto Call(const std::string& method,
--- a/review/stand_ins/http.h
+++ b/review/stand_ins/http.h
@@ -33,7 +33,7 @@
  public:
   using Handler = std::function<auto(const HttpRequest&)->HttpAnswer>;
 
-  // Port 0 picks a free one. Throws std::runtime_error if it can't listen.
+  // Throws std::runtime_error if it can't listen there.
   HttpServer(int port, Handler handler);
   HttpServer(const HttpServer&) = delete;
   auto operator=(const HttpServer&) -> HttpServer& = delete;
@@ -47,7 +47,8 @@
   MHD_Daemon* daemon_ = nullptr;
 };
 
-// A port of 127.0.0.1 that was free a moment ago.
+// A port of 127.0.0.1 that was free a moment ago, another one for each call.
+// Throws std::runtime_error if there is none.
 auto FreePort() -> int;
 
 // Sends one call on a new connection. Status 0 if no whole answer came within
--- a/review/stand_ins/store.cc
+++ b/review/stand_ins/store.cc
@@ -52,7 +52,7 @@
 
 Store::Store()
     : server_(std::make_unique<HttpServer>(
-          0,
+          FreePort(),
           [this](const HttpRequest& request) -> HttpAnswer {
             return Handle(request);
           })) {}
