--- a/review/stand_ins/deployment.cc
+++ b/review/stand_ins/deployment.cc
@@ -24,6 +24,8 @@
 constexpr int kDeadlineMs = 3000;
 constexpr int kRetries = 4;
 constexpr int64_t kReadyWithinMs = 30000;
+// Longer than any case.
+constexpr int64_t kForGoodMs = 1000000;
 constexpr std::chrono::milliseconds kPoll{50};
 
 auto Address(int port) -> std::string {
@@ -207,16 +209,20 @@
   return false;
 }
 
+auto Deployment::Kill(Process* process) -> void {
+  kill(process->id, SIGKILL);
+  waitpid(process->id, nullptr, 0);
+  process->id = -1;
+  record_->Write(process->name + " is killed");
+}
+
 auto Deployment::KillEntry(int entry) -> void {
-  Process& process = entries_.at(entry);
-  kill(process.id, SIGKILL);
-  waitpid(process.id, nullptr, 0);
-  process.id = -1;
-  record_->Write(process.name + " is killed");
+  Kill(&entries_.at(entry));
 }
 
-auto Deployment::StartEntry(int entry) -> void {
-  Launch(&entries_.at(entry));
+auto Deployment::RemoveMachine(int agent) -> void {
+  Kill(&agents_.at(agent));
+  executors_.Crash(agent, kForGoodMs, Restart::kNewId);
 }
 
 auto Deployment::Owner() -> int {
--- a/review/stand_ins/deployment.h
+++ b/review/stand_ins/deployment.h
@@ -52,7 +52,8 @@
   // Starts an agent, and its executor joins.
   auto AddMachine(int agent) -> void;
   auto KillEntry(int entry) -> void;
-  auto StartEntry(int entry) -> void;
+  // Takes a machine away for good: its agent's process and its executor.
+  auto RemoveMachine(int agent) -> void;
   // The entry whose claim is the newest in the store; -1 if there is none.
   auto Owner() -> int;
   auto entries() const -> int;
@@ -85,6 +86,7 @@
   };
 
   auto Launch(Process* process) -> void;
+  auto Kill(Process* process) -> void;
   auto Ready(const Process& process) -> bool;
 
   CasePaths paths_;
