jobs: Tell the processes of a worker apart by their start

Cause: an id was taken for a process. Nothing read `born`, so the agent dropped the heartbeats of the later process as older ones, and no run of the earlier one was declared lost.

Change: the id of a worker process is made of its name and its start where its messages are decoded, and is compared everywhere. Calls name the worker only, so a listing of another start counts as one of another process, a start that the later process may have carried out is stopped there before the owner is told of the restart, the owner is told with the runs and ends of the later process, and a worker that does not answer is sent no acknowledgement of ends. A worker that has left as planned may come back under its name. New log lines: worker_replaced, worker_answers_as_another, heartbeat_of_ended_worker.

--- a/Source/Jobs/heartbeat_check.cc
+++ b/Source/Jobs/heartbeat_check.cc
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include "Jobs/worker_id.h"
+
 namespace rhubarbhaven::jobs {
 namespace {
 
@@ -40,23 +42,23 @@
 
 }  // namespace
 
-auto CheckWorkerId(const std::string& id) -> absl::Status {
-  // An empty id means that no worker is known, and invalid text would make the
+auto CheckWorkerName(const std::string& name) -> absl::Status {
+  // An empty one means that no worker is known, and invalid text would make the
   // agent's report unreadable to the owner.
   const bool well_formed =
-      !id.empty() && id.size() <= kMaxWorkerIdLength &&
-      std::all_of(id.begin(), id.end(), [](unsigned char c) -> bool {
+      !name.empty() && name.size() <= kMaxWorkerNameLength &&
+      std::all_of(name.begin(), name.end(), [](unsigned char c) -> bool {
         return absl::ascii_isgraph(c) && c != '/';
       });
   return well_formed
              ? absl::OkStatus()
              : Problem(absl::StrCat("the worker's id must have 1 to ",
-                                    kMaxWorkerIdLength,
+                                    kMaxWorkerNameLength,
                                     " printable characters and no \"/\""));
 }
 
 auto CheckHeartbeat(const WorkerHeartbeat& heartbeat) -> absl::Status {
-  auto status = CheckWorkerId(heartbeat.worker_id);
+  auto status = CheckWorkerName(WorkerNameOf(heartbeat.worker_id));
   if (!status.ok()) {
     return status;
   }
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -205,10 +205,13 @@
   }
   last_report_at_ = now;
   OnCrashedRuns(worker, report);
-  UpdateWorker(now, worker, report);
+  const bool keeps_name = UpdateWorker(now, worker, report);
   NoteFollowed(now, worker, report);
   NoteReceived(now, worker, report);
-  const bool reconciling = !worker.confirmed && !reconciliation_done_;
+  // The first report of a process with the name of the one before lists what it
+  // was given in place of that one, and whose runs were just declared lost.
+  const bool reconciling =
+      (!worker.confirmed && !reconciliation_done_) || keeps_name;
   if (report.complete() && !worker.confirmed) {
     AdoptListing(now, worker, report);
   } else if (report.complete()) {
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -161,9 +161,13 @@
   // Whether a late report was sent by a process of the agent that has ended.
   static auto IsOfEndedAgentProcess(const WorkerView& worker,
                                     const AgentReport& report) -> bool;
+  // Returns whether the worker has restarted under its name.
   auto UpdateWorker(TimePoint now,
                     WorkerView& worker,
-                    const AgentReport& report) -> void;
+                    const AgentReport& report) -> bool;
+  // The worker's agent, replaced by one of a later version, names the start of
+  // the same process.
+  auto RefineWorkerId(WorkerView& worker, const std::string& worker_id) -> void;
   auto EndWorkerLifetime(TimePoint now, WorkerView& worker, WorkerExit how)
       -> void;
   auto AdoptListing(TimePoint now,
--- a/Source/Jobs/jobs.h
+++ b/Source/Jobs/jobs.h
@@ -30,6 +30,7 @@
 #include "Jobs/start_check.h"
 #include "Jobs/task_agent.h"
 #include "Jobs/ticket_cache.h"
+#include "Jobs/worker_id.h"
 #include "Jobs/worker_port.h"
 
 #endif  // RHUBARBHAVEN_JOBS_JOBS_H_
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "Jobs/job_owner.h"
+#include "Jobs/worker_id.h"
 
 // Handles agents' reports: which workers exist, what runs on them, and
 // interference.
@@ -31,10 +32,23 @@
   quarantines_.Cancel(worker.number);
 }
 
+auto JobOwner::RefineWorkerId(WorkerView& worker, const std::string& worker_id)
+    -> void {
+  keys_to_delete_.push_back(MakeKey(RecordKind::kWorkerEnds, worker.worker_id));
+  worker.worker_id = worker_id;
+  // What the log holds under the earlier id is recorded anew.
+  worker.ends_logged = 0;
+  ends_due_.insert(worker.agent);
+  grants_to_record_.insert(worker.agent);
+}
+
 auto JobOwner::UpdateWorker(TimePoint now,
                             WorkerView& worker,
-                            const AgentReport& report) -> void {
+                            const AgentReport& report) -> bool {
   worker.last_contact_at = now;
+  if (AddsStart(report.worker_id(), worker.worker_id)) {
+    RefineWorkerId(worker, report.worker_id());
+  }
   worker.earlier_runs_ended =
       worker.earlier_runs_ended || report.worker_lapsed();
   const bool left =
@@ -42,6 +56,8 @@
   const bool new_lifetime = !worker.worker_id.empty() &&
                             !report.worker_id().empty() &&
                             worker.worker_id != report.worker_id();
+  const bool keeps_name = new_lifetime && WorkerNameOf(worker.worker_id) ==
+                                              WorkerNameOf(report.worker_id());
   if (left || new_lifetime) {
     // The record that the log may have about the previous worker must not apply
     // to the next one: a new owner would not wait for an agent whose worker is
@@ -73,7 +89,7 @@
     // lost, they would be started elsewhere while they run.
     worker.silent = true;
     worker.reported_us = 0;
-    return;
+    return false;
   }
   if (worker.worker_id.empty()) {
     worker.worker_id = report.worker_id();
@@ -120,6 +136,7 @@
     changes_.Record(worker);
     placement_due_ = true;
   }
+  return keeps_name;
 }
 
 auto JobOwner::AdoptListing(TimePoint now,
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -5,6 +5,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "Jobs/job_work.h"
+#include "Jobs/worker_id.h"
+
 namespace rhubarbhaven::jobs {
 namespace {
 
@@ -26,6 +29,16 @@
          left.accelerators() == right.accelerators();
 }
 
+// Whether the run is running or has ended by the listing.
+auto Lists(const WorkerListing& listing, const CrashedRun& run) -> bool {
+  const auto is_run = [&run](const auto& row) -> bool {
+    return row.run() == run.run() &&
+           DescribeTask(row.task()) == DescribeTask(run.task());
+  };
+  return std::any_of(listing.running.begin(), listing.running.end(), is_run) ||
+         std::any_of(listing.ended.begin(), listing.ended.end(), is_run);
+}
+
 }  // namespace
 
 TaskAgent::TaskAgent(TaskAgentOptions options, TaskAgentHooks hooks)
@@ -65,6 +78,9 @@
     ++lease_number_;
   }
   RenewLease(now, orders);
+  if (orders.worker_id() == heartbeat_.worker_id) {
+    announced_with_runs_ = false;
+  }
   evacuated_ = orders.evacuated();
   if (orders.crashes_of_incarnation() == options_.incarnation) {
     DiscardCrashes(now, orders.crashes_logged());
@@ -89,7 +105,10 @@
 
 auto TaskAgent::OnHeartbeat(TimePoint now, const WorkerHeartbeat& heartbeat)
     -> bool {
-  if (ended_worker_ids_.contains(heartbeat.worker_id)) {
+  // Without the start of its process, a heartbeat for a worker that states it
+  // is another writer's.
+  if (ended_worker_ids_.contains(heartbeat.worker_id) ||
+      AddsStart(heartbeat_.worker_id, heartbeat.worker_id)) {
     return false;
   }
   if (heartbeat.worker_id == heartbeat_.worker_id) {
@@ -115,14 +134,25 @@
 
 auto TaskAgent::UseWorker(TimePoint now, const WorkerHeartbeat& heartbeat)
     -> void {
+  const bool same_name =
+      !heartbeat_.worker_id.empty() &&
+      WorkerNameOf(heartbeat_.worker_id) == WorkerNameOf(heartbeat.worker_id);
   heartbeat_ = heartbeat;
   described_ = true;
   worker_left_ = false;
+  if (same_name) {
+    CarryOverStarts(now);
+  }
   ResetWorker(now);
+  announced_with_runs_ = WorkerStartOf(heartbeat.worker_id).has_value();
   ListIfDue(now);
 }
 
-auto TaskAgent::OnLeave(TimePoint now, const std::string& worker_id) -> void {
+auto TaskAgent::OnLeave(TimePoint now, const std::string& notice_of) -> void {
+  // A notice without the start of the process is of the present one.
+  const std::string worker_id = AddsStart(heartbeat_.worker_id, notice_of)
+                                    ? heartbeat_.worker_id
+                                    : notice_of;
   ended_worker_ids_.insert(worker_id);
   left_worker_id_ = worker_id;
   if (worker_id != heartbeat_.worker_id) {
@@ -190,13 +220,21 @@
 }
 
 auto TaskAgent::NoteCrash(TimePoint now) -> void {
+  const auto worker = std::exchange(crashed_worker_, std::nullopt);
+  if (!worker) {
+    return;
+  }
   const auto crashed = run_watch_.TakeCrashed();
-  if (heartbeat_.draining) {
+  if (worker->draining) {
     // A draining worker ends as planned.
     return;
   }
   for (auto run : crashed) {
-    run.set_worker_id(heartbeat_.worker_id);
+    if (Lists(listing_, run)) {
+      // Called at the earlier process and carried out by the later one.
+      continue;
+    }
+    run.set_worker_id(worker->worker_id);
     run.set_number(next_crash_++);
     hooks_.log({"crashed", run.task(), run.run(),
                 absl::StrCat("its worker has crashed, it ran for ",
@@ -215,13 +253,15 @@
 auto TaskAgent::ResetWorker(TimePoint now) -> void {
   ++epoch_;
   for (const auto& [number, order] : orders_) {
-    if (order->state != OrderState::kFinished) {
+    if (order->state != OrderState::kFinished && !order->carried_over) {
       Finish(order, order->is_stop ? ORDER_DONE : ORDER_REFUSED);
     }
   }
   forget_through_ = 0;
   listed_ = false;
   answered_ = false;
+  announced_with_runs_ = false;
+  replaced_ = false;
   listing_ = WorkerListing();
   listing_in_flight_ = false;
   list_not_before_ = now;
@@ -230,6 +270,31 @@
   worker_clock_at_ = TimePoint();
 }
 
+auto TaskAgent::CarryOverStarts(TimePoint now) -> void {
+  for (const auto& [number, order] : orders_) {
+    const bool settled = order->state == OrderState::kFinished ||
+                         (order->state == OrderState::kWaiting &&
+                          !order->unconfirmed && !order->revoked);
+    if (order->is_stop || settled) {
+      continue;
+    }
+    order->carried_over = true;
+    order->unconfirmed = true;
+    order->revoked = true;
+    order->outcome = ORDER_REFUSED;
+    order->state = OrderState::kWaiting;
+    order->not_before = now;
+  }
+}
+
+auto TaskAgent::MayRunEarlierStarts() const -> bool {
+  return std::any_of(orders_.begin(), orders_.end(),
+                     [](const auto& item) -> bool {
+                       return item.second->carried_over &&
+                              item.second->state != OrderState::kFinished;
+                     });
+}
+
 auto TaskAgent::ListIfDue(TimePoint now) -> void {
   if (stopped_ || listing_in_flight_ || heartbeat_.worker_id.empty() ||
       fence_ == 0 || now < list_not_before_) {
@@ -237,7 +302,9 @@
   }
   ListCall call;
   call.fence = fence_;
-  call.forget_through = forget_through_;
+  // While the worker does not answer, a later process of the same name may have
+  // replaced it. That process would forget ends of its own.
+  call.forget_through = unresponsive_since_ ? 0 : forget_through_;
   call.worker_id = heartbeat_.worker_id;
   if (listed_ && !unresponsive_since_ && LeaseHolds(now)) {
     call.deadline = WorkerDeadline();
@@ -268,9 +335,15 @@
     return;
   }
   if (listing.other_worker_id || listing.fenced) {
+    if (listing.other_worker_id && !std::exchange(replaced_, true)) {
+      hooks_.log_worker({"worker_answers_as_another", heartbeat_.worker_id});
+    }
     list_not_before_ = now + options_.retry_pause;
     return;
   }
+  if (AddsStart(listing.worker_id, heartbeat_.worker_id)) {
+    heartbeat_.worker_id = listing.worker_id;
+  }
   const bool was_unresponsive = unresponsive_since_.has_value();
   unresponsive_since_ = std::nullopt;
   const uint64_t newest_known =
@@ -283,6 +356,7 @@
   LogLapsedRuns(now, newest_known);
   listed_ = true;
   answered_ = true;
+  NoteCrash(now);
   listed_at_ = asked;
   worker_clock_ = listing_.clock;
   worker_clock_at_ = now;
@@ -407,7 +481,14 @@
   reported_at_ = now;
   // A heartbeat may be a delayed one of a process that has ended. An owner that
   // took that process for the present one would start elsewhere what runs here.
-  report.set_worker_id(answered_ ? heartbeat_.worker_id : "");
+  // A listing from before the worker became unresponsive may be outdated. An
+  // owner that has declared its runs lost would treat them as running again.
+  const bool has_listing = listed_ && !unresponsive_since_;
+  const bool names_worker = answered_ && !MayRunEarlierStarts() &&
+                            (has_listing || !announced_with_runs_);
+  const bool listed = has_listing && names_worker;
+  with_running = with_running || announced_with_runs_;
+  report.set_worker_id(names_worker ? heartbeat_.worker_id : "");
   report.set_left_worker_id(left_worker_id_);
   report.set_incarnation(options_.incarnation);
   report.set_service(heartbeat_.service);
@@ -427,9 +508,6 @@
   for (const auto& crash : crashes_) {
     *report.add_crashed() = crash.run;
   }
-  // A listing from before the worker became unresponsive may be outdated. An
-  // owner that has declared its runs lost would treat them as running again.
-  const bool listed = listed_ && !unresponsive_since_;
   report.set_complete(listed && with_running);
   if (listed) {
     if (with_running) {
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -109,8 +109,9 @@
                 const AgentOrders& orders) -> void;
   // Returns false for a heartbeat of a worker process that has ended.
   auto OnHeartbeat(TimePoint now, const WorkerHeartbeat& heartbeat) -> bool;
-  // The worker has announced that it stops as planned.
-  auto OnLeave(TimePoint now, const std::string& worker_id) -> void;
+  // The worker has announced that it stops as planned. The id may lack the
+  // start of its process.
+  auto OnLeave(TimePoint now, const std::string& notice_of) -> void;
   auto Tick(TimePoint now) -> void;
   // The process was told to stop: from now on, the agent extends no lease of
   // its worker and starts nothing. Returns for how long the worker's lease may
@@ -142,6 +143,8 @@
     bool revoked = false;
     // A start for whose run a stop was received.
     bool withdrawn = false;
+    // A start that was called at an earlier process of the worker.
+    bool carried_over = false;
     TimePoint not_before;
     TimePoint received_at;
     // Of the newest message with this start; null if they are unknown.
@@ -171,13 +174,20 @@
   // Whether a stop that was received earlier applies to the start.
   auto HasStop(const StartOrder& start) const -> bool;
   auto ResetWorker(TimePoint now) -> void;
+  // Ends the starts that a later process of the same name may have carried out
+  // or may still carry out: calls name the worker only.
+  auto CarryOverStarts(TimePoint now) -> void;
+  // Whether the worker's process may still carry out starts that were called at
+  // an earlier one. An owner that declared the earlier runs lost before these
+  // are settled would start them elsewhere while they run.
+  auto MayRunEarlierStarts() const -> bool;
   // Takes the process that sent the heartbeat for the worker.
   auto UseWorker(TimePoint now, const WorkerHeartbeat& heartbeat) -> void;
   // Asks the worker whether it still is the process that the log names, unless
   // another one has answered.
   auto RecoverWorker(TimePoint now, const std::string& recorded_id) -> void;
   auto OnRecoveryAnswer(TimePoint now,
-                        const std::string& worker_id,
+                        const std::string& recorded_id,
                         uint64_t epoch,
                         const WorkerListing& listing) -> void;
   // Asks the worker whether it is the process that sent the heartbeat. Another
@@ -185,7 +195,8 @@
   // ended; the live one must not be taken for ended.
   auto VerifyHeartbeat(const WorkerHeartbeat& heartbeat) -> void;
   auto OnHeartbeatVerified(TimePoint now, const WorkerListing& listing) -> void;
-  // Handles a new worker id when the previous worker did not leave.
+  // Notes which runs ended when the worker's earlier process crashed, once it
+  // is known which of them the later one has.
   auto NoteCrash(TimePoint now) -> void;
   // Discards crashes that an owner has stored, and old ones.
   auto DiscardCrashes(TimePoint now, uint64_t stored) -> void;
@@ -290,6 +301,12 @@
   // answered a listing. Until then, it may be a process that has ended.
   bool described_ = false;
   bool answered_ = false;
+  // The owner may not know yet that a process has replaced one that may have
+  // had its name. It is told with the runs of the process: the later one may
+  // have carried out starts that were called at the earlier one.
+  bool announced_with_runs_ = false;
+  // Another process has answered a listing of the worker.
+  bool replaced_ = false;
   // Increases when the worker id or the fence changes, to detect responses to
   // earlier calls.
   uint64_t epoch_ = 0;
@@ -309,6 +326,9 @@
     CrashedRun run;
   };
   std::deque<ReportedCrash> crashes_;
+  // The latest process that did not leave and has been replaced, until its runs
+  // are noted; null if there is none.
+  std::optional<WorkerHeartbeat> crashed_worker_;
   uint64_t next_crash_ = 1;
 
   bool listing_in_flight_ = false;
--- a/Source/Jobs/task_agent_orders.cc
+++ b/Source/Jobs/task_agent_orders.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "Jobs/task_agent.h"
+#include "Jobs/worker_id.h"
 
 // Execution of the owner's orders by an agent.
 namespace rhubarbhaven::jobs {
@@ -98,7 +99,7 @@
     order->run = stop.run();
     orders_[stop.order()] = order;
     WithdrawStarts(stop);
-    if (stop.worker_id() != heartbeat_.worker_id) {
+    if (!MayBeSameWorker(stop.worker_id(), heartbeat_.worker_id)) {
       Finish(order, ORDER_DONE);
     }
   }
@@ -134,7 +135,8 @@
     }
     return;
   }
-  const bool other_worker_id = start.worker_id() != heartbeat_.worker_id;
+  const bool other_worker_id =
+      !MayBeSameWorker(start.worker_id(), heartbeat_.worker_id);
   if (other_worker_id && start.repeated()) {
     // The report shows the owner which worker id is the newer one.
     return;
@@ -232,6 +234,9 @@
   if (heartbeat_.draining) {
     return "its worker drains";
   }
+  if (replaced_) {
+    return "its worker has restarted";
+  }
   if (evacuated_) {
     return "its failure domain is evacuated";
   }
--- a/Source/Jobs/task_agent_recovery.cc
+++ b/Source/Jobs/task_agent_recovery.cc
@@ -1,6 +1,7 @@
 #include <utility>
 
 #include "Jobs/task_agent.h"
+#include "Jobs/worker_id.h"
 
 // How an agent that has just started finds its worker, before a heartbeat has
 // come.
@@ -10,6 +11,7 @@
     -> void {
   if (stopped_ || answered_ || worker_left_ ||
       recorded_id == heartbeat_.worker_id ||
+      AddsStart(heartbeat_.worker_id, recorded_id) ||
       ended_worker_ids_.contains(recorded_id)) {
     return;
   }
@@ -28,14 +30,17 @@
 }
 
 auto TaskAgent::OnRecoveryAnswer(TimePoint now,
-                                 const std::string& worker_id,
+                                 const std::string& recorded_id,
                                  uint64_t epoch,
                                  const WorkerListing& listing) -> void {
   const WorkerProcess process = ProcessOf(listing);
-  recovery_.OnAnswer(now, worker_id, process);
+  recovery_.OnAnswer(now, recorded_id, process);
   if (process == WorkerProcess::kEnded) {
-    hooks_.log_worker({"worker_recovery_rejected", worker_id});
+    hooks_.log_worker({"worker_recovery_rejected", recorded_id});
   }
+  const std::string worker_id = AddsStart(listing.worker_id, recorded_id)
+                                    ? listing.worker_id
+                                    : recorded_id;
   // Meanwhile a heartbeat or a notice that the worker has left may have come,
   // or an owner with another fence.
   if (stopped_ || epoch != epoch_ || process != WorkerProcess::kPresent ||
@@ -82,14 +87,26 @@
   }
   switch (ProcessOf(listing)) {
     case WorkerProcess::kPresent:
+      if (AddsStart(listing.worker_id, heartbeat->worker_id)) {
+        // Another writer's heartbeat, since the worker says when it started.
+        break;
+      }
+      hooks_.log_worker({"worker_replaced", heartbeat->worker_id});
       if (!heartbeat_.worker_id.empty()) {
         ended_worker_ids_.insert(heartbeat_.worker_id);
         NoteCrash(now);
+        crashed_worker_ = heartbeat_;
+        if (WorkerNameOf(heartbeat_.worker_id) !=
+            WorkerNameOf(heartbeat->worker_id)) {
+          listing_ = WorkerListing();
+          NoteCrash(now);
+        }
       }
       UseWorker(now, *heartbeat);
       answered_ = true;
       break;
     case WorkerProcess::kEnded:
+      hooks_.log_worker({"heartbeat_of_ended_worker", heartbeat->worker_id});
       ended_worker_ids_.insert(heartbeat->worker_id);
       break;
     case WorkerProcess::kUnknown:
--- a/Source/Jobs/worker_port.h
+++ b/Source/Jobs/worker_port.h
@@ -16,7 +16,7 @@
 
 // The state that a worker publishes periodically.
 struct WorkerHeartbeat {
-  // Unique to one process of the worker.
+  // Unique to one process of the worker, see MakeWorkerId.
   std::string worker_id;
   // Increases with each heartbeat of one process.
   uint64_t sequence = 0;
@@ -32,8 +32,10 @@
 // The tasks that a worker runs, and the task ends that it still stores.
 struct WorkerListing {
   bool answered = false;
-  // The worker's id differs from the one in the call.
+  // The process that answered is not the one that the call names.
   bool other_worker_id = false;
+  // Its id. Adds the start to that of the call if the call does not name one.
+  std::string worker_id;
   // A higher fence is in force at the worker.
   bool fenced = false;
   WorkerTime clock{0};
--- a/Tests/Jobs/simulated_cluster.cc
+++ b/Tests/Jobs/simulated_cluster.cc
@@ -930,6 +930,7 @@
                          : std::nullopt;
   };
   observer.restart_delay = options_.restart_delay;
+  observer.keeps_name = options_.workers_keep_names;
   observer.on_crash = [this](const TaskName& task) -> void { OnCrash(task); };
   observer.is_opportunistic = [this](const TaskName& task) -> bool {
     return IsOpportunistic(task);
--- a/Tests/Jobs/simulated_cluster.h
+++ b/Tests/Jobs/simulated_cluster.h
@@ -41,6 +41,8 @@
   bool allow_reconciliation = true;
   // Time from a crash under a task until the worker is restarted.
   std::chrono::milliseconds restart_delay{3300};
+  // A worker that restarts keeps its name; see WorkerObserver.
+  bool workers_keep_names = false;
   // Size of the payload of each job.
   std::size_t payload_bytes = 300;
   // Bandwidth of the link of each entry, which its orders, its appends and what
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -870,6 +870,107 @@
   EXPECT_FALSE(agent_.OnHeartbeat(now_, late));
 }
 
+constexpr char kEarlierProcess[] = "worker/1000";
+constexpr char kLaterProcess[] = "worker/2000";
+
+class RestartUnderNameTest : public TaskAgentTest {
+ protected:
+  // Has a start called at the earlier process and not answered.
+  auto CallStart() -> void {
+    SendHeartbeat(kEarlierProcess);
+    agent_.OnOrders(now_, "owner", Orders(1));
+    AnswerList();
+    AgentOrders orders = WithStart(Orders(1), /*repeated=*/false);
+    orders.set_worker_id(kEarlierProcess);
+    orders.mutable_starts(0)->set_worker_id(kEarlierProcess);
+    agent_.OnOrders(now_, "owner", orders);
+    ASSERT_EQ(starts_.size(), 1U);
+    AnswerList();
+  }
+
+  // The later process sends its first heartbeat, and answers the call that
+  // verifies it.
+  auto Restart() -> void {
+    heartbeats_ = 0;
+    SendHeartbeat(kLaterProcess);
+    ASSERT_EQ(lists_.back().worker_id, kLaterProcess);
+    AnswerList();
+  }
+
+  auto ReportedWorker() const -> std::string {
+    return reports_.back().worker_id();
+  }
+};
+
+// Guards against heartbeats that are dropped as older ones after a restart,
+// since their numbers begin anew.
+TEST_F(RestartUnderNameTest, LaterProcessIsUsedAndTheEarlierOneRejected) {
+  CallStart();
+  SendHeartbeat(kEarlierProcess);
+  Restart();
+  WorkerHeartbeat late;
+  late.worker_id = kEarlierProcess;
+  late.sequence = 100;
+  EXPECT_FALSE(agent_.OnHeartbeat(now_, late));
+  // Another writer's.
+  late.worker_id = "worker";
+  EXPECT_FALSE(agent_.OnHeartbeat(now_, late));
+}
+
+// Guards against a task that runs in two places: a start that was called at the
+// earlier process is carried out by the later one, while its owner starts the
+// task elsewhere because the earlier process has ended.
+TEST_F(RestartUnderNameTest, RestartIsReportedOnceEarlierStartsAreSettled) {
+  CallStart();
+  Restart();
+  agent_.OnOrders(now_, "owner", Orders(1));
+  EXPECT_EQ(ReportedWorker(), "");
+  now_ += milliseconds(1);
+  AnswerList();
+  ASSERT_EQ(stops_.size(), 1U);
+  EXPECT_EQ(stops_.back().run, 10U);
+  EXPECT_EQ(stops_.back().worker_id, kLaterProcess);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  EXPECT_EQ(ReportedWorker(), "");
+  on_stop_(now_, {WorkerCallOutcome::kDone});
+  for (int round = 0; round < 3; ++round) {
+    now_ += milliseconds(200);
+    agent_.Tick(now_);
+    AnswerList();
+  }
+  agent_.OnOrders(now_, "owner", Orders(1));
+  EXPECT_EQ(ReportedWorker(), kLaterProcess);
+}
+
+// Guards against ends that nobody has processed: the later process would forget
+// those up to the number that the earlier one had reached.
+TEST_F(RestartUnderNameTest, EndsOfAWorkerThatDoesNotAnswerAreKept) {
+  CallStart();
+  AgentOrders orders = Orders(1);
+  orders.set_worker_id(kEarlierProcess);
+  orders.set_ends_logged(57);
+  agent_.OnOrders(now_, "owner", orders);
+  AnswerList();
+  EXPECT_EQ(lists_.back().forget_through, 57U);
+  on_list_(now_, WorkerListing());
+  now_ += milliseconds(200);
+  agent_.Tick(now_);
+  EXPECT_EQ(lists_.back().forget_through, 0U);
+}
+
+// Guards against a worker that is not used any more after it has left as
+// planned and started again under its name.
+TEST_F(RestartUnderNameTest, WorkerThatHasLeftMayComeBack) {
+  CallStart();
+  agent_.OnLeave(now_, "worker");
+  WorkerHeartbeat heartbeat;
+  heartbeat.worker_id = kEarlierProcess;
+  heartbeat.sequence = ++heartbeats_;
+  EXPECT_FALSE(agent_.OnHeartbeat(now_, heartbeat));
+  heartbeat.worker_id = kLaterProcess;
+  EXPECT_TRUE(agent_.OnHeartbeat(now_, heartbeat));
+}
+
 // Guards against a lease that an agent extends after it has recorded that it
 // was told to stop: a new owner relies on the record and starts elsewhere what
 // still runs.
--- a/Tests/Jobs/virtual_worker.cc
+++ b/Tests/Jobs/virtual_worker.cc
@@ -22,8 +22,24 @@
     : time_(time), name_(std::move(name)), observer_(std::move(observer)) {}
 
 auto VirtualWorker::Clock() const -> WorkerTime {
-  return std::chrono::duration_cast<WorkerTime>(
-      time_->now().time_since_epoch());
+  return std::chrono::duration_cast<WorkerTime>(time_->now() - born_);
+}
+
+auto VirtualWorker::Id() const -> std::string {
+  return observer_.keeps_name
+             ? MakeWorkerId(name_,
+                            WorkerStart(std::chrono::duration_cast<WorkerTime>(
+                                born_.time_since_epoch())))
+             : absl::StrCat(name_, "-life-", lifetime_);
+}
+
+auto VirtualWorker::ReachesProcess(int lifetime) const -> bool {
+  return !observer_.keeps_name || lifetime == lifetime_;
+}
+
+auto VirtualWorker::Accepts(const std::string& worker_id) const -> bool {
+  return observer_.keeps_name ? WorkerNameOf(worker_id) == name_
+                              : worker_id == Id();
 }
 
 auto VirtualWorker::PercentOf(const Run& run) const -> uint32_t {
@@ -89,7 +105,7 @@
       return;
     }
     time_->After(std::chrono::milliseconds(1), [this, call, guarded]() -> void {
-      WaitAndList(call, time_->now() + call.wait, guarded);
+      WaitAndList(call, time_->now() + call.wait, lifetime_, guarded);
     });
   };
   return port;
@@ -97,7 +113,7 @@
 
 auto VirtualWorker::Heartbeat() -> WorkerHeartbeat {
   WorkerHeartbeat heartbeat;
-  heartbeat.worker_id = absl::StrCat(name_, "-life-", lifetime_);
+  heartbeat.worker_id = Id();
   heartbeat.sequence = ++heartbeats_;
   heartbeat.service = "service";
   heartbeat.capacity.set_millicores(kMillicores);
@@ -117,11 +133,18 @@
   fence_ = 0;
   lease_until_ = WorkerTime(0);
   draining_ = false;
+  if (observer_.keeps_name) {
+    born_ = time_->now();
+    heartbeats_ = 0;
+  }
 }
 
 auto VirtualWorker::CrashFor(std::chrono::milliseconds down) -> void {
   const auto runs = runs_;
   Crash();
+  if (observer_.keeps_name) {
+    born_ += down;
+  }
   down_ = true;
   time_->After(down, [this, lifetime = lifetime_]() -> void {
     if (lifetime == lifetime_) {
@@ -188,7 +211,7 @@
 }
 
 auto VirtualWorker::Start(const StartCall& call) -> WorkerCallOutcome {
-  if (call.worker_id != absl::StrCat(name_, "-life-", lifetime_)) {
+  if (!Accepts(call.worker_id)) {
     return WorkerCallOutcome::kOtherWorkerId;
   }
   if (call.fence < fence_) {
@@ -232,7 +255,7 @@
 }
 
 auto VirtualWorker::Stop(const StopCall& call) -> WorkerCallOutcome {
-  if (call.worker_id != absl::StrCat(name_, "-life-", lifetime_)) {
+  if (!Accepts(call.worker_id)) {
     return WorkerCallOutcome::kOtherWorkerId;
   }
   if (call.fence < fence_) {
@@ -259,13 +282,16 @@
   WorkerListing listing;
   listing.answered = true;
   listing.clock = Clock();
-  listing.other_worker_id =
-      call.worker_id != absl::StrCat(name_, "-life-", lifetime_);
+  listing.worker_id = Id();
+  listing.other_worker_id = !Accepts(call.worker_id);
   listing.fenced = call.fence < fence_;
   if (listing.other_worker_id || listing.fenced) {
     return listing;
   }
   fence_ = call.fence;
+  // A later process of the same name has carried out the call by the time that
+  // its answer tells the two apart.
+  listing.other_worker_id = !MayBeSameWorker(call.worker_id, Id());
   ExtendLease(call.deadline);
   std::erase_if(reported_ends_, [this, &call](const End& end) -> bool {
     if (end.row.number() > call.forget_through) {
@@ -293,12 +319,14 @@
 
 auto VirtualWorker::WaitAndList(const ListCall& call,
                                 TimePoint until,
+                                int lifetime,
                                 const WorkerPort::OnListing& done) -> void {
-  const WorkerListing listing = List(call);
-  if (listing.ended.empty() && time_->now() < until &&
+  const WorkerListing listing =
+      ReachesProcess(lifetime) ? List(call) : WorkerListing();
+  if (listing.ended.empty() && time_->now() < until && listing.answered &&
       !listing.other_worker_id && !listing.fenced) {
-    time_->After(kListRetryInterval, [this, call, until, done]() -> void {
-      WaitAndList(call, until, done);
+    time_->After(kListRetryInterval, [this, call, until, lifetime, done]() {
+      WaitAndList(call, until, lifetime, done);
     });
     return;
   }
@@ -339,18 +367,26 @@
   if (unreachable || time_->Chance(unanswered_)) {
     if (!unreachable && time_->Chance(0.5)) {
       time_->After(time_->Milliseconds(500, 9000),
-                   [call, act]() -> void { act(call); });
+                   [this, call, act, lifetime = lifetime_]() -> void {
+                     if (ReachesProcess(lifetime)) {
+                       act(call);
+                     }
+                   });
     }
     time_->After(kCallTimeout, [this, done]() -> void {
       done(time_->now(), {WorkerCallOutcome::kUnknown});
     });
     return;
   }
-  time_->After(time_->Milliseconds(1, 4), [this, call, act, done]() -> void {
-    const WorkerCallOutcome outcome = act(call);
-    time_->After(std::chrono::milliseconds(1),
-                 [this, done, outcome]() { done(time_->now(), {outcome}); });
-  });
+  time_->After(
+      time_->Milliseconds(1, 4),
+      [this, call, act, done, lifetime = lifetime_]() -> void {
+        const WorkerCallOutcome outcome =
+            ReachesProcess(lifetime) ? act(call) : WorkerCallOutcome::kUnknown;
+        time_->After(std::chrono::milliseconds(1), [this, done, outcome]() {
+          done(time_->now(), {outcome});
+        });
+      });
 }
 
 }  // namespace rhubarbhaven::jobs
--- a/Tests/Jobs/virtual_worker.h
+++ b/Tests/Jobs/virtual_worker.h
@@ -44,6 +44,9 @@
   };
   // Time from a crash under a task until the worker is restarted.
   std::chrono::milliseconds restart_delay{3300};
+  // A worker that restarts keeps its name, by which it is called, and its clock
+  // and its counts begin anew. Otherwise it has a new id.
+  bool keeps_name = false;
   // Called for each run that was on a worker when it crashed.
   std::function<auto(const TaskName&)->void> on_crash = [](const TaskName&) {};
 };
@@ -56,7 +59,7 @@
 
   auto PortFor(const std::function<auto()->bool>& alive) -> WorkerPort;
   auto Heartbeat() -> WorkerHeartbeat;
-  // Loses all runs and restarts at once with a new worker id.
+  // Loses all runs and restarts at once.
   auto Crash() -> void;
   // The same, but the worker is down for this time, like a process that is
   // being restarted.
@@ -105,6 +108,12 @@
   };
 
   auto Clock() const -> WorkerTime;
+  auto Id() const -> std::string;
+  // Whether a call for this id reaches the worker's process.
+  auto Accepts(const std::string& worker_id) const -> bool;
+  // Whether a call that was sent to this process still arrives: a connection
+  // ends with the process. With a new id, the next process rejects the call.
+  auto ReachesProcess(int lifetime) const -> bool;
   auto PercentOf(const Run& run) const -> uint32_t;
   // Number of runs that use room.
   auto RunsUsingRoom() const -> std::size_t;
@@ -119,6 +128,7 @@
   auto List(const ListCall& call) -> WorkerListing;
   auto WaitAndList(const ListCall& call,
                    TimePoint until,
+                   int lifetime,
                    const WorkerPort::OnListing& done) -> void;
   auto EndRun(const std::string& task, RunEnd end) -> void;
   template <typename Call>
@@ -130,6 +140,7 @@
   std::string name_;
   WorkerObserver observer_;
   int lifetime_ = 1;
+  TimePoint born_;
   uint64_t heartbeats_ = 0;
   bool unresponsive_ = false;
   bool draining_ = false;
--- a/Tests/Platform/wire_test.cc
+++ b/Tests/Platform/wire_test.cc
@@ -48,9 +48,9 @@
     {"listing",
      R"({"ClockMs":5,"Running":[["a.0.0.1",2,"c",41,900]],)"
      R"("Ended":[[58,"a.0.0.9",1,"done",""]]})",
-     [](const std::string& body) { return DecodeListing(body).ok(); }},
+     [](const std::string& body) { return DecodeListing("i", body).ok(); }},
     {"advice", R"({"Granted":[["i-1","t"]],"ValidMs":900})",
-     [](const std::string& body) { return DecodeAdvice(body).ok(); }},
+     [](const std::string& body) { return DecodeAdvice({}, body).ok(); }},
     {"newest",
      R"({"items":[{"Key":"k","Value":"dg==","Offset":3}],"More":false,"End":4})",
      [](const std::string& body) { return DecodeNewest(body).ok(); }},
@@ -193,6 +193,10 @@
        "labels"},
       {"remaining_as_text", "i", With("RemainingMs", "soon"), "RemainingMs"},
       {"negative_remaining", "i", With("RemainingMs", -5), "RemainingMs"},
+      {"start_as_text", "i", With("born", "1790000000000"), "born"},
+      {"null_start", "i", With("born", nullptr), "born"},
+      {"broken_start", "i", With("born", 1.5), "born"},
+      {"negative_start", "i", With("born", -1), "born"},
       {"capacity_without_processors", "i", With("Capacity", {{"MemMb", 64}}),
        "Cpu"},
       {"capacity_without_memory", "i", With("Capacity", {{"Cpu", 64}}),
@@ -267,6 +271,66 @@
   EXPECT_FALSE(read->draining);
 }
 
+constexpr char kListing[] = R"({"ClockMs":5,"born":1790000000001,)"
+                            R"("Running":[["a.0.0.1",2,"c",41,900]],)"
+                            R"("Ended":[]})";
+constexpr char kPresentProcess[] = "i-1/1790000000001";
+
+// Guards against a process that passes for an earlier one of the same name.
+TEST(WorkerIdTest, HeartbeatAndLeaveNameTheStartOfTheProcess) {
+  Json heartbeat = ValidHeartbeat();
+  heartbeat["born"] = 1790000000001;
+  const auto read = DecodeHeartbeat("i-1", heartbeat.dump());
+  ASSERT_TRUE(read.ok()) << read.status();
+  EXPECT_EQ(read->worker_id, kPresentProcess);
+  EXPECT_EQ(*DecodeLeave("i-1", R"({"born":1790000000001})"), kPresentProcess);
+  EXPECT_EQ(*DecodeLeave("i-1", ""), "i-1");
+  EXPECT_FALSE(DecodeLeave("i-1", R"({"born":"soon"})").ok());
+  EXPECT_FALSE(DecodeLeave("", "").ok());
+}
+
+struct ListingCase {
+  std::string name;
+  std::string expected_worker_id;
+  bool other_worker_id = false;
+  int runs = 0;
+};
+
+class ListingOfProcessTest : public testing::TestWithParam<ListingCase> {};
+
+// Guards against runs of one process that are taken for those of another, since
+// a call names the worker only.
+TEST_P(ListingOfProcessTest, BelongsToTheProcessThatAnswered) {
+  const auto listing = DecodeListing(GetParam().expected_worker_id, kListing);
+  ASSERT_TRUE(listing.ok()) << listing.status();
+  EXPECT_TRUE(listing->answered);
+  EXPECT_EQ(listing->worker_id, kPresentProcess);
+  EXPECT_EQ(listing->other_worker_id, GetParam().other_worker_id);
+  EXPECT_EQ(listing->running.size(), GetParam().runs);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    ListingOfProcessTest,
+    testing::Values(ListingCase{"same_process", kPresentProcess, false, 1},
+                    ListingCase{"earlier_process", "i-1/1790000000000", true,
+                                0},
+                    ListingCase{"id_without_a_start", "i-1", false, 1}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against tickets that no worker of the owner matches: the service knows
+// workers by their names.
+TEST(AdviceTest, TicketsNameTheProcessesThatWereAskedAbout) {
+  const jobs::AdviceCall call{{}, {kPresentProcess, "i-2"}};
+  EXPECT_EQ(Json::parse(EncodeAdvice(call)).at("Workers"),
+            Json({"i-1", "i-2"}));
+  const auto advice = DecodeAdvice(
+      call, R"({"Granted":[["i-1","t"],["i-3","u"]],"ValidMs":900})");
+  ASSERT_TRUE(advice.ok()) << advice.status();
+  ASSERT_EQ(advice->tickets.size(), 1U);
+  EXPECT_EQ(advice->tickets.front().worker_id, kPresentProcess);
+}
+
 TEST(HeartbeatTest, DrainingWorkerReportsRemainingTime) {
   Json heartbeat = ValidHeartbeat();
   heartbeat["State"] = "draining";
