jobs: Ask about all workers for advice, page by page

Cause: the ticket cache cut the list of workers to the 100 that a call may name, and noted all of them as asked about.

Change: it keeps an answer for each worker and asks about those that have none, in as many calls as that takes. Workers whose tickets have expired, or that were granted to other steps of the queue, are named first. Calls are made only while no worker with a ticket takes the task.

--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -308,11 +308,15 @@
   // Returns a worker for each member of a gang, or none if not all fit.
   auto PlacesOfGang(TimePoint now, TaskPlace place, PlaceLimits& limits)
       -> std::vector<WorkerView*>;
-  // Returns tickets for the workers on which the policy of the queue lets the
-  // task's step run; none if the queue has no policy.
+  // Returns tickets for workers on which the policy of the queue lets the
+  // task's step run, and requests some if there are none; none if the queue has
+  // no policy.
   auto TicketsFor(TimePoint now, const TaskPlace& place)
       -> std::optional<StepTickets>;
-  // The same from the cached tickets, without requesting new ones.
+  // Asks the queue's policy, if it has one, about further workers: none of
+  // those with tickets accepts the task.
+  auto RequestTickets(TimePoint now, const TaskPlace& place) -> void;
+  // The same as TicketsFor, without requesting new ones.
   auto TicketsHeld(TimePoint now, const TaskPlace& place) const
       -> std::optional<StepTickets>;
   // Logs why no worker accepts the task once it has waited for long enough.
--- a/Source/Jobs/owner_gangs.cc
+++ b/Source/Jobs/owner_gangs.cc
@@ -60,6 +60,7 @@
       retry_at_ = std::min(retry_at_, isolation_end);
     }
     place.index = 0;
+    RequestTickets(now, place);
     LogWaiting(now, place, limits);
     return;
   }
--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -110,11 +110,13 @@
     if (worker == nullptr && place.crashes().on_last_attempt()) {
       // Only this task may be rejected because of suspected tasks, and only for
       // a while.
+      RequestTickets(now, place);
       LogWaiting(now, place, limits);
       retry_at_ = std::min(retry_at_, now + kIsolationRetryInterval);
       continue;
     }
     if (worker == nullptr) {
+      RequestTickets(now, place);
       // New tickets change what the same workers accept.
       RejectedMark(step, limits) = tickets ? 0 : changes_.mark();
       LogWaiting(now, place, limits);
@@ -140,24 +142,25 @@
 
 auto JobOwner::TicketsFor(TimePoint now, const TaskPlace& place)
     -> std::optional<StepTickets> {
+  auto tickets = TicketsHeld(now, place);
+  if (tickets && tickets->empty()) {
+    RequestTickets(now, place);
+  }
+  return tickets;
+}
+
+auto JobOwner::RequestTickets(TimePoint now, const TaskPlace& place) -> void {
   if (!place.work->rules.needs_ticket()) {
-    return std::nullopt;
+    return;
   }
-  std::vector<std::string> ids;
+  TicketRequest request{place.Name(), place.work->job().queue(), {}};
   for (const auto& [name, worker] : workers_) {
     if (worker->Accepts(now) &&
         worker->service == place.work->rules.service()) {
-      ids.push_back(worker->worker_id);
-    }
-  }
-  StepTickets tickets;
-  for (const auto& id : ids) {
-    auto ticket = tickets_.FindOrRequest(now, place.Name(), id, ids);
-    if (ticket) {
-      tickets[id] = *std::move(ticket);
+      request.workers.push_back(worker->worker_id);
     }
   }
-  return tickets;
+  tickets_.Request(now, request);
 }
 
 auto JobOwner::Start(TimePoint now,
--- a/Source/Jobs/owner_starvation.cc
+++ b/Source/Jobs/owner_starvation.cc
@@ -218,14 +218,7 @@
   if (!place.work->rules.needs_ticket()) {
     return std::nullopt;
   }
-  StepTickets held;
-  for (const auto& [name, worker] : workers_) {
-    auto ticket = tickets_.Lookup(now, place.Name(), worker->worker_id);
-    if (ticket) {
-      held[worker->worker_id] = *std::move(ticket);
-    }
-  }
-  return held;
+  return tickets_.Held(now, place.Name());
 }
 
 auto JobOwner::ReportStarved(std::size_t jobs) -> void {
--- a/Source/Jobs/ticket_cache.cc
+++ b/Source/Jobs/ticket_cache.cc
@@ -12,55 +12,49 @@
 // A ticket must be valid until the start has reached the worker. A start takes
 // 5 to 15 ms, and some hundred where a call is repeated.
 constexpr std::chrono::milliseconds kDeliveryMargin{400};
-// Minimum time between calls for the same step: the policy does not change, so
-// only other workers or expired tickets require another call.
+// Minimum time between calls for the same step if the first one named all
+// workers that were to be asked about.
 constexpr std::chrono::milliseconds kRequestInterval{500};
+// The policy does not change. A worker that was not granted is asked about
+// again only in case the answer was wrong.
+constexpr std::chrono::seconds kDenialPeriod{10};
 
 }  // namespace
 
-auto TicketCache::FindOrRequest(TimePoint now,
-                                const TaskName& step,
-                                const std::string& worker_id,
-                                const std::vector<std::string>& workers)
-    -> std::optional<std::string> {
-  auto held = Lookup(now, step, worker_id);
-  if (!held) {
-    RequestIfDue(now, step, workers);
-  }
-  return held;
-}
-
-auto TicketCache::Lookup(TimePoint now,
-                         const TaskName& step,
-                         const std::string& worker_id) const
-    -> std::optional<std::string> {
+auto TicketCache::Held(TimePoint now, const TaskName& step) const
+    -> std::map<std::string, std::string> {
+  std::map<std::string, std::string> tickets;
   const auto entry = entries_.find(Key(step));
-  if (entry == entries_.end() ||
-      now + kDeliveryMargin >= entry->second.valid_until) {
-    return std::nullopt;
+  if (entry == entries_.end()) {
+    return tickets;
   }
-  const auto found = entry->second.tickets.find(worker_id);
-  return found == entry->second.tickets.end() ? std::nullopt
-                                              : std::optional(found->second);
+  for (const auto& [id, answer] : entry->second.answers) {
+    if (!answer.ticket.empty() && now + kDeliveryMargin < answer.valid_until) {
+      tickets.emplace(id, answer.ticket);
+    }
+  }
+  return tickets;
 }
 
 auto TicketCache::Remove(const TaskName& step, const std::string& worker_id)
     -> void {
   const auto found = entries_.find(Key(step));
   if (found != entries_.end()) {
-    found->second.tickets.erase(worker_id);
-    found->second.requested_workers.clear();
+    found->second.answers.erase(worker_id);
   }
 }
 
 auto TicketCache::Forget(const std::string& job) -> void {
-  std::erase_if(entries_, [&job](const auto& item) -> bool {
-    return absl::StartsWith(item.first, job + ".");
-  });
+  const std::string prefix = job + ".";
+  auto entry = entries_.lower_bound(prefix);
+  while (entry != entries_.end() && absl::StartsWith(entry->first, prefix)) {
+    entry = entries_.erase(entry);
+  }
 }
 
 auto TicketCache::Clear() -> void {
   entries_.clear();
+  granted_.clear();
   ++generation_;
   next_request_at_ = TimePoint::max();
 }
@@ -77,57 +71,104 @@
   return absl::StrCat(step.job(), ".", step.occurrence(), ".", step.step());
 }
 
-auto TicketCache::RequestIfDue(TimePoint now,
-                               const TaskName& step,
-                               const std::vector<std::string>& workers)
-    -> void {
-  auto& entry = entries_[Key(step)];
-  const bool same_workers = entry.requested_workers == workers;
-  const bool still_valid = now + kDeliveryMargin < entry.valid_until;
-  const bool recent = entry.requested_at != TimePoint() &&
-                      now - entry.requested_at < kRequestInterval;
-  if (entry.request_pending || (same_workers && still_valid) ||
-      workers.empty()) {
+auto TicketCache::Request(TimePoint now, const TicketRequest& request) -> void {
+  const std::string key = Key(request.step);
+  auto& entry = entries_[key];
+  if (entry.pending) {
     return;
   }
-  if (recent) {
+  entry.request = request;
+  if (WorkersToAsk(now, entry).empty()) {
+    return;
+  }
+  const bool recent = entry.requested_at != TimePoint() &&
+                      now - entry.requested_at < kRequestInterval;
+  if (recent && !entry.has_more) {
     next_request_at_ =
         std::min(next_request_at_, entry.requested_at + kRequestInterval);
     return;
   }
-  entry.request_pending = true;
-  entry.requested_at = now;
-  entry.requested_workers = workers;
-  AdviceCall call;
-  call.step = step;
-  call.workers = workers;
-  if (call.workers.size() > kMaxAdvisedWorkers) {
+  TrimGranted(request);
+  entry.pending = true;
+  Send(now, key, entry);
+}
+
+auto TicketCache::Send(TimePoint now, const std::string& key, Entry& entry)
+    -> void {
+  AdviceCall call{entry.request.step, WorkersToAsk(now, entry)};
+  entry.has_more = call.workers.size() > kMaxAdvisedWorkers;
+  if (entry.has_more) {
     call.workers.resize(kMaxAdvisedWorkers);
   }
+  entry.requested_at = now;
   ask_(call,
-       [this, key = Key(step), asked = now, generation = generation_](
+       [this, call, key, asked = now, generation = generation_](
            TimePoint, const AdviceResult& result) -> void {
-         const auto found = entries_.find(key);
-         if (generation != generation_ || found == entries_.end()) {
-           return;
+         if (generation == generation_) {
+           OnAdvice(asked, call, key, result);
          }
-         found->second.request_pending = false;
-         if (!result.answered) {
-           // Without another event in the cell nothing would repeat the
-           // request.
-           found->second.requested_workers.clear();
-           next_request_at_ =
-               std::min(next_request_at_, asked + kRequestInterval);
-           return;
-         }
-         found->second.tickets.clear();
-         for (const auto& ticket : result.tickets) {
-           found->second.tickets[ticket.worker_id] = ticket.text;
-         }
-         // Counted from the request, since the answer may have been delayed.
-         found->second.valid_until = asked + result.valid;
-         updated_ = true;
        });
 }
 
+auto TicketCache::WorkersToAsk(TimePoint now, const Entry& entry) const
+    -> std::vector<std::string> {
+  const auto granted = granted_.find(entry.request.queue);
+  std::vector<std::string> likely;
+  std::vector<std::string> unknown;
+  std::vector<std::string> denied;
+  for (const auto& id : entry.request.workers) {
+    const auto answer = entry.answers.find(id);
+    if (answer == entry.answers.end()) {
+      const bool granted_before =
+          granted != granted_.end() && granted->second.contains(id);
+      (granted_before ? likely : unknown).push_back(id);
+    } else if (now + kDeliveryMargin >= answer->second.valid_until) {
+      (answer->second.ticket.empty() ? denied : likely).push_back(id);
+    }
+  }
+  likely.insert(likely.end(), unknown.begin(), unknown.end());
+  likely.insert(likely.end(), denied.begin(), denied.end());
+  return likely;
+}
+
+auto TicketCache::OnAdvice(TimePoint asked,
+                           const AdviceCall& call,
+                           const std::string& key,
+                           const AdviceResult& result) -> void {
+  const auto found = entries_.find(key);
+  if (found == entries_.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  entry.pending = false;
+  if (!result.answered) {
+    // Without another event in the cell nothing would repeat the request.
+    entry.has_more = false;
+    next_request_at_ = std::min(next_request_at_, asked + kRequestInterval);
+    return;
+  }
+  for (const auto& id : call.workers) {
+    entry.answers[id] = {"", asked + kDenialPeriod};
+  }
+  for (const auto& ticket : result.tickets) {
+    // Counted from the request, since the answer may have been delayed.
+    entry.answers[ticket.worker_id] = {ticket.text, asked + result.valid};
+    granted_[entry.request.queue].insert(ticket.worker_id);
+  }
+  updated_ = true;
+}
+
+auto TicketCache::TrimGranted(const TicketRequest& request) -> void {
+  const auto granted = granted_.find(request.queue);
+  if (granted == granted_.end() ||
+      granted->second.size() <= request.workers.size()) {
+    return;
+  }
+  const std::set<std::string> in_use(request.workers.begin(),
+                                     request.workers.end());
+  std::erase_if(granted->second, [&in_use](const std::string& id) -> bool {
+    return !in_use.contains(id);
+  });
+}
+
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/ticket_cache.h
+++ b/Source/Jobs/ticket_cache.h
@@ -4,8 +4,9 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Base/base.h"
@@ -39,24 +40,29 @@
                        std::function<auto(TimePoint, AdviceResult)->void>)
                       ->void>;
 
-// Caches the tickets of steps whose queue has a policy. Requests tickets once
-// per step, and again when they have expired or the set of workers has grown.
+// The workers that a step may run on as far as its service and their state
+// allow, and the queue whose policy decides which of them it does run on.
+struct TicketRequest {
+  TaskName step;
+  std::string queue;
+  std::vector<std::string> workers;
+};
+
+// Caches the tickets of steps whose queue has a policy. A step that waits asks
+// about all of its workers, in as many calls as that takes, and again about
+// those whose tickets have expired. A call names first the workers that were
+// granted to the step or to others of its queue.
 class TicketCache {
  public:
   explicit TicketCache(AskAdvice ask) : ask_(std::move(ask)) {}
 
-  // Returns the ticket for a worker if there is one that stays valid for a
-  // while. Otherwise requests tickets, unless a request is pending or was made
-  // too recently.
-  auto FindOrRequest(TimePoint now,
-                     const TaskName& step,
-                     const std::string& worker_id,
-                     const std::vector<std::string>& workers)
-      -> std::optional<std::string>;
-  // The same, without requesting tickets.
-  auto Lookup(TimePoint now,
-              const TaskName& step,
-              const std::string& worker_id) const -> std::optional<std::string>;
+  // Returns the tickets that stay valid for a while, by worker.
+  auto Held(TimePoint now, const TaskName& step) const
+      -> std::map<std::string, std::string>;
+  // Asks about workers for which no valid answer is known. Does nothing while a
+  // call for the step is pending, or if one without further workers to ask
+  // about was made recently.
+  auto Request(TimePoint now, const TicketRequest& request) -> void;
   // Called when a worker has rejected the step's ticket.
   auto Remove(const TaskName& step, const std::string& worker_id) -> void;
   // Removes the tickets of an ended job.
@@ -70,21 +76,40 @@
   auto next_request_at() const -> TimePoint { return next_request_at_; }
 
  private:
-  struct Entry {
-    std::map<std::string, std::string> tickets;
-    std::vector<std::string> requested_workers;
+  // What the policy has said about a worker.
+  struct Answer {
+    // Empty if the worker was not granted.
+    std::string ticket;
     TimePoint valid_until;
+  };
+  struct Entry {
+    std::map<std::string, Answer> answers;
+    // The newest request.
+    TicketRequest request;
     TimePoint requested_at;
-    bool request_pending = false;
+    // A call is under way.
+    bool pending = false;
+    // The latest call could not name all workers that were to be asked about.
+    bool has_more = false;
   };
 
   static auto Key(const TaskName& step) -> std::string;
-  auto RequestIfDue(TimePoint now,
-                    const TaskName& step,
-                    const std::vector<std::string>& workers) -> void;
+  auto Send(TimePoint now, const std::string& key, Entry& entry) -> void;
+  // The workers to ask about now, those that are most likely to be granted
+  // first.
+  auto WorkersToAsk(TimePoint now, const Entry& entry) const
+      -> std::vector<std::string>;
+  auto OnAdvice(TimePoint asked,
+                const AdviceCall& call,
+                const std::string& key,
+                const AdviceResult& result) -> void;
+  // Removes ids of workers that are not in use any more.
+  auto TrimGranted(const TicketRequest& request) -> void;
 
   AskAdvice ask_;
   std::map<std::string, Entry> entries_;
+  // Workers that were granted to a step, by queue.
+  std::map<std::string, std::set<std::string>> granted_;
   // Distinguishes answers to calls made before `Clear`.
   uint64_t generation_ = 0;
   bool updated_ = false;
--- /dev/null
+++ b/Tests/Jobs/ticket_cache_test.cc
@@ -0,0 +1,184 @@
+// Tests of how a step finds the workers on which its queue's policy lets it
+// run, with a model of the policy's service: it handles one call at a time.
+
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Jobs/jobs.h"
+#include "Tests/Jobs/virtual_time.h"
+
+namespace rhubarbhaven::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kPlacementInterval{20};
+
+struct PolicyOptions {
+  milliseconds decide{50};
+  milliseconds each{2};
+  milliseconds valid{3000};
+  // The call with this number, counted from 1, gets no answer; zero for none.
+  int lost_call = 0;
+};
+
+class TicketCacheTest : public testing::Test {
+ protected:
+  auto MakeCache(const PolicyOptions& options) -> void {
+    options_ = options;
+    cache_ = std::make_unique<TicketCache>(
+        [this](const AdviceCall& call, const auto& done) -> void {
+          Ask(call, done);
+        });
+  }
+
+  // The workers' ids sort as their numbers, and the last ones are allowed.
+  auto AddWorkers(int count, int allowed) -> void {
+    for (int i = 0; i < count; ++i) {
+      workers_.push_back(absl::StrCat("worker-", next_worker_++));
+      if (i >= count - allowed) {
+        allowed_.insert(workers_.back());
+      }
+    }
+  }
+
+  static auto Step(int number) -> TaskName {
+    TaskName step;
+    step.set_job(absl::StrCat("job-", number));
+    return step;
+  }
+
+  // Tries to place the step, which waits until `enough` workers have tickets.
+  auto Place(const TaskName& step, std::size_t enough) -> bool {
+    static_cast<void>(cache_->ConsumeUpdate(time_.now()));
+    if (cache_->Held(time_.now(), step).size() >= enough) {
+      return true;
+    }
+    cache_->Request(time_.now(), {step, "queue", workers_});
+    return false;
+  }
+
+  auto RunFor(Duration span) -> void {
+    const TimePoint end = time_.now() + span;
+    while (time_.Step(end)) {
+    }
+  }
+
+  // Returns how long it takes until so many workers have tickets.
+  auto TimeToPlace(const TaskName& step, std::size_t enough, seconds limit)
+      -> Duration {
+    const TimePoint begin = time_.now();
+    while (!Place(step, enough) && time_.now() - begin < limit) {
+      RunFor(kPlacementInterval);
+    }
+    return time_.now() - begin;
+  }
+
+  auto Ask(const AdviceCall& call,
+           const std::function<auto(TimePoint, AdviceResult)->void>& done)
+      -> void {
+    ++calls_;
+    EXPECT_LE(call.workers.size(), kMaxAdvisedWorkers);
+    EXPECT_FALSE(call.workers.empty());
+    const auto work = options_.decide +
+                      options_.each * static_cast<int64_t>(call.workers.size());
+    free_at_ = std::max(free_at_, time_.now()) + work;
+    const bool lost = ++calls_in_all_ == options_.lost_call;
+    time_.After(free_at_ - time_.now(), [this, call, done, lost]() -> void {
+      AdviceResult result;
+      result.answered = !lost;
+      result.valid = options_.valid;
+      for (const auto& id : call.workers) {
+        if (!lost && allowed_.contains(id)) {
+          result.tickets.push_back({id, "ticket"});
+        }
+      }
+      done(time_.now(), result);
+    });
+  }
+
+  VirtualTime time_{1};
+  PolicyOptions options_;
+  std::unique_ptr<TicketCache> cache_;
+  std::vector<std::string> workers_;
+  std::set<std::string> allowed_;
+  TimePoint free_at_;
+  int next_worker_ = 10000;
+  int calls_ = 0;
+  int calls_in_all_ = 0;
+};
+
+struct PagesCase {
+  std::string name;
+  int workers = 0;
+  int allowed = 0;
+  int lost_call = 0;
+  // Calls that the step may need in all, and the time.
+  int calls = 0;
+  milliseconds within{0};
+};
+
+class TicketPagesTest : public TicketCacheTest,
+                        public testing::WithParamInterface<PagesCase> {};
+
+// Guards against accepted jobs that never start: only the first workers of a
+// service that is larger than a call were asked about, and the rest never.
+TEST_P(TicketPagesTest, AllAllowedWorkersAreFound) {
+  MakeCache({.lost_call = GetParam().lost_call});
+  AddWorkers(GetParam().workers, GetParam().allowed);
+  const auto allowed = static_cast<std::size_t>(GetParam().allowed);
+  EXPECT_LE(TimeToPlace(Step(1), allowed, seconds(20)), GetParam().within);
+  EXPECT_LE(calls_, GetParam().calls);
+  // The next step of the queue is asked about the same workers first.
+  calls_ = 0;
+  EXPECT_LE(TimeToPlace(Step(2), allowed, seconds(20)), milliseconds(300));
+  EXPECT_EQ(calls_, 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    TicketPagesTest,
+    testing::Values(
+        PagesCase{"one_page", 100, 8, 0, 1, milliseconds(300)},
+        PagesCase{"one_worker_more", 101, 1, 0, 2, milliseconds(400)},
+        PagesCase{"two_pages", 110, 8, 0, 2, milliseconds(400)},
+        PagesCase{"lost_first_page", 110, 8, 1, 3, milliseconds(1000)},
+        PagesCase{"lost_second_page", 110, 8, 2, 3, milliseconds(1000)},
+        // Longer than a ticket is valid.
+        PagesCase{"25_pages", 2500, 8, 0, 25, seconds(8)}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against a step that waits although an allowed worker has joined while
+// it was asking.
+TEST_F(TicketCacheTest, WorkersThatComeAndGoBetweenPagesAreAskedAbout) {
+  MakeCache({});
+  AddWorkers(150, 0);
+  EXPECT_FALSE(Place(Step(1), 1));
+  RunFor(milliseconds(260));
+  EXPECT_FALSE(Place(Step(1), 1));
+  workers_.erase(workers_.begin(), workers_.begin() + 120);
+  AddWorkers(1, 1);
+  EXPECT_LE(TimeToPlace(Step(1), 1, seconds(5)), milliseconds(1000));
+  EXPECT_LE(calls_, 3);
+}
+
+// Guards against tickets that run out before the last page is in, so that a
+// step which needs them together never starts.
+TEST_F(TicketCacheTest, ExpiredTicketsAreRenewedBeforeFurtherPages) {
+  MakeCache({});
+  AddWorkers(100, 4);
+  AddWorkers(2000, 0);
+  AddWorkers(100, 4);
+  EXPECT_LE(TimeToPlace(Step(1), 8, seconds(20)), seconds(9));
+}
+
+}  // namespace
+}  // namespace rhubarbhaven::jobs
