jobs: Count the time of a ticket from when its call is sent

Cause: the validity of a ticket was counted from when its call was queued in the HTTP client. The policy's service handles one call at a time, and as soon as calls waited about as long as a ticket is valid, tickets had passed when they arrived.

Change: at most two calls are under way, and the others wait in the cache. The workers that a call names are chosen when it is sent.

Evidence: TicketsOfABurstAreValidWhenTheyArrive failed on the cache of before and passes.

--- a/Source/Jobs/ticket_cache.cc
+++ b/Source/Jobs/ticket_cache.cc
@@ -18,6 +18,9 @@
 // The policy does not change. A worker that was not granted is asked about
 // again only in case the answer was wrong.
 constexpr std::chrono::seconds kDenialPeriod{10};
+// The service handles one call of an instance at a time, and tickets expire
+// while further calls wait there. The second call keeps it busy.
+constexpr int kMaxCallsUnderWay = 2;
 
 }  // namespace
 
@@ -54,6 +57,7 @@
 
 auto TicketCache::Clear() -> void {
   entries_.clear();
+  queued_.clear();
   granted_.clear();
   ++generation_;
   next_request_at_ = TimePoint::max();
@@ -90,7 +94,19 @@
   }
   TrimGranted(request);
   entry.pending = true;
-  Send(now, key, entry);
+  queued_.push_back(key);
+  SendQueued(now);
+}
+
+auto TicketCache::SendQueued(TimePoint now) -> void {
+  while (!queued_.empty() && calls_under_way_ < kMaxCallsUnderWay) {
+    const std::string key = std::move(queued_.front());
+    queued_.pop_front();
+    const auto found = entries_.find(key);
+    if (found != entries_.end()) {
+      Send(now, key, found->second);
+    }
+  }
 }
 
 auto TicketCache::Send(TimePoint now, const std::string& key, Entry& entry)
@@ -101,12 +117,15 @@
     call.workers.resize(kMaxAdvisedWorkers);
   }
   entry.requested_at = now;
+  ++calls_under_way_;
   ask_(call,
        [this, call, key, asked = now, generation = generation_](
-           TimePoint, const AdviceResult& result) -> void {
+           TimePoint then, const AdviceResult& result) -> void {
+         --calls_under_way_;
          if (generation == generation_) {
            OnAdvice(asked, call, key, result);
          }
+         SendQueued(then);
        });
 }
 
--- a/Source/Jobs/ticket_cache.h
+++ b/Source/Jobs/ticket_cache.h
@@ -2,6 +2,7 @@
 #define RHUBARBHAVEN_JOBS_TICKET_CACHE_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -87,13 +88,15 @@
     // The newest request.
     TicketRequest request;
     TimePoint requested_at;
-    // A call is under way.
+    // A call is under way or queued.
     bool pending = false;
     // The latest call could not name all workers that were to be asked about.
     bool has_more = false;
   };
 
   static auto Key(const TaskName& step) -> std::string;
+  // Makes the queued calls that may be under way now.
+  auto SendQueued(TimePoint now) -> void;
   auto Send(TimePoint now, const std::string& key, Entry& entry) -> void;
   // The workers to ask about now, those that are most likely to be granted
   // first.
@@ -108,6 +111,9 @@
 
   AskAdvice ask_;
   std::map<std::string, Entry> entries_;
+  // Keys of the entries whose call is queued, oldest first.
+  std::deque<std::string> queued_;
+  int calls_under_way_ = 0;
   // Workers that were granted to a step, by queue.
   std::map<std::string, std::set<std::string>> granted_;
   // Distinguishes answers to calls made before `Clear`.
--- a/Tests/Jobs/ticket_cache_test.cc
+++ b/Tests/Jobs/ticket_cache_test.cc
@@ -180,5 +180,26 @@
   EXPECT_LE(TimeToPlace(Step(1), 8, seconds(20)), seconds(9));
 }
 
+// Guards against jobs that wait in a burst: the time of a ticket was counted
+// from when its call was queued, and it had passed when the answer came.
+TEST_F(TicketCacheTest, TicketsOfABurstAreValidWhenTheyArrive) {
+  MakeCache({.decide = milliseconds(110)});
+  AddWorkers(30, 4);
+  constexpr int kSteps = 40;
+  std::set<int> waiting;
+  for (int step = 0; step < kSteps; ++step) {
+    waiting.insert(step);
+  }
+  // One call for each step, one after the other.
+  constexpr auto kWork = milliseconds(170) * kSteps;
+  const TimePoint end = time_.now() + kWork + milliseconds(500);
+  while (time_.now() < end && !waiting.empty()) {
+    std::erase_if(waiting, [this](int step) { return Place(Step(step), 4); });
+    RunFor(kPlacementInterval);
+  }
+  EXPECT_TRUE(waiting.empty()) << waiting.size();
+  EXPECT_EQ(calls_, kSteps);
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
