--- a/Tests/Process/platform_test.cc
+++ b/Tests/Process/platform_test.cc
@@ -398,6 +398,83 @@
   ExpectNoProblems();
 }
 
+// What both entries, or all agents, reach through a proxy.
+struct SilentCase {
+  std::string name;
+  bool log = false;
+};
+
+auto PrintTo(const SilentCase& silent, std::ostream* out) -> void {
+  *out << silent.name;
+}
+
+class SilentPathTest : public PlatformTest,
+                       public testing::WithParamInterface<SilentCase> {
+ protected:
+  static constexpr seconds kReplacedWithin{10};
+
+  auto DivertLog() -> void {
+    const int port = FreePort();
+    proxies_.push_back(
+        std::make_unique<FaultProxy>(port, platform_->log_port()));
+    for (int entry = 0; entry < kEntries; ++entry) {
+      proxied_log_[entry] = LoopbackAddress(port);
+      processes_[absl::StrCat("entry-", entry)]->Kill();
+      StartEntry(entry);
+    }
+  }
+
+  // The entries learn of the agents' links from the log, with the proxies'
+  // ports. These have as many digits as the links', as the stand-in requires.
+  auto DivertLinks() -> void {
+    for (int agent = 0; agent < kAgents; ++agent) {
+      processes_[absl::StrCat("agent-", agent)]->Kill();
+      const auto link = LoopbackAddress(link_ports_.at(agent));
+      int port = FreePort();
+      while (LoopbackAddress(port).size() != link.size()) {
+        port = FreePort();
+      }
+      proxies_.push_back(
+          std::make_unique<FaultProxy>(port, link_ports_.at(agent)));
+      platform_->TranslateEndpoint("tcp://" + link,
+                                   "tcp://" + LoopbackAddress(port));
+      StartAgent(agent);
+    }
+  }
+
+  std::vector<std::unique_ptr<FaultProxy>> proxies_;
+};
+
+// Guards against jobs that wait for minutes, and a configuration that is not in
+// force, after open connections were blackholed: bytes are lost in both
+// directions without a reset, while new connections work.
+TEST_P(SilentPathTest, JobsAndConfigurationsGoOn) {
+  if (GetParam().log) {
+    DivertLog();
+  } else {
+    DivertLinks();
+  }
+  ASSERT_TRUE(WaitReady(0));
+  ASSERT_TRUE(SubmitTo(0, "00000000000000a1"));
+  ASSERT_TRUE(WaitCompleted(0, "00000000000000a1"));
+  for (const auto& proxy : proxies_) {
+    ASSERT_GE(proxy->accepted(), 1);
+    proxy->BlackholeOpenConnections();
+  }
+  platform_->Configure(2);
+  const auto replaced_by = Clock::now() + kReplacedWithin;
+  ASSERT_TRUE(SubmitTo(0, "00000000000000a2"));
+  EXPECT_TRUE(WaitCompleted(0, "00000000000000a2"));
+  EXPECT_LT(Clock::now(), replaced_by);
+  ExpectNoProblems();
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         SilentPathTest,
+                         testing::Values(SilentCase{"links", false},
+                                         SilentCase{"log", true}),
+                         [](const auto& info) { return info.param.name; });
+
 // Guards against an owner whose reads of the log hang while its appends
 // succeed: it would remain the owner without starting jobs that another entry
 // accepts.
