jobs: Apply the result of an order only after the ends that precede it

What callers saw: a task that must run once runs twice. It has ended as done, the end is acknowledged to its worker, and the same owner starts the task again on another worker.

Cause: an agent reports ends of runs only from a current listing of its worker, but results of orders in every report. If the answer to a start is lost, the repeat finds the run over, and the agent reports ORDER_RUN_OVER (or, for a revoked start, ORDER_REFUSED or ORDER_OUTDATED) together with the end. If that report is lost and the worker does not answer for a moment, the next report has the result alone. The owner removes the run and places the task again. When the end arrives, its run is unknown, so the end was ignored as one of a lost run, though no lease had expired, and was acknowledged all the same.

Change: a result names the newest end that its agent had listed, and the owner applies it once it has processed the ends up to that one. A result is final only with a listing that contains all stored ends of the worker. After the worker's lease has expired no end of the run counts, and the result applies at once. An end of an unknown run is ignored only if runs of that worker were declared lost after the run was ordered; otherwise it counts, and is logged as end_of_unknown_run. end_ignored names the end, so that the two cases can be told apart in logs.

--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -232,7 +232,13 @@
     }
   }
   for (const auto& result : report.results()) {
-    OnOrderResult(now, worker, result);
+    // Without the end, the run would count as never started, and its task would
+    // start again although it is done. The agent repeats both. The end of a run
+    // whose lease has expired does not count.
+    const bool awaits_end = result.after_end() > worker.ends_processed;
+    if (!awaits_end || report.worker_lapsed()) {
+      OnOrderResult(now, worker, result);
+    }
   }
   if (report.worker_lapsed()) {
     MarkRunsSuspected(worker);
@@ -308,6 +314,10 @@
   return (fence_ << kRunBits) + next_run_++;
 }
 
+auto JobOwner::NewestRun() const -> uint64_t {
+  return (fence_ << kRunBits) + next_run_ - 1;
+}
+
 auto JobOwner::Log(const std::string& what,
                    const TaskPlace& place,
                    uint64_t run,
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -373,6 +373,7 @@
   auto OrderStop(const TaskPlace& place, RunWork& run) -> bool;
   auto StopOrphan(WorkerView& worker, const RunningTask& row) -> void;
   auto NewRun() -> uint64_t;
+  auto NewestRun() const -> uint64_t;
 
   // Records to be written to the log.
   auto AddEnds(std::vector<KeyedRecord>* records) -> void;
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -143,6 +143,10 @@
                             WorkerView& worker,
                             const AgentReport& report) -> void {
   SetConfirmed(worker, true);
+  if (reconciliation_done_) {
+    // Runs of earlier owners were assumed to be over.
+    worker.lost_through_run = NewestRun();
+  }
   changes_.Record(worker);
   if (!worker.grants_recorded) {
     grants_to_record_.insert(worker.agent);
@@ -301,6 +305,7 @@
                                LostRuns which,
                                const std::string& why) -> void {
   const auto runs = worker.runs;
+  worker.lost_through_run = NewestRun();
   std::vector<NamedRun> lost_runs;
   for (const auto& [number, place] : runs) {
     std::vector<uint64_t> lost;
--- a/Source/Jobs/owner_ends.cc
+++ b/Source/Jobs/owner_ends.cc
@@ -1,3 +1,5 @@
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 #include "Jobs/job_owner.h"
@@ -33,13 +35,19 @@
     NoteRunDone(now, *place, row.run(), worker);
   }
   const bool known = RemoveRun(now, *place, row.run(), &worker);
-  if (!known && !reconciling) {
+  const bool lost = row.run() <= worker.lost_through_run;
+  if (!known && !reconciling && lost) {
     // The run was declared lost after its worker's lease had expired: the end
     // does not count, and the task may run elsewhere by now.
     Log("end_ignored", *place, row.run(), &worker,
-        "the run was declared lost before");
+        absl::StrCat(RunEnd_Name(row.end()), ": the run was declared lost"));
     return;
   }
+  if (!known && !reconciling) {
+    // The agent is told that the end is stored, so that it must count.
+    Log("end_of_unknown_run", *place, row.run(), &worker,
+        RunEnd_Name(row.end()));
+  }
   if (task.done) {
     return;
   }
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -253,6 +253,8 @@
 auto TaskAgent::ResetWorker(TimePoint now) -> void {
   ++epoch_;
   for (const auto& [number, order] : orders_) {
+    // The ends that the previous process listed are not reported any more.
+    order->after_end = 0;
     if (order->state != OrderState::kFinished && !order->carried_over) {
       Finish(order, order->is_stop ? ORDER_DONE : ORDER_REFUSED);
     }
@@ -346,8 +348,7 @@
   }
   const bool was_unresponsive = unresponsive_since_.has_value();
   unresponsive_since_ = std::nullopt;
-  const uint64_t newest_known =
-      listing_.ended.empty() ? forget_through_ : listing_.ended.back().number();
+  const uint64_t newest_known = NewestListedEnd();
   const bool new_ends =
       !listing.ended.empty() && listing.ended.back().number() > newest_known;
   const bool first = !listed_;
@@ -528,6 +529,7 @@
       auto* result = report.add_results();
       result->set_order(number);
       result->set_outcome(order->outcome);
+      result->set_after_end(order->after_end);
     }
     const bool waits = order->state == OrderState::kWaiting &&
                        !order->is_stop && !order->revoked;
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -156,6 +156,8 @@
     // after this time shows that the run does not exist.
     TimePoint verify_after;
     OrderOutcome outcome = ORDER_DONE;
+    // See OrderResult.
+    uint64_t after_end = 0;
   };
   using OrderPtr = std::shared_ptr<Order>;
 
@@ -242,6 +244,8 @@
   auto ListIfDue(TimePoint now) -> void;
   auto OnListing(TimePoint asked, TimePoint now, WorkerListing listing) -> void;
   auto SettleVerified(TimePoint asked) -> void;
+  // Number of the newest end that the worker has listed.
+  auto NewestListedEnd() const -> uint64_t;
   // Logs the runs whose lease has expired, among ends after `newest_known`.
   auto LogLapsedRuns(TimePoint now, uint64_t newest_known) const -> void;
   // Why leases may have expired: what this agent has missed lately.
--- a/Source/Jobs/task_agent_orders.cc
+++ b/Source/Jobs/task_agent_orders.cc
@@ -465,10 +465,18 @@
         [&order = order](const RunningTask& row) -> bool {
           return row.run() == order->run && SameTask(row.task(), order->task);
         });
-    if (!still_there) {
+    // The end of the run may be among those that do not fit the listing.
+    if (!still_there && !listing_.ends_truncated) {
+      const uint64_t newest = NewestListedEnd();
+      order->after_end = newest > forget_through_ ? newest : 0;
       Finish(order, order->outcome);
     }
   }
 }
 
+auto TaskAgent::NewestListedEnd() const -> uint64_t {
+  return listing_.ended.empty() ? forget_through_
+                                : listing_.ended.back().number();
+}
+
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/worker_port.h
+++ b/Source/Jobs/worker_port.h
@@ -41,6 +41,8 @@
   WorkerTime clock{0};
   std::vector<RunningTask> running;
   std::vector<EndedTask> ended;
+  // The worker may store further ends, which are newer than those in `ended`.
+  bool ends_truncated = false;
 };
 
 enum class WorkerCallOutcome {
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -160,6 +160,9 @@
   uint64_t crashes_of_incarnation = 0;
   uint64_t crashes_processed = 0;
   uint64_t crashes_logged = 0;
+  // Runs up to this number were declared lost here if this owner does not know
+  // them: their ends do not count, since their tasks may run elsewhere.
+  uint64_t lost_through_run = 0;
   uint64_t pacing_version = 1;
   uint64_t agent_pacing_version = 0;
 
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -220,6 +220,70 @@
   }
 }
 
+struct RunOverCase {
+  std::string name;
+  // Whether the worker lists only a part of its ends at first.
+  bool truncated = false;
+  // Numbers of the ends in the last listing.
+  std::vector<uint64_t> ended;
+  uint64_t after_end = 0;
+};
+
+class RunOverTest : public TaskAgentTest,
+                    public testing::WithParamInterface<RunOverCase> {
+ protected:
+  auto AnswerListWithEnds(const std::vector<uint64_t>& numbers, bool truncated)
+      -> void {
+    WorkerListing listing;
+    listing.answered = true;
+    listing.clock = milliseconds(50000);
+    for (const uint64_t number : numbers) {
+      EndedTask end;
+      end.set_number(number);
+      listing.ended.push_back(end);
+    }
+    listing.ends_truncated = truncated;
+    now_ += milliseconds(200);
+    agent_.Tick(now_);
+    const auto done = on_list_;
+    done(now_, listing);
+  }
+};
+
+// Guards against an owner that starts a task again which is done: the report
+// with the end of its run is lost, and a later one says only that the run is
+// over.
+TEST_P(RunOverTest, ResultNamesTheEndThatItFollows) {
+  SendHeartbeat(kWorkerId);
+  agent_.OnOrders(now_, "owner", Orders(1));
+  AnswerList();
+  agent_.OnOrders(now_, "owner", WithStart(Orders(1), /*repeated=*/true));
+  now_ += milliseconds(10);
+  on_start_(now_, {WorkerCallOutcome::kRunOver});
+  // This listing was requested before the outcome was known.
+  AnswerListWithEnds({}, /*truncated=*/false);
+  EXPECT_EQ(Result(), std::nullopt);
+  if (GetParam().truncated) {
+    AnswerListWithEnds({1, 2}, /*truncated=*/true);
+    EXPECT_EQ(Result(), std::nullopt);
+  }
+  AnswerListWithEnds(GetParam().ended, /*truncated=*/false);
+  ASSERT_EQ(Result(), ORDER_RUN_OVER);
+  EXPECT_EQ(reports_.back().results(0).after_end(), GetParam().after_end);
+  // Ends of a process that has left are not reported any more.
+  agent_.OnLeave(now_, kWorkerId);
+  EXPECT_EQ(reports_.back().results(0).after_end(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    RunOverTest,
+    testing::Values(RunOverCase{"one_end", false, {7}, 7},
+                    RunOverCase{"several_ends", false, {5, 6, 8}, 8},
+                    RunOverCase{"no_end", false, {}, 0},
+                    RunOverCase{"ends_in_two_pages", true, {3}, 3}),
+    [](const auto& info) { return info.param.name; });
+
 struct CrashReportCase {
   std::string name;
   // Whether the start's call was answered before the crash.
