jobs: Count runs and ends of occurrences that are not due yet

What callers would see: an occurrence of a scheduled job runs a task twice, or a run of it is stopped and started again after a takeover.

Cause: an owner opens the occurrences that are due by its own clock. If the clock of the owner before was ahead, that owner has started tasks of an occurrence which this one has not opened. A running task was then stopped as one of no open job, and an end as done was dropped and acknowledged; once the occurrence was due here, the task started again.

Change: a run or an end that an agent reports opens its occurrence and those before it. Their other tasks start when they are due.

Evidence: with the former look-up, both rows of EarlyOccurrenceTest (jobs_owner_ends_test) fail: two starts, where one is due.

--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -132,7 +132,16 @@
   auto ForgetJobIfIdle(TimePoint now, const std::string& id) -> void;
   auto RemoveJob(TimePoint now, const std::string& id) -> void;
   auto OpenDue(TimePoint now, JobWork& work) -> void;
+  // Opens the job's next occurrence. Its tasks start when it is due.
+  auto OpenNext(TimePoint now, JobWork& work) -> void;
+  // Zero if it is due, or if the job has no occurrences.
+  auto TimeUntilDue(const JobWork& work, uint32_t occurrence) const
+      -> std::chrono::milliseconds;
   auto Locate(const TaskName& name) -> std::optional<TaskPlace>;
+  // The same for a task of which an agent reports a run. The occurrence was due
+  // by the clock of an earlier owner, which may be ahead of this one's.
+  auto LocateRun(TimePoint now, const TaskName& name)
+      -> std::optional<TaskPlace>;
   auto SetState(JobWork& work, JobState state) -> void;
   // Marks the job to be written to a record and ranked again.
   auto MarkProgressDirty(JobWork& work) -> void;
--- a/Source/Jobs/owner_agents.cc
+++ b/Source/Jobs/owner_agents.cc
@@ -170,7 +170,7 @@
 auto JobOwner::AdoptRun(TimePoint now,
                         WorkerView& worker,
                         const RunningTask& row) -> void {
-  const auto place = Locate(row.task());
+  const auto place = LocateRun(now, row.task());
   if (!place) {
     StopOrphan(worker, row);
     return;
--- a/Source/Jobs/owner_ends.cc
+++ b/Source/Jobs/owner_ends.cc
@@ -26,7 +26,7 @@
                      WorkerView& worker,
                      const EndedTask& row,
                      bool reconciling) -> void {
-  const auto place = Locate(row.task());
+  const auto place = LocateRun(now, row.task());
   if (!place) {
     return;
   }
--- a/Source/Jobs/owner_jobs.cc
+++ b/Source/Jobs/owner_jobs.cc
@@ -101,29 +101,57 @@
   EraseJob(id);
 }
 
+auto JobOwner::TimeUntilDue(const JobWork& work, uint32_t occurrence) const
+    -> std::chrono::milliseconds {
+  if (work.job().occurrences() == 0) {
+    return std::chrono::milliseconds(0);
+  }
+  const std::chrono::milliseconds due(work.job().first_due_unix_ms() +
+                                      occurrence * work.job().interval_ms());
+  return std::max(std::chrono::milliseconds(0), due - hooks_.wall_clock());
+}
+
 auto JobOwner::OpenDue(TimePoint now, JobWork& work) -> void {
-  const bool uncertain =
-      !reconciliation_done_ && work.entry->accepted_at < claim_at_;
-  const auto wall = hooks_.wall_clock();
-  const uint32_t total = work.total_occurrences();
-  while (work.opened < total) {
-    std::chrono::milliseconds left{0};
-    if (work.job().occurrences() > 0) {
-      const std::chrono::milliseconds due(work.job().first_due_unix_ms() +
-                                          work.opened *
-                                              work.job().interval_ms());
-      left = due - wall;
-    }
+  while (work.opened < work.total_occurrences()) {
+    const auto left = TimeUntilDue(work, work.opened);
     if (left.count() > 0) {
       occurrence_due_at_ = std::min(occurrence_due_at_, now + left);
       return;
     }
-    const uint32_t number = work.opened;
-    work.Open(now, number, uncertain);
-    SetExpectedRunTimes(work, number);
-    order_.MarkChanged(work);
-    placement_due_ = true;
+    OpenNext(now, work);
+  }
+}
+
+auto JobOwner::OpenNext(TimePoint now, JobWork& work) -> void {
+  const bool uncertain =
+      !reconciliation_done_ && work.entry->accepted_at < claim_at_;
+  const uint32_t number = work.opened;
+  const auto left = TimeUntilDue(work, number);
+  auto& occurrence = work.Open(now, number, uncertain);
+  if (left.count() > 0) {
+    for (auto& step : occurrence.steps) {
+      for (auto& task : step.tasks()) {
+        task.not_before = now + left;
+      }
+    }
+  }
+  SetExpectedRunTimes(work, number);
+  order_.MarkChanged(work);
+  placement_due_ = true;
+}
+
+auto JobOwner::LocateRun(TimePoint now, const TaskName& name)
+    -> std::optional<TaskPlace> {
+  const auto found = jobs_.find(name.job());
+  if (found == jobs_.end()) {
+    return std::nullopt;
+  }
+  JobWork& work = *found->second;
+  while (work.opened <= name.occurrence() &&
+         work.opened < work.total_occurrences()) {
+    OpenNext(now, work);
   }
+  return Locate(name);
 }
 
 auto JobOwner::Locate(const TaskName& name) -> std::optional<TaskPlace> {
--- a/Tests/Jobs/owner_ends_test.cc
+++ b/Tests/Jobs/owner_ends_test.cc
@@ -150,5 +150,71 @@
   EXPECT_NE(fold_.Find(kJobId)->state(), JOB_COMPLETED);
 }
 
+struct EarlyOccurrenceCase {
+  std::string name;
+  // Whether the run of the earlier owner has ended when this one begins.
+  bool ended = false;
+};
+
+class EarlyOccurrenceTest
+    : public OwnerEndsTest,
+      public testing::WithParamInterface<EarlyOccurrenceCase> {
+ protected:
+  static auto TaskOf(uint32_t index) -> TaskName {
+    TaskName task;
+    task.set_job(kJobId);
+    task.set_index(index);
+    return task;
+  }
+
+  auto PassTime(milliseconds time) -> void {
+    wall_time_ += time;
+    now_ += time;
+    owner_.Tick(now_);
+  }
+};
+
+// Guards against an occurrence whose tasks run twice: the clock of the owner
+// before was ahead, and its run ends, or is found, before the occurrence is due
+// by the clock of this one.
+TEST_P(EarlyOccurrenceTest, TaskOfAnEarlierOwnerDoesNotStartAgain) {
+  PutJob({Step(2)}, /*occurrences=*/2);
+  Begin();
+  auto report = ReportOf("agent-0");
+  constexpr uint64_t kEarlierRun = 5;
+  if (GetParam().ended) {
+    auto* end = report.add_ended();
+    end->set_number(kEnd);
+    *end->mutable_task() = TaskOf(0);
+    end->set_run(kEarlierRun);
+    end->set_end(RUN_DONE);
+  } else {
+    auto* row = report.add_running();
+    *row->mutable_task() = TaskOf(0);
+    row->set_run(kEarlierRun);
+  }
+  Report("agent-0", report);
+  // The first occurrence is due at 1,000 ms.
+  for (int passed = 0; passed < 4; ++passed) {
+    Report("agent-1", ReportOf("agent-1"));
+    PassTime(milliseconds(240));
+  }
+  EXPECT_EQ(Starts(), 0U);
+  EXPECT_TRUE(stops_.empty());
+  PassTime(milliseconds(60));
+  ASSERT_EQ(Starts(), 1U);
+  for (const auto& [agent, starts] : starts_) {
+    for (const auto& [number, start] : starts) {
+      EXPECT_EQ(start.task().index(), 1U);
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         EarlyOccurrenceTest,
+                         testing::Values(EarlyOccurrenceCase{"ended", true},
+                                         EarlyOccurrenceCase{"running", false}),
+                         [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
