daemon: Do not copy the messages that are posted to a thread

Cause: `PostOrWait` took its callback by reference and copied it into the ring, and with it each report of an agent, each message with orders and each listing of a worker.

Change: the callback is moved to the heap once, and the ring holds a pointer to it. A listing is moved to its receiver.

--- a/Source/Daemon/event_loop_thread.cc
+++ b/Source/Daemon/event_loop_thread.cc
@@ -3,6 +3,8 @@
 #include <poll.h>
 
 #include <algorithm>
+#include <memory>
+#include <utility>
 
 namespace rhubarbhaven {
 namespace {
@@ -37,8 +39,12 @@
   return !stop_ && ring_.Push(std::move(callback));
 }
 
-auto EventLoopThread::PostOrWait(const Callback& callback) -> void {
-  while (!stop_ && !ring_.Push(callback)) {
+auto EventLoopThread::PostOrWait(Callback callback) -> void {
+  // A full ring discards what is pushed, so that each attempt needs a copy. One
+  // of the callback itself would copy the message that it carries.
+  const auto shared = std::make_shared<Callback>(std::move(callback));
+  while (!stop_ &&
+         !ring_.Push([shared](TimePoint now) -> void { (*shared)(now); })) {
     std::this_thread::sleep_for(kRingFullBackoff);
   }
 }
--- a/Source/Daemon/event_loop_thread.h
+++ b/Source/Daemon/event_loop_thread.h
@@ -38,7 +38,7 @@
   // callback is then discarded, and the caller must count it.
   auto Post(Callback callback) -> bool;
   // Waits for room; for events that must not be lost, such as log records.
-  auto PostOrWait(const Callback& callback) -> void;
+  auto PostOrWait(Callback callback) -> void;
   // Ends the thread after the current callback and discards all others.
   auto Stop() -> void;
 
--- a/Source/Daemon/job_agent.cc
+++ b/Source/Daemon/job_agent.cc
@@ -172,13 +172,13 @@
   on_thread.list = [this, port](
                        const jobs::ListCall& call,
                        const jobs::WorkerPort::OnListing& done) -> void {
-    port.list(
-        call, [this, done](TimePoint, jobs::WorkerListing listing) -> void {
-          thread_.PostOrWait(
-              [done, listing = std::move(listing)](TimePoint now) -> void {
-                done(now, listing);
+    port.list(call,
+              [this, done](TimePoint, jobs::WorkerListing listing) -> void {
+                thread_.PostOrWait([done, listing = std::move(listing)](
+                                       TimePoint now) mutable -> void {
+                  done(now, std::move(listing));
+                });
               });
-        });
   };
   return on_thread;
 }
