jobs: Fewer and smaller messages while the owner is late

Cause: the owner uses all of its 0.12 of a core. Each task costs it two messages to the agent and four reports, two of which list all runs of the worker: the answer to the start, the result of the start, the end, and the answer to the message that the end is stored.

Change: an owner whose polls are 20 ms late or more says so in its orders, for 10 s. Its agents then answer orders together with the results of their calls to the worker, which they await for 20 ms at most, and list the runs every 250 ms at most. The owner says with its next poll that ends are stored.

The owner is still busy most of its time.

--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -41,6 +41,8 @@
   last_report_at_ = TimePoint();
   lag_reported_at_ = now;
   longest_lag_ = Duration(0);
+  behind_ = false;
+  behind_until_ = TimePoint();
   longest_start_delay_ = Duration(0);
   interference_.Load(fold->pressures());
   pressures_stored_at_ = now;
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -448,6 +448,7 @@
   auto PollSoon(WorkerView& worker) -> void;
   auto Poll(TimePoint now, WorkerView& worker) -> void;
   auto PollAll(TimePoint now) -> void;
+  auto NoteLag(TimePoint now, Duration lag) -> void;
   auto ReportLag(TimePoint now) -> void;
   auto CountOrders(const AgentOrders& orders) -> void;
   auto SchedulePoll(WorkerView& worker) -> void;
@@ -541,6 +542,9 @@
   TimePoint moved_at_;
   // Since the last report.
   Duration longest_lag_{0};
+  // The owner's processor does not suffice: it reduces the traffic with agents.
+  bool behind_ = false;
+  TimePoint behind_until_;
   Duration longest_start_delay_{0};
   OrderTraffic order_traffic_;
   TimePoint lag_reported_at_;
--- a/Source/Jobs/owner_polls.cc
+++ b/Source/Jobs/owner_polls.cc
@@ -9,6 +9,12 @@
 namespace {
 
 constexpr std::chrono::seconds kLagReportInterval{1};
+// An owner whose polls are this late handles reports late, too. A callback or a
+// round of placement takes a few milliseconds.
+constexpr std::chrono::milliseconds kBehindLag{20};
+// Lighter traffic ends the lag. Without this time, the owner would alternate
+// between both.
+constexpr std::chrono::seconds kBehindPeriod{10};
 
 // Rounded down, so that the agent never takes the message for younger than it
 // is.
@@ -30,13 +36,21 @@
   while (const auto number = polls_.PopDue(now)) {
     WorkerView& worker = *numbered_.at(*number);
     if (worker.polled_at >= begun_at_) {
-      longest_lag_ = std::max(longest_lag_, now - worker.poll_at);
+      NoteLag(now, now - worker.poll_at);
     }
     Poll(now, worker);
   }
+  behind_ = now < behind_until_;
   ReportLag(now);
 }
 
+auto JobOwner::NoteLag(TimePoint now, Duration lag) -> void {
+  longest_lag_ = std::max(longest_lag_, lag);
+  if (lag >= kBehindLag) {
+    behind_until_ = now + kBehindPeriod;
+  }
+}
+
 auto JobOwner::ReportLag(TimePoint now) -> void {
   if (now - lag_reported_at_ >= kLagReportInterval) {
     lag_reported_at_ = now;
@@ -102,6 +116,7 @@
     worker.lease_bound =
         std::max(worker.lease_bound, LeaseBound(worker.reported_at));
   }
+  orders.set_owner_is_behind(behind_);
   const LogPosition log = hooks_.log_position();
   orders.set_log_age_ms(MillisecondsOf(now - log.as_of));
   orders.set_log_read_to(log.read_to);
--- a/Source/Jobs/owner_records.cc
+++ b/Source/Jobs/owner_records.cc
@@ -135,7 +135,11 @@
         found->second->worker_id == ends.worker_id()) {
       WorkerView& worker = *found->second;
       worker.ends_logged = std::max(worker.ends_logged, ends.last_end());
-      PollSoon(worker);
+      // An agent that lists ends which are already stored causes no harm, and
+      // the message costs an answer as well.
+      if (!behind_) {
+        PollSoon(worker);
+      }
     }
   }
 }
--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -87,9 +87,11 @@
   }
   AcceptOrders(now, orders);
   RecoverWorker(now, orders.recorded_worker_id());
+  owner_is_behind_ = orders.owner_is_behind();
   ExecuteOrders(now);
   ListIfDue(now);
-  Report(now, /*with_running=*/true);
+  answer_by_ = answer_by_.value_or(now + options_.result_wait);
+  ReportSettled(now);
 }
 
 auto TaskAgent::RenewLease(TimePoint now, const AgentOrders& orders) -> void {
@@ -174,8 +176,8 @@
   start_check_.Tick(now);
   ExecuteOrders(now);
   ListIfDue(now);
-  if (report_due_) {
-    Report(now, /*with_running=*/false);
+  if (report_due_ || answer_by_) {
+    ReportSettled(now);
   }
 }
 
@@ -197,7 +199,7 @@
       wake = std::min(wake, order->not_before);
     }
   }
-  return wake;
+  return answer_by_ ? std::min(wake, *answer_by_) : wake;
 }
 
 auto TaskAgent::SinceEarlierOwner(TimePoint now) const -> Duration {
@@ -217,6 +219,7 @@
   listed_ = false;
   listing_in_flight_ = false;
   list_not_before_ = now;
+  running_reported_at_ = std::nullopt;
 }
 
 auto TaskAgent::NoteCrash(TimePoint now) -> void {
@@ -467,11 +470,31 @@
   return std::max(Duration(0), until + drift + kLeaseMargin - now);
 }
 
+auto TaskAgent::CallsWorker() const -> bool {
+  return std::any_of(orders_.begin(), orders_.end(),
+                     [](const auto& item) -> bool {
+                       return item.second->state == OrderState::kCalling;
+                     });
+}
+
+auto TaskAgent::RunningIsDue(TimePoint now) const -> bool {
+  return !owner_is_behind_ || !running_reported_at_ ||
+         now - *running_reported_at_ >= options_.running_interval;
+}
+
+auto TaskAgent::ReportSettled(TimePoint now) -> void {
+  if (owner_is_behind_ && answer_by_ && now < *answer_by_ && CallsWorker()) {
+    return;
+  }
+  Report(now, answer_by_ && RunningIsDue(now));
+}
+
 auto TaskAgent::Report(TimePoint now, bool with_running) -> void {
   if (owner_peer_.empty()) {
     return;
   }
   report_due_ = false;
+  answer_by_ = std::nullopt;
   AgentReport report;
   report.set_fence(fence_);
   report.set_sent_us(Microseconds(now));
@@ -510,6 +533,9 @@
     *report.add_crashed() = crash.run;
   }
   report.set_complete(listed && with_running);
+  if (report.complete()) {
+    running_reported_at_ = now;
+  }
   if (listed) {
     if (with_running) {
       for (const auto& row : listing_.running) {
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -54,6 +54,12 @@
   std::chrono::milliseconds crash_report_period{30000};
   // Payloads that are kept for later starts.
   std::size_t max_payload_bytes = 4UL << 20;
+  // While the owner is behind: how long a report waits for the results of calls
+  // to the worker, and how often the runs are listed for the owner. The
+  // results of local calls take a few milliseconds; the interval is shorter
+  // than that of the owner's polls.
+  std::chrono::milliseconds result_wait{20};
+  std::chrono::milliseconds running_interval{250};
 };
 
 // How old a start was when it was carried out or rejected. All but the last are
@@ -265,6 +271,12 @@
   // worker's clock.
   auto LeaseLapsed(TimePoint now) const -> bool;
   auto LeaseLeft(TimePoint now) const -> Duration;
+  // Answers orders, or reports their results. While the owner is behind, waits
+  // for the results of calls that are outstanding.
+  auto ReportSettled(TimePoint now) -> void;
+  auto CallsWorker() const -> bool;
+  // Whether the answer to orders lists the runs.
+  auto RunningIsDue(TimePoint now) const -> bool;
   auto Report(TimePoint now, bool with_running) -> void;
 
   TaskAgentOptions options_;
@@ -350,6 +362,11 @@
   // unknown, as after a start.
   std::optional<TimePoint> worker_lease_until_;
   bool report_due_ = false;
+  // Orders are answered at this time at the latest; none if they have been.
+  std::optional<TimePoint> answer_by_;
+  bool owner_is_behind_ = false;
+  // When the newest report with a listing of the runs was sent.
+  std::optional<TimePoint> running_reported_at_;
   bool stopped_ = false;
   // Whether the worker's failure domain is evacuated, by the latest orders.
   bool evacuated_ = false;
--- a/Source/Jobs/task_agent_orders.cc
+++ b/Source/Jobs/task_agent_orders.cc
@@ -358,7 +358,7 @@
     LogStart(now, *order, "started", "");
     run_watch_.OnStarted(now, order->task, order->run);
     Finish(order, ORDER_DONE);
-    Report(now, /*with_running=*/false);
+    ReportSettled(now);
     return;
   }
   LogStart(now, *order, "start_failed", OutcomeName(result.outcome));
@@ -406,7 +406,7 @@
     return;
   }
   Finish(order, ORDER_DONE);
-  Report(now, /*with_running=*/false);
+  ReportSettled(now);
 }
 
 auto TaskAgent::LogStart(TimePoint now,
@@ -427,7 +427,7 @@
                             OrderOutcome outcome) -> void {
   if (!order->unconfirmed) {
     Finish(order, outcome);
-    Report(now, /*with_running=*/false);
+    ReportSettled(now);
     return;
   }
   // An earlier copy of the call may be carried out later, when the worker has
--- a/Tests/Jobs/owner_orders_test.cc
+++ b/Tests/Jobs/owner_orders_test.cc
@@ -333,5 +333,62 @@
   EXPECT_GT(latest_orders_["agent-0"].built_at_us(), first);
 }
 
+// Guards against an owner without enough processor time that keeps every job
+// waiting: it asks its agents for fewer reports until it is no longer late.
+TEST_F(OwnerOrdersTest, LateOwnerAsksForFewerReports) {
+  PutJobWithPayload(Step(1), 0);
+  Report("agent-1", ReportOf("agent-1"));
+  EXPECT_FALSE(latest_orders_["agent-0"].owner_is_behind());
+  PollAfter(JobOwnerOptions().poll_interval + milliseconds(5));
+  PollAfter(JobOwnerOptions().poll_interval);
+  EXPECT_FALSE(latest_orders_["agent-0"].owner_is_behind());
+  PollAfter(JobOwnerOptions().poll_interval + milliseconds(50));
+  PollAfter(JobOwnerOptions().poll_interval);
+  EXPECT_TRUE(latest_orders_["agent-0"].owner_is_behind());
+  for (int poll = 0; poll < 40; ++poll) {
+    Report("agent-0", ReportOf("agent-0"));
+    Report("agent-1", ReportOf("agent-1"));
+    PollAfter(JobOwnerOptions().poll_interval);
+  }
+  EXPECT_FALSE(latest_orders_["agent-0"].owner_is_behind());
+}
+
+struct StoredEndCase {
+  std::string name;
+  bool late = false;
+};
+
+class StoredEndTest : public OwnerOrdersTest,
+                      public testing::WithParamInterface<StoredEndCase> {};
+
+// Guards against an owner without enough processor time that sends each agent a
+// message of its own for each end that is stored.
+TEST_P(StoredEndTest, LateOwnerTellsOfItWithTheNextPoll) {
+  PutJobWithPayload(Step(1), 0);
+  Report("agent-1", ReportOf("agent-1"));
+  const auto start = starts_["agent-0"].begin()->second;
+  PollAfter(JobOwnerOptions().poll_interval +
+            milliseconds(GetParam().late ? 50 : 0));
+  auto report = ReportOf("agent-0");
+  auto* end = report.add_ended();
+  end->set_number(1);
+  *end->mutable_task() = start.task();
+  end->set_run(start.run());
+  end->set_end(RUN_DONE);
+  Report("agent-0", report);
+  const int polls = polls_["agent-0"];
+  StoreBatch();
+  PollAfter(milliseconds(1));
+  EXPECT_EQ(polls_["agent-0"], polls + (GetParam().late ? 0 : 1));
+  PollAfter(JobOwnerOptions().poll_interval);
+  EXPECT_EQ(latest_orders_["agent-0"].ends_logged(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         StoredEndTest,
+                         testing::Values(StoredEndCase{"in_time", false},
+                                         StoredEndCase{"late", true}),
+                         [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -284,6 +284,80 @@
                     RunOverCase{"ends_in_two_pages", true, {3}, 3}),
     [](const auto& info) { return info.param.name; });
 
+// An agent whose owner has said that it handles reports late.
+class OwnerBehindTest : public TaskAgentTest {
+ protected:
+  auto SendOrders(bool with_start) -> void {
+    auto orders =
+        with_start ? WithStart(Orders(1), /*repeated=*/false) : Orders(1);
+    orders.set_owner_is_behind(true);
+    agent_.OnOrders(now_, "owner", orders);
+  }
+
+  auto Prepare() -> void {
+    SendHeartbeat(kWorkerId);
+    SendOrders(/*with_start=*/false);
+    AnswerList();
+    reports_.clear();
+  }
+};
+
+// Guards against an owner without enough processor time, which receives two
+// reports for each start and gets further behind.
+TEST_F(OwnerBehindTest, StartIsAnsweredOnceWithItsResult) {
+  Prepare();
+  SendOrders(/*with_start=*/true);
+  ASSERT_EQ(starts_.size(), 1U);
+  EXPECT_TRUE(reports_.empty());
+  now_ += milliseconds(2);
+  on_start_(now_, {WorkerCallOutcome::kDone});
+  ASSERT_EQ(reports_.size(), 1U);
+  EXPECT_EQ(Result(), ORDER_DONE);
+  agent_.Tick(now_ + TaskAgentOptions().result_wait);
+  EXPECT_EQ(reports_.size(), 1U);
+}
+
+// Guards against a lease that lapses since the answer to orders waits for a
+// worker that does not answer.
+TEST_F(OwnerBehindTest, AnswerDoesNotWaitForTheWorker) {
+  Prepare();
+  SendOrders(/*with_start=*/true);
+  const TimePoint answer_by = now_ + TaskAgentOptions().result_wait;
+  EXPECT_LE(agent_.next_wake(), answer_by);
+  // Further orders do not delay it.
+  now_ = answer_by - milliseconds(1);
+  SendOrders(/*with_start=*/false);
+  agent_.Tick(now_);
+  EXPECT_TRUE(reports_.empty());
+  agent_.Tick(answer_by);
+  EXPECT_EQ(reports_.size(), 1U);
+}
+
+// Guards against an owner that spends its time on lists of runs, and against
+// one that no longer learns how runs proceed.
+TEST_F(OwnerBehindTest, RunsAreListedOncePerInterval) {
+  Prepare();
+  const auto interval = TaskAgentOptions().running_interval;
+  int complete = 0;
+  for (int sent = 0; sent < 20; ++sent) {
+    now_ += interval / 10;
+    SendOrders(/*with_start=*/false);
+    complete += reports_.back().complete() ? 1 : 0;
+  }
+  EXPECT_EQ(reports_.size(), 20U);
+  EXPECT_EQ(complete, 2);
+}
+
+// Guards against a new owner that waits for the runs of its agents.
+TEST_F(OwnerBehindTest, NextOwnerReceivesTheRunsAtOnce) {
+  Prepare();
+  auto orders = Orders(2);
+  orders.set_owner_is_behind(true);
+  agent_.OnOrders(now_, "owner", orders);
+  AnswerList();
+  EXPECT_TRUE(reports_.back().complete());
+}
+
 struct CrashReportCase {
   std::string name;
   // Whether the start's call was answered before the crash.
