jobs: Look up opportunistic speeds without copying image names

Change: the tables of speeds and of pressures are hash tables, searched by views of the names. The record of learned pressures is sorted, as it was.

--- a/Source/Jobs/image_interference.cc
+++ b/Source/Jobs/image_interference.cc
@@ -1,7 +1,11 @@
 #include "Jobs/image_interference.h"
 
+#include <absl/strings/string_view.h>
+
 #include <algorithm>
 #include <cmath>
+#include <map>
+#include <tuple>
 
 namespace rhubarbhaven::jobs {
 namespace {
@@ -55,6 +59,10 @@
   return sums;
 }
 
+auto KeyOf(std::string_view image) -> absl::string_view {
+  return {image.data(), image.size()};
+}
+
 }  // namespace
 
 auto ImageInterference::Observe(
@@ -72,11 +80,11 @@
 auto ImageInterference::Pressure(std::string_view serving_image,
                                  std::string_view filler_image) const
     -> double {
-  const auto row = pressures_.find(serving_image);
+  const auto row = pressures_.find(KeyOf(serving_image));
   if (row == pressures_.end()) {
     return kUnknownPressure;
   }
-  const auto found = row->second.find(filler_image);
+  const auto found = row->second.find(KeyOf(filler_image));
   return found == row->second.end() ? kUnknownPressure : found->second.value;
 }
 
@@ -90,6 +98,13 @@
       pressure->set_pressure(estimate.value);
     }
   }
+  // The record does not depend on the order of a hash table.
+  std::sort(learned.mutable_pressures()->begin(),
+            learned.mutable_pressures()->end(),
+            [](const ImagePressure& left, const ImagePressure& right) -> bool {
+              return std::tie(left.serving_image(), left.filler_image()) <
+                     std::tie(right.serving_image(), right.filler_image());
+            });
   return learned;
 }
 
@@ -198,7 +213,7 @@
   };
   correct(&run->log_base, 1.0);
   for (const auto& task : opportunistic) {
-    auto& pressure = row.find(task.image)->second;
+    auto& pressure = row.find(KeyOf(task.image))->second;
     correct(&pressure, task.share / slowdown);
     pressure.value = std::clamp(pressure.value, 0.0, kMaxPressure);
   }
--- a/Source/Jobs/image_interference.h
+++ b/Source/Jobs/image_interference.h
@@ -99,9 +99,9 @@
                 const std::vector<OpportunisticSample>& opportunistic) const
       -> double;
 
-  using Row = std::map<std::string, Estimate, std::less<>>;
+  using Row = absl::flat_hash_map<std::string, Estimate>;
 
-  std::map<std::string, Row, std::less<>> pressures_;
+  absl::flat_hash_map<std::string, Row> pressures_;
   absl::flat_hash_map<uint64_t, Serving> serving_;
 };
 
--- a/Source/Jobs/opportunistic_speed.cc
+++ b/Source/Jobs/opportunistic_speed.cc
@@ -100,12 +100,14 @@
     known = {worker.load_version, DemandOf(worker), {}};
   }
   const auto& step = place.spec();
-  const auto [speed, is_new] = known.speeds.try_emplace(
-      std::pair(step.image(), step.need().millicores()));
-  if (is_new) {
-    speed->second = SpeedBeside(known.demand, worker, step, interference);
+  const ImageDemandView key{step.image(), step.need().millicores()};
+  const auto found = known.speeds.find(key);
+  if (found != known.speeds.end()) {
+    return found->second;
   }
-  return speed->second;
+  const double speed = SpeedBeside(known.demand, worker, step, interference);
+  known.speeds.emplace(ImageDemand{step.image(), key.millicores}, speed);
+  return speed;
 }
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/worker_view.h
+++ b/Source/Jobs/worker_view.h
@@ -15,6 +15,8 @@
 #include "Jobs/job_work.h"
 #include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
+#include "absl/hash/hash.h"
+#include "absl/strings/string_view.h"
 
 namespace rhubarbhaven::jobs {
 
@@ -60,12 +62,43 @@
   double millicores = 0;
 };
 
+// What a further opportunistic run asks for.
+struct ImageDemand {
+  std::string image;
+  uint32_t millicores = 0;
+};
+
+struct ImageDemandView {
+  absl::string_view image;
+  uint32_t millicores = 0;
+};
+
+// Hash and equality for look-ups that do not copy the image's name.
+struct ImageDemandHash {
+  using is_transparent = void;
+  auto operator()(const ImageDemandView& key) const -> std::size_t {
+    return absl::HashOf(key.image, key.millicores);
+  }
+  auto operator()(const ImageDemand& key) const -> std::size_t {
+    return absl::HashOf(absl::string_view(key.image), key.millicores);
+  }
+};
+
+struct ImageDemandEqual {
+  using is_transparent = void;
+  template <typename Left, typename Right>
+  auto operator()(const Left& left, const Right& right) const -> bool {
+    return left.millicores == right.millicores && left.image == right.image;
+  }
+};
+
 // Speeds computed for a worker's load at one version.
 struct OpportunisticSpeeds {
   uint64_t load_version = 0;
   OpportunisticDemand demand;
   // Speed of one more run of the image that requests so many millicores.
-  absl::flat_hash_map<std::pair<std::string, uint32_t>, double> speeds;
+  absl::flat_hash_map<ImageDemand, double, ImageDemandHash, ImageDemandEqual>
+      speeds;
 };
 
 // The owner's view of a worker and its agent.
