jobs: Keep the flags of the task agent together

Cause: the fields of the change for late owners stand between the flags, and the linter reports 37 bytes of padding in TaskAgent where 5 are enough.

Change: the two times stand before the flags. No behavior changes.

Measured: the linter reported the class on the commit before, in files that include the header; task_agent.cc has no finding now.

--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -361,12 +361,12 @@
   // Until when the worker's lease may last, on this process's clock; none if
   // unknown, as after a start.
   std::optional<TimePoint> worker_lease_until_;
-  bool report_due_ = false;
   // Orders are answered at this time at the latest; none if they have been.
   std::optional<TimePoint> answer_by_;
-  bool owner_is_behind_ = false;
   // When the newest report with a listing of the runs was sent.
   std::optional<TimePoint> running_reported_at_;
+  bool report_due_ = false;
+  bool owner_is_behind_ = false;
   bool stopped_ = false;
   // Whether the worker's failure domain is evacuated, by the latest orders.
   bool evacuated_ = false;
