jobs: A late owner lets agents without an adopted listing answer at once

What callers would see: after a takeover, tasks wait although their workers have room, or runs are taken for lost, since the listing of an agent arrives late.

Cause: an owner that is late asks its agents to list their runs every 250 ms at most and to wait for outstanding calls before they answer. It asked that also of agents whose listing it had not adopted, and it waits for these.

Change: only orders to an agent whose listing is adopted carry the request.

--- a/Source/Jobs/owner_polls.cc
+++ b/Source/Jobs/owner_polls.cc
@@ -116,7 +116,8 @@
     worker.lease_bound =
         std::max(worker.lease_bound, LeaseBound(worker.reported_at));
   }
-  orders.set_owner_is_behind(behind_);
+  // The listing of an agent that has none adopted yet is not put off.
+  orders.set_owner_is_behind(behind_ && worker.confirmed);
   const LogPosition log = hooks_.log_position();
   orders.set_log_age_ms(MillisecondsOf(now - log.as_of));
   orders.set_log_read_to(log.read_to);
--- a/Tests/Jobs/owner_orders_test.cc
+++ b/Tests/Jobs/owner_orders_test.cc
@@ -353,6 +353,16 @@
   EXPECT_FALSE(latest_orders_["agent-0"].owner_is_behind());
 }
 
+// Guards against a takeover that waits for the runs of an agent because the
+// owner is late: an agent whose runs are unknown still lists them each time.
+TEST_F(OwnerOrdersTest, LateOwnerAsksAnUnlistedAgentForItsRuns) {
+  PutJobWithPayload(Step(1), 0);
+  PollAfter(JobOwnerOptions().poll_interval + milliseconds(50));
+  PollAfter(JobOwnerOptions().poll_interval);
+  EXPECT_TRUE(latest_orders_["agent-0"].owner_is_behind());
+  EXPECT_FALSE(latest_orders_["agent-1"].owner_is_behind());
+}
+
 struct StoredEndCase {
   std::string name;
   bool late = false;
