jobs: The report of an end lists the runs that are due

What callers would see: a run is stopped as one that makes no progress, or an owner does not learn the load of a worker, while tasks of the worker end often.

Cause: while the owner is late, an agent awaits the result of a start before it answers. A listing with a new end that arrived meanwhile was reported without the runs, which also counted as the answer, so that the runs could be left out again and again.

Change: such a report lists the runs if an answer is due and they are.

Evidence: ReportOfAnEndListsTheRunsThatAreDue of jobs_task_agent_test fails with task_agent.cc of the commit before, and passes now (95 of 95 tests).

--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -373,7 +373,8 @@
   if (first || was_unresponsive) {
     Report(now, /*with_running=*/true);
   } else if (new_ends || report_due_) {
-    Report(now, /*with_running=*/false);
+    // Answers orders as well, if an answer is due.
+    Report(now, answer_by_ && RunningIsDue(now));
   }
   ExecuteOrders(now);
   ListIfDue(now);
--- a/Tests/Jobs/task_agent_test.cc
+++ b/Tests/Jobs/task_agent_test.cc
@@ -348,6 +348,23 @@
   EXPECT_EQ(complete, 2);
 }
 
+// Guards against runs that seem to make no progress: each answer to a start is
+// overtaken by a report of an end, which lists no runs.
+TEST_F(OwnerBehindTest, ReportOfAnEndListsTheRunsThatAreDue) {
+  Prepare();
+  now_ += TaskAgentOptions().running_interval;
+  SendOrders(/*with_start=*/true);
+  ASSERT_TRUE(reports_.empty());
+  WorkerListing listing;
+  listing.answered = true;
+  listing.clock = milliseconds(50000);
+  listing.ended.emplace_back().set_number(1);
+  const auto done = on_list_;
+  done(now_, listing);
+  ASSERT_EQ(reports_.size(), 1U);
+  EXPECT_TRUE(reports_.back().complete());
+}
+
 // Guards against a new owner that waits for the runs of its agents.
 TEST_F(OwnerBehindTest, NextOwnerReceivesTheRunsAtOnce) {
   Prepare();
