--- a/Tests/Jobs/simulated_cluster.cc
+++ b/Tests/Jobs/simulated_cluster.cc
@@ -382,6 +382,7 @@
   for (const auto& worker : workers_) {
     worker->SetUnresponsive(false);
     worker->SetUnanswered(0);
+    worker->SetAnswersLost(0);
   }
 }
 
--- a/Tests/Jobs/virtual_worker.cc
+++ b/Tests/Jobs/virtual_worker.cc
@@ -378,14 +378,17 @@
     });
     return;
   }
+  const bool answer_lost = answers_lost_ > 0 && time_->Chance(answers_lost_);
   time_->After(
       time_->Milliseconds(1, 4),
-      [this, call, act, done, lifetime = lifetime_]() -> void {
-        const WorkerCallOutcome outcome =
+      [this, call, act, done, answer_lost, lifetime = lifetime_]() -> void {
+        const WorkerCallOutcome carried_out =
             ReachesProcess(lifetime) ? act(call) : WorkerCallOutcome::kUnknown;
-        time_->After(std::chrono::milliseconds(1), [this, done, outcome]() {
-          done(time_->now(), {outcome});
-        });
+        const WorkerCallOutcome outcome =
+            answer_lost ? WorkerCallOutcome::kUnknown : carried_out;
+        time_->After(
+            answer_lost ? kCallTimeout : std::chrono::milliseconds(1),
+            [this, done, outcome]() { done(time_->now(), {outcome}); });
       });
 }
 
--- a/Tests/Jobs/virtual_worker.h
+++ b/Tests/Jobs/virtual_worker.h
@@ -72,6 +72,9 @@
   // Sets the share of orders that get no answer. Half of these are carried out
   // late.
   auto SetUnanswered(double share) -> void { unanswered_ = share; }
+  // Sets the share of orders that are carried out at once and whose answers are
+  // lost.
+  auto SetAnswersLost(double share) -> void { answers_lost_ = share; }
   auto SetDraining(bool draining) -> void { draining_ = draining; }
   // Reports that opportunistic tasks are slowed to a tenth of their speed.
   auto SetSlowed(bool slowed) -> void { slowed_ = slowed; }
@@ -87,7 +90,7 @@
   auto down() const -> bool { return down_; }
   // Whether calls to it fail at present.
   auto has_fault() const -> bool {
-    return unresponsive_ || down_ || unanswered_ > 0;
+    return unresponsive_ || down_ || unanswered_ > 0 || answers_lost_ > 0;
   }
   // Whether it would start one more run now.
   auto HasRoom() const -> bool;
@@ -148,6 +151,7 @@
   bool removed_ = false;
   bool down_ = false;
   double unanswered_ = 0;
+  double answers_lost_ = 0;
   uint64_t fence_ = 0;
   WorkerTime lease_until_{0};
   uint64_t last_end_number_ = 0;
