review: Show that a gang is given up after unrelated crashes

A gang of five tasks runs on five workers of eight. The workers crash one after the other, each 2.5 s into a run and under another task of the gang, and come back 1.5 s later. No task has had two crashes and no run has ended `failed`. At the fifth crash the owner shows the job as failed: it adds up the crashes of all members.

--- a/review/stand_ins_2/cases.cc
+++ b/review/stand_ins_2/cases.cc
@@ -188,6 +188,63 @@
   return alone > 0 ? kBroken : kHeld;
 }
 
+// A gang of five tasks on five workers, each of which crashes once.
+auto GangCrashes(const CaseInput& input) -> int {
+  const std::string id = "5c0e7a21d94b36f8";
+  constexpr int kMembers = 5;
+  constexpr int64_t kWorkMs = 9000;
+  constexpr int64_t kDownMs = 1500;
+  DeploymentOptions options;
+  options.workers.count = 8;
+  options.spec_of =
+      LookUp({{id, {TaskSpec{500, 256, kWorkMs, kMembers, false, false}}}});
+  Deployment deployment(input.world, input.folder, options);
+  if (!deployment.WaitReady()) {
+    return kNotRun;
+  }
+  Sleep(4000);
+  const Json job = {{"Spec", "rate"},
+                    {"Steps", Json::array({{{"Count", kMembers},
+                                            {"Cpu", 500},
+                                            {"MemMb", 256},
+                                            {"EstimatedMs", kWorkMs},
+                                            {"AntiAffinity", 1},
+                                            {"Gang", true}}})}};
+  if (!deployment.Submit(id, job.dump())) {
+    return kNotRun;
+  }
+  int crashes = 0;
+  for (int member = 0; input.trouble && member < kMembers; ++member) {
+    const std::string task = id + ".0.0." + std::to_string(member);
+    // Each run has worked for 2.5 s when the worker of one member crashes.
+    const auto until = Clock::now() + std::chrono::seconds(12);
+    while (deployment.workers().WorkDone(task) < 2500 && Clock::now() < until) {
+      Sleep(10);
+    }
+    const int place = deployment.workers().PlaceOf(task);
+    if (place < 0) {
+      break;
+    }
+    deployment.workers().Crash(place, kDownMs);
+    ++crashes;
+    Sleep(200);
+  }
+  const std::string state =
+      AwaitState(deployment, id, {"failed", "completed"}, 30000);
+  int failed = 0;
+  for (const auto& end : deployment.workers().ends()) {
+    failed += end.how == "failed" ? 1 : 0;
+  }
+  Note(input.world, "the job is " + state + "; " + std::to_string(crashes) +
+                        " workers have crashed, each under another task of "
+                        "the gang; ends `failed`: " +
+                        std::to_string(failed));
+  if (state.empty()) {
+    return kNotRun;
+  }
+  return state == "failed" && failed == 0 ? kBroken : kHeld;
+}
+
 // A job whose one task takes much longer than estimated, on the only worker of
 // the kind that it needs.
 auto LongTask(const CaseInput& input) -> int {
@@ -350,6 +407,7 @@
   const std::map<std::string, std::function<int(const review::CaseInput&)>>
       cases = {{"gang-failures", review::GangFailures},
                {"gang-checkpoints", review::GangCheckpoints},
+               {"gang-crashes", review::GangCrashes},
                {"long-task", review::LongTask},
                {"many-occurrences", review::ManyOccurrences}};
   if (argc != 5 || !cases.contains(argv[1])) {
