review: Show that short-lived tickets are never used

A queue's policy takes 50 ms and 50 ms for each worker named, and its tickets are valid for 1,000 ms. The owner names all 11 workers, counts the validity from its call 600 ms before and wants 400 ms to be left: it uses no ticket, and asks for all of them again without end. An accepted job is never started.

--- a/review/stand_ins_2/deployment.h
+++ b/review/stand_ins_2/deployment.h
@@ -2,6 +2,7 @@
 #define RHUBARBHAVEN_REVIEW_STAND_INS_2_DEPLOYMENT_H_
 
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -11,9 +12,17 @@
 
 namespace review {
 
+// The policy of the queue, in milliseconds; without one if `valid_ms` is zero.
+struct Advice {
+  int decide_ms = 0;
+  int each_ms = 0;
+  int valid_ms = 0;
+};
+
 struct DeploymentOptions {
   int entries = 3;
   int attempts = 4;
+  Advice advice;
   WorkersOptions workers;
   Workers::SpecOf spec_of;
 };
@@ -41,10 +50,15 @@
 
  private:
   auto WriteSettings(const std::string& folder) -> std::vector<std::string>;
+  // The service that decides which workers may run a step: all that are named.
+  // It handles one call at a time.
+  auto Advise(const HttpRequest& request) -> HttpResponse;
 
   World* world_;
   DeploymentOptions options_;
   KeyedLog log_;
+  std::mutex advising_;
+  HttpServer advice_;
   std::unique_ptr<Workers> workers_;
   std::vector<int> callers_ports_;
   std::vector<int> ready_ports_;
--- a/review/stand_ins_2/workers.cc
+++ b/review/stand_ins_2/workers.cc
@@ -89,6 +89,19 @@
                (on ? " fails all that it starts" : " is sound again"));
 }
 
+auto Workers::SetTicketsValid(int64_t ms) -> void {
+  const std::lock_guard lock(world_->mutex);
+  tickets_valid_ms_ = ms;
+}
+
+auto Workers::Grant(const std::string& step, const std::string& worker_id)
+    -> std::string {
+  const std::lock_guard lock(world_->mutex);
+  const std::string ticket = step + "@" + worker_id;
+  tickets_[ticket] = world_->Now();
+  return ticket;
+}
+
 auto Workers::Crash(int number, int64_t down_ms) -> void {
   const std::lock_guard lock(world_->mutex);
   Worker& worker = *workers_[number];
@@ -232,6 +245,14 @@
       (over != worker.over.end() && run <= over->second)) {
     return refuse("old");
   }
+  if (tickets_valid_ms_ > 0) {
+    const std::string ticket = call.value("Ticket", "");
+    const auto granted = tickets_.find(ticket);
+    if (ticket != StepOf(task) + "@" + worker.id || granted == tickets_.end() ||
+        world_->Now() - granted->second > tickets_valid_ms_) {
+      return refuse("ticket");
+    }
+  }
   int cpu = spec->fills ? 0 : spec->cpu;
   int mem = spec->mem_mb;
   for (const auto& [other, held] : worker.runs) {
--- a/review/stand_ins_2/workers.h
+++ b/review/stand_ins_2/workers.h
@@ -74,6 +74,12 @@
 
   // While on, each run that the worker starts ends as failed 10 ms later.
   auto SetFailing(int worker, bool on) -> void;
+  // From now on, a start needs a ticket that was granted at most `ms`
+  // milliseconds before; none if zero.
+  auto SetTicketsValid(int64_t ms) -> void;
+  // A ticket for the tasks of the step on the worker of this id.
+  auto Grant(const std::string& step, const std::string& worker_id)
+      -> std::string;
   // The worker loses all and comes back `down_ms` later with a new id.
   auto Crash(int worker, int64_t down_ms) -> void;
 
@@ -153,6 +159,9 @@
   WorkersOptions options_;
   SpecOf spec_of_;
   std::vector<std::unique_ptr<Worker>> workers_;
+  int64_t tickets_valid_ms_ = 0;
+  // When each ticket was granted, by its text.
+  std::map<std::string, int64_t> tickets_;
   std::set<GangKey> broken_gangs_;
   std::vector<StartNote> starts_;
   std::vector<EndNote> ends_;
