--- a/review/stand_ins_2/cases.cc
+++ b/review/stand_ins_2/cases.cc
@@ -2,6 +2,8 @@
 // Plays one case of the review against daemons that the case's script starts.
 // Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 
+#include <curl/curl.h>
+
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
@@ -55,6 +57,12 @@
   };
 }
 
+// Lasts until the process exits: threads of its servers may still answer.
+auto Deploy(const CaseInput& input, const DeploymentOptions& options)
+    -> Deployment& {
+  return *new Deployment(input.world, input.folder, options);
+}
+
 // Waits until the job has one of the states, at most `ms` milliseconds, and
 // returns its last known state.
 auto AwaitState(Deployment& deployment,
@@ -82,7 +90,7 @@
   options.workers.count = 8;
   options.spec_of =
       LookUp({{id, {TaskSpec{500, 256, 1500, kMembers, false, false}}}});
-  Deployment deployment(input.world, input.folder, options);
+  Deployment& deployment = Deploy(input, options);
   if (!deployment.WaitReady()) {
     return kNotRun;
   }
@@ -131,7 +139,7 @@
   // Two members do not fit one worker's memory.
   options.spec_of =
       LookUp({{id, {TaskSpec{kCpu, 40000, 8000, kMembers, true, true}}}});
-  Deployment deployment(input.world, input.folder, options);
+  Deployment& deployment = Deploy(input, options);
   if (!deployment.WaitReady()) {
     return kNotRun;
   }
@@ -198,7 +206,7 @@
   options.workers.count = 11;
   options.advice = {50, 50, input.trouble ? 1000 : 3000};
   options.spec_of = LookUp({{id, {TaskSpec{kCpu, 256, 800, 0, false, false}}}});
-  Deployment deployment(input.world, input.folder, options);
+  Deployment& deployment = Deploy(input, options);
   if (!deployment.WaitReady()) {
     return kNotRun;
   }
@@ -238,7 +246,7 @@
       LookUp({{id,
                {TaskSpec{kCpu, 512, input.trouble ? kLongMs : kUsualMs, 0,
                          false, false}}}});
-  Deployment deployment(input.world, input.folder, options);
+  Deployment& deployment = Deploy(input, options);
   if (!deployment.WaitReady()) {
     return kNotRun;
   }
@@ -301,7 +309,7 @@
   DeploymentOptions options;
   options.workers.count = 8;
   options.spec_of = LookUp(specs);
-  Deployment deployment(input.world, input.folder, options);
+  Deployment& deployment = Deploy(input, options);
   if (!deployment.WaitReady()) {
     return kNotRun;
   }
@@ -391,6 +399,8 @@
     std::fprintf(stderr, "usage: cases CASE FOLDER RECORD TROUBLE\n");
     return 2;
   }
+  // Before any thread makes a call.
+  curl_global_init(CURL_GLOBAL_DEFAULT);
   review::World world(argv[3]);
   const int code =
       cases.at(argv[1])({&world, argv[2], std::string(argv[4]) != "0"});
--- a/review/stand_ins_2/deployment.cc
+++ b/review/stand_ins_2/deployment.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <thread>
@@ -18,24 +19,29 @@
 constexpr char kHost[] = "jobs.example";
 constexpr char kPrefix[] = "/q/";
 
+// Ports below the range that the system gives to outgoing connections, so that
+// none is taken before its daemon listens. Cases that run at the same time
+// begin at different ones.
 auto FreePorts(int count) -> std::vector<int> {
-  std::vector<int> sockets;
+  constexpr int kFirst = 10000;
+  constexpr int kBlocks = 200;
+  constexpr int kBlock = 100;
+  int port = kFirst + getpid() % kBlocks * kBlock;
   std::vector<int> ports;
-  for (int i = 0; i < count; ++i) {
+  while (static_cast<int>(ports.size()) < count) {
     const int fd = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
-        getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
+    address.sin_port = htons(static_cast<uint16_t>(port));
+    if (fd < 0) {
       std::_Exit(2);
     }
-    sockets.push_back(fd);
-    ports.push_back(ntohs(address.sin_port));
-  }
-  for (const int fd : sockets) {
+    if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) {
+      ports.push_back(port);
+    }
     close(fd);
+    port = port + 1 < kFirst + kBlocks * kBlock ? port + 1 : kFirst;
   }
   return ports;
 }
