jobs: Set aside records that the log refuses for good

Callers saw: after one record over the log's limit, nothing that the same process appended later was stored.

Cause: an answer of 400 was taken for an unknown outcome, and a batch with an unknown outcome is repeated under its sequence number until it is stored. A record that is too large is refused each time.

The batch is halved until the record at fault is alone; that record is settled as invalid, the others are stored. A batch counts the framing of its records, and the records of one entry may be divided by it. The owner writes refused progress again after a second, with what it is by then; a refused claim ends the claim.

--- a/Source/Jobs/append_batcher.cc
+++ b/Source/Jobs/append_batcher.cc
@@ -12,33 +12,26 @@
 constexpr int kTimeoutFactor = 4;
 constexpr int kMaxDoublings = 5;
 
-auto BytesOf(const std::vector<KeyedRecord>& records) -> std::size_t {
-  std::size_t bytes = 0;
-  for (const auto& record : records) {
-    bytes += record.key.size() + record.value.size();
-  }
-  return bytes;
-}
-
 }  // namespace
 
 AppendBatcher::AppendBatcher(AppendBatcherOptions options)
-    : options_(std::move(options)), sequence_(options_.first_sequence) {}
+    : options_(std::move(options)),
+      max_records_(options_.max_records),
+      sequence_(options_.first_sequence) {}
 
 auto AppendBatcher::Enqueue(uint64_t ticket, std::vector<KeyedRecord> records)
     -> void {
-  const std::size_t bytes = BytesOf(records);
-  waiting_.push_back({ticket, std::move(records), bytes});
+  entries_.push_back({ticket, std::move(records), 0, {}});
 }
 
 auto AppendBatcher::Next(TimePoint now) -> std::optional<AppendCall> {
   if (in_flight_ || fenced_ || now < not_before_) {
     return std::nullopt;
   }
-  if (batch_.empty()) {
+  if (batch_records_ == 0) {
     FillBatch(now);
   }
-  if (batch_.empty()) {
+  if (batch_records_ == 0) {
     return std::nullopt;
   }
   AppendCall call;
@@ -46,10 +39,7 @@
   call.epoch = options_.epoch;
   call.sequence = sequence_;
   call.timeout = Timeout();
-  for (const auto& entry : batch_) {
-    call.records.insert(call.records.end(), entry.records.begin(),
-                        entry.records.end());
-  }
+  call.records = RecordsOfBatch();
   in_flight_ = true;
   sent_at_ = now;
   return call;
@@ -61,7 +51,7 @@
   switch (result.outcome) {
     case AppendOutcome::kAppended:
       smoothed_latency_ += (now - sent_at_ - smoothed_latency_) / kSmoothing;
-      return Settle(EntryOutcome::kStored);
+      return OnStored();
     case AppendOutcome::kRejected:
       rejected_ = true;
       BackOff(now);
@@ -71,9 +61,12 @@
         // without storing it. An accepted job would then be missing. A new
         // epoch rules this out.
         ++options_.epoch;
-        return Settle(EntryOutcome::kNotStored);
+        ++sequence_;
+        return SettleBatchAsNotStored();
       }
       return {};
+    case AppendOutcome::kInvalid:
+      return OnInvalid(now);
     case AppendOutcome::kUnknown:
       maybe_stored_ = true;
       rejected_ = false;
@@ -87,7 +80,7 @@
         // An earlier attempt was stored, and the log no longer keeps its
         // response.
         sequence_ = result.expected_sequence - 1;
-        return Settle(EntryOutcome::kStored);
+        return OnStored();
       }
       sequence_ = result.expected_sequence;
       BackOff(now);
@@ -98,10 +91,11 @@
 
 auto AppendBatcher::TakeWaiting() -> std::vector<SettledEntry> {
   std::vector<SettledEntry> taken;
-  for (const auto& entry : waiting_) {
-    taken.push_back({entry.ticket, EntryOutcome::kNotStored});
+  while (entries_.size() > batch_entries_) {
+    taken.push_back({entries_.back().ticket, EntryOutcome::kNotStored});
+    entries_.pop_back();
   }
-  waiting_.clear();
+  std::reverse(taken.begin(), taken.end());
   return taken;
 }
 
@@ -112,30 +106,94 @@
 
 auto AppendBatcher::FillBatch(TimePoint now) -> void {
   std::size_t bytes = 0;
-  while (!waiting_.empty() && batch_.size() < options_.max_entries) {
-    bytes += waiting_.front().bytes;
-    if (!batch_.empty() && bytes > options_.max_bytes) {
+  bool full = false;
+  for (const auto& entry : entries_) {
+    for (std::size_t i = entry.settled; i < entry.records.size() && !full;
+         ++i) {
+      bytes += SizeInLog(entry.records[i]);
+      full = batch_records_ == max_records_ ||
+             (batch_records_ > 0 && bytes > options_.max_bytes);
+      batch_records_ += full ? 0 : 1;
+    }
+    if (full) {
       break;
     }
-    batch_.push_back(std::move(waiting_.front()));
-    waiting_.pop_front();
+    ++batch_entries_;
   }
+  // The entry whose records are only in part in this batch.
+  batch_entries_ += full ? 1 : 0;
   maybe_stored_ = false;
   first_sent_ = now;
 }
 
-auto AppendBatcher::Settle(EntryOutcome outcome) -> std::vector<SettledEntry> {
-  std::vector<SettledEntry> settled;
-  for (const auto& entry : batch_) {
-    settled.push_back({entry.ticket, outcome});
+auto AppendBatcher::RecordsOfBatch() const -> std::vector<KeyedRecord> {
+  std::vector<KeyedRecord> records;
+  records.reserve(batch_records_);
+  for (const auto& entry : entries_) {
+    for (std::size_t i = entry.settled;
+         i < entry.records.size() && records.size() < batch_records_; ++i) {
+      records.push_back(entry.records[i]);
+    }
   }
-  batch_.clear();
+  return records;
+}
+
+auto AppendBatcher::OnStored() -> std::vector<SettledEntry> {
   ++sequence_;
-  if (outcome == EntryOutcome::kStored) {
-    failures_ = 0;
-    rejected_ = false;
-    not_before_ = TimePoint();
+  failures_ = 0;
+  rejected_ = false;
+  not_before_ = TimePoint();
+  max_records_ += std::min(max_records_, options_.max_records - max_records_);
+  return SettleBatch(/*invalid=*/false);
+}
+
+// A repeat of records that are stored is acknowledged, so no earlier attempt
+// has stored these. They leave the sequence number unused.
+auto AppendBatcher::OnInvalid(TimePoint now) -> std::vector<SettledEntry> {
+  if (batch_records_ > 1) {
+    max_records_ = batch_records_ / 2;
+    batch_records_ = 0;
+    batch_entries_ = 0;
+    return {};
+  }
+  if (!options_.settle_rejected) {
+    // The producer may enqueue another version of the record at once.
+    BackOff(now);
+  }
+  return SettleBatch(/*invalid=*/true);
+}
+
+auto AppendBatcher::SettleBatch(bool invalid) -> std::vector<SettledEntry> {
+  std::vector<SettledEntry> settled;
+  while (batch_records_ > 0) {
+    Entry& entry = entries_.front();
+    const std::size_t count =
+        std::min(batch_records_, entry.records.size() - entry.settled);
+    if (invalid) {
+      entry.invalid_keys.push_back(entry.records[entry.settled].key);
+    }
+    entry.settled += count;
+    batch_records_ -= count;
+    if (entry.settled < entry.records.size()) {
+      break;
+    }
+    settled.push_back({entry.ticket,
+                       entry.invalid_keys.empty() ? EntryOutcome::kStored
+                                                  : EntryOutcome::kInvalid,
+                       std::move(entry.invalid_keys)});
+    entries_.pop_front();
+  }
+  batch_entries_ = 0;
+  return settled;
+}
+
+auto AppendBatcher::SettleBatchAsNotStored() -> std::vector<SettledEntry> {
+  std::vector<SettledEntry> settled;
+  for (; batch_entries_ > 0; --batch_entries_) {
+    settled.push_back({entries_.front().ticket, EntryOutcome::kNotStored});
+    entries_.pop_front();
   }
+  batch_records_ = 0;
   return settled;
 }
 
--- a/Source/Jobs/append_batcher.h
+++ b/Source/Jobs/append_batcher.h
@@ -25,6 +25,8 @@
   kAppended,
   // The append was not carried out and will not be.
   kRejected,
+  // The same, and every repeat of these records will be rejected as well.
+  kInvalid,
   // The append may have been carried out, or may still be carried out later.
   kUnknown,
   // A later epoch of the producer is in force.
@@ -45,22 +47,29 @@
   kStored,
   // The entry is not stored and will not be stored later.
   kNotStored,
+  // The log does not accept some of the entry's records, whose keys are listed.
+  // The others are stored.
+  kInvalid,
 };
 
 struct SettledEntry {
   uint64_t ticket = 0;
   EntryOutcome outcome = EntryOutcome::kStored;
+  std::vector<std::string> invalid_keys = {};
 };
 
 struct AppendBatcherOptions {
   std::string producer;
   uint64_t epoch = 1;
   uint64_t first_sequence = 1;
-  // If true, the entries of a rejected batch are settled at once as not stored.
-  // If false, the batch is retried until it is stored.
+  // If true, the entries of a rejected batch are settled at once as not stored;
+  // each must have one record. If false, the batch is retried until it is
+  // stored.
   bool settle_rejected = false;
+  // Limits on one request: the size of its records in the log, and their
+  // number.
   std::size_t max_bytes = 1 << 20;
-  std::size_t max_entries = 512;
+  std::size_t max_records = 512;
   // The timeout of a request is four times the smoothed response time, within
   // these bounds, and doubles after each failure. A shorter timeout detects a
   // lost response sooner, but a log that is merely slow must not receive each
@@ -72,9 +81,11 @@
   std::chrono::milliseconds max_backoff{300};
 };
 
-// Decides what one producer appends and when. Entries are sent in batches, with
-// one batch in flight at a time. A batch whose response was lost is sent again
-// under its sequence number until its outcome is known. Performs no I/O.
+// Decides what one producer appends and when. Records are sent in batches, with
+// one batch in flight at a time; the records of an entry may be in several. A
+// batch whose response was lost is sent again under its sequence number until
+// its outcome is known. A batch that the log does not accept is divided until
+// the records at fault are found; these are discarded. Performs no I/O.
 class AppendBatcher {
  public:
   explicit AppendBatcher(AppendBatcherOptions options);
@@ -88,7 +99,7 @@
   auto TakeWaiting() -> std::vector<SettledEntry>;
 
   auto next_wake() const -> TimePoint;
-  auto idle() const -> bool { return batch_.empty() && waiting_.empty(); }
+  auto idle() const -> bool { return entries_.empty(); }
   // True while the log counts as unavailable: the latest attempt was rejected,
   // or several in a row got no response. A single lost response is no outage.
   auto failing() const -> bool {
@@ -108,17 +119,33 @@
   struct Entry {
     uint64_t ticket = 0;
     std::vector<KeyedRecord> records;
-    std::size_t bytes = 0;
+    // Number of its first records that are settled, and the keys of those among
+    // them that the log does not accept.
+    std::size_t settled = 0;
+    std::vector<std::string> invalid_keys;
   };
 
+  // Chooses the records of the next batch, which are the first unsettled ones.
   auto FillBatch(TimePoint now) -> void;
-  auto Settle(EntryOutcome outcome) -> std::vector<SettledEntry>;
+  auto RecordsOfBatch() const -> std::vector<KeyedRecord>;
+  auto OnStored() -> std::vector<SettledEntry>;
+  auto OnInvalid(TimePoint now) -> std::vector<SettledEntry>;
+  // Settles the records of the batch, and returns the entries that are thereby
+  // settled as a whole.
+  auto SettleBatch(bool invalid) -> std::vector<SettledEntry>;
+  auto SettleBatchAsNotStored() -> std::vector<SettledEntry>;
   auto BackOff(TimePoint now) -> void;
   auto Timeout() const -> std::chrono::milliseconds;
 
   AppendBatcherOptions options_;
-  std::deque<Entry> waiting_;
-  std::vector<Entry> batch_;
+  // Entries that are not settled, oldest first.
+  std::deque<Entry> entries_;
+  // Number of records in the current batch; zero if there is none. They belong
+  // to the first `batch_entries_` entries.
+  std::size_t batch_records_ = 0;
+  std::size_t batch_entries_ = 0;
+  // Limit on the next batch, reduced while the log does not accept all records.
+  std::size_t max_records_;
   uint64_t sequence_;
   bool in_flight_ = false;
   // An attempt to send the batch may have reached the log.
--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -24,6 +24,8 @@
   appends.producer =
       absl::StrCat("entry-", options.name, "-", options.incarnation);
   appends.settle_rejected = true;
+  appends.max_bytes =
+      std::min(appends.max_bytes, options.limits.log.call_bytes);
   return appends;
 }
 
@@ -377,6 +379,10 @@
       Reject(submission, "the log refused it");
       continue;
     }
+    if (entry.outcome == EntryOutcome::kInvalid) {
+      Reject(submission, "the log does not accept its record");
+      continue;
+    }
     metrics_->RecordLatency("rhubarbhaven_store_seconds",
                             now - submission.received);
     if (submission.kind == SubmissionKind::kCancelAhead) {
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -30,6 +30,7 @@
   // Bandwidth of its link, in megabits per second.
   double link_mbps = 0;
   double processor_cores = 0;
+  LogLimits log{};
 };
 
 struct EntryOptions {
@@ -177,6 +178,8 @@
   auto ReadPause() const -> std::chrono::milliseconds;
   auto BecomeOwnerIfClaimed(TimePoint now) -> void;
   auto Resign(const std::string& why) -> void;
+  // Logs that the log does not accept these records of the owner.
+  auto NoteInvalidRecords(const std::vector<std::string>& keys) -> void;
   // Withdraws a claim that is not stored in the log. Nothing was granted under
   // it.
   auto WithdrawClaim(const std::string& why) -> void;
--- a/Source/Jobs/entry_ownership.cc
+++ b/Source/Jobs/entry_ownership.cc
@@ -1,6 +1,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "Jobs/entry_decisions.h"
@@ -68,6 +69,8 @@
     options.producer = kOwnerProducer;
     options.epoch = claim->fence();
     options.max_timeout = kMaxOwnerTimeout;
+    options.max_bytes = options_.limits.log.call_bytes;
+    options.max_records = std::numeric_limits<std::size_t>::max();
     // Two claims with the same fence must not be treated as repeats of one
     // append.
     options.first_sequence =
@@ -171,19 +174,37 @@
   }
   const TimePoint sent = owner_appends_->first_sent();
   for (const auto& entry : owner_appends_->OnResult(now, result)) {
+    if (entry.outcome == EntryOutcome::kInvalid) {
+      NoteInvalidRecords(entry.invalid_keys);
+    }
+    if (entry.ticket == kClaimTicket &&
+        entry.outcome == EntryOutcome::kInvalid) {
+      Resign("the log does not accept the claim");
+      return;
+    }
     election_.OnAppendStored(sent);
     if (entry.ticket == kClaimTicket) {
       election_.OnRenewalStored(sent);
       NoteRenewalStored(now, sent);
     }
     if (entry.ticket == kBatchTicket) {
-      owner_.OnBatchStored();
+      owner_.OnBatchStored(now, entry.invalid_keys);
     }
   }
   owner_.OnExclusiveUntil(now);
   BecomeOwnerIfClaimed(now);
 }
 
+auto EntryDecisions::NoteInvalidRecords(const std::vector<std::string>& keys)
+    -> void {
+  for (const auto& key : keys) {
+    metrics_->Add("rhubarbhaven_records_not_accepted_total");
+    log_.Write("record_not_accepted",
+               {{"key", SanitizeForLog(key)},
+                {"fence", absl::StrCat(claimed_fence_)}});
+  }
+}
+
 auto EntryDecisions::WithdrawClaim(const std::string& why) -> void {
   log_.Write("claim_withdrawn",
              {{"fence", absl::StrCat(claimed_fence_)}, {"why", why}});
@@ -228,7 +249,7 @@
 }
 
 auto EntryDecisions::OnResignationOutcome(EntryOutcome outcome) -> void {
-  if (outcome == EntryOutcome::kNotStored) {
+  if (outcome != EntryOutcome::kStored) {
     // The resignation is appended again as soon as the log accepts appends.
     resignation_logged_ = 0;
     return;
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -76,6 +76,7 @@
   order_.Clear();
   jobs_.clear();
   dirty_jobs_.clear();
+  unstored_progress_ = {};
   changes_.Clear();
   window_.Clear();
   waiting_for_room_.clear();
@@ -289,6 +290,7 @@
   held_places_.Expire(now);
   MoveSlowedRuns(now);
   ExpireOldJobs(now);
+  RetryUnstoredProgress(now);
   if (now - pressures_stored_at_ >= options_.pressure_store_interval) {
     pressures_stored_at_ = now;
     pressures_due_ = !interference_.Learned().pressures().empty();
@@ -307,8 +309,9 @@
   if (placement_due_ || may_send) {
     return TimePoint();
   }
-  const TimePoint wake = std::min({occurrence_due_at_, retry_at_,
-                                   tickets_.next_request_at(), polls_.next()});
+  const TimePoint wake =
+      std::min({occurrence_due_at_, retry_at_, tickets_.next_request_at(),
+                polls_.next(), unstored_progress_.next()});
   return order_.steps().empty() ? wake : std::min(wake, check_starved_at_);
 }
 
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -61,10 +61,13 @@
   auto OnReport(TimePoint now,
                 const std::string& agent,
                 const AgentReport& report) -> bool;
-  // Returns the records to be written to the log now, as one append. Returns
+  // Returns the records to be written to the log now, in this order. Returns
   // none while an earlier batch is being stored.
   auto TakeBatch() -> std::vector<KeyedRecord>;
-  auto OnBatchStored() -> void;
+  // Called when the batch is stored, except for the records with these keys,
+  // which the log does not accept.
+  auto OnBatchStored(TimePoint now,
+                     const std::vector<std::string>& invalid_keys = {}) -> void;
   // Called when `exclusive_until` has advanced.
   auto OnExclusiveUntil(TimePoint now) -> void;
   // Called before the fold is read again, starting at the newest records.
@@ -392,6 +395,8 @@
   auto AddMembership(std::vector<KeyedRecord>* records) -> void;
   auto AddGrants(std::vector<KeyedRecord>* records) -> void;
   auto OnGrantsRecorded() -> void;
+  auto OnInvalidRecord(TimePoint now, const RecordKey& key) -> void;
+  auto RetryUnstoredProgress(TimePoint now) -> void;
   // Deletes the records of jobs that ended long enough ago.
   auto ExpireOldJobs(TimePoint now) -> void;
 
@@ -491,6 +496,8 @@
   PlacementOrder order_;
   // Jobs to be written to a record.
   std::set<std::string> dirty_jobs_;
+  // Jobs whose progress is not stored, until it is written again.
+  TimerQueue<std::string> unstored_progress_;
   // Workers by their agents' names, and by their numbers.
   WorkerViews workers_;
   absl::flat_hash_map<uint64_t, WorkerView*> numbered_;
--- a/Source/Jobs/job_records.cc
+++ b/Source/Jobs/job_records.cc
@@ -5,6 +5,9 @@
 namespace rhubarbhaven::jobs {
 namespace {
 
+constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kKeyLengthBytes = 1;
+
 struct KeyPrefix {
   RecordKind kind;
   char letter;
@@ -46,6 +49,11 @@
   return {};
 }
 
+auto SizeInLog(const KeyedRecord& record) -> std::size_t {
+  return kLengthBytes + kKeyLengthBytes + record.key.size() +
+         record.value.size();
+}
+
 auto MakeRecord(RecordKind kind,
                 const std::string& name,
                 const google::protobuf::Message& message) -> KeyedRecord {
--- a/Source/Jobs/job_records.h
+++ b/Source/Jobs/job_records.h
@@ -17,6 +17,13 @@
   uint64_t offset = 0;
 };
 
+// What the log accepts, in bytes as counted by `SizeInLog`.
+struct LogLimits {
+  std::size_t record_bytes = 256 << 10;
+  // All records of one append.
+  std::size_t call_bytes = 2 << 20;
+};
+
 enum class RecordKind {
   kJob,
   kProgress,
@@ -40,6 +47,10 @@
 auto MakeKey(RecordKind kind, const std::string& name = "") -> std::string;
 auto ParseKey(const std::string& key) -> RecordKey;
 
+// Size of the record in an append: its length and its key's length precede the
+// key and the value.
+auto SizeInLog(const KeyedRecord& record) -> std::size_t;
+
 // A record whose value is `message`.
 auto MakeRecord(RecordKind kind,
                 const std::string& name,
--- a/Source/Jobs/owner_records.cc
+++ b/Source/Jobs/owner_records.cc
@@ -5,6 +5,13 @@
 
 // Records that the owner writes to the log.
 namespace rhubarbhaven::jobs {
+namespace {
+
+// A job's progress that the log does not accept is written again after this
+// time, with what it is by then.
+constexpr std::chrono::milliseconds kProgressRetryInterval{1000};
+
+}  // namespace
 
 auto JobOwner::TakeBatch() -> std::vector<KeyedRecord> {
   std::vector<KeyedRecord> records;
@@ -124,8 +131,13 @@
   agents_being_deleted_ = batch_deletions_;
 }
 
-auto JobOwner::OnBatchStored() -> void {
+auto JobOwner::OnBatchStored(TimePoint now,
+                             const std::vector<std::string>& invalid_keys)
+    -> void {
   batch_pending_ = false;
+  for (const auto& key : invalid_keys) {
+    OnInvalidRecord(now, ParseKey(key));
+  }
   OnCrashesStored();
   OnGrantsRecorded();
   batch_deletions_.clear();
@@ -144,6 +156,33 @@
   }
 }
 
+auto JobOwner::OnInvalidRecord(TimePoint now, const RecordKey& key) -> void {
+  switch (key.kind) {
+    case RecordKind::kProgress:
+      unstored_progress_.Set(key.name, now + kProgressRetryInterval);
+      break;
+    case RecordKind::kWorkerEnds:
+      std::erase_if(batch_ends_, [&key](const auto& item) -> bool {
+        return item.second.worker_id() == key.name;
+      });
+      break;
+    case RecordKind::kAgentGrants:
+      batch_grants_.erase(key.name);
+      break;
+    default:
+      break;
+  }
+}
+
+auto JobOwner::RetryUnstoredProgress(TimePoint now) -> void {
+  while (const auto id = unstored_progress_.PopDue(now)) {
+    const auto found = jobs_.find(*id);
+    if (found != jobs_.end()) {
+      MarkProgressDirty(*found->second);
+    }
+  }
+}
+
 auto JobOwner::ExpireOldJobs(TimePoint now) -> void {
   while (const auto id = ended_jobs_.PopDue(now)) {
     for (const auto kind :
--- a/Tests/Benchmarks/Jobs/owner_simulation.cc
+++ b/Tests/Benchmarks/Jobs/owner_simulation.cc
@@ -266,7 +266,7 @@
   for (const auto& record : owner_.TakeBatch()) {
     Put(record);
   }
-  owner_.OnBatchStored();
+  owner_.OnBatchStored(now_);
   owner_.Tick(now_);
   RefillBacklog();
 }
--- a/Tests/Jobs/append_batcher_test.cc
+++ b/Tests/Jobs/append_batcher_test.cc
@@ -3,7 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Jobs/jobs.h"
@@ -163,6 +167,148 @@
   EXPECT_EQ(stored, (std::vector<std::string>{"first", "second"}));
 }
 
+// Sends batches to a log until every entry is settled.
+class RecordLimitTest : public testing::Test {
+ protected:
+  static constexpr std::size_t kRecordLimit = 100;
+
+  RecordLimitTest() { log_.SetRecordLimit(kRecordLimit); }
+
+  auto SettleAll(AppendBatcher* batcher) -> std::vector<SettledEntry> {
+    std::vector<SettledEntry> settled;
+    const TimePoint end = time_.now() + seconds(10);
+    while (!batcher->idle() && time_.now() < end) {
+      const auto call = batcher->Next(time_.now());
+      if (!call) {
+        RunFor(milliseconds(10));
+        continue;
+      }
+      largest_batch_ = std::max(largest_batch_, call->records.size());
+      std::optional<AppendResult> answer;
+      port_.append(*call, [&answer](TimePoint, const AppendResult& result) {
+        answer = result;
+      });
+      while (!answer) {
+        RunFor(milliseconds(1));
+      }
+      for (auto& entry : batcher->OnResult(time_.now(), *answer)) {
+        settled.push_back(std::move(entry));
+      }
+    }
+    return settled;
+  }
+
+  auto RunFor(Duration span) -> void {
+    const TimePoint end = time_.now() + span;
+    while (time_.Step(end)) {
+    }
+  }
+
+  auto StoredKeys() -> std::vector<std::string> {
+    std::vector<std::string> keys;
+    port_.newest({LogTopic::kJobs, ""},
+                 [&keys](TimePoint, const NewestResult& newest) -> void {
+                   for (const auto& record : newest.records) {
+                     keys.push_back(record.key);
+                   }
+                 });
+    RunFor(milliseconds(100));
+    return keys;
+  }
+
+  static auto Record(const std::string& key, std::size_t bytes) -> KeyedRecord {
+    return {key, std::string(bytes, 'v'), 0};
+  }
+
+  VirtualTime time_{1};
+  VirtualLog log_{&time_};
+  KeyedLogPort port_ = log_.PortFor("entry", []() -> bool { return true; });
+  std::size_t largest_batch_ = 0;
+};
+
+struct InvalidRecordCase {
+  std::string name;
+  bool settle_if_rejected = false;
+  // The numbers of the records, from 0, that are too large for the log.
+  std::set<int> too_large;
+};
+
+class InvalidRecordTest
+    : public RecordLimitTest,
+      public testing::WithParamInterface<InvalidRecordCase> {};
+
+// Guards against a cell that stops: a record that the log refuses for good was
+// appended again without end, and all that came after it waited.
+TEST_P(InvalidRecordTest, OnlyTheRecordAtFaultIsDiscarded) {
+  constexpr int kEntries = 20;
+  AppendBatcher batcher(Options(GetParam().settle_if_rejected));
+  std::vector<std::string> valid;
+  for (int i = 0; i < kEntries; ++i) {
+    const bool too_large = GetParam().too_large.contains(i);
+    const std::string key(1, static_cast<char>('a' + i));
+    batcher.Enqueue(i, {Record(key, too_large ? kRecordLimit : 1)});
+    if (!too_large) {
+      valid.push_back(key);
+    }
+  }
+  const auto settled = SettleAll(&batcher);
+  ASSERT_EQ(settled.size(), kEntries);
+  for (int i = 0; i < kEntries; ++i) {
+    const auto expected = GetParam().too_large.contains(i)
+                              ? EntryOutcome::kInvalid
+                              : EntryOutcome::kStored;
+    EXPECT_EQ(settled[i].ticket, static_cast<uint64_t>(i));
+    EXPECT_EQ(settled[i].outcome, expected) << i;
+  }
+  EXPECT_EQ(StoredKeys(), valid);
+  // Halving the batch finds a record among 20 in 5 appends; up to as many again
+  // fail while the batches grow before it.
+  EXPECT_LE(log_.invalid_appends(),
+            10 * static_cast<int>(GetParam().too_large.size()));
+  EXPECT_FALSE(batcher.failing());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    InvalidRecordTest,
+    testing::Values(InvalidRecordCase{"first", true, {0}},
+                    InvalidRecordCase{"last", true, {19}},
+                    InvalidRecordCase{"several", true, {3, 4, 11}},
+                    InvalidRecordCase{"of_the_owner", false, {7}},
+                    InvalidRecordCase{"several_of_the_owner", false, {2, 17}}),
+    [](const auto& info) { return info.param.name; });
+
+TEST_F(RecordLimitTest, OtherRecordsOfTheEntryAreStored) {
+  AppendBatcher batcher(Options(false));
+  batcher.Enqueue(1,
+                  {Record("a", 1), Record("b", kRecordLimit), Record("c", 1)});
+  batcher.Enqueue(2, {Record("d", 1)});
+  const auto settled = SettleAll(&batcher);
+  ASSERT_EQ(settled.size(), 2U);
+  EXPECT_EQ(settled[0].outcome, EntryOutcome::kInvalid);
+  EXPECT_EQ(settled[0].invalid_keys, std::vector<std::string>{"b"});
+  EXPECT_EQ(settled[1].outcome, EntryOutcome::kStored);
+  EXPECT_EQ(StoredKeys(), (std::vector<std::string>{"a", "c", "d"}));
+}
+
+// Guards against an append that the log refuses as a whole: the records of one
+// entry were never divided, and their framing did not count.
+TEST_F(RecordLimitTest, RecordsOfOneEntryAreDividedByTheirSizeInTheLog) {
+  AppendBatcherOptions options = Options(false);
+  options.max_bytes = 3 * SizeInLog(Record("a", 10));
+  AppendBatcher batcher(options);
+  std::vector<KeyedRecord> records;
+  for (char key = 'a'; key < 'k'; ++key) {
+    records.push_back(Record(std::string(1, key), 10));
+  }
+  batcher.Enqueue(1, records);
+  const auto settled = SettleAll(&batcher);
+  ASSERT_EQ(settled.size(), 1U);
+  EXPECT_EQ(settled[0].outcome, EntryOutcome::kStored);
+  EXPECT_EQ(StoredKeys().size(), records.size());
+  EXPECT_EQ(largest_batch_, 3U);
+}
+
 TEST(AppendBatcherTest, OneLostAnswerIsNoOutage) {
   AppendBatcher batcher(Options(true));
   batcher.Enqueue(1, {{"key", "value", 0}});
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -247,7 +247,7 @@
     for (const auto& record : owner_.TakeBatch()) {
       Put(record);
     }
-    owner_.OnBatchStored();
+    owner_.OnBatchStored(now_);
   }
 
   auto Starts() const -> std::size_t {
--- a/Tests/Jobs/owner_agents_test.cc
+++ b/Tests/Jobs/owner_agents_test.cc
@@ -227,7 +227,7 @@
   for (const auto& record : removal) {
     Put(record);
   }
-  owner_.OnBatchStored();
+  owner_.OnBatchStored(now_);
   RegisterAgent1();
   EXPECT_GT(polls_["agent-1"], 0);
   StoreBatch();
@@ -253,7 +253,7 @@
 TEST_F(ForgottenAgentTest, AgentIsNotUsedUntilItsRemovalHasBeenRead) {
   ForgetAgent1();
   const auto removal = owner_.TakeBatch();
-  owner_.OnBatchStored();
+  owner_.OnBatchStored(now_);
   polls_.clear();
   RegisterAgent1();
   EXPECT_EQ(polls_["agent-1"], 0);
@@ -270,7 +270,7 @@
 TEST_F(ForgottenAgentTest, RemovalThatIsNeverReadExcludesNoAgent) {
   ForgetAgent1();
   owner_.TakeBatch();
-  owner_.OnBatchStored();
+  owner_.OnBatchStored(now_);
   owner_.OnReread();
   polls_.clear();
   RegisterAgent1();
@@ -864,7 +864,7 @@
   for (const auto& record : in_flight) {
     Put(record);
   }
-  owner_.OnBatchStored();
+  owner_.OnBatchStored(now_);
   EXPECT_FALSE(owner_.workers().at("agent-1")->grants_recorded);
   StoreBatch();
   EXPECT_TRUE(owner_.workers().at("agent-1")->grants_recorded);
--- a/Tests/Jobs/owner_grants_test.cc
+++ b/Tests/Jobs/owner_grants_test.cc
@@ -119,7 +119,7 @@
     for (const auto& record : records) {
       Put(record);
     }
-    owner_.OnBatchStored();
+    owner_.OnBatchStored(now_);
   }
   const TimePoint lost_at = now_;
   exclusive_until_ = param.renews ? TimePoint::max() : lost_at;
--- a/Tests/Jobs/virtual_log.cc
+++ b/Tests/Jobs/virtual_log.cc
@@ -111,6 +111,16 @@
     result.outcome = AppendOutcome::kFenced;
     return result;
   }
+  const bool too_large = record_limit_ > 0 &&
+                         std::any_of(call.records.begin(), call.records.end(),
+                                     [this](const KeyedRecord& record) -> bool {
+                                       return SizeInLog(record) > record_limit_;
+                                     });
+  if (too_large) {
+    ++invalid_appends_;
+    result.outcome = AppendOutcome::kInvalid;
+    return result;
+  }
   const bool new_epoch = !producer.has_appended || call.epoch > producer.epoch;
   if (!new_epoch && call.sequence != producer.sequence + 1) {
     const bool repeat =
--- a/Tests/Jobs/virtual_log.h
+++ b/Tests/Jobs/virtual_log.h
@@ -87,6 +87,11 @@
   auto SetBandwidthFor(const std::string& client, std::size_t bytes) -> void {
     bandwidths_[client] = bytes;
   }
+  // Sets the size from which a record is not accepted, in bytes; zero for no
+  // limit.
+  auto SetRecordLimit(std::size_t bytes) -> void { record_limit_ = bytes; }
+  // Number of appends that were not accepted.
+  auto invalid_appends() const -> int { return invalid_appends_; }
   // Number of reads that the client has sent.
   auto reads(const std::string& client) const -> uint64_t {
     const auto found = reads_.find(client);
@@ -157,6 +162,8 @@
   std::vector<HeldAppend> held_;
   std::map<std::string, std::size_t> bandwidths_;
   std::map<std::string, uint64_t> reads_;
+  std::size_t record_limit_ = 0;
+  int invalid_appends_ = 0;
 };
 
 }  // namespace rhubarbhaven::jobs
