jobs: Bound the record of a job's progress

Cause: the progress record listed every occurrence that was ever opened, with all its steps, done or not, and every due occurrence was opened at once with all its tasks in memory. At some 25,000 occurrences of one step the record is larger than the log accepts.

Change: a complete occurrence without runs is closed; only its number is kept, in ranges. Due occurrences are opened while fewer than 1,000 tasks of the job are ready and wait, fewer than 20,000 are open, and the open ones take at most half of a record. The record lists all occurrences while it fits, which earlier releases read; otherwise the ranges and the occurrences that are neither complete nor as they were opened. Earlier releases skip that form rather than take it for a job that has completed less; the record of an ended job then has its state only, which they read. Failures and crashes of tasks are left out where even that does not fit. No record of the owner is sent that the log would refuse; the learned pressures are cut to what fits, and such records are logged (record_too_large).

--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -41,6 +41,7 @@
   JobOwnerOptions owner;
   owner.incarnation = options.incarnation;
   owner.link_mbps = options.limits.link_mbps;
+  owner.log_limits = options.limits.log;
   return owner;
 }
 
@@ -448,6 +449,9 @@
                                  std::size_t keys) -> void {
     LogRunLengths(what, keys);
   };
+  hooks.log_large_record = [this](const LargeRecord& record) -> void {
+    NoteLargeRecord(record);
+  };
   hooks.report_lag = [this](Duration lag) -> void { NoteLag(lag); };
   hooks.report_orders = [this](const OrderTraffic& traffic) -> void {
     NoteOrderTraffic(traffic);
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -178,6 +178,7 @@
   auto ReadPause() const -> std::chrono::milliseconds;
   auto BecomeOwnerIfClaimed(TimePoint now) -> void;
   auto Resign(const std::string& why) -> void;
+  auto NoteLargeRecord(const LargeRecord& record) -> void;
   // Logs that the log does not accept these records of the owner.
   auto NoteInvalidRecords(const std::vector<std::string>& keys) -> void;
   // Withdraws a claim that is not stored in the log. Nothing was granted under
--- a/Source/Jobs/entry_ownership.cc
+++ b/Source/Jobs/entry_ownership.cc
@@ -195,6 +195,13 @@
   BecomeOwnerIfClaimed(now);
 }
 
+auto EntryDecisions::NoteLargeRecord(const LargeRecord& record) -> void {
+  metrics_->Add("rhubarbhaven_records_too_large_total");
+  log_.Write("record_too_large", {{"key", SanitizeForLog(record.key)},
+                                  {"bytes", absl::StrCat(record.bytes)},
+                                  {"stored", record.reduced ? "reduced" : ""}});
+}
+
 auto EntryDecisions::NoteInvalidRecords(const std::vector<std::string>& keys)
     -> void {
   for (const auto& key : keys) {
--- a/Source/Jobs/image_interference.cc
+++ b/Source/Jobs/image_interference.cc
@@ -88,7 +88,8 @@
   return found == row->second.end() ? kUnknownPressure : found->second.value;
 }
 
-auto ImageInterference::Learned() const -> LearnedPressures {
+auto ImageInterference::Learned(std::size_t max_bytes) const
+    -> LearnedPressures {
   LearnedPressures learned;
   for (const auto& [serving, row] : pressures_) {
     for (const auto& [task, estimate] : row) {
@@ -105,6 +106,12 @@
               return std::tie(left.serving_image(), left.filler_image()) <
                      std::tie(right.serving_image(), right.filler_image());
             });
+  while (learned.ByteSizeLong() > max_bytes) {
+    // Removes half of them, so that the size is computed a few times only.
+    const int kept = learned.pressures_size() / 2;
+    learned.mutable_pressures()->DeleteSubrange(
+        kept, learned.pressures_size() - kept);
+  }
   return learned;
 }
 
--- a/Source/Jobs/image_interference.h
+++ b/Source/Jobs/image_interference.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -51,9 +52,10 @@
   // value, so that such runs are neither unrestricted nor stopped.
   auto Pressure(std::string_view serving_image,
                 std::string_view filler_image) const -> double;
-  // Exports all learned pressures, and starts from those that another instance
-  // has learned.
-  auto Learned() const -> LearnedPressures;
+  // Exports the learned pressures, as many as `max_bytes` hold, and starts from
+  // those that another instance has learned.
+  auto Learned(std::size_t max_bytes = std::numeric_limits<std::size_t>::max())
+      const -> LearnedPressures;
   auto Load(const LearnedPressures& learned) -> void;
   // Adopts a pressure between two images from another instance.
   auto SetPressure(const ImagePressure& pressure) -> void;
--- a/Source/Jobs/job_order.cc
+++ b/Source/Jobs/job_order.cc
@@ -34,7 +34,7 @@
   if (work.job().occurrences() == 0) {
     return std::chrono::milliseconds(work.job().received_unix_ms());
   }
-  uint32_t first = 0;
+  uint32_t first = work.opened > 0 ? work.opened - 1 : 0;
   for (const auto& [number, occurrence] : work.occurrences) {
     first = number;
     if (!occurrence.complete()) {
--- a/Source/Jobs/job_owner.cc
+++ b/Source/Jobs/job_owner.cc
@@ -76,6 +76,8 @@
   order_.Clear();
   jobs_.clear();
   dirty_jobs_.clear();
+  held_back_jobs_.clear();
+  jobs_to_close_.clear();
   unstored_progress_ = {};
   changes_.Clear();
   window_.Clear();
@@ -267,6 +269,7 @@
     return;
   }
   OnExclusiveUntil(now);
+  CloseOccurrences();
   if (occurrence_due_at_ <= now) {
     occurrence_due_at_ = TimePoint::max();
     for (auto& [id, work] : jobs_) {
@@ -284,6 +287,7 @@
   if (placement_due_) {
     placement_due_ = false;
     PlaceAll(now);
+    OpenHeldBack(now);
   }
   CheckStarvedJobs(now);
   CheckSilentAgents(now);
--- a/Source/Jobs/job_owner.h
+++ b/Source/Jobs/job_owner.h
@@ -135,6 +135,13 @@
   auto ForgetJobIfIdle(TimePoint now, const std::string& id) -> void;
   auto RemoveJob(TimePoint now, const std::string& id) -> void;
   auto OpenDue(TimePoint now, JobWork& work) -> void;
+  // Number of occurrences of the job that may be opened at present, beside
+  // those that are open.
+  auto MayOpen(const JobWork& work) const -> std::size_t;
+  // Opens due occurrences of the jobs that had too many open ones.
+  auto OpenHeldBack(TimePoint now) -> void;
+  // Closes complete occurrences.
+  auto CloseOccurrences() -> void;
   // Opens the job's next occurrence. Its tasks start when it is due.
   auto OpenNext(TimePoint now, JobWork& work) -> void;
   // Zero if it is due, or if the job has no occurrences.
@@ -248,6 +255,8 @@
              const EndedTask& row,
              bool reconciling) -> void;
   auto OnDone(const TaskPlace& place) -> void;
+  // Notes that the task's occurrence is to be closed if it is complete.
+  auto CloseWhenComplete(const TaskPlace& place) -> void;
   auto OnFailed(TimePoint now, WorkerView& worker, const TaskPlace& place)
       -> void;
   // Handles the runs that agents report as ended by crashes of their workers.
@@ -388,7 +397,15 @@
   auto NewestRun() const -> uint64_t;
 
   // Records to be written to the log.
+  auto AddProgress(const JobWork& work, std::vector<KeyedRecord>* records)
+      -> void;
   auto AddEnds(std::vector<KeyedRecord>* records) -> void;
+  // Adds the record unless it is larger than the log accepts.
+  auto AddIfAccepted(KeyedRecord record, std::vector<KeyedRecord>* records)
+      -> void;
+  // Maximum size of the value of a record with this key.
+  auto MaxValueBytes(RecordKind kind, const std::string& name) const
+      -> std::size_t;
   // Notes which reported crashes the batch covers.
   auto AddCrashes() -> void;
   auto OnCrashesStored() -> void;
@@ -496,6 +513,10 @@
   PlacementOrder order_;
   // Jobs to be written to a record.
   std::set<std::string> dirty_jobs_;
+  // Jobs with due occurrences that are not open yet, and jobs with complete
+  // occurrences to be closed.
+  std::set<std::string> held_back_jobs_;
+  std::set<std::string> jobs_to_close_;
   // Jobs whose progress is not stored, until it is written again.
   TimerQueue<std::string> unstored_progress_;
   // Workers by their agents' names, and by their numbers.
--- a/Source/Jobs/job_owner_hooks.h
+++ b/Source/Jobs/job_owner_hooks.h
@@ -86,6 +86,14 @@
   uint64_t repeated_bytes = 0;
 };
 
+// A record that is larger than the log accepts.
+struct LargeRecord {
+  std::string key;
+  std::size_t bytes = 0;
+  // A part of it is stored.
+  bool reduced = false;
+};
+
 // How much of the log a copy contains: all records that the log had at `as_of`,
 // and all before the offset `read_to`.
 struct LogPosition {
@@ -120,6 +128,8 @@
   // keys.
   std::function<auto(const std::string& what, std::size_t keys)->void>
       log_run_lengths;
+  // Logs a record that is stored in part or not at all.
+  std::function<auto(const LargeRecord&)->void> log_large_record;
   // Reports each second the longest delay of a poll since the previous report.
   std::function<auto(Duration)->void> report_lag;
   // Reports each second the longest time from the decision on a start until its
--- a/Source/Jobs/job_owner_options.h
+++ b/Source/Jobs/job_owner_options.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "Base/base.h"
+#include "Jobs/job_records.h"
 
 namespace rhubarbhaven::jobs {
 
@@ -58,6 +59,9 @@
   // The same for an agent whose worker has ended as planned: five polls.
   std::chrono::milliseconds forget_left_after{1500};
 
+  // Limits on the records that the owner writes.
+  LogLimits log_limits{};
+
   // Longest time that a lease may be valid after the report it was granted for.
   auto LongestLease() const -> Duration {
     return std::chrono::duration_cast<Duration>(lease_ttl *
--- a/Source/Jobs/job_work.cc
+++ b/Source/Jobs/job_work.cc
@@ -5,70 +5,6 @@
 #include <algorithm>
 
 namespace rhubarbhaven::jobs {
-namespace {
-
-constexpr uint32_t kBitsPerByte = 8;
-
-auto BitIsSet(const std::string& bits, uint32_t index) -> bool {
-  const uint32_t byte = index / kBitsPerByte;
-  return byte < bits.size() &&
-         ((static_cast<unsigned char>(bits[byte]) >> (index % kBitsPerByte)) &
-          1U) != 0;
-}
-
-auto SetBit(std::string* bits, uint32_t index) -> void {
-  const uint32_t byte = index / kBitsPerByte;
-  (*bits)[byte] = static_cast<char>(static_cast<unsigned char>((*bits)[byte]) |
-                                    (1U << (index % kBitsPerByte)));
-}
-
-auto StepProgressOf(const StepWork& step, uint32_t number) -> StepProgress {
-  StepProgress progress;
-  progress.set_number(number);
-  std::string* done = progress.mutable_done();
-  const auto& tasks = step.tasks();
-  done->assign((tasks.size() + kBitsPerByte - 1) / kBitsPerByte, '\0');
-  for (uint32_t index = 0; index < tasks.size(); ++index) {
-    if (tasks[index].done) {
-      SetBit(done, index);
-    }
-    if (tasks[index].failures > 0) {
-      (*progress.mutable_failures())[index] = tasks[index].failures;
-    }
-    const CrashRecord& crashes = tasks[index].crashes;
-    if (crashes.in_all > 0) {
-      auto& known = (*progress.mutable_crashes())[index];
-      known.set_in_row(crashes.in_row);
-      known.set_in_all(crashes.in_all);
-      known.mutable_runs()->Assign(crashes.runs.begin(), crashes.runs.end());
-    }
-  }
-  return progress;
-}
-
-auto RestoreStep(const StepProgress& known, StepWork* work) -> void {
-  for (uint32_t index = 0; index < work->tasks().size(); ++index) {
-    if (BitIsSet(known.done(), index)) {
-      work->SetDone(index);
-    }
-  }
-  for (const auto& [index, failures] : known.failures()) {
-    if (index < work->tasks().size()) {
-      work->tasks()[index].failures = failures;
-    }
-  }
-  for (const auto& [index, crashes] : known.crashes()) {
-    if (index < work->tasks().size()) {
-      work->tasks()[index].crashes = {
-          crashes.in_row(),
-          crashes.in_all(),
-          {crashes.runs().begin(), crashes.runs().end()}};
-    }
-  }
-}
-
-}  // namespace
-
 auto StepWork::Waits(uint32_t index) const -> bool {
   return !tasks_[index].done && tasks_[index].runs.empty();
 }
@@ -125,6 +61,15 @@
       [](const StepWork& step) -> bool { return step.complete(); });
 }
 
+auto OccurrenceWork::has_runs() const -> bool {
+  return std::any_of(
+      steps.begin(), steps.end(), [](const StepWork& step) -> bool {
+        return std::any_of(
+            step.tasks().begin(), step.tasks().end(),
+            [](const TaskWork& task) -> bool { return !task.runs.empty(); });
+      });
+}
+
 auto JobWork::total_occurrences() const -> uint32_t {
   return std::max(1U, job().occurrences());
 }
@@ -168,43 +113,38 @@
   return occurrence;
 }
 
-auto JobWork::Restore(TimePoint now, bool uncertain) -> void {
-  state = entry->progress.state();
-  for (const auto& known : entry->progress.occurrences()) {
-    // Rows beyond the job's own occurrences come from another writer; see
-    // `CheckProgress`.
-    if (known.number() >= total_occurrences()) {
-      continue;
-    }
-    auto& occurrence = Open(now, known.number(), uncertain);
-    for (const auto& step : known.steps()) {
-      if (step.number() < occurrence.steps.size()) {
-        RestoreStep(step, &occurrence.steps[step.number()]);
-      }
-    }
-  }
-}
-
-auto JobWork::Progress() const -> JobProgress {
-  JobProgress progress;
-  progress.set_state(state);
+auto JobWork::CloseComplete() -> std::vector<uint32_t> {
+  std::vector<uint32_t> numbers;
   for (const auto& [number, occurrence] : occurrences) {
-    auto* known = progress.add_occurrences();
-    known->set_number(number);
-    for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-      *known->add_steps() = StepProgressOf(occurrence.steps[step], step);
+    if (occurrence.complete() && !occurrence.has_runs()) {
+      numbers.push_back(number);
     }
   }
-  return progress;
+  for (const uint32_t number : numbers) {
+    closed.insert(number);
+    occurrences.erase(number);
+  }
+  return numbers;
 }
 
 auto JobWork::AllComplete() const -> bool {
-  return occurrences.size() == total_occurrences() &&
+  return opened == total_occurrences() &&
          std::all_of(
              occurrences.begin(), occurrences.end(),
              [](const auto& item) -> bool { return item.second.complete(); });
 }
 
+auto JobWork::ready_tasks() const -> uint64_t {
+  uint64_t tasks = 0;
+  for (const auto& [number, occurrence] : occurrences) {
+    for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+      const uint32_t waiting = occurrence.steps[step].waiting();
+      tasks += waiting > 0 && Ready(occurrence, step) ? waiting : 0;
+    }
+  }
+  return tasks;
+}
+
 auto TaskPlace::task() const -> TaskWork& {
   return step_work().tasks()[index];
 }
--- a/Source/Jobs/job_work.h
+++ b/Source/Jobs/job_work.h
@@ -1,6 +1,7 @@
 #ifndef RHUBARBHAVEN_JOBS_JOB_WORK_H_
 #define RHUBARBHAVEN_JOBS_JOB_WORK_H_
 
+#include <boost/icl/interval_set.hpp>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -140,8 +141,12 @@
   std::vector<StepWork> steps;
 
   auto complete() const -> bool;
+  auto has_runs() const -> bool;
 };
 
+// Numbers of occurrences.
+using OccurrenceSet = boost::icl::interval_set<uint32_t>;
+
 // State of an unfinished job that the owner keeps beyond the log.
 struct JobWork {
   // The process of an agent that was sent the job's payload, and `built_at_us`
@@ -154,8 +159,12 @@
   const StoredJob* entry = nullptr;
   // Rules of the job's queue in the newest configuration.
   QueueRules rules;
+  // Opened occurrences that are not closed, by number.
   std::map<uint32_t, OccurrenceWork> occurrences;
-  // Number of occurrences that are due so far; all of them have been opened.
+  // Occurrences that are complete and have no runs. Nothing else is kept of
+  // them, since a job may have any number of them.
+  OccurrenceSet closed;
+  // Number of occurrences that have been opened, in ascending order.
   uint32_t opened = 0;
   JobState state = JOB_QUEUED;
   // As of the latest placement round.
@@ -177,10 +186,11 @@
   auto Ready(const OccurrenceWork& occurrence, uint32_t step) const -> bool;
   // Opens an occurrence, with its tasks marked as `uncertain`.
   auto Open(TimePoint now, uint32_t number, bool uncertain) -> OccurrenceWork&;
-  // Restores the progress recorded in the log.
-  auto Restore(TimePoint now, bool uncertain) -> void;
-  auto Progress() const -> JobProgress;
+  // Closes the complete occurrences that have no runs. Returns their numbers.
+  auto CloseComplete() -> std::vector<uint32_t>;
   auto AllComplete() const -> bool;
+  // Number of waiting tasks whose steps are ready.
+  auto ready_tasks() const -> uint64_t;
 };
 
 // Identifies one task by its position in a job.
--- a/Source/Jobs/jobs.h
+++ b/Source/Jobs/jobs.h
@@ -16,6 +16,7 @@
 #include "Jobs/job_check.h"
 #include "Jobs/job_fold.h"
 #include "Jobs/job_owner.h"
+#include "Jobs/job_progress.h"
 #include "Jobs/job_records.h"
 #include "Jobs/job_requests.h"
 #include "Jobs/job_work.h"
--- a/Source/Jobs/owner_ends.cc
+++ b/Source/Jobs/owner_ends.cc
@@ -90,6 +90,7 @@
     }
   }
   MarkProgressDirty(*place.work);
+  CloseWhenComplete(place);
   if (place.work->state == JOB_QUEUED) {
     place.work->state = JOB_RUNNING;
   }
@@ -99,6 +100,13 @@
   placement_due_ = true;
 }
 
+auto JobOwner::CloseWhenComplete(const TaskPlace& place) -> void {
+  const bool recurs = place.work->job().occurrences() > 0;
+  if (recurs && place.work->occurrences.at(place.occurrence).complete()) {
+    jobs_to_close_.insert(place.work->job().id());
+  }
+}
+
 auto JobOwner::OnFailed(TimePoint now,
                         WorkerView& worker,
                         const TaskPlace& place) -> void {
@@ -222,6 +230,7 @@
   });
   interference_.Forget(run);
   place.step_work().RemoveRun(place.index, found);
+  CloseWhenComplete(place);
   task.waiting_since = now;
   order_.MarkChanged(*place.work);
   changes_.Record(holder);
--- a/Source/Jobs/owner_jobs.cc
+++ b/Source/Jobs/owner_jobs.cc
@@ -4,9 +4,47 @@
 #include <vector>
 
 #include "Jobs/job_owner.h"
+#include "Jobs/job_progress.h"
 
 // Lifetime of jobs, from their record in the log until nothing of them is left.
 namespace rhubarbhaven::jobs {
+namespace {
+
+// A due occurrence of a job is opened while fewer of its tasks than this are
+// ready and wait for a worker. Each placement round looks at all of them.
+constexpr uint64_t kMaxReadyTasks = 1000;
+// Maximum number of tasks in the open occurrences of a job, unless there is
+// only one: each takes some 200 bytes.
+constexpr uint64_t kMaxOpenTasks = 20000;
+// The same for occurrences that are opened because a run in a later one was
+// found.
+constexpr uint64_t kMaxRecoveredTasks = 100000;
+// Part of the largest record that the open occurrences may take without
+// failures and crashes of their tasks.
+constexpr std::size_t kOpenPartOfRecord = 2;
+
+auto TasksOf(const Job& job) -> uint64_t {
+  uint64_t tasks = 0;
+  for (const auto& step : job.steps()) {
+    tasks += step.count();
+  }
+  return tasks;
+}
+
+// Number of tasks of an occurrence that wait for no earlier step.
+auto FirstTasksOf(const Job& job) -> uint64_t {
+  uint64_t tasks = 0;
+  for (const auto& step : job.steps()) {
+    tasks += step.after().empty() ? step.count() : 0;
+  }
+  return tasks;
+}
+
+auto LimitLeft(uint64_t limit, uint64_t used) -> uint64_t {
+  return limit - std::min(limit, used);
+}
+
+}  // namespace
 
 auto JobOwner::AddJob(TimePoint now, const StoredJob& entry) -> void {
   if (entry.over()) {
@@ -20,7 +58,7 @@
   // An earlier owner may have started tasks of jobs that it read before the
   // claim, on agents that have not answered yet.
   const bool uncertain = !reconciliation_done_ && entry.accepted_at < claim_at_;
-  work->Restore(now, uncertain);
+  RestoreProgress(now, uncertain, work.get());
   JobWork& added = *work;
   EraseJob(entry.job.id());
   jobs_[entry.job.id()] = std::move(work);
@@ -112,13 +150,64 @@
 }
 
 auto JobOwner::OpenDue(TimePoint now, JobWork& work) -> void {
+  if (work.opened == work.total_occurrences()) {
+    return;
+  }
+  std::size_t may_open = MayOpen(work);
   while (work.opened < work.total_occurrences()) {
     const auto left = TimeUntilDue(work, work.opened);
     if (left.count() > 0) {
       occurrence_due_at_ = std::min(occurrence_due_at_, now + left);
       return;
     }
+    if (may_open == 0) {
+      held_back_jobs_.insert(work.job().id());
+      return;
+    }
     OpenNext(now, work);
+    --may_open;
+  }
+}
+
+auto JobOwner::MayOpen(const JobWork& work) const -> std::size_t {
+  const Job& job = work.job();
+  const std::size_t open = work.occurrences.size();
+  const std::size_t max_bytes =
+      options_.log_limits.record_bytes / kOpenPartOfRecord;
+  const uint64_t first_tasks = FirstTasksOf(job);
+  const uint64_t by_ready =
+      (LimitLeft(kMaxReadyTasks, work.ready_tasks()) + first_tasks - 1) /
+      first_tasks;
+  const uint64_t by_tasks = LimitLeft(kMaxOpenTasks / TasksOf(job), open);
+  const uint64_t by_bytes =
+      LimitLeft(max_bytes / MaxOccurrenceBytes(job), open);
+  const uint64_t at_least = open == 0 ? 1 : 0;
+  return std::max(at_least, std::min({by_ready, by_tasks, by_bytes}));
+}
+
+auto JobOwner::OpenHeldBack(TimePoint now) -> void {
+  for (const auto& id : std::exchange(held_back_jobs_, {})) {
+    const auto found = jobs_.find(id);
+    if (found != jobs_.end() && found->second->open()) {
+      OpenDue(now, *found->second);
+    }
+  }
+}
+
+auto JobOwner::CloseOccurrences() -> void {
+  if (jobs_to_close_.empty()) {
+    return;
+  }
+  // The order refers to steps that wait; those of complete occurrences do not.
+  UpdateOrder();
+  for (const auto& id : std::exchange(jobs_to_close_, {})) {
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end()) {
+      continue;
+    }
+    for (const uint32_t number : found->second->CloseComplete()) {
+      tickets_.ForgetOccurrence(id, number);
+    }
   }
 }
 
@@ -147,8 +236,10 @@
     return std::nullopt;
   }
   JobWork& work = *found->second;
+  const uint64_t max_open = kMaxRecoveredTasks / TasksOf(work.job());
   while (work.opened <= name.occurrence() &&
-         work.opened < work.total_occurrences()) {
+         work.opened < work.total_occurrences() &&
+         work.occurrences.size() <= max_open) {
     OpenNext(now, work);
   }
   return Locate(name);
--- a/Source/Jobs/owner_records.cc
+++ b/Source/Jobs/owner_records.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "Jobs/job_owner.h"
+#include "Jobs/job_progress.h"
 
 // Records that the owner writes to the log.
 namespace rhubarbhaven::jobs {
@@ -22,8 +23,7 @@
     const auto found = jobs_.find(id);
     if (found != jobs_.end() && found->second->dirty) {
       found->second->dirty = false;
-      records.push_back(
-          MakeRecord(RecordKind::kProgress, id, found->second->Progress()));
+      AddProgress(*found->second, &records);
     }
   }
   AddCrashes();
@@ -36,8 +36,10 @@
   keys_to_delete_.clear();
   if (pressures_due_) {
     pressures_due_ = false;
-    records.push_back(
-        MakeRecord(RecordKind::kPressures, "", interference_.Learned()));
+    AddIfAccepted(MakeRecord(RecordKind::kPressures, "",
+                             interference_.Learned(
+                                 MaxValueBytes(RecordKind::kPressures, ""))),
+                  &records);
   }
   if (std::exchange(run_lengths_due_, false)) {
     const auto learned = run_lengths_.Learned();
@@ -54,6 +56,36 @@
   return records;
 }
 
+auto JobOwner::MaxValueBytes(RecordKind kind, const std::string& name) const
+    -> std::size_t {
+  const std::size_t overhead = SizeInLog({MakeKey(kind, name), "", 0});
+  return options_.log_limits.record_bytes -
+         std::min(overhead, options_.log_limits.record_bytes);
+}
+
+auto JobOwner::AddIfAccepted(KeyedRecord record,
+                             std::vector<KeyedRecord>* records) -> void {
+  const std::size_t bytes = SizeInLog(record);
+  if (bytes > options_.log_limits.record_bytes) {
+    hooks_.log_large_record({record.key, bytes, /*reduced=*/false});
+    return;
+  }
+  records->push_back(std::move(record));
+}
+
+auto JobOwner::AddProgress(const JobWork& work,
+                           std::vector<KeyedRecord>* records) -> void {
+  const auto& id = work.job().id();
+  const auto made =
+      MakeProgress(work, MaxValueBytes(RecordKind::kProgress, id));
+  auto record = MakeRecord(RecordKind::kProgress, id, made.progress);
+  if (made.without_failures &&
+      SizeInLog(record) <= options_.log_limits.record_bytes) {
+    hooks_.log_large_record({record.key, SizeInLog(record), /*reduced=*/true});
+  }
+  AddIfAccepted(std::move(record), records);
+}
+
 auto JobOwner::AddEnds(std::vector<KeyedRecord>* records) -> void {
   batch_ends_.clear();
   for (const auto& name : std::exchange(ends_due_, {})) {
--- a/Source/Jobs/record_reader.cc
+++ b/Source/Jobs/record_reader.cc
@@ -64,6 +64,40 @@
   return absl::OkStatus();
 }
 
+// Checks progress that lists completed occurrences as ranges.
+auto CheckRanges(const Job& job, const JobProgress& progress) -> absl::Status {
+  const uint32_t total = std::max(1U, job.occurrences());
+  if (progress.opened() > total) {
+    return Problem(
+        absl::StrCat("it has ", progress.opened(), " occurrences of ", total));
+  }
+  uint32_t next = 0;
+  for (const auto& range : progress.completed()) {
+    const uint64_t end = uint64_t{range.first()} + range.count();
+    if (range.first() < next || range.count() < 1 || end > progress.opened()) {
+      return Problem(absl::StrCat(
+          "its range of ", range.count(), " completed occurrences from ",
+          range.first(), " is not within ", next, " to ", progress.opened()));
+    }
+    next = static_cast<uint32_t>(end);
+  }
+  next = 0;
+  for (const auto& occurrence : progress.occurrences()) {
+    if (occurrence.number() < next ||
+        occurrence.number() >= progress.opened()) {
+      return Problem(absl::StrCat("it lists occurrence ", occurrence.number(),
+                                  ", allowed is ", next, " to ",
+                                  progress.opened() - 1));
+    }
+    auto status = CheckSteps(job, occurrence);
+    if (!status.ok()) {
+      return status;
+    }
+    next = occurrence.number() + 1;
+  }
+  return absl::OkStatus();
+}
+
 }  // namespace
 
 auto ReadJob(const std::string& id, const std::string& value)
@@ -104,6 +138,9 @@
 
 auto CheckProgress(const Job& job, const JobProgress& progress)
     -> absl::Status {
+  if (progress.opened() > 0) {
+    return CheckRanges(job, progress);
+  }
   const uint32_t total = std::max(1U, job.occurrences());
   uint32_t next = 0;
   for (const auto& occurrence : progress.occurrences()) {
--- a/Source/Jobs/ticket_cache.cc
+++ b/Source/Jobs/ticket_cache.cc
@@ -48,7 +48,15 @@
 }
 
 auto TicketCache::Forget(const std::string& job) -> void {
-  const std::string prefix = job + ".";
+  ForgetPrefix(absl::StrCat(job, "."));
+}
+
+auto TicketCache::ForgetOccurrence(const std::string& job, uint32_t occurrence)
+    -> void {
+  ForgetPrefix(absl::StrCat(job, ".", occurrence, "."));
+}
+
+auto TicketCache::ForgetPrefix(const std::string& prefix) -> void {
   auto entry = entries_.lower_bound(prefix);
   while (entry != entries_.end() && absl::StartsWith(entry->first, prefix)) {
     entry = entries_.erase(entry);
--- a/Source/Jobs/ticket_cache.h
+++ b/Source/Jobs/ticket_cache.h
@@ -66,8 +66,9 @@
   auto Request(TimePoint now, const TicketRequest& request) -> void;
   // Called when a worker has rejected the step's ticket.
   auto Remove(const TaskName& step, const std::string& worker_id) -> void;
-  // Removes the tickets of an ended job.
+  // Removes the tickets of an ended job, or of one of its occurrences.
   auto Forget(const std::string& job) -> void;
+  auto ForgetOccurrence(const std::string& job, uint32_t occurrence) -> void;
   auto Clear() -> void;
   // Returns whether tickets have arrived since the previous call, or a delayed
   // request may be made now. The tasks that need tickets are then to be placed
@@ -95,6 +96,7 @@
   };
 
   static auto Key(const TaskName& step) -> std::string;
+  auto ForgetPrefix(const std::string& prefix) -> void;
   // Makes the queued calls that may be under way now.
   auto SendQueued(TimePoint now) -> void;
   auto Send(TimePoint now, const std::string& key, Entry& entry) -> void;
--- a/Tests/Benchmarks/Jobs/owner_simulation.cc
+++ b/Tests/Benchmarks/Jobs/owner_simulation.cc
@@ -87,6 +87,7 @@
   hooks.report_overload = [](const OverloadState&) {};
   hooks.report_run_length = [](const RunLengthSample&) {};
   hooks.log_run_lengths = [](const std::string&, std::size_t) {};
+  hooks.log_large_record = [](const LargeRecord&) {};
   hooks.report_lag = [](Duration) {};
   hooks.rules = [this](const std::string& queue) {
     return queue == kUrgentQueue ? &urgent_rules_ : &rules_;
--- a/Tests/Jobs/job_fold_test.cc
+++ b/Tests/Jobs/job_fold_test.cc
@@ -556,7 +556,7 @@
     ASSERT_NE(fold.Find(kJobId), nullptr) << seed;
     JobWork work;
     work.entry = fold.Find(kJobId);
-    work.Restore(TimePoint(), /*uncertain=*/false);
+    RestoreProgress(TimePoint(), /*uncertain=*/false, &work);
     ASSERT_EQ(fold.agents().size(), 1U) << seed;
     ASSERT_EQ(fold.agents().at(kAgent).name(), kAgent) << seed;
     ASSERT_LE(fold.jobs().size(), 1U) << seed;
@@ -665,7 +665,7 @@
   stored.progress.add_occurrences()->set_number(UINT32_MAX);
   JobWork work;
   work.entry = &stored;
-  work.Restore(TimePoint(), /*uncertain=*/false);
+  RestoreProgress(TimePoint(), /*uncertain=*/false, &work);
   EXPECT_EQ(work.opened, 1U);
   ASSERT_EQ(work.occurrences.size(), 1U);
   ASSERT_EQ(work.occurrences.at(0).steps.size(), 2U);
--- a/Tests/Jobs/job_owner_fixture.h
+++ b/Tests/Jobs/job_owner_fixture.h
@@ -74,6 +74,9 @@
       run_lengths_.push_back(sample);
     };
     hooks.log_run_lengths = [](const std::string&, std::size_t) {};
+    hooks.log_large_record = [this](const LargeRecord& record) {
+      large_records_.push_back(record);
+    };
     hooks.report_lag = [this](Duration lag) { lags_.push_back(lag); };
     hooks.report_orders = [this](const OrderTraffic& traffic) {
       order_traffic_.push_back(traffic);
@@ -302,6 +305,7 @@
   std::vector<Duration> lags_;
   std::vector<Duration> start_delays_;
   std::vector<OrderTraffic> order_traffic_;
+  std::vector<LargeRecord> large_records_;
   // Starved jobs that the owner logged, and the number that it last reported.
   std::vector<StarvedJob> logged_starved_jobs_;
   std::size_t starved_jobs_ = 0;
