platform: Reject JSON bodies that are nested too deeply

It happens here: one heartbeat with a list nested 130,000 deep ends the agent by a stack overflow, and whoever repeats it each second keeps the agent down.

Cause: the heartbeat's reader copied the parsed value, and the library copies (and prints) values recursively. Nothing bounded the depth.

--- a/Tests/Platform/heartbeat_server_test.cc
+++ b/Tests/Platform/heartbeat_server_test.cc
@@ -108,6 +108,11 @@
                     BadCall{"list", "Heartbeat", "i-1", "[1,2]"},
                     BadCall{"no_fields", "Heartbeat", "i-1", "{}"},
                     BadCall{"no_body", "Heartbeat", "i-1", ""},
+                    BadCall{"deeply_nested", "Heartbeat", "i-1",
+                            absl::StrCat("{\"a\":",
+                                         std::string(130000, '['),
+                                         std::string(130000, ']'),
+                                         "}")},
                     BadCall{"no_id", "Heartbeat", "", ValidHeartbeat(9)},
                     BadCall{"unknown_state", "Heartbeat", "i-1",
                             R"({"Service":"service","Address":"a","Zone":"z",)"
--- a/Tests/Platform/wire_test.cc
+++ b/Tests/Platform/wire_test.cc
@@ -109,6 +109,91 @@
   SUCCEED();
 }
 
+// Lists or objects within each other, `depth` of them.
+auto Nested(char open, std::size_t depth, bool closed) -> std::string {
+  std::string text;
+  for (std::size_t i = 0; i < depth; ++i) {
+    text += open == '{' ? "{\"a\":" : "[";
+  }
+  text += "1";
+  text += closed ? std::string(depth, open == '{' ? '}' : ']') : "";
+  return text;
+}
+
+// The object with one more field, which no reader uses.
+auto WithUnusedField(const std::string& body, const std::string& value)
+    -> std::string {
+  return body.substr(0, body.rfind('}')) + ",\"unused\":" + value + "}";
+}
+
+// Guards against a process that terminates with a stack overflow on a value
+// that another writer has nested 100,000 times.
+TEST_P(BodyTest, DeeplyNestedBodyIsRejected) {
+  for (const char open : {'[', '{'}) {
+    for (const std::size_t depth :
+         {kMaxNesting + 1, std::size_t{1000}, std::size_t{300000}}) {
+      for (const bool closed : {true, false}) {
+        const auto nested = Nested(open, depth, closed);
+        EXPECT_FALSE(GetParam().is_decoded(nested));
+        EXPECT_FALSE(GetParam().is_decoded("{\"a\":" + nested + "}"));
+        if (GetParam().body.front() == '{') {
+          EXPECT_FALSE(
+              GetParam().is_decoded(WithUnusedField(GetParam().body, nested)))
+              << open << depth;
+        }
+      }
+    }
+  }
+}
+
+// Fields that a later version of the platform adds may be lists and objects,
+// and brackets in texts are no nesting.
+TEST_P(BodyTest, UnusedFieldsAreIgnored) {
+  if (GetParam().body.front() != '{') {
+    return;
+  }
+  for (const auto& value :
+       {Nested('[', kMaxNesting - 1, true), Nested('{', kMaxNesting - 1, true),
+        "\"" + std::string(300000, '[') + "\"",
+        "\"\\\"" + std::string(300000, '{') + "\"",
+        "[" + std::string(100, '1') + "]"}) {
+    EXPECT_TRUE(GetParam().is_decoded(WithUnusedField(GetParam().body, value)));
+  }
+}
+
+// Guards against a process that terminates, or takes a number for another one,
+// on a body of another writer: the same as above, by size, depth and numbers.
+TEST_P(BodyTest, ExtremeBodyIsDecodedOrRejected) {
+  constexpr std::size_t kLarge = 200000;
+  const std::vector<std::string> pieces = {
+      Nested('[', kLarge, true),
+      Nested('{', kLarge, true),
+      Nested('[', kLarge, false),
+      std::string(kLarge, '9'),
+      "1e999",
+      "-1e308",
+      "1e308",
+      "18446744073709551615",
+      "18446744073709551616",
+      "-9223372036854775808",
+      "9007199254740993",
+      "[" + std::string(kLarge, '[') + "]",
+      "\"" + std::string(kLarge, 'x') + "\"",
+      "\"\\ud800\""};
+  std::mt19937_64 random(17);
+  constexpr uint64_t kBodies = 300;
+  for (uint64_t seed = 0; seed < kBodies; ++seed) {
+    std::string body = GetParam().body;
+    const std::size_t at = random() % body.size();
+    body.replace(at, random() % 8, pieces[random() % pieces.size()]);
+    if (random() % 4 == 0) {
+      body.resize(random() % body.size());
+    }
+    static_cast<void>(GetParam().is_decoded(body));
+  }
+  SUCCEED();
+}
+
 INSTANTIATE_TEST_SUITE_P(Table,
                          BodyTest,
                          testing::ValuesIn(kBodies),
@@ -123,6 +208,14 @@
   EXPECT_TRUE(DecodeRead(TwoRecords(), 10).ok());
 }
 
+// Guards against a number that wraps around and names another step.
+TEST(ReadTest, NumberOfAnEarlierStepDoesNotWrap) {
+  const auto job =
+      DecodeJob(R"({"Steps":[{"Count":1},{"Count":1,"After":[4294967296]}]})");
+  ASSERT_TRUE(job.ok());
+  EXPECT_EQ(job->steps(1).after(0), UINT32_MAX);
+}
+
 TEST(ReadTest, OutOfRangeNumbersAreClamped) {
   const auto job = DecodeJob(R"({"Steps":[{"Count":1e300,"Cpu":-5}]})");
   ASSERT_TRUE(job.ok());
