jobs: Reject jobs that the log cannot hold

A job of 256 steps with 10,000 tasks each was accepted, and its progress was over the limit.

Cause: the payload, the number of steps and the tasks of one step were bounded; names, labels and images, the record as a whole and the tasks of all steps together were not.

Change: a new job is rejected at once, with the reason, if its record or the progress of one occurrence is larger than the log accepts, or if it has more than 100,000 tasks. The log's limits are settings, from the platform's. Jobs that are stored already are read as before.

Result: the new rows of jobs_job_check_test; five of its jobs passed the former check.

--- a/Source/Jobs/entry_callers.cc
+++ b/Source/Jobs/entry_callers.cc
@@ -98,7 +98,7 @@
   *call.job.mutable_rules() = queue.rules;
   call.job.set_received_unix_ms(
       static_cast<uint64_t>(hooks_.wall_clock().count()));
-  const auto status = CheckJob(call.job);
+  const auto status = CheckNewJob(call.job, options_.limits.log);
   if (!status.ok()) {
     metrics_->Add("rhubarbhaven_jobs_invalid_total");
     log_.Write("job_invalid",
--- a/Source/Jobs/job_check.cc
+++ b/Source/Jobs/job_check.cc
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include "Jobs/job_progress.h"
+
 namespace rhubarbhaven::jobs {
 namespace {
 
@@ -69,4 +71,33 @@
   return absl::OkStatus();
 }
 
+auto CheckNewJob(const Job& job, const LogLimits& limits) -> absl::Status {
+  auto status = CheckJob(job);
+  if (!status.ok()) {
+    return status;
+  }
+  uint64_t tasks = 0;
+  for (const auto& step : job.steps()) {
+    tasks += step.count();
+  }
+  if (tasks > kMaxTasks) {
+    return Problem(absl::StrCat("the job has ", tasks,
+                                " tasks, allowed are at most ", kMaxTasks));
+  }
+  const std::size_t bytes =
+      SizeInLog(MakeRecord(RecordKind::kJob, job.id(), job));
+  if (bytes > limits.record_bytes) {
+    return Problem(absl::StrCat("the job takes ", bytes,
+                                " bytes in the log, allowed are at most ",
+                                limits.record_bytes));
+  }
+  const std::size_t progress_bytes = MaxOccurrenceBytes(job);
+  if (progress_bytes > limits.record_bytes) {
+    return Problem(absl::StrCat(
+        "the job's progress takes up to ", progress_bytes,
+        " bytes in the log, allowed are at most ", limits.record_bytes));
+  }
+  return absl::OkStatus();
+}
+
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/job_check.h
+++ b/Source/Jobs/job_check.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "Base/base.h"
+#include "Jobs/job_records.h"
 
 namespace rhubarbhaven::jobs {
 
@@ -16,10 +17,15 @@
 inline constexpr int kMaxSteps = 256;
 inline constexpr uint32_t kMaxTasksPerStep = 10000;
 inline constexpr uint32_t kMaxOccurrences = 100000;
+// Of all steps together.
+inline constexpr uint64_t kMaxTasks = 100000;
 
 auto CheckJobId(const std::string& id) -> absl::Status;
 // The error describes what is wrong with the job, where, and what is allowed.
 auto CheckJob(const Job& job) -> absl::Status;
+// The same for a job that is not stored yet: also whether the log can hold it
+// and its progress, and an owner its tasks.
+auto CheckNewJob(const Job& job, const LogLimits& limits) -> absl::Status;
 
 }  // namespace rhubarbhaven::jobs
 
--- a/Tests/Jobs/job_check_test.cc
+++ b/Tests/Jobs/job_check_test.cc
@@ -71,5 +71,76 @@
                   "occurs"}),
     [](const auto& info) { return info.param.name; });
 
+struct NewJobCase {
+  std::string name;
+  std::function<auto(Job*)->void> change;
+  bool accepted = false;
+  // Expected part of the error message.
+  std::string message = {};
+};
+
+class NewJobTest : public testing::TestWithParam<NewJobCase> {};
+
+// Guards against an entry that stores nothing any more: a job that is larger
+// than a record of the log was appended again and again.
+TEST_P(NewJobTest, JobThatTheLogCannotHoldIsRejected) {
+  Job job;
+  job.set_id("0123456789abcdef");
+  job.add_steps()->set_count(1);
+  GetParam().change(&job);
+  const auto status = CheckNewJob(job, LogLimits());
+  EXPECT_EQ(status.ok(), GetParam().accepted) << status;
+  EXPECT_NE(std::string(status.message()).find(GetParam().message),
+            std::string::npos)
+      << status;
+}
+
+auto AddSteps(Job* job, int steps, uint32_t count) -> void {
+  job->clear_steps();
+  for (int i = 0; i < steps; ++i) {
+    job->add_steps()->set_count(count);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    NewJobTest,
+    testing::Values(
+        NewJobCase{"usual", [](Job*) {}, true},
+        NewJobCase{"large_image",
+                   [](Job* job) {
+                     job->mutable_steps(0)->set_image(std::string(262144, 'i'));
+                   },
+                   false, "bytes in the log"},
+        NewJobCase{"image_that_fits",
+                   [](Job* job) {
+                     job->mutable_steps(0)->set_image(std::string(262000, 'i'));
+                   },
+                   true},
+        NewJobCase{"large_label",
+                   [](Job* job) {
+                     job->mutable_steps(0)->set_required_label(
+                         std::string(300000, 'l'));
+                   },
+                   false, "bytes in the log"},
+        NewJobCase{"as_many_tasks_as_allowed",
+                   [](Job* job) { AddSteps(job, 10, kMaxTasksPerStep); }, true},
+        NewJobCase{"more_tasks_than_allowed",
+                   [](Job* job) { AddSteps(job, 11, kMaxTasksPerStep); }, false,
+                   "tasks"},
+        NewJobCase{"all_limits_of_steps",
+                   [](Job* job) { AddSteps(job, kMaxSteps, kMaxTasksPerStep); },
+                   false, "tasks"}),
+    [](const auto& info) { return info.param.name; });
+
+TEST(NewJobLimitsTest, ProgressMustFitIntoARecord) {
+  Job job;
+  job.set_id("0123456789abcdef");
+  AddSteps(&job, 10, kMaxTasksPerStep);
+  LogLimits limits;
+  limits.record_bytes = 8192;
+  EXPECT_FALSE(CheckNewJob(job, limits).ok());
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
