jobs: Use tickets that are valid only briefly

Cause: each call named all workers, up to 100, whatever that costs; an answer took 600 ms. The validity was counted from when the call was sent, and 400 ms of it had to be left. The times that the configuration states (DecideMs, EachMs, ValidMs) were dropped, so that the margins could not follow them. The policy was asked for the same tickets again without end.

Change: the three times are read. A call names only as many workers as can be answered within a part of the validity and within 2 s, those with room first. The margin for a start is at most a quarter of the validity, the interval between calls at most a half. The validity is counted from when the service may have begun to handle the call, which is not before its answer to the previous call. If that leaves little, half of it is taken to be left at the answer: a rejected start costs less than a job that never starts. A call's timeout follows from the workers it names; it was 5 s, too short for 100 workers at 50 ms each. Times of callers are limited to 100 days, so that sums of them stay in range.

--- a/Source/Jobs/owner_placement.cc
+++ b/Source/Jobs/owner_placement.cc
@@ -150,16 +150,27 @@
 }
 
 auto JobOwner::RequestTickets(TimePoint now, const TaskPlace& place) -> void {
-  if (!place.work->rules.needs_ticket()) {
+  const QueueRules& rules = place.work->rules;
+  if (!rules.needs_ticket() || tickets_.IsPending(place.Name())) {
     return;
   }
   TicketRequest request{place.Name(), place.work->job().queue(), {}};
+  request.times = {std::chrono::milliseconds(rules.policy_call_ms()),
+                   std::chrono::milliseconds(rules.policy_worker_ms()),
+                   std::chrono::milliseconds(rules.ticket_valid_ms())};
+  PlaceLimits limits;
+  limits.any_speed = MayIgnoreInterference(place);
+  std::vector<std::string> full;
   for (const auto& [name, worker] : workers_) {
-    if (worker->Accepts(now) &&
-        worker->service == place.work->rules.service()) {
-      request.workers.push_back(worker->worker_id);
+    if (!worker->Accepts(now) || worker->service != rules.service()) {
+      continue;
     }
+    const bool has_room =
+        CostOf(now, *worker, place, interference_, limits).has_value();
+    (has_room ? request.workers : full).push_back(worker->worker_id);
   }
+  request.with_room = request.workers.size();
+  request.workers.insert(request.workers.end(), full.begin(), full.end());
   tickets_.Request(now, request);
 }
 
--- a/Source/Jobs/ticket_cache.h
+++ b/Source/Jobs/ticket_cache.h
@@ -18,6 +18,16 @@
   TaskName step;
   // Ids of workers, at most `kMaxAdvisedWorkers`.
   std::vector<std::string> workers;
+  std::chrono::milliseconds timeout{5000};
+};
+
+// What the queue's configuration says of its policy; zero if unknown.
+struct PolicyTimes {
+  // How long the service takes for a call, and for each worker that it names.
+  std::chrono::milliseconds call{0};
+  std::chrono::milliseconds worker{0};
+  // How long tickets are valid.
+  std::chrono::milliseconds valid{0};
 };
 
 // Maximum number of workers in one call, by the service's contract.
@@ -46,18 +56,34 @@
 struct TicketRequest {
   TaskName step;
   std::string queue;
+  // Those with room for a task of the step come first.
   std::vector<std::string> workers;
+  std::size_t with_room = 0;
+  PolicyTimes times{};
 };
 
+// Maximum number of workers that a call should name, so that its tickets can
+// still be used when it is answered.
+auto MaxNamesFor(const PolicyTimes& times) -> std::size_t;
+
 // Caches the tickets of steps whose queue has a policy. A step that waits asks
 // about all of its workers, in as many calls as that takes, and again about
-// those whose tickets have expired. A call names first the workers that were
-// granted to the step or to others of its queue.
+// those whose tickets have expired. A call names first the workers that have
+// room, and among them those that were granted to the step or to others of its
+// queue.
+//
+// A ticket is valid for a time that begins while the service handles the call.
+// The service handles one call at a time, so that it has not begun before the
+// answer to the previous one.
 class TicketCache {
  public:
   explicit TicketCache(AskAdvice ask) : ask_(std::move(ask)) {}
 
-  // Returns the tickets that stay valid for a while, by worker.
+  // Whether a call for the step is under way or queued.
+  auto IsPending(const TaskName& step) const -> bool;
+  // Returns the tickets that stay valid for a while, by worker. Where that is
+  // uncertain, a ticket is returned: a rejected start costs less than a job
+  // that never starts.
   auto Held(TimePoint now, const TaskName& step) const
       -> std::map<std::string, std::string>;
   // Asks about workers for which no valid answer is known. Does nothing while a
@@ -82,7 +108,9 @@
   struct Answer {
     // Empty if the worker was not granted.
     std::string ticket;
-    TimePoint valid_until;
+    // Until when a start with the ticket may be ordered, or until when the
+    // worker need not be asked about again.
+    TimePoint usable_until;
   };
   struct Entry {
     std::map<std::string, Answer> answers;
@@ -107,6 +135,7 @@
   auto OnAdvice(TimePoint asked,
                 const AdviceCall& call,
                 const std::string& key,
+                TimePoint answered,
                 const AdviceResult& result) -> void;
   // Removes ids of workers that are not in use any more.
   auto TrimGranted(const TicketRequest& request) -> void;
@@ -116,6 +145,8 @@
   // Keys of the entries whose call is queued, oldest first.
   std::deque<std::string> queued_;
   int calls_under_way_ = 0;
+  // When the service last answered a call.
+  TimePoint answered_at_;
   // Workers that were granted to a step, by queue.
   std::map<std::string, std::set<std::string>> granted_;
   // Distinguishes answers to calls made before `Clear`.
--- a/Tests/Jobs/ticket_cache_test.cc
+++ b/Tests/Jobs/ticket_cache_test.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -62,7 +63,7 @@
     if (cache_->Held(time_.now(), step).size() >= enough) {
       return true;
     }
-    cache_->Request(time_.now(), {step, "queue", workers_});
+    cache_->Request(time_.now(), {step, "queue", workers_, 0, {}});
     return false;
   }
 
@@ -201,5 +202,155 @@
   EXPECT_EQ(calls_, kSteps);
 }
 
+// From when a worker counts the time of a ticket.
+enum class ValidFrom { kCall, kHandling, kAnswer };
+
+struct ShortTicketCase {
+  std::string name;
+  PolicyTimes times;
+  int workers = 0;
+  int allowed = 0;
+  // Steps that wait at the same time.
+  int steps = 1;
+  ValidFrom valid_from = ValidFrom::kHandling;
+  milliseconds within{0};
+};
+
+// A policy with the times of its queue's configuration, and workers that check
+// tickets.
+class ShortTicketTest : public TicketCacheTest,
+                        public testing::WithParamInterface<ShortTicketCase> {
+ protected:
+  static constexpr milliseconds kDelivery{10};
+
+  auto Ask(const AdviceCall& call,
+           const std::function<auto(TimePoint, AdviceResult)->void>& done)
+      -> void {
+    const PolicyTimes& times = GetParam().times;
+    EXPECT_LE(call.workers.size(), kMaxAdvisedWorkers);
+    const TimePoint begins = std::max(free_at_, time_.now());
+    free_at_ = begins + times.call +
+               times.worker * static_cast<int64_t>(call.workers.size());
+    EXPECT_GT(time_.now() + call.timeout, free_at_);
+    const std::map<ValidFrom, TimePoint> from = {
+        {ValidFrom::kCall, time_.now()},
+        {ValidFrom::kHandling, begins},
+        {ValidFrom::kAnswer, free_at_}};
+    time_.At(free_at_,
+             [this, call, done, times,
+              valid_from = from.at(GetParam().valid_from)]() -> void {
+               AdviceResult result;
+               result.answered = true;
+               result.valid = times.valid;
+               for (const auto& id : call.workers) {
+                 if (allowed_.contains(id)) {
+                   const auto ticket = absl::StrCat("ticket-", ++tickets_);
+                   valid_until_[ticket] = valid_from + times.valid;
+                   result.tickets.push_back({id, ticket});
+                 }
+               }
+               done(time_.now(), result);
+             });
+  }
+
+  // Orders a start on each worker with a ticket. Returns whether one was
+  // carried out.
+  auto TryStart(const TaskName& step) -> bool {
+    bool started = false;
+    for (const auto& [id, ticket] : cache_->Held(time_.now(), step)) {
+      if (time_.now() + kDelivery <= valid_until_.at(ticket)) {
+        started = true;
+      } else {
+        cache_->Remove(step, id);
+        ++rejected_starts_;
+      }
+    }
+    return started;
+  }
+
+  std::map<std::string, TimePoint> valid_until_;
+  int tickets_ = 0;
+  int rejected_starts_ = 0;
+};
+
+// Guards against jobs that never start: a call named all workers, and its
+// tickets had expired, by a fixed margin, when it was answered.
+TEST_P(ShortTicketTest, StepStarts) {
+  cache_ = std::make_unique<TicketCache>(
+      [this](const AdviceCall& call, const auto& done) -> void {
+        Ask(call, done);
+      });
+  AddWorkers(GetParam().workers, GetParam().allowed);
+  std::set<int> waiting;
+  for (int step = 0; step < GetParam().steps; ++step) {
+    waiting.insert(step);
+  }
+  const TimePoint end = time_.now() + GetParam().within;
+  while (time_.now() < end && !waiting.empty()) {
+    static_cast<void>(cache_->ConsumeUpdate(time_.now()));
+    std::erase_if(waiting,
+                  [this](int step) -> bool { return TryStart(Step(step)); });
+    for (const int step : waiting) {
+      cache_->Request(time_.now(), {Step(step), "queue", workers_,
+                                    workers_.size(), GetParam().times});
+    }
+    RunFor(milliseconds(5));
+  }
+  EXPECT_TRUE(waiting.empty()) << waiting.size();
+  EXPECT_LE(rejected_starts_, GetParam().workers);
+}
+
+auto Times(int call, int worker, int valid) -> PolicyTimes {
+  return {milliseconds(call), milliseconds(worker), milliseconds(valid)};
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    ShortTicketTest,
+    testing::Values(
+        ShortTicketCase{"a_second", Times(50, 50, 1000), 11, 11, 1,
+                        ValidFrom::kHandling, milliseconds(1000)},
+        ShortTicketCase{"a_second_from_the_call", Times(50, 50, 1000), 11, 11,
+                        1, ValidFrom::kCall, milliseconds(1000)},
+        ShortTicketCase{"a_second_from_the_answer", Times(50, 50, 1000), 11, 11,
+                        1, ValidFrom::kAnswer, milliseconds(1000)},
+        ShortTicketCase{"many_workers", Times(50, 50, 1000), 40, 40, 1,
+                        ValidFrom::kHandling, milliseconds(1000)},
+        ShortTicketCase{"few_of_many_allowed", Times(50, 50, 1000), 40, 4, 1,
+                        ValidFrom::kHandling, milliseconds(3500)},
+        ShortTicketCase{"slow_by_worker", Times(50, 300, 1000), 11, 11, 1,
+                        ValidFrom::kHandling, milliseconds(1000)},
+        ShortTicketCase{"slow_by_call", Times(500, 10, 900), 11, 11, 1,
+                        ValidFrom::kHandling, milliseconds(1000)},
+        ShortTicketCase{"three_steps", Times(50, 50, 1000), 11, 11, 3,
+                        ValidFrom::kHandling, milliseconds(2500)},
+        ShortTicketCase{"three_steps_from_the_answer", Times(50, 50, 1000), 11,
+                        11, 3, ValidFrom::kAnswer, milliseconds(2500)},
+        ShortTicketCase{"fifth_of_a_second", Times(20, 20, 200), 11, 11, 1,
+                        ValidFrom::kHandling, milliseconds(500)},
+        // Expired when they arrive, unless their time begins with the answer.
+        ShortTicketCase{"shorter_than_a_call", Times(50, 300, 300), 11, 11, 1,
+                        ValidFrom::kAnswer, milliseconds(1000)},
+        // No answer within the usual timeout of a call, if it named all.
+        ShortTicketCase{"long_but_slow", Times(50, 300, 60000), 40, 40, 1,
+                        ValidFrom::kHandling, milliseconds(2500)}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against tickets that expire unused, since the workers that a call
+// names have no room.
+TEST_F(TicketCacheTest, WorkersWithRoomAreNamedFirst) {
+  AdviceCall asked;
+  TicketCache cache(
+      [&asked](const AdviceCall& call, const auto&) -> void { asked = call; });
+  cache.Request(time_.now(), {Step(1),
+                              "queue",
+                              {"room-1", "room-2", "full-1", "full-2"},
+                              2,
+                              Times(50, 100, 1000)});
+  EXPECT_EQ(asked.workers.size(), 4U);
+  EXPECT_EQ(asked.workers[0], "room-1");
+  EXPECT_EQ(asked.workers[1], "room-2");
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
--- a/Tests/Platform/wire_test.cc
+++ b/Tests/Platform/wire_test.cc
@@ -223,6 +223,22 @@
   EXPECT_EQ(job->steps(0).need().millicores(), 0U);
 }
 
+// Guards against tickets that expire unused, because the times of the queue's
+// policy were dropped.
+TEST(ConfigurationTest, TimesOfThePolicyAreRead) {
+  const auto configuration = DecodeConfiguration(
+      R"({"Version":1,"Services":[],"Routes":[{"Name":"q","Advice":)"
+      R"({"DecideMs":50,"EachMs":20,"ValidMs":1e300}},{"Name":"r"}]})");
+  ASSERT_TRUE(configuration.ok()) << configuration.status();
+  const auto& rules = configuration->queues[0].rules;
+  EXPECT_TRUE(rules.needs_ticket());
+  EXPECT_EQ(rules.policy_call_ms(), 50U);
+  EXPECT_EQ(rules.policy_worker_ms(), 20U);
+  // Sums of times must stay in range.
+  EXPECT_LT(rules.ticket_valid_ms(), uint64_t{1} << 40);
+  EXPECT_FALSE(configuration->queues[1].rules.needs_ticket());
+}
+
 auto ValidHeartbeat() -> Json {
   return {{"Service", "service"},
           {"Address", "10.0.0.1:80"},
