jobs: Limit the time until an occurrence is due

Cause: the time until the occurrence is due is counted in nanoseconds and overflowed, so that the timer was always in the past. The due time itself wrapped around with large intervals, and the occurrences counted as due.

Change: the due time is computed without wrapping, and a wait is at most a year.

--- a/Source/Jobs/owner_jobs.cc
+++ b/Source/Jobs/owner_jobs.cc
@@ -23,6 +23,9 @@
 // failures and crashes of their tasks.
 constexpr std::size_t kOpenPartOfRecord = 2;
 
+// Later times are awaited in parts of this length.
+constexpr std::chrono::milliseconds kMaxTimer = std::chrono::hours(24 * 365);
+
 auto TasksOf(const Job& job) -> uint64_t {
   uint64_t tasks = 0;
   for (const auto& step : job.steps()) {
@@ -144,9 +147,14 @@
   if (work.job().occurrences() == 0) {
     return std::chrono::milliseconds(0);
   }
-  const std::chrono::milliseconds due(work.job().first_due_unix_ms() +
-                                      occurrence * work.job().interval_ms());
-  return std::max(std::chrono::milliseconds(0), due - hooks_.wall_clock());
+  // As callers choose both times, integers could overflow.
+  const double due_ms =
+      static_cast<double>(work.job().first_due_unix_ms()) +
+      occurrence * static_cast<double>(work.job().interval_ms());
+  const double left_ms =
+      due_ms - static_cast<double>(hooks_.wall_clock().count());
+  return std::chrono::milliseconds(static_cast<int64_t>(
+      std::clamp(left_ms, 0.0, static_cast<double>(kMaxTimer.count()))));
 }
 
 auto JobOwner::OpenDue(TimePoint now, JobWork& work) -> void {
--- a/Tests/Jobs/job_owner_test.cc
+++ b/Tests/Jobs/job_owner_test.cc
@@ -236,6 +236,48 @@
   }
 }
 
+struct DistantDueTime {
+  std::string name;
+  uint64_t first_due_unix_ms = 0;
+  uint64_t interval_ms = 0;
+  // Starts that are due at once.
+  std::size_t starts = 0;
+};
+
+class DistantDueTimeTest : public JobOwnerTest,
+                           public testing::WithParamInterface<DistantDueTime> {
+};
+
+// Guards against an owner that takes a whole processor: the time until a job is
+// due overflowed, and its timer was always in the past.
+TEST_P(DistantDueTimeTest, OwnerWaits) {
+  Job job;
+  job.set_id(kJobId);
+  *job.add_steps() = Step(1);
+  job.set_occurrences(kMaxOccurrences);
+  job.set_first_due_unix_ms(GetParam().first_due_unix_ms);
+  job.set_interval_ms(GetParam().interval_ms);
+  wall_time_ = milliseconds(2000);
+  Put(MakeRecord(RecordKind::kJob, kJobId, job));
+  Begin();
+  ReportAll();
+  ReportAll();
+  EXPECT_EQ(Starts(), GetParam().starts);
+  EXPECT_GT(owner_.next_wake(), now_);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    DistantDueTimeTest,
+    testing::Values(
+        DistantDueTime{"year_9999", 253402300799000, 1000, 0},
+        DistantDueTime{"largest_number", uint64_t{1} << 53, uint64_t{1} << 53,
+                       0},
+        DistantDueTime{"beyond_the_range", UINT64_MAX, UINT64_MAX, 0},
+        // The second one would wrap around to the first.
+        DistantDueTime{"largest_interval", 1000, uint64_t{1} << 63, 1}),
+    [](const auto& info) { return info.param.name; });
+
 // In a queue with a policy, nothing starts before the policy has answered, and
 // then only where it allows. A ticket that a worker rejected is requested
 // again.
