--- a/Source/Transport/link.cc
+++ b/Source/Transport/link.cc
@@ -4,6 +4,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/strip.h>
+#include <arpa/inet.h>
 
 #include <algorithm>
 #include <atomic>
@@ -32,6 +33,17 @@
   return static_cast<int>(time.count());
 }
 
+auto IsIpAddress(const std::string& host) -> bool {
+  in_addr address{};
+  in6_addr address6{};
+  const bool bracketed =
+      host.size() > 2 && host.front() == '[' && host.back() == ']';
+  return bracketed
+             ? inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(),
+                         &address6) == 1
+             : inet_pton(AF_INET, host.c_str(), &address) == 1;
+}
+
 // Whether the byte may occur in a host name or in an IPv4 or IPv6 address.
 auto IsHostByte(unsigned char c) -> bool {
   return absl::ascii_isalnum(c) || c == '.' || c == '-' || c == '_' ||
@@ -382,6 +394,14 @@
          absl::SimpleAtoi(digits, &port) && port > 0 && port <= kMaxPort;
 }
 
+auto IsNumericTcpEndpoint(const std::string& endpoint) -> bool {
+  if (!IsTcpEndpoint(endpoint)) {
+    return false;
+  }
+  const std::size_t begin = std::string_view(kTcp).size();
+  return IsIpAddress(endpoint.substr(begin, endpoint.rfind(':') - begin));
+}
+
 Link::Link(LinkOptions options)
     : impl_(std::make_unique<Impl>(std::move(options))) {}
 Link::~Link() = default;
--- a/Source/Transport/link.h
+++ b/Source/Transport/link.h
@@ -51,6 +51,9 @@
 // Whether the endpoint has the form "tcp://HOST:PORT", to which a link can
 // connect.
 auto IsTcpEndpoint(const std::string& endpoint) -> bool;
+// The same, with an IP address as the host. The thread of a link waits while
+// the name of a host is looked up.
+auto IsNumericTcpEndpoint(const std::string& endpoint) -> bool;
 
 // ZeroMQ connections between the processes of the system, on one thread that
 // owns all sockets. The listening side addresses a peer by its id, the
--- a/Tests/Transport/link_test.cc
+++ b/Tests/Transport/link_test.cc
@@ -51,6 +51,26 @@
                     EndpointCase{"path", "tcp://a/b:9000", false}),
     [](const auto& info) { return info.param.name; });
 
+class NumericEndpointTest : public testing::TestWithParam<EndpointCase> {};
+
+// Guards against orders to all agents that wait while the host of one agent,
+// which another writer has named, is looked up.
+TEST_P(NumericEndpointTest, HostIsAnAddress) {
+  EXPECT_EQ(IsNumericTcpEndpoint(GetParam().endpoint), GetParam().allowed);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    NumericEndpointTest,
+    testing::Values(EndpointCase{"address", "tcp://10.1.2.3:9000", true},
+                    EndpointCase{"address_6", "tcp://[::1]:9000", true},
+                    EndpointCase{"host", "tcp://side-1.example:1", false},
+                    EndpointCase{"beyond", "tcp://999.1.1.1:9000", false},
+                    EndpointCase{"short", "tcp://10.1:9000", false},
+                    EndpointCase{"brackets", "tcp://[]:9000", false},
+                    EndpointCase{"port_beyond", "tcp://10.1.2.3:65536", false}),
+    [](const auto& info) { return info.param.name; });
+
 // Endpoints that accept connections and messages and send nothing.
 class UnresponsivePeers {
  public:
