jobs: Follow a worker's heartbeats after a number that is too high

Cause: a heartbeat with a lower number than the newest was late, whatever came after it.

Heartbeats that a partition has delayed arrive beside newer ones.

--- a/Source/Jobs/task_agent.cc
+++ b/Source/Jobs/task_agent.cc
@@ -114,10 +114,12 @@
     return false;
   }
   if (heartbeat.worker_id == heartbeat_.worker_id) {
-    if (described_ && heartbeat.sequence <= heartbeat_.sequence) {
+    const bool first = !std::exchange(described_, true);
+    if (first) {
+      sequence_.Reset(heartbeat.sequence);
+    } else if (!sequence_.Accept(now, heartbeat.sequence)) {
       return true;
     }
-    const bool first = !std::exchange(described_, true);
     const bool drains = heartbeat.draining && !heartbeat_.draining;
     const bool resized = !SameAmounts(heartbeat.capacity, heartbeat_.capacity);
     heartbeat_ = heartbeat;
@@ -140,6 +142,7 @@
       !heartbeat_.worker_id.empty() &&
       WorkerNameOf(heartbeat_.worker_id) == WorkerNameOf(heartbeat.worker_id);
   heartbeat_ = heartbeat;
+  sequence_.Reset(heartbeat.sequence);
   described_ = true;
   worker_left_ = false;
   if (same_name) {
--- a/Source/Jobs/task_agent.h
+++ b/Source/Jobs/task_agent.h
@@ -13,6 +13,7 @@
 
 #include "Base/base.h"
 #include "Jobs/agent_recovery.h"
+#include "Jobs/heartbeat_sequence.h"
 #include "Jobs/opportunistic_pacing.h"
 #include "Jobs/order_basis.h"
 #include "Jobs/payload_cache.h"
@@ -306,6 +307,7 @@
   AgentRecovery recovery_;
   // Until the worker has sent a heartbeat, only its id is set.
   WorkerHeartbeat heartbeat_;
+  HeartbeatSequence sequence_;
   // The newest heartbeat of another process than the worker while a call that
   // verifies it is outstanding.
   std::optional<WorkerHeartbeat> unverified_heartbeat_;
