jobs: Count a job's tasks in one place; new epoch after an invalid append

Two functions summed the tasks of a job's steps. After a batch that the log does not accept, callers' appends go on under a new epoch, as they do after a rejection: no log can then take the next batch for a repeat.

--- a/Source/Jobs/append_batcher.cc
+++ b/Source/Jobs/append_batcher.cc
@@ -150,6 +150,10 @@
 // A repeat of records that are stored is acknowledged, so no earlier attempt
 // has stored these. They leave the sequence number unused.
 auto AppendBatcher::OnInvalid(TimePoint now) -> std::vector<SettledEntry> {
+  if (options_.settle_rejected) {
+    // As after a rejection: the next batch must not be taken for a repeat.
+    ++options_.epoch;
+  }
   if (batch_records_ > 1) {
     max_records_ = batch_records_ / 2;
     batch_records_ = 0;
--- a/Source/Jobs/job_check.cc
+++ b/Source/Jobs/job_check.cc
@@ -34,6 +34,14 @@
 
 }  // namespace
 
+auto TotalTasks(const Job& job) -> uint64_t {
+  uint64_t tasks = 0;
+  for (const auto& step : job.steps()) {
+    tasks += step.count();
+  }
+  return tasks;
+}
+
 auto CheckJobId(const std::string& id) -> absl::Status {
   const bool well_formed =
       id.size() == kIdDigits &&
@@ -76,10 +84,7 @@
   if (!status.ok()) {
     return status;
   }
-  uint64_t tasks = 0;
-  for (const auto& step : job.steps()) {
-    tasks += step.count();
-  }
+  const uint64_t tasks = TotalTasks(job);
   if (tasks > kMaxTasks) {
     return Problem(absl::StrCat("the job has ", tasks,
                                 " tasks, allowed are at most ", kMaxTasks));
--- a/Source/Jobs/job_check.h
+++ b/Source/Jobs/job_check.h
@@ -20,6 +20,9 @@
 // Of all steps together.
 inline constexpr uint64_t kMaxTasks = 100000;
 
+// Number of tasks of all steps of one occurrence.
+auto TotalTasks(const Job& job) -> uint64_t;
+
 auto CheckJobId(const std::string& id) -> absl::Status;
 // The error describes what is wrong with the job, where, and what is allowed.
 auto CheckJob(const Job& job) -> absl::Status;
--- a/Source/Jobs/owner_jobs.cc
+++ b/Source/Jobs/owner_jobs.cc
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "Jobs/job_check.h"
 #include "Jobs/job_owner.h"
 #include "Jobs/job_progress.h"
 
@@ -26,14 +27,6 @@
 // Later times are awaited in parts of this length.
 constexpr std::chrono::milliseconds kMaxTimer = std::chrono::hours(24 * 365);
 
-auto TasksOf(const Job& job) -> uint64_t {
-  uint64_t tasks = 0;
-  for (const auto& step : job.steps()) {
-    tasks += step.count();
-  }
-  return tasks;
-}
-
 // Number of tasks of an occurrence that wait for no earlier step.
 auto FirstTasksOf(const Job& job) -> uint64_t {
   uint64_t tasks = 0;
@@ -186,7 +179,7 @@
   const uint64_t by_ready =
       (LimitLeft(kMaxReadyTasks, work.ready_tasks()) + first_tasks - 1) /
       first_tasks;
-  const uint64_t by_tasks = LimitLeft(kMaxOpenTasks / TasksOf(job), open);
+  const uint64_t by_tasks = LimitLeft(kMaxOpenTasks / TotalTasks(job), open);
   const uint64_t by_bytes =
       LimitLeft(max_bytes / MaxOccurrenceBytes(job), open);
   const uint64_t at_least = open == 0 ? 1 : 0;
@@ -244,7 +237,7 @@
     return std::nullopt;
   }
   JobWork& work = *found->second;
-  const uint64_t max_open = kMaxRecoveredTasks / TasksOf(work.job());
+  const uint64_t max_open = kMaxRecoveredTasks / TotalTasks(work.job());
   while (work.opened <= name.occurrence() &&
          work.opened < work.total_occurrences() &&
          work.occurrences.size() <= max_open) {
