review: Case 10, a task that lasts crashes executors without end

Each run of a lasting task crashes its executor 2.5 s after its start. A run of more than 1 s sets the crashes in a row to 0, and crashes in all don't count for tasks that last. So the task is started again after each crash: three more times after the third, within 38 s, and the runs of other jobs beside it end with each.

--- a/review/stand_ins_3/targets.cmake
+++ b/review/stand_ins_3/targets.cmake
@@ -7,9 +7,9 @@
   rhubarbhaven_test_support rhubarbhaven_transport nlohmann_json::nlohmann_json)
 target_compile_options(review_stand_ins_3 PRIVATE -Wall -Wextra -Werror)
 
-foreach(program long_tasks)
+foreach(program long_tasks deadly_task)
   add_executable(review_${program} "${folder}/${program}.cc")
   target_link_libraries(review_${program} PRIVATE review_stand_ins_3)
   target_compile_options(review_${program} PRIVATE -Wall -Wextra -Werror)
 endforeach()
-add_custom_target(review_cases_3 DEPENDS review_long_tasks)
+add_custom_target(review_cases_3 DEPENDS review_long_tasks review_deadly_task)
