review: Case 12, lasting tasks that fail close all executors

Six sound executors, short jobs all the time, and one job of 72 lasting tasks that fail 1 to 3 s after their start. Three failures in a row quarantine an executor for 3 s, each further one begins that anew, and the tasks are tried again on the next executor after 50 ms. So all executors are closed at once for up to 4 s, again and again, with under half of the cores in use, and other jobs have nothing running for 3 s.

--- a/review/stand_ins_3/executor.cc
+++ b/review/stand_ins_3/executor.cc
@@ -271,6 +271,9 @@
       ending.emplace_back(task, "lapsed");
     } else if (run.stop_at <= now) {
       ending.emplace_back(task, "stopped");
+    } else if (run.plan.fails_after.count() > 0 &&
+               now >= run.started + run.plan.fails_after) {
+      ending.emplace_back(task, "failed");
     } else if (run.stop_at == TimePoint::max() && !run.plan.lasts &&
                WorkDone(run, now) >= run.plan.work) {
       ending.emplace_back(task, "done");
--- a/review/stand_ins_3/executor.h
+++ b/review/stand_ins_3/executor.h
@@ -31,6 +31,8 @@
   bool checkpointing = false;
   // It never ends by itself, and is at work once `work` is done.
   bool lasts = false;
+  // If not zero, the run ends as failed after this time.
+  Milliseconds fails_after{0};
   // If not zero, each run crashes its executor after this time.
   Milliseconds crashes_after{0};
 };
@@ -51,10 +53,11 @@
   Milliseconds down{3000};
   // Time from a stop to its end; at most the site's `StopTimeoutMs`.
   Milliseconds stop_time{100};
-  // Looks a task's plan up by its name ID.K.STEP.INDEX.
+  // Looks a run's plan up by the name ID.K.STEP.INDEX of its task.
   std::function<auto(const std::string& task)->TaskPlan> plan;
   // Called for each start and end, under the executor's lock. `event` is
-  // "start", or how the run ended: "done", "stopped", "lapsed" or "crashed".
+  // "start", or how the run ended: "done", "stopped", "failed", "lapsed" or
+  // "crashed".
   std::function<auto(const std::string& executor,
                      const std::string& event,
                      const std::string& task,
