--- a/review/stand_ins_3/failing_tasks.cc
+++ b/review/stand_ins_3/failing_tasks.cc
@@ -1,4 +1,4 @@
-// Case 12: a job whose lasting tasks fail beside short jobs, on sound
+// Case 11: a job whose lasting tasks fail beside short jobs, on sound
 // executors.
 //
 // failing_tasks PROGRAM FOLDER RECORD TROUBLE
--- a/review/stand_ins_3/overload.cc
+++ b/review/stand_ins_3/overload.cc
@@ -1,4 +1,4 @@
-// Case 11: a new owner and executors that don't guard their capacity.
+// Case 12: a new owner and executors that don't guard their capacity.
 //
 // overload PROGRAM FOLDER RECORD TROUBLE
 //
--- a/review/stand_ins_3/small_deployment.h
+++ b/review/stand_ins_3/small_deployment.h
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "Tests/StandIns/Platform/platform_stand_in.h"
 #include "review/stand_ins_3/executor.h"
+#include "review/stand_ins_3/store.h"
 
 namespace rhubarbhaven::review {
 
@@ -36,9 +36,15 @@
   std::string program;
   // Folder for settings and logs; it must exist.
   std::string folder;
-  // HOST:PORT of the platform's store. If empty, it is the project's stand-in
-  // with the queue /jobs/ at host queue.example.
+  // HOST:PORT of the platform's store. If empty, a store is started that holds
+  // a configuration with the queue /jobs/ at host queue.example.
   std::string store;
+  // If not zero, each entry reaches the store over a path of its own, on which
+  // an answer takes at least its size divided by this rate, in bytes a second.
+  // Needs `store`.
+  std::size_t entry_bytes_per_second = 0;
+  // `Limits.LinkMbps` of the entries, in megabits a second.
+  double link_mbps = 1000.0;
   // What all executors have in common; see `ExecutorOptions`.
   ExecutorOptions executor;
 };
@@ -67,15 +73,21 @@
   auto entries() const -> int { return static_cast<int>(fronts_.size()); }
   // Ends the process of this entry with SIGKILL.
   auto KillEntry(int entry) -> void;
+  // Starts the program of a killed entry again, with the same settings.
+  auto RestartEntry(int entry) -> void;
   // Whether every process that was started and not killed still runs.
   auto AllRun() -> bool;
 
  private:
-  auto StartProgram(const DeploymentOptions& options,
-                    const std::string& name,
-                    const std::string& settings) -> void;
+  // Returns the process. Its settings are in the folder, as NAME.json.
+  auto StartProgram(const std::string& name) -> pid_t;
+  auto WriteSettings(const std::string& name, const std::string& settings)
+      -> void;
 
-  std::unique_ptr<test::PlatformStandIn> platform_;
+  const std::string program_;
+  const std::string folder_;
+  std::unique_ptr<Store> store_;
+  std::vector<std::unique_ptr<test::FaultProxy>> paths_;
   std::vector<std::unique_ptr<Executor>> executors_;
   std::vector<std::string> fronts_;
   std::vector<std::string> readies_;
