review: Case 9, a large configuration and restarts on thin links

The configuration grows to 1,721 routes (327,285 bytes) on links of 2 Mbit/s, and the entries get through. Ten seconds later all entries are killed and started again, and a second after that the operator changes the configuration once. Each entry has read the newest records from before the change; its first read from there does not wait, so that it is given up after 1,200 ms, before the record has come, and begins again, for ever. No entry has a configuration in force, none becomes the owner, no job is accepted, and the lasting tasks do not run again.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,7 +4,7 @@
 set -u
 cd "$(dirname "$0")/../.."
 daemon=target/platform/rhubarbhavend
-case=build/review-3/review_long_tasks
+case=build/review-3/review_large_config
 if [ ! -x "$daemon" ] || [ ! -x "$case" ]; then
   echo "build the deploy file and review/build-3.sh first" >&2
   exit 2
--- a/review/stand_ins_3/targets.cmake
+++ b/review/stand_ins_3/targets.cmake
@@ -11,10 +11,10 @@
   rhubarbhaven_base nlohmann_json::nlohmann_json)
 target_compile_options(review_stand_ins_3 PRIVATE -Wall -Wextra -Werror)
 
-foreach(program deadly_task overload failing_tasks)
+foreach(program deadly_task overload failing_tasks large_config)
   add_executable(review_${program} "${folder}/${program}.cc")
   target_link_libraries(review_${program} PRIVATE review_stand_ins_3)
   target_compile_options(review_${program} PRIVATE -Wall -Wextra -Werror)
 endforeach()
 add_custom_target(review_cases_3 DEPENDS review_deadly_task review_overload
-  review_failing_tasks)
+  review_failing_tasks review_large_config)
