review: Case 10 has a task that ends

A task that is no lasting one crashes each executor 1.5 s after its start; each is back after 8 s. The task is started again when the lease has run out, 5 s after the crash, and the crash counts only when the executor's next life is seen, so that the count is behind: three starts after the third crash.

--- a/review/stand_ins_3/deadly_task.cc
+++ b/review/stand_ins_3/deadly_task.cc
@@ -1,10 +1,11 @@
-// Case 10: a task that lasts and crashes each executor that starts it.
+// Case 10: a task that crashes each executor that starts it.
 //
 // deadly_task PROGRAM FOLDER RECORD TROUBLE
 //
-// Short jobs come all the time, and one job of one task that lasts. With
-// TROUBLE=1 each run of that task crashes its executor kCrashAfter after it has
-// started; the executor is back 3 s later. Nothing else happens.
+// Short jobs come all the time, and one job of one task. With TROUBLE=1 each
+// run of that task crashes its executor kCrashAfter after it has started; the
+// executor is back kDown later. With TROUBLE=lasts the task is one that lasts.
+// Nothing else happens.
 //
 // Judged as BUDGET is written for such tasks: the task is started three more
 // times after three executors have crashed under it. All machines are in touch.
@@ -29,29 +30,33 @@
 constexpr Milliseconds kLead{10000};
 constexpr Milliseconds kShortInterval{500};
 constexpr Milliseconds kShortWork{640};
-constexpr Milliseconds kStartup{500};
-constexpr Milliseconds kCrashAfter{2500};
+constexpr Milliseconds kDeadlyWork{4000};
+constexpr Milliseconds kCrashAfter{1500};
+constexpr Milliseconds kDown{8000};
 constexpr Milliseconds kTraffic{75000};
 constexpr int kCrashes = 3;
 constexpr int kMoreStarts = 3;
-constexpr char kLastingJob[] = "00000000000000aa";
+constexpr char kDeadlyJob[] = "ffffffffffffffff";
 
 class Case {
  public:
   Case(const std::string& program,
        const std::string& folder,
        const std::string& record,
-       bool trouble)
-      : record_(record) {
+       const std::string& trouble)
+      : record_(record), lasts_(trouble == "lasts") {
     options_.program = program;
     options_.folder = folder;
     options_.executors = kExecutors;
-    options_.executor.plan = [trouble](const std::string& task) -> TaskPlan {
+    options_.executor.down = kDown;
+    const auto crashes_after = trouble == "0" ? Milliseconds(0) : kCrashAfter;
+    options_.executor.plan =
+        [this, crashes_after](const std::string& task) -> TaskPlan {
       TaskPlan plan{kShortWork, 500, 500};
-      if (task.starts_with(kLastingJob)) {
-        plan.work = kStartup;
-        plan.lasts = true;
-        plan.crashes_after = trouble ? kCrashAfter : Milliseconds(0);
+      if (task.starts_with(kDeadlyJob)) {
+        plan.work = kDeadlyWork;
+        plan.lasts = lasts_;
+        plan.crashes_after = crashes_after;
       }
       return plan;
     };
@@ -68,16 +73,15 @@
       return 2;
     }
     std::this_thread::sleep_for(kLead);
-    Submit(deployment, kLastingJob, /*lasts=*/true);
+    Submit(deployment, kDeadlyJob);
     const TimePoint end = Clock::now() + kTraffic;
     for (int number = 1; Clock::now() < end && !broken(); ++number) {
-      Submit(deployment, absl::StrCat(absl::Hex(number, absl::kZeroPad16)),
-             /*lasts=*/false);
+      Submit(deployment, absl::StrCat(absl::Hex(number, absl::kZeroPad16)));
       std::this_thread::sleep_for(kShortInterval);
     }
     std::string state;
-    const int status = deployment.Call(0, "GET", kLastingJob, &state);
-    record_.Write(absl::StrCat("the job that lasts: ", status, " ", state));
+    const int status = deployment.Call(0, "GET", kDeadlyJob, &state);
+    record_.Write(absl::StrCat("the deadly job: ", status, " ", state));
     if (!deployment.AllRun()) {
       record_.Write("a process of the system has ended");
       return 2;
@@ -96,13 +100,14 @@
     return starts_after_ >= kMoreStarts;
   }
 
-  auto Submit(SmallDeployment& deployment, const std::string& id, bool lasts)
-      -> void {
-    Json step = {{"Count", lasts ? 1 : 6},
-                 {"Cpu", 500},
-                 {"MemMb", 500},
-                 {"EstimatedMs", 640}};
-    if (lasts) {
+  auto Submit(SmallDeployment& deployment, const std::string& id) -> void {
+    const bool deadly = id == kDeadlyJob;
+    Json step = {
+        {"Count", deadly ? 1 : 6},
+        {"Cpu", 500},
+        {"MemMb", 500},
+        {"EstimatedMs", deadly ? kDeadlyWork.count() : kShortWork.count()}};
+    if (deadly && lasts_) {
       step["LongRunning"] = true;
     }
     std::string body =
@@ -119,7 +124,7 @@
     const std::lock_guard lock(mutex_);
     record_.Write(
         absl::StrCat(event, " ", task, " run ", run, " on ", executor));
-    if (!task.starts_with(kLastingJob)) {
+    if (!task.starts_with(kDeadlyJob)) {
       others_ += event == "crashed" ? 1 : 0;
       return;
     }
@@ -134,6 +139,7 @@
   }
 
   Record record_;
+  const bool lasts_;
   DeploymentOptions options_;
   std::mutex mutex_;
   std::set<std::string> crashed_under_;
@@ -150,7 +156,6 @@
     std::fprintf(stderr, "usage: deadly_task PROGRAM FOLDER RECORD TROUBLE\n");
     return 2;
   }
-  rhubarbhaven::review::Case test(argv[1], argv[2], argv[3],
-                                  std::string(argv[4]) != "0");
+  rhubarbhaven::review::Case test(argv[1], argv[2], argv[3], argv[4]);
   return test.Run();
 }
