--- a/review/stand_ins_3/large_config.cc
+++ b/review/stand_ins_3/large_config.cc
@@ -18,7 +18,7 @@
 #include <cstdio>
 #include <map>
 #include <nlohmann/json.hpp>
-#include <set>
+#include <optional>
 
 #include "review/stand_ins_3/small_deployment.h"
 #include "review/stand_ins_3/store.h"
@@ -43,6 +43,8 @@
 constexpr Milliseconds kKillAt{13000};
 constexpr Milliseconds kDown{500};
 constexpr Milliseconds kChangeAt{14500};
+constexpr Milliseconds kRollGap{2000};
+constexpr Milliseconds kRollChange{1000};
 constexpr Milliseconds kEnd{60000};
 constexpr Milliseconds kPoll{50};
 constexpr Milliseconds kCalm{4000};
@@ -53,6 +55,13 @@
 constexpr Milliseconds kStartup{300};
 constexpr char kLastingJob[] = "ffffffffffffffff";
 
+// The planned restart of an entry.
+struct Restart {
+  bool told = false;
+  std::optional<TimePoint> started;
+  bool changed = false;
+};
+
 struct LastingTask {
   bool runs = false;
   TimePoint ended_at;
@@ -64,8 +73,8 @@
   Case(const std::string& program,
        const std::string& folder,
        const std::string& record,
-       bool trouble)
-      : record_(record), trouble_(trouble) {
+       const std::string& trouble)
+      : record_(record), trouble_(trouble == "1"), rolls_(trouble == "roll") {
     Configure(kIdleRoutes);
     options_.program = program;
     options_.folder = folder;
@@ -145,7 +154,9 @@
           deployment.RestartEntry(entry);
         }
       }
-      if (!changed && now >= begin_ + kChangeAt) {
+      if (rolls_ && now >= begin_ + kKillAt) {
+        Roll(deployment, now);
+      } else if (!changed && now >= begin_ + kChangeAt) {
         changed = true;
         Configure(kIdleRoutes + kMoreRoutes);
       }
@@ -154,6 +165,28 @@
     }
   }
 
+  // One step of the planned restarts.
+  auto Roll(SmallDeployment& deployment, TimePoint now) -> void {
+    for (int entry = 0; entry < deployment.entries(); ++entry) {
+      Restart& restart = restarts_[entry];
+      if (!restart.told && now >= begin_ + kKillAt + entry * kRollGap) {
+        restart.told = true;
+        record_.Write(absl::StrCat("SIGTERM to entry ", entry));
+        deployment.TerminateEntry(entry);
+      } else if (restart.told && !restart.started &&
+                 deployment.EntryHasEnded(entry)) {
+        restart.started = now;
+        record_.Write(absl::StrCat("entry ", entry, " starts again"));
+        deployment.RestartEntry(entry);
+      } else if (restart.started && !restart.changed &&
+                 now >= *restart.started + kRollChange) {
+        restart.changed = true;
+        Configure(kIdleRoutes + kMoreRoutes);
+        rolled_at_ = now;
+      }
+    }
+  }
+
   auto Configure(int idle_routes) -> void {
     Json routes = Json::array();
     routes.push_back(Route("queue", "queue.example", "/jobs/"));
@@ -237,7 +270,9 @@
     known.ended_at = Clock::now();
   }
 
-  auto CalmFrom() const -> TimePoint { return begin_ + kChangeAt + kCalm; }
+  auto CalmFrom() const -> TimePoint {
+    return std::max(begin_ + kChangeAt, rolled_at_) + kCalm;
+  }
 
   auto Judge(SmallDeployment& deployment, TimePoint now) -> void {
     int64_t free = 0;
@@ -264,11 +299,14 @@
 
   Record record_;
   const bool trouble_;
+  const bool rolls_;
   Store store_;
   DeploymentOptions options_;
   TimePoint begin_;
   std::mutex mutex_;
   std::map<std::string, LastingTask> tasks_;
+  std::map<int, Restart> restarts_;
+  TimePoint rolled_at_;
   int version_ = 0;
   int broken_ = 0;
   int calls_after_ = 0;
@@ -283,7 +321,6 @@
     std::fprintf(stderr, "usage: large_config PROGRAM FOLDER RECORD TROUBLE\n");
     return 2;
   }
-  rhubarbhaven::review::Case test(argv[1], argv[2], argv[3],
-                                  std::string(argv[4]) != "0");
+  rhubarbhaven::review::Case test(argv[1], argv[2], argv[3], argv[4]);
   return test.Run();
 }
--- a/review/stand_ins_3/small_deployment.cc
+++ b/review/stand_ins_3/small_deployment.cc
@@ -237,6 +237,18 @@
   process = 0;
 }
 
+auto SmallDeployment::TerminateEntry(int entry) -> void {
+  kill(processes_.at(entry), SIGTERM);
+}
+
+auto SmallDeployment::EntryHasEnded(int entry) -> bool {
+  pid_t& process = processes_.at(entry);
+  if (process != 0 && waitpid(process, nullptr, WNOHANG) == process) {
+    process = 0;
+  }
+  return process == 0;
+}
+
 auto SmallDeployment::AllRun() -> bool {
   for (const pid_t process : processes_) {
     if (process == 0) {
--- a/review/stand_ins_3/small_deployment.h
+++ b/review/stand_ins_3/small_deployment.h
@@ -73,6 +73,11 @@
   auto entries() const -> int { return static_cast<int>(fronts_.size()); }
   // Ends the process of this entry with SIGKILL.
   auto KillEntry(int entry) -> void;
+  // Sends SIGTERM to the process of this entry.
+  auto TerminateEntry(int entry) -> void;
+  // Whether the process of this entry has ended after a SIGTERM. It counts as
+  // killed from then on.
+  auto EntryHasEnded(int entry) -> bool;
   // Starts the program of a killed entry again, with the same settings.
   auto RestartEntry(int entry) -> void;
   // Whether every process that was started and not killed still runs.
