Jobs: The log's follower, barrier and batcher in a folder of their own

The flat folder had 100 files. What speaks to the keyed log now stands in Source/Jobs/Log, in the same library; rhubarbhaven_package takes the folders below a package that belong to it. No change of logic.

--- a/Modules/RhubarbhavenPackage.cmake
+++ b/Modules/RhubarbhavenPackage.cmake
@@ -1,11 +1,15 @@
-# rhubarbhaven_package(NAME DEPENDS target...)
+# rhubarbhaven_package(NAME [FOLDERS folder...] DEPENDS target...)
 #
 # Adds the library rhubarbhaven_<name>, built from every source file in the
-# current folder. Users of a package include its one public header, "<Name>/<name>.h".
+# current folder and in the named folders below it. Users of a package include its one public header, "<Name>/<name>.h".
 function(rhubarbhaven_package name)
-  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "FOLDERS;DEPENDS" ${ARGN})
   string(TOLOWER ${name} lower)
-  file(GLOB sources CONFIGURE_DEPENDS "${CMAKE_CURRENT_SOURCE_DIR}/*.cc")
+  set(patterns "${CMAKE_CURRENT_SOURCE_DIR}/*.cc")
+  foreach(folder IN LISTS ARG_FOLDERS)
+    list(APPEND patterns "${CMAKE_CURRENT_SOURCE_DIR}/${folder}/*.cc")
+  endforeach()
+  file(GLOB sources CONFIGURE_DEPENDS ${patterns})
   if(NOT sources)
     # The package has only its public header so far.
     add_library(rhubarbhaven_${lower} INTERFACE)
--- a/Source/Jobs/append_batcher.cc
+++ b/Source/Jobs/Log/append_batcher.cc
@@ -1,4 +1,4 @@
-#include "Jobs/append_batcher.h"
+#include "Jobs/Log/append_batcher.h"
 
 #include <algorithm>
 #include <utility>
--- a/Source/Jobs/append_batcher.h
+++ b/Source/Jobs/Log/append_batcher.h
@@ -1,5 +1,5 @@
-#ifndef RHUBARBHAVEN_JOBS_APPEND_BATCHER_H_
-#define RHUBARBHAVEN_JOBS_APPEND_BATCHER_H_
+#ifndef RHUBARBHAVEN_JOBS_LOG_APPEND_BATCHER_H_
+#define RHUBARBHAVEN_JOBS_LOG_APPEND_BATCHER_H_
 
 #include <cstdint>
 #include <deque>
@@ -161,4 +161,4 @@
 
 }  // namespace rhubarbhaven::jobs
 
-#endif  // RHUBARBHAVEN_JOBS_APPEND_BATCHER_H_
+#endif  // RHUBARBHAVEN_JOBS_LOG_APPEND_BATCHER_H_
--- a/Source/Jobs/keyed_log.h
+++ b/Source/Jobs/Log/keyed_log.h
@@ -1,5 +1,5 @@
-#ifndef RHUBARBHAVEN_JOBS_KEYED_LOG_H_
-#define RHUBARBHAVEN_JOBS_KEYED_LOG_H_
+#ifndef RHUBARBHAVEN_JOBS_LOG_KEYED_LOG_H_
+#define RHUBARBHAVEN_JOBS_LOG_KEYED_LOG_H_
 
 #include <chrono>
 #include <cstdint>
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "Base/base.h"
-#include "Jobs/append_batcher.h"
+#include "Jobs/Log/append_batcher.h"
 #include "Jobs/job_records.h"
 
 namespace rhubarbhaven::jobs {
@@ -87,4 +87,4 @@
 
 }  // namespace rhubarbhaven::jobs
 
-#endif  // RHUBARBHAVEN_JOBS_KEYED_LOG_H_
+#endif  // RHUBARBHAVEN_JOBS_LOG_KEYED_LOG_H_
--- a/Source/Jobs/keyed_log_follower.cc
+++ b/Source/Jobs/Log/keyed_log_follower.cc
@@ -1,4 +1,4 @@
-#include "Jobs/keyed_log_follower.h"
+#include "Jobs/Log/keyed_log_follower.h"
 
 #include <algorithm>
 #include <utility>
--- a/Source/Jobs/keyed_log_follower.h
+++ b/Source/Jobs/Log/keyed_log_follower.h
@@ -1,5 +1,5 @@
-#ifndef RHUBARBHAVEN_JOBS_KEYED_LOG_FOLLOWER_H_
-#define RHUBARBHAVEN_JOBS_KEYED_LOG_FOLLOWER_H_
+#ifndef RHUBARBHAVEN_JOBS_LOG_KEYED_LOG_FOLLOWER_H_
+#define RHUBARBHAVEN_JOBS_LOG_KEYED_LOG_FOLLOWER_H_
 
 #include <functional>
 #include <memory>
@@ -7,7 +7,7 @@
 #include <set>
 #include <string>
 
-#include "Jobs/keyed_log.h"
+#include "Jobs/Log/keyed_log.h"
 
 namespace rhubarbhaven::jobs {
 
@@ -148,4 +148,4 @@
 
 }  // namespace rhubarbhaven::jobs
 
-#endif  // RHUBARBHAVEN_JOBS_KEYED_LOG_FOLLOWER_H_
+#endif  // RHUBARBHAVEN_JOBS_LOG_KEYED_LOG_FOLLOWER_H_
--- a/Source/Jobs/read_barrier.cc
+++ b/Source/Jobs/Log/read_barrier.cc
@@ -1,4 +1,4 @@
-#include "Jobs/read_barrier.h"
+#include "Jobs/Log/read_barrier.h"
 
 #include <algorithm>
 #include <utility>
--- a/Source/Jobs/read_barrier.h
+++ b/Source/Jobs/Log/read_barrier.h
@@ -1,12 +1,12 @@
-#ifndef RHUBARBHAVEN_JOBS_READ_BARRIER_H_
-#define RHUBARBHAVEN_JOBS_READ_BARRIER_H_
+#ifndef RHUBARBHAVEN_JOBS_LOG_READ_BARRIER_H_
+#define RHUBARBHAVEN_JOBS_LOG_READ_BARRIER_H_
 
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <vector>
 
-#include "Jobs/keyed_log.h"
+#include "Jobs/Log/keyed_log.h"
 
 namespace rhubarbhaven::jobs {
 
@@ -75,4 +75,4 @@
 
 }  // namespace rhubarbhaven::jobs
 
-#endif  // RHUBARBHAVEN_JOBS_READ_BARRIER_H_
+#endif  // RHUBARBHAVEN_JOBS_LOG_READ_BARRIER_H_
--- a/Source/Jobs/agent_registration.h
+++ b/Source/Jobs/agent_registration.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "Base/base.h"
-#include "Jobs/append_batcher.h"
+#include "Jobs/Log/append_batcher.h"
 
 namespace rhubarbhaven::jobs {
 
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -9,18 +9,18 @@
 #include <set>
 #include <string>
 
+#include "Jobs/Log/append_batcher.h"
+#include "Jobs/Log/keyed_log_follower.h"
+#include "Jobs/Log/read_barrier.h"
 #include "Jobs/agent_stops.h"
-#include "Jobs/append_batcher.h"
 #include "Jobs/diagnostic_limiter.h"
 #include "Jobs/job_check.h"
 #include "Jobs/job_fold.h"
 #include "Jobs/job_owner.h"
 #include "Jobs/job_requests.h"
-#include "Jobs/keyed_log_follower.h"
 #include "Jobs/lag_monitor.h"
 #include "Jobs/owner_election.h"
 #include "Jobs/queue_directory.h"
-#include "Jobs/read_barrier.h"
 #include "Jobs/recent_gap.h"
 
 namespace rhubarbhaven::jobs {
--- a/Source/Jobs/jobs.h
+++ b/Source/Jobs/jobs.h
@@ -5,9 +5,11 @@
 // election of the owner that decides about them, the placement of their tasks,
 // and the agents' part. No I/O, locks, clocks or threads.
 
+#include "Jobs/Log/append_batcher.h"
+#include "Jobs/Log/keyed_log.h"
+#include "Jobs/Log/keyed_log_follower.h"
 #include "Jobs/agent_registration.h"
 #include "Jobs/agent_stops.h"
-#include "Jobs/append_batcher.h"
 #include "Jobs/crash_record.h"
 #include "Jobs/diagnostic_limiter.h"
 #include "Jobs/entry_decisions.h"
@@ -20,8 +22,6 @@
 #include "Jobs/job_records.h"
 #include "Jobs/job_requests.h"
 #include "Jobs/job_work.h"
-#include "Jobs/keyed_log.h"
-#include "Jobs/keyed_log_follower.h"
 #include "Jobs/lag_monitor.h"
 #include "Jobs/opportunistic_pacing.h"
 #include "Jobs/order_basis.h"
--- a/Source/Jobs/start_check.h
+++ b/Source/Jobs/start_check.h
@@ -9,8 +9,8 @@
 #include <utility>
 
 #include "Base/base.h"
+#include "Jobs/Log/keyed_log.h"
 #include "Jobs/job_fold.h"
-#include "Jobs/keyed_log.h"
 
 namespace rhubarbhaven::jobs {
 
