--- a/Source/Daemon/job_service.cc
+++ b/Source/Daemon/job_service.cc
@@ -4,6 +4,22 @@
 
 namespace rhubarbhaven {
 
+namespace {
+
+auto OnThread(const jobs::OnTransferProgress& on_progress,
+              EventLoopThread* thread) -> jobs::OnTransferProgress {
+  if (!on_progress) {
+    return nullptr;
+  }
+  return [on_progress, thread](TimePoint, std::size_t bytes) -> void {
+    thread->PostOrWait([on_progress, bytes](TimePoint now) -> void {
+      on_progress(now, bytes);
+    });
+  };
+}
+
+}  // namespace
+
 auto OnThread(const jobs::KeyedLogPort& port, EventLoopThread* thread)
     -> jobs::KeyedLogPort {
   jobs::KeyedLogPort on_thread;
@@ -18,16 +34,18 @@
         });
   };
   on_thread.read = [port, thread](
-                       const jobs::ReadCall& call,
+                       jobs::ReadCall call,
                        const jobs::KeyedLogPort::OnRead& done) -> void {
+    call.on_progress = OnThread(call.on_progress, thread);
     port.read(call, [thread, done](TimePoint, jobs::ReadResult result) -> void {
       thread->PostOrWait([done, result = std::move(result)](
                              TimePoint now) -> void { done(now, result); });
     });
   };
   on_thread.newest = [port, thread](
-                         const jobs::NewestCall& call,
+                         jobs::NewestCall call,
                          const jobs::KeyedLogPort::OnNewest& done) -> void {
+    call.on_progress = OnThread(call.on_progress, thread);
     port.newest(
         call, [thread, done](TimePoint, jobs::NewestResult result) -> void {
           thread->PostOrWait([done, result = std::move(result)](
--- a/Source/Jobs/Log/keyed_log.h
+++ b/Source/Jobs/Log/keyed_log.h
@@ -21,6 +21,24 @@
   kOperators,
 };
 
+// Limits on a response of the log. Its size, and with a thin link the duration
+// of its transfer, is determined by those who write the records, so the limits
+// are on silence. A transfer that makes progress is not given up: the log
+// cannot continue it, and the next one would be as long.
+struct TransferLimits {
+  // Until the first byte, in addition to the wait that was requested.
+  std::chrono::milliseconds response{1200};
+  // From then on, at least `min_bytes` must arrive within each `interval`.
+  std::chrono::milliseconds interval{1200};
+  std::size_t min_bytes = 4096;
+  // Of the whole call, in addition to the wait. Limits the harm of a log that
+  // sends little for ever.
+  std::chrono::milliseconds total{30000};
+};
+
+// Called with the number of bytes of a response that have arrived.
+using OnTransferProgress = std::function<auto(TimePoint, std::size_t)->void>;
+
 struct ReadCall {
   LogTopic topic = LogTopic::kJobs;
   // Offset of the first record to read.
@@ -30,6 +48,9 @@
   // Approximate limit on the size of the records in the response. At least one
   // record is returned.
   std::size_t max_bytes = 1 << 20;
+  TransferLimits limits{};
+  // May be null.
+  OnTransferProgress on_progress = nullptr;
 };
 
 enum class ReadOutcome {
@@ -49,6 +70,8 @@
   std::string error;
   // With kFailed: no complete response arrived in time.
   bool timed_out = false;
+  // Size of what has arrived of the response.
+  std::size_t bytes = 0;
 };
 
 // Sorts after every key.
@@ -58,7 +81,9 @@
   LogTopic topic = LogTopic::kJobs;
   // Lists the keys after this one. Empty for the first page.
   std::string after;
-  std::chrono::milliseconds timeout{2000};
+  TransferLimits limits{};
+  // May be null.
+  OnTransferProgress on_progress = nullptr;
 };
 
 // One page of the newest records of each key. The pages are not a consistent
@@ -70,8 +95,10 @@
   uint64_t end = 0;
   // If not answered: the error, for log lines.
   std::string error;
-  // If not answered: the timeout passed while the response was arriving.
-  bool incomplete = false;
+  // If not answered: no complete response arrived in time.
+  bool timed_out = false;
+  // Size of what has arrived of the response.
+  std::size_t bytes = 0;
 };
 
 // Calls to the log. Each calls back exactly once, also when the log is
--- a/Source/Jobs/Log/keyed_log_follower.cc
+++ b/Source/Jobs/Log/keyed_log_follower.cc
@@ -18,8 +18,7 @@
     : options_(options),
       port_(std::move(port)),
       hooks_(std::move(hooks)),
-      read_bytes_(options.max_bytes),
-      page_timeout_(options.min_page_timeout) {}
+      read_bytes_(options.max_bytes) {}
 
 auto KeyedLogFollower::Start(TimePoint now) -> void {
   RequestNewest(now);
@@ -30,20 +29,53 @@
     current_ = false;
     hooks_.on_restart();
   }
+  NewestCall call;
+  call.topic = options_.topic;
+  call.after = after_;
+  call.limits = options_.page_limits;
+  call.limits.total = total_.value_or(call.limits.total);
+  call.on_progress = BeginCall(now, /*newest=*/true);
+  port_.newest(call, [this](TimePoint now, const NewestResult& result) -> void {
+    OnNewest(now, result);
+  });
+}
+
+auto KeyedLogFollower::BeginCall(TimePoint now, bool newest)
+    -> OnTransferProgress {
   requested_at_ = now;
-  port_.newest({options_.topic, after_, page_timeout_},
-               [this](TimePoint now, const NewestResult& result) -> void {
-                 OnNewest(now, result);
-               });
+  requested_wait_ = std::chrono::milliseconds(0);
+  return [this, newest, call = ++calls_](TimePoint then,
+                                         std::size_t bytes) -> void {
+    if (call != calls_) {
+      return;
+    }
+    if (!transfer_) {
+      transfer_ = FollowerTransfer{newest, then, 0};
+    }
+    transfer_->bytes = bytes;
+  };
+}
+
+auto KeyedLogFollower::EndCall() -> void {
+  ++calls_;
+  transfer_.reset();
+}
+
+auto KeyedLogFollower::AdjustTotal(bool timed_out, std::size_t bytes) -> void {
+  if (!timed_out) {
+    total_.reset();
+  } else if (bytes >= options_.read_limits.min_bytes) {
+    total_ = std::min(total_.value_or(options_.read_limits.total) * 2,
+                      options_.max_total);
+  }
 }
 
 auto KeyedLogFollower::OnNewest(TimePoint now, const NewestResult& result)
     -> void {
   ReportPage(now, result);
+  EndCall();
+  AdjustTotal(result.timed_out, result.bytes);
   if (!result.answered) {
-    if (result.incomplete) {
-      page_timeout_ = std::min(page_timeout_ * 2, options_.max_page_timeout);
-    }
     OnFailure(now, result.error, /*read_on=*/false);
     return;
   }
@@ -64,7 +96,6 @@
   }
   after_.clear();
   first_page_ = true;
-  page_timeout_ = options_.min_page_timeout;
   RemoveMissingKeys(now);
   Read(now);
 }
@@ -87,16 +118,24 @@
     wait = hooks_.read_wait ? hooks_.read_wait(options_.read_wait)
                             : options_.read_wait;
   }
-  requested_at_ = now;
+  ReadCall call;
+  call.topic = options_.topic;
+  call.from = next_;
+  call.wait = wait;
+  call.max_bytes = read_bytes_;
+  call.limits = options_.read_limits;
+  call.limits.total = total_.value_or(call.limits.total);
+  call.on_progress = BeginCall(now, /*newest=*/false);
   requested_wait_ = wait;
-  port_.read({options_.topic, next_, wait, read_bytes_},
-             [this](TimePoint then, const ReadResult& result) -> void {
-               OnRead(then, result);
-             });
+  port_.read(call, [this](TimePoint then, const ReadResult& result) -> void {
+    OnRead(then, result);
+  });
 }
 
 auto KeyedLogFollower::OnRead(TimePoint now, const ReadResult& result) -> void {
   ReportRead(now, result);
+  EndCall();
+  AdjustTotal(result.timed_out, result.bytes);
   switch (result.outcome) {
     case ReadOutcome::kFailed:
       if (result.timed_out) {
@@ -194,22 +233,27 @@
   });
 }
 
+auto KeyedLogFollower::ResponseBeganAt() const -> std::optional<TimePoint> {
+  return transfer_ ? std::optional(transfer_->began_at) : std::nullopt;
+}
+
 auto KeyedLogFollower::ReportPage(TimePoint now,
                                   const NewestResult& result) const -> void {
   if (hooks_.on_call) {
     hooks_.on_call(
         now, {/*newest=*/true, requested_at_, std::chrono::milliseconds(0),
-              /*from=*/0, result.records.size(), result.end, result.error,
-              !reachable_});
+              /*from=*/0, result.records.size(), result.bytes,
+              ResponseBeganAt(), result.end, result.error, !reachable_});
   }
 }
 
 auto KeyedLogFollower::ReportRead(TimePoint now, const ReadResult& result) const
     -> void {
   if (hooks_.on_call) {
-    hooks_.on_call(
-        now, {/*newest=*/false, requested_at_, requested_wait_, next_,
-              result.records.size(), result.end, result.error, !reachable_});
+    hooks_.on_call(now,
+                   {/*newest=*/false, requested_at_, requested_wait_, next_,
+                    result.records.size(), result.bytes, ResponseBeganAt(),
+                    result.end, result.error, !reachable_});
   }
 }
 
--- a/Source/Jobs/Log/keyed_log_follower.h
+++ b/Source/Jobs/Log/keyed_log_follower.h
@@ -21,12 +21,12 @@
   // slow path, and grows slowly after each other read.
   std::size_t min_bytes = 16 << 10;
   std::size_t max_bytes = 1 << 20;
-  // Bounds of the timeout for a page of newest records. The timeout doubles
-  // after a page that arrived too slowly, since a smaller page cannot be
-  // requested. It does not grow while the log is silent: a request that was
-  // sent into the silence would outlast it by as long.
-  std::chrono::milliseconds min_page_timeout{2000};
-  std::chrono::milliseconds max_page_timeout{16000};
+  // The limit on the whole of a transfer doubles, up to `max_total`, after each
+  // one that exceeded it while bytes arrived: neither a single record nor a
+  // page of newest records can be requested in parts.
+  TransferLimits read_limits{};
+  TransferLimits page_limits{.response = std::chrono::milliseconds(2000)};
+  std::chrono::milliseconds max_total{120000};
   // Pause after a failure.
   std::chrono::milliseconds initial_backoff{50};
   std::chrono::milliseconds max_backoff{400};
@@ -42,6 +42,10 @@
   // Offset from which records were requested. Zero for newest records.
   uint64_t from = 0;
   std::size_t records = 0;
+  // Size of what has arrived of the response.
+  std::size_t bytes = 0;
+  // When its first byte was seen; none if there was none.
+  std::optional<TimePoint> response_began_at;
   // Offset after the last record of the log, as the response has it.
   uint64_t end = 0;
   // Empty if the call was answered.
@@ -50,6 +54,14 @@
   bool after_failure = false;
 };
 
+// A response to a follower that is arriving.
+struct FollowerTransfer {
+  // See `FollowerCall`.
+  bool newest = false;
+  TimePoint began_at;
+  std::size_t bytes = 0;
+};
+
 struct KeyedLogFollowerHooks {
   // Schedules a function for that time, on the thread to which the follower
   // belongs.
@@ -80,8 +92,8 @@
 
 // Follows one keyed log: reads the newest record of each key, then reads
 // incrementally from there, and restarts when the history that it needs has
-// been compacted. All of its state belongs to one thread, on which the calls to
-// the log call back.
+// been compacted. One call is in flight at a time. All of its state belongs to
+// one thread, on which the calls to the log call back.
 class KeyedLogFollower {
  public:
   KeyedLogFollower(KeyedLogFollowerOptions options,
@@ -101,6 +113,10 @@
       -> bool {
     return caught_up_at_ != TimePoint() && now - caught_up_at_ < gap;
   }
+  // The response that is arriving; none if none is.
+  auto transfer() const -> const std::optional<FollowerTransfer>& {
+    return transfer_;
+  }
   // Offset after the last record that was read; none while the newest records
   // are being re-read.
   auto read_to() const -> std::optional<uint64_t> {
@@ -114,6 +130,13 @@
   auto Read(TimePoint now) -> void;
   auto OnRead(TimePoint now, const ReadResult& result) -> void;
   auto GrowReadSize() -> void;
+  // Begins a call to the log. Returns the function that it notifies of
+  // progress.
+  auto BeginCall(TimePoint now, bool newest) -> OnTransferProgress;
+  auto EndCall() -> void;
+  // Increases the limit on a whole transfer if one was incomplete for it.
+  auto AdjustTotal(bool timed_out, std::size_t bytes) -> void;
+  auto ResponseBeganAt() const -> std::optional<TimePoint>;
   auto ReportPage(TimePoint now, const NewestResult& result) const -> void;
   auto ReportRead(TimePoint now, const ReadResult& result) const -> void;
   auto Deliver(TimePoint now, const KeyedRecord& record) -> void;
@@ -138,9 +161,13 @@
   // Start time of the call in flight, and wait of the read.
   TimePoint requested_at_;
   std::chrono::milliseconds requested_wait_{0};
+  std::optional<FollowerTransfer> transfer_;
+  // Number of calls so far; distinguishes the call in flight from earlier ones.
+  uint64_t calls_ = 0;
   std::chrono::milliseconds backoff_{0};
   std::size_t read_bytes_;
-  std::chrono::milliseconds page_timeout_;
+  // Limit on a whole transfer; none before one has exceeded the usual limit.
+  std::optional<std::chrono::milliseconds> total_;
   bool pausing_ = false;
   // Number of pauses so far; distinguishes a pause from earlier ones.
   uint64_t pauses_ = 0;
--- a/Source/Jobs/Log/read_barrier.cc
+++ b/Source/Jobs/Log/read_barrier.cc
@@ -12,7 +12,6 @@
 // Minimum interval between two requests. Calls for jobs that do not exist must
 // not exhaust the read capacity of the log.
 constexpr std::chrono::milliseconds kMinRequestInterval{20};
-constexpr std::chrono::milliseconds kEndTimeout{1200};
 
 }  // namespace
 
@@ -67,7 +66,10 @@
   for (auto& waiter : waiters_) {
     waiter.requested = true;
   }
-  hooks_.newest({hooks_.topic, kAfterAllKeys, kEndTimeout},
+  NewestCall call;
+  call.topic = hooks_.topic;
+  call.after = kAfterAllKeys;
+  hooks_.newest(call,
                 [this](TimePoint then, const NewestResult& result) -> void {
                   OnEnd(then, result);
                 });
--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -145,6 +145,8 @@
     ConfirmConfiguration(now);
   }
   LogConfirmation(now);
+  LogConfigurationWait(now);
+  LogTransfers(now);
   ExpireSubmissions(now);
   UpdateReady(now);
   SendAppends(now);
@@ -206,9 +208,9 @@
     };
     hooks.pause = [this]() -> std::chrono::milliseconds { return ReadPause(); };
   }
-  hooks.on_call = [this, is_jobs](TimePoint now,
-                                  const FollowerCall& call) -> void {
-    LogFollowerCall(now, is_jobs ? "jobs" : "operators", call);
+  hooks.on_call = [this, topic](TimePoint now,
+                                const FollowerCall& call) -> void {
+    LogFollowerCall(now, topic, call);
   };
   hooks.on_reachable = [this, is_jobs](const std::string& error) -> void {
     log_.Write(error.empty() ? "log_found" : "log_lost",
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -192,12 +192,15 @@
   auto OnResignationRead(TimePoint now, const std::string& entry) -> void;
   auto UpdateReady(TimePoint now) -> void;
   auto MakeOwnerHooks() -> JobOwnerHooks;
-  auto LogFollowerCall(TimePoint now,
-                       const std::string& topic,
-                       const FollowerCall& call) -> void;
+  auto LogFollowerCall(TimePoint now, LogTopic topic, const FollowerCall& call)
+      -> void;
   // Time since which newer versions of the configuration may exist.
   auto ConfigurationAge(TimePoint now) const -> Duration;
   auto LogConfirmation(TimePoint now) -> void;
+  // Logs that there has been no confirmed configuration for some time.
+  auto LogConfigurationWait(TimePoint now) -> void;
+  // Logs responses of the log that have been arriving for some time.
+  auto LogTransfers(TimePoint now) -> void;
   auto LogAccepted(const Submission& submission) -> void;
   auto NoteLag(Duration lag) -> void;
   auto NoteStartDelay(Duration delay) -> void;
@@ -221,6 +224,12 @@
   bool ready_ = false;
   // The latest line about the configuration says that it is not confirmed.
   bool unconfirmed_logged_ = false;
+  // Since when there has been no confirmed configuration; none if there is one.
+  std::optional<TimePoint> unconfirmed_since_;
+  TimePoint next_wait_log_;
+  TimePoint next_transfer_log_;
+  // Of the latest call for the operators' log; empty if it was answered.
+  std::string operators_error_;
 
   JobFold fold_;
   AgentStops agent_stops_;
--- a/Source/Jobs/entry_logging.cc
+++ b/Source/Jobs/entry_logging.cc
@@ -13,6 +13,11 @@
 // A call to the log is logged if it takes this much longer than the wait for a
 // record that it asked for.
 constexpr std::chrono::milliseconds kSlowLogCall{500};
+// A response that is arriving is logged once it has taken this long, and again
+// after as long.
+constexpr std::chrono::milliseconds kTransferLogInterval{2000};
+// The same for the time without a confirmed configuration.
+constexpr std::chrono::milliseconds kWaitLogInterval{5000};
 // Less is logged by no line: a single lost message is repeated too.
 constexpr uint64_t kMinRepeatedBytes = 4096;
 // An overload has ended once no job has been displaced for this long.
@@ -27,35 +32,106 @@
                        });
 }
 
+auto TopicForLog(LogTopic topic) -> std::string {
+  return topic == LogTopic::kJobs ? "jobs" : "operators";
+}
+
+// Bytes per second; empty if there is no measurable time.
+auto RateForLog(std::size_t bytes, Duration span) -> std::string {
+  const double seconds = std::chrono::duration<double>(span).count();
+  return seconds > 0
+             ? absl::StrCat(std::llround(static_cast<double>(bytes) / seconds))
+             : "";
+}
+
 }  // namespace
 
 auto EntryDecisions::LogFollowerCall(TimePoint now,
-                                     const std::string& topic,
+                                     LogTopic topic,
                                      const FollowerCall& call) -> void {
+  if (topic == LogTopic::kOperators) {
+    operators_error_ = call.error;
+  }
+  metrics_->Add(
+      absl::StrCat("rhubarbhaven_log_", TopicForLog(topic), "_bytes_total"),
+      call.bytes);
   const Duration took = now - call.requested_at;
   const bool found = call.error.empty() && call.after_failure;
   if (!found && took < call.wait + kSlowLogCall) {
     return;
   }
-  log_.Write("log_call", {{"topic", topic},
+  const Duration span = now - call.response_began_at.value_or(now);
+  log_.Write("log_call", {{"topic", TopicForLog(topic)},
                           {"call", call.newest ? "newest" : "read"},
                           {"took_ms", InMilliseconds(took)},
                           {"wait_ms", absl::StrCat(call.wait.count())},
                           {"from", absl::StrCat(call.from)},
                           {"records", absl::StrCat(call.records)},
                           {"end", absl::StrCat(call.end)},
+                          {"bytes", absl::StrCat(call.bytes)},
+                          {"bytes_per_s", RateForLog(call.bytes, span)},
                           {"why", call.error}});
 }
 
+auto EntryDecisions::LogTransfers(TimePoint now) -> void {
+  if (now < next_transfer_log_) {
+    return;
+  }
+  for (const auto topic : {LogTopic::kJobs, LogTopic::kOperators}) {
+    const auto& follower =
+        topic == LogTopic::kJobs ? job_follower_ : operator_follower_;
+    const auto& transfer = follower.transfer();
+    if (!transfer || now - transfer->began_at < kTransferLogInterval) {
+      continue;
+    }
+    next_transfer_log_ = now + kTransferLogInterval;
+    const Duration span = now - transfer->began_at;
+    log_.Write("log_transfer",
+               {{"topic", TopicForLog(topic)},
+                {"call", transfer->newest ? "newest" : "read"},
+                {"took_ms", InMilliseconds(span)},
+                {"bytes", absl::StrCat(transfer->bytes)},
+                {"bytes_per_s", RateForLog(transfer->bytes, span)}});
+  }
+}
+
+auto EntryDecisions::LogConfigurationWait(TimePoint now) -> void {
+  if (queues_.known() && ConfigurationConfirmed(now)) {
+    unconfirmed_since_.reset();
+  } else if (!unconfirmed_since_) {
+    unconfirmed_since_ = now;
+    next_wait_log_ = now + kWaitLogInterval;
+  }
+  const Duration waited = now - unconfirmed_since_.value_or(now);
+  metrics_->SetGauge("rhubarbhaven_configuration_unconfirmed_seconds",
+                     std::chrono::duration<double>(waited).count());
+  if (!unconfirmed_since_ || now < next_wait_log_) {
+    return;
+  }
+  next_wait_log_ = now + kWaitLogInterval;
+  const auto& transfer = operator_follower_.transfer();
+  const std::size_t bytes = transfer ? transfer->bytes : 0;
+  const Duration span = transfer ? now - transfer->began_at : Duration(0);
+  log_.Warn("config_waits",
+            {{"config_version", absl::StrCat(queues_.version())},
+             {"waited_ms", InMilliseconds(waited)},
+             {"bytes", absl::StrCat(bytes)},
+             {"bytes_per_s", RateForLog(bytes, span)},
+             {"why", operators_error_}});
+}
+
 auto EntryDecisions::LogConfirmation(TimePoint now) -> void {
   const bool unconfirmed = queues_.known() && !ConfigurationConfirmed(now);
   if (unconfirmed == unconfirmed_logged_) {
     return;
   }
   unconfirmed_logged_ = unconfirmed;
-  log_.Write(unconfirmed ? "config_unconfirmed" : "config_confirmed",
-             {{"config_version", absl::StrCat(queues_.version())},
-              {"config_age_ms", InMilliseconds(ConfigurationAge(now))}});
+  const bool ever_confirmed = configuration_as_of_ != TimePoint();
+  log_.Write(
+      unconfirmed ? "config_unconfirmed" : "config_confirmed",
+      {{"config_version", absl::StrCat(queues_.version())},
+       {"config_age_ms",
+        ever_confirmed ? InMilliseconds(ConfigurationAge(now)) : "never"}});
 }
 
 auto EntryDecisions::LogAccepted(const Submission& submission) -> void {
--- a/Source/Jobs/start_check.cc
+++ b/Source/Jobs/start_check.cc
@@ -50,6 +50,13 @@
   ReadCall call;
   call.from = next_;
   call.max_bytes = kReadBytes;
+  call.on_progress = [this, generation = generation_](TimePoint then,
+                                                      std::size_t) -> void {
+    if (generation == generation_ && reading_) {
+      // The log is not unreachable while its response is arriving.
+      unanswered_since_ = then;
+    }
+  };
   read_(call,
         [this, now, generation = generation_](
             TimePoint then, const ReadResult& result) -> void {
--- a/Source/Transport/http_client.cc
+++ b/Source/Transport/http_client.cc
@@ -7,10 +7,12 @@
 #include <absl/strings/strip.h>
 #include <curl/curl.h>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <thread>
 
 namespace rhubarbhaven {
@@ -18,6 +20,7 @@
 
 constexpr std::size_t kCallRingCapacity = 4096;
 constexpr std::chrono::milliseconds kPollLimit{1000};
+constexpr std::chrono::milliseconds kProgressReportInterval{200};
 
 auto InitCurlOnce() -> void {
   static const CURLcode code = curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -29,7 +32,9 @@
 class Transfer {
  public:
   Transfer(CURL* handle, HttpClientRequest request)
-      : handle_(handle), request_(std::move(request)) {
+      : handle_(handle),
+        request_(std::move(request)),
+        progressed_at_(Clock::now()) {
     curl_easy_reset(handle_);
     SetOptions();
   }
@@ -44,6 +49,7 @@
     long status = 0;
     curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
     answer_.http.set_status(static_cast<uint32_t>(status));
+    answer_.received_bytes = received_bytes_;
     if (code != CURLE_OK) {
       Fail(code);
     } else if (!length_known_ && HasBody(status)) {
@@ -59,6 +65,15 @@
   }
 
   auto handle() const -> CURL* { return handle_; }
+  auto has_progress_limits() const -> bool {
+    return request_.progress_limits.has_value();
+  }
+  // When the call exceeds its limits unless more of the response arrives.
+  auto progress_deadline() const -> TimePoint {
+    const auto& limits = *request_.progress_limits;
+    return progressed_at_ +
+           (received_bytes_ == 0 ? limits.first_byte : limits.interval);
+  }
 
  private:
   auto SetOptions() -> void {
@@ -114,6 +129,10 @@
     answer_.error = resend_blocked_
                         ? "The connection was lost before the response"
                         : curl_easy_strerror(code);
+    if (code == CURLE_OPERATION_TIMEDOUT && received_bytes_ > 0) {
+      absl::StrAppend(&answer_.error, ", ", received_bytes_,
+                      " bytes of the response have arrived");
+    }
     answer_.maybe_sent = send_started_;
     answer_.reason = ReasonOf(code);
   }
@@ -149,9 +168,27 @@
     return self->resend_blocked_ ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
   }
 
+  auto OnReceived(std::size_t size) -> void {
+    const TimePoint now = Clock::now();
+    const bool is_first = received_bytes_ == 0;
+    received_bytes_ += size;
+    if (is_first || !request_.progress_limits ||
+        received_bytes_ - progress_bytes_ >=
+            request_.progress_limits->min_bytes) {
+      progressed_at_ = now;
+      progress_bytes_ = received_bytes_;
+    }
+    if (request_.on_progress &&
+        (is_first || now - reported_at_ >= kProgressReportInterval)) {
+      reported_at_ = now;
+      request_.on_progress(received_bytes_);
+    }
+  }
+
   static auto OnBody(char* data, std::size_t, std::size_t size, void* cls)
       -> std::size_t {
     auto* self = static_cast<Transfer*>(cls);
+    self->OnReceived(size);
     auto* body = self->answer_.http.mutable_body();
     if (body->size() + size > self->request_.max_answer_bytes) {
       self->too_large_ = true;
@@ -164,6 +201,7 @@
   static auto OnHeader(char* data, std::size_t, std::size_t size, void* cls)
       -> std::size_t {
     auto* self = static_cast<Transfer*>(cls);
+    self->OnReceived(size);
     const absl::string_view line(data, size);
     const auto colon = line.find(':');
     if (colon == absl::string_view::npos) {
@@ -193,6 +231,12 @@
   bool too_large_ = false;
   bool send_started_ = false;
   bool resend_blocked_ = false;
+  std::size_t received_bytes_ = 0;
+  // When the call began, or when enough of the response had last arrived, and
+  // the number of bytes that had arrived by then.
+  TimePoint progressed_at_;
+  std::size_t progress_bytes_ = 0;
+  TimePoint reported_at_;
 };
 
 }  // namespace
@@ -263,7 +307,8 @@
       int running = 0;
       curl_multi_perform(multi_, &running);
       Collect();
-      curl_multi_poll(multi_, nullptr, 0, static_cast<int>(kPollLimit.count()),
+      const auto wait = EndStalledCalls(Clock::now());
+      curl_multi_poll(multi_, nullptr, 0, static_cast<int>(wait.count()),
                       nullptr);
     }
     AbandonAll();
@@ -276,10 +321,33 @@
       active_[handle] = {
           std::make_unique<Transfer>(handle, std::move(call->request)),
           std::move(call->done)};
+      if (active_[handle].transfer->has_progress_limits()) {
+        limited_.insert(handle);
+      }
       curl_multi_add_handle(multi_, handle);
     }
   }
 
+  // Ends the calls that exceed their limits on progress. Returns how long the
+  // next one may wait for data.
+  auto EndStalledCalls(TimePoint now) -> std::chrono::milliseconds {
+    TimePoint next = now + kPollLimit;
+    std::vector<CURL*> stalled;
+    for (CURL* handle : limited_) {
+      const TimePoint deadline =
+          active_.at(handle).transfer->progress_deadline();
+      if (deadline <= now) {
+        stalled.push_back(handle);
+      } else {
+        next = std::min(next, deadline);
+      }
+    }
+    for (CURL* handle : stalled) {
+      End(handle, CURLE_OPERATION_TIMEDOUT);
+    }
+    return std::chrono::ceil<std::chrono::milliseconds>(next - now);
+  }
+
   auto Collect() -> void {
     int left = 0;
     while (const CURLMsg* message = curl_multi_info_read(multi_, &left)) {
@@ -291,6 +359,7 @@
 
   auto End(CURL* handle, CURLcode code) -> void {
     auto node = active_.extract(handle);
+    limited_.erase(handle);
     curl_multi_remove_handle(multi_, handle);
     auto answer = node.mapped().transfer->Finish(code);
     node.mapped().transfer.reset();
@@ -320,6 +389,8 @@
   BoundedRing<Call> ring_;
   CURLM* multi_ = nullptr;
   std::map<CURL*, Active> active_;
+  // The calls among them that have limits on progress.
+  std::set<CURL*> limited_;
   std::vector<CURL*> idle_handles_;
   std::atomic<bool> stop_ = false;
   std::thread thread_;
--- a/Source/Transport/http_client.h
+++ b/Source/Transport/http_client.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,16 @@
 
 namespace rhubarbhaven {
 
+// Limits on how long a call may go without progress, for responses whose size
+// and so whose duration others determine.
+struct ProgressLimits {
+  // Until the first byte of the response, from the start of the call.
+  std::chrono::milliseconds first_byte{1000};
+  // From then on, at least `min_bytes` must arrive within each `interval`.
+  std::chrono::milliseconds interval{1000};
+  std::size_t min_bytes = 1;
+};
+
 struct HttpClientRequest {
   std::string method = "GET";
   std::string url;
@@ -23,6 +34,13 @@
   std::size_t max_answer_bytes = 8 << 20;
   // Do not use a pooled connection, which may have become unresponsive.
   bool fresh_connection = false;
+  // Limits besides `timeout`, which is that of the whole call. `HttpClient`
+  // ignores them.
+  std::optional<ProgressLimits> progress_limits;
+  // Called with the number of bytes of the response that have arrived: with its
+  // first bytes, and then a few times a second. Runs on the thread of the
+  // `HttpCaller` and must not block.
+  std::function<auto(std::size_t received_bytes)->void> on_progress;
 };
 
 // Outcome of a call, which is sent at most once. `maybe_sent` is false only if
@@ -35,6 +53,8 @@
   schema::HttpAnswer http;
   // Connections that were opened for this call; zero if a pooled one was used.
   int connections_opened = 0;
+  // Bytes of the response that have arrived, with its headers.
+  std::size_t received_bytes = 0;
 };
 
 // Makes blocking calls, one at a time, and keeps its connections open between
--- a/Tests/Jobs/keyed_log_follower_test.cc
+++ b/Tests/Jobs/keyed_log_follower_test.cc
@@ -123,7 +123,8 @@
   RunFor(GetParam().silent);
   log_.SetModeFor(kReader, VirtualLog::Mode::kServes);
   const KeyedLogFollowerOptions options;
-  RunFor(options.min_page_timeout + options.max_backoff + milliseconds(100));
+  RunFor(options.page_limits.response + options.max_backoff +
+         milliseconds(100));
   EXPECT_NE(follower_.caught_up_at(), TimePoint());
 }
 
@@ -149,5 +150,110 @@
   EXPECT_NE(follower_.caught_up_at(), TimePoint());
 }
 
+constexpr char kConfigurationKey[] = "config";
+// What a thin link carries in a second, and a record that takes 1.3 s on it:
+// longer than a silent log is waited for.
+constexpr std::size_t kThinLink = 250000;
+constexpr std::size_t kLargeRecord = 327285;
+
+struct ChangesCase {
+  std::string name;
+  std::size_t record_bytes = 0;
+  // When the configuration first changes, after the reader has started, and the
+  // number and interval of the changes.
+  milliseconds first{0};
+  int changes = 0;
+  milliseconds interval{0};
+  // After the last change.
+  milliseconds catches_up_within{0};
+};
+
+// A reader of the operators' log over a thin link.
+class ConfigurationReaderTest : public testing::TestWithParam<ChangesCase> {
+ protected:
+  ConfigurationReaderTest()
+      : follower_(Options(),
+                  log_.PortFor(kReader, [] { return true; }),
+                  Hooks()) {
+    log_.SetBandwidthFor(kReader, kThinLink);
+  }
+
+  static auto Options() -> KeyedLogFollowerOptions {
+    KeyedLogFollowerOptions options;
+    options.topic = LogTopic::kOperators;
+    // As an entry requests over such a link.
+    options.max_bytes = kThinLink / 5;
+    return options;
+  }
+
+  auto Hooks() -> KeyedLogFollowerHooks {
+    KeyedLogFollowerHooks hooks;
+    hooks.schedule = [this](TimePoint when, const auto& job) -> void {
+      time_.At(when, [this, job]() -> void { job(time_.now()); });
+    };
+    hooks.on_record = [this](TimePoint, const KeyedRecord& record) {
+      version_ = std::stoi(record.value);
+    };
+    hooks.on_key_removed = [](TimePoint, const std::string&) {};
+    hooks.on_restart = [] {};
+    hooks.on_caught_up = [](TimePoint, TimePoint) {};
+    hooks.on_reachable = [](const std::string&) {};
+    return hooks;
+  }
+
+  // Publishes the next version.
+  auto Change() -> void {
+    std::string value = std::to_string(++newest_);
+    value.resize(GetParam().record_bytes, ' ');
+    log_.Put(LogTopic::kOperators, {kConfigurationKey, value, 0});
+  }
+
+  auto RunFor(milliseconds span) -> void {
+    const TimePoint end = time_.now() + span;
+    while (time_.Step(end)) {
+    }
+  }
+
+  VirtualTime time_{1};
+  VirtualLog log_{&time_};
+  KeyedLogFollower follower_;
+  int newest_ = 0;
+  int version_ = 0;
+};
+
+// Guards against a reader that requests a record from its first byte again and
+// again, since the record takes longer on the link than a read may.
+TEST_P(ConfigurationReaderTest, ReadsTheNewestVersionSoonAfterChanges) {
+  Change();
+  follower_.Start(time_.now());
+  RunFor(GetParam().first);
+  for (int change = 0; change < GetParam().changes; ++change) {
+    Change();
+    RunFor(GetParam().interval);
+  }
+  RunFor(GetParam().catches_up_within);
+  EXPECT_EQ(version_, newest_);
+  EXPECT_TRUE(follower_.CaughtUpWithin(time_.now(), milliseconds(1100)));
+}
+
+// A transfer that is under way, one of all newest records, and one of a record
+// that was stored meanwhile, each of 1.3 s; or of 5 s.
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    ConfigurationReaderTest,
+    testing::Values(ChangesCase{"none", kLargeRecord, milliseconds(0), 0,
+                                milliseconds(0), milliseconds(3000)},
+                    ChangesCase{"during_the_first_page", kLargeRecord,
+                                milliseconds(500), 1, milliseconds(0),
+                                milliseconds(4500)},
+                    ChangesCase{"later", kLargeRecord, milliseconds(8000), 1,
+                                milliseconds(0), milliseconds(3000)},
+                    ChangesCase{"two", kLargeRecord, milliseconds(500), 2,
+                                milliseconds(1000), milliseconds(4500)},
+                    ChangesCase{"larger_later", 4 * kLargeRecord,
+                                milliseconds(12000), 1, milliseconds(0),
+                                milliseconds(8000)}),
+    [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
--- a/Tests/Jobs/simulated_cluster.cc
+++ b/Tests/Jobs/simulated_cluster.cc
@@ -48,7 +48,6 @@
 constexpr std::chrono::milliseconds kStopCheckInterval{5};
 constexpr double kBytesPerMegabit = 125000;
 // How long a client waits for an answer to a read, beyond the requested wait.
-constexpr std::chrono::milliseconds kReadSlack{1200};
 
 auto Configuration(const std::vector<std::string>& services)
     -> QueueConfiguration {
@@ -426,6 +425,17 @@
       Deliver(process, event);
     }
   };
+  const auto progress_in_process =
+      [this, in_process](
+          const OnTransferProgress& on_progress) -> OnTransferProgress {
+    return [this, in_process, on_progress](TimePoint, std::size_t bytes) {
+      in_process([this, on_progress, bytes] {
+        if (on_progress) {
+          on_progress(time_.now(), bytes);
+        }
+      });
+    };
+  };
   hooks.log.append = [this, port, in_process](
                          const AppendCall& call,
                          const KeyedLogPort::OnAppend& done) -> void {
@@ -434,17 +444,19 @@
           in_process([this, done, result] { done(time_.now(), result); });
         });
   };
-  hooks.log.read = [this, port, in_process](
-                       const ReadCall& call,
+  hooks.log.read = [this, port, in_process, progress_in_process](
+                       ReadCall call,
                        const KeyedLogPort::OnRead& done) -> void {
+    call.on_progress = progress_in_process(call.on_progress);
     port.read(call,
               [this, in_process, done](TimePoint, const ReadResult& result) {
                 in_process([this, done, result] { done(time_.now(), result); });
               });
   };
-  hooks.log.newest = [this, port, in_process](
-                         const NewestCall& call,
+  hooks.log.newest = [this, port, in_process, progress_in_process](
+                         NewestCall call,
                          const KeyedLogPort::OnNewest& done) -> void {
+    call.on_progress = progress_in_process(call.on_progress);
     port.newest(
         call, [this, in_process, done](TimePoint, const NewestResult& result) {
           in_process([this, done, result] { done(time_.now(), result); });
@@ -522,7 +534,15 @@
   };
   hooks.read_log =
       [this, port = log_.PortFor(process->name, [] { return true; }),
-       in_process](const ReadCall& call, const KeyedLogPort::OnRead& done) {
+       in_process](ReadCall call, const KeyedLogPort::OnRead& done) {
+        call.on_progress = [this, in_process, on_progress = call.on_progress](
+                               TimePoint, std::size_t bytes) {
+          in_process([this, on_progress, bytes] {
+            if (on_progress) {
+              on_progress(time_.now(), bytes);
+            }
+          });
+        };
         port.read(call, [this, in_process, done](TimePoint,
                                                  const ReadResult& result) {
           in_process([this, done, result] { done(time_.now(), result); });
@@ -752,6 +772,17 @@
   return process->link_free_at;
 }
 
+auto SimulatedCluster::TransferOf(Process* process,
+                                  const std::vector<KeyedRecord>& records,
+                                  TimePoint waited_until) -> VirtualTransfer {
+  VirtualTransfer transfer;
+  transfer.waited_until = waited_until;
+  transfer.bytes = BytesOf(records);
+  transfer.begins = std::max(process->link_free_at, time_.now());
+  transfer.ends = Transfer(process, transfer.bytes);
+  return transfer;
+}
+
 auto SimulatedCluster::OverLink(Process* process, const KeyedLogPort& port)
     -> KeyedLogPort {
   if (options_.link_bytes_per_second == 0) {
@@ -778,33 +809,41 @@
   };
   limited.read = [this, process, port](const ReadCall& call,
                                        const KeyedLogPort::OnRead& done) {
-    const TimePoint deadline = time_.now() + call.wait + kReadSlack;
-    port.read(call, [this, process, deadline, done](TimePoint,
-                                                    const ReadResult& result) {
-      const TimePoint received_at = Transfer(process, BytesOf(result.records));
-      if (received_at <= deadline) {
-        time_.At(received_at,
+    const TimePoint waited_until = time_.now() + call.wait;
+    port.read(call, [this, process, limits = call.limits, waited_until, done](
+                        TimePoint, const ReadResult& result) {
+      const auto transfer = TransferOf(process, result.records, waited_until);
+      const auto fails_at = FailureTime(limits, transfer);
+      if (!fails_at) {
+        time_.At(transfer.ends,
                  [this, done, result] { done(time_.now(), result); });
         return;
       }
-      time_.At(deadline, [this, done] {
-        done(time_.now(), {ReadOutcome::kFailed, {}, 0, "timeout", true});
+      time_.At(*fails_at, [this, done] {
+        ReadResult failed;
+        failed.error = "timeout";
+        failed.timed_out = true;
+        done(time_.now(), failed);
       });
     });
   };
   limited.newest = [this, process, port](const NewestCall& call,
                                          const KeyedLogPort::OnNewest& done) {
-    const TimePoint deadline = time_.now() + call.timeout;
-    port.newest(call, [this, process, deadline, done](
+    const TimePoint requested_at = time_.now();
+    port.newest(call, [this, process, limits = call.limits, requested_at, done](
                           TimePoint, const NewestResult& result) {
-      const TimePoint received_at = Transfer(process, BytesOf(result.records));
-      if (received_at <= deadline) {
-        time_.At(received_at,
+      const auto transfer = TransferOf(process, result.records, requested_at);
+      const auto fails_at = FailureTime(limits, transfer);
+      if (!fails_at) {
+        time_.At(transfer.ends,
                  [this, done, result] { done(time_.now(), result); });
         return;
       }
-      time_.At(deadline, [this, done] {
-        done(time_.now(), {false, {}, false, 0, "timeout", true});
+      time_.At(*fails_at, [this, done] {
+        NewestResult failed;
+        failed.error = "timeout";
+        failed.timed_out = true;
+        done(time_.now(), failed);
       });
     });
   };
--- a/Tests/Jobs/simulated_cluster.h
+++ b/Tests/Jobs/simulated_cluster.h
@@ -243,6 +243,11 @@
   auto IsCut(int entry, int agent) const -> bool;
   // When orders that leave the entry's link at `sent_at` will be delivered.
   auto DeliveryTime(int entry, int agent, TimePoint sent_at) -> TimePoint;
+  // The transfer of the records to the process over its link, which begins once
+  // the link is free.
+  auto TransferOf(Process* process,
+                  const std::vector<KeyedRecord>& records,
+                  TimePoint waited_until) -> VirtualTransfer;
   // The port with the calls' bytes queued on the entry's link.
   auto OverLink(Process* process, const KeyedLogPort& port) -> KeyedLogPort;
   // Queues these bytes on the entry's link. Returns when they have passed it.
--- a/Tests/Jobs/virtual_log.cc
+++ b/Tests/Jobs/virtual_log.cc
@@ -9,10 +9,47 @@
 constexpr std::size_t kMaxRecentSequences = 5;
 constexpr std::size_t kPageSize = 50;
 constexpr std::chrono::milliseconds kReadRetryInterval{5};
-constexpr std::chrono::milliseconds kReadSlack{1200};
+constexpr std::chrono::milliseconds kProgressInterval{200};
+
+auto TimedOutRead(std::size_t bytes) -> ReadResult {
+  ReadResult result;
+  result.error = "timeout";
+  result.timed_out = true;
+  result.bytes = bytes;
+  return result;
+}
+
+auto FailedNewest(const std::string& error, bool timed_out, std::size_t bytes)
+    -> NewestResult {
+  NewestResult result;
+  result.error = error;
+  result.timed_out = timed_out;
+  result.bytes = bytes;
+  return result;
+}
 
 }  // namespace
 
+auto FailureTime(const TransferLimits& limits, const VirtualTransfer& transfer)
+    -> std::optional<TimePoint> {
+  if (transfer.begins > transfer.waited_until + limits.response) {
+    return transfer.waited_until + limits.response;
+  }
+  const std::chrono::duration<double> span = transfer.ends - transfer.begins;
+  const std::chrono::duration<double> interval = limits.interval;
+  const bool too_slow =
+      span > interval &&
+      static_cast<double>(transfer.bytes) / span.count() <
+          static_cast<double>(limits.min_bytes) / interval.count();
+  if (too_slow) {
+    return transfer.begins + limits.interval;
+  }
+  if (transfer.ends > transfer.waited_until + limits.total) {
+    return transfer.waited_until + limits.total;
+  }
+  return std::nullopt;
+}
+
 auto VirtualLog::PortFor(const std::string& client,
                          const std::function<auto()->bool>& alive)
     -> KeyedLogPort {
@@ -26,19 +63,29 @@
              }
            });
   };
-  port.read = [this, client, alive](const ReadCall& call,
-                                    const KeyedLogPort::OnRead& done) {
+  const auto while_alive =
+      [alive](const OnTransferProgress& on_progress) -> OnTransferProgress {
+    return [alive, on_progress](TimePoint now, std::size_t bytes) {
+      if (on_progress && alive()) {
+        on_progress(now, bytes);
+      }
+    };
+  };
+  port.read = [this, client, alive, while_alive](
+                  ReadCall call, const KeyedLogPort::OnRead& done) {
     ++reads_[client];
-    Read(client, call, time_->now() + call.wait + kReadSlack,
+    call.on_progress = while_alive(call.on_progress);
+    Read(client, call, time_->now() + call.wait,
          [alive, done](TimePoint now, const ReadResult& result) {
            if (alive()) {
              done(now, result);
            }
          });
   };
-  port.newest = [this, client, alive](const NewestCall& call,
-                                      const KeyedLogPort::OnNewest& done) {
-    Newest(client, call, time_->now() + call.timeout,
+  port.newest = [this, client, alive, while_alive](
+                    NewestCall call, const KeyedLogPort::OnNewest& done) {
+    call.on_progress = while_alive(call.on_progress);
+    Newest(client, call, time_->now() + call.limits.response,
            [alive, done](TimePoint now, const NewestResult& result) {
              if (alive()) {
                done(now, result);
@@ -77,18 +124,38 @@
   return found == client_modes_.end() ? mode_ : found->second;
 }
 
-auto VirtualLog::TransferTime(const std::string& client,
-                              const std::vector<KeyedRecord>& records) const
-    -> std::chrono::milliseconds {
+auto VirtualLog::TransferOf(const std::string& client,
+                            const std::vector<KeyedRecord>& records,
+                            TimePoint waited_until) const -> VirtualTransfer {
+  VirtualTransfer transfer;
+  transfer.waited_until = waited_until;
+  transfer.begins = time_->now() + latency_;
+  transfer.ends = transfer.begins;
+  for (const auto& record : records) {
+    transfer.bytes += record.key.size() + record.value.size();
+  }
   const auto found = bandwidths_.find(client);
-  if (found == bandwidths_.end() || found->second == 0) {
-    return std::chrono::milliseconds(0);
+  if (found != bandwidths_.end() && found->second > 0) {
+    transfer.ends +=
+        std::chrono::milliseconds(transfer.bytes * 1000 / found->second);
   }
-  std::size_t bytes = 0;
-  for (const auto& record : records) {
-    bytes += record.key.size() + record.value.size();
+  return transfer;
+}
+
+auto VirtualLog::ReportProgress(const VirtualTransfer& transfer,
+                                TimePoint end,
+                                const OnTransferProgress& on_progress) -> void {
+  const Duration span =
+      std::max<Duration>(transfer.ends - transfer.begins, Duration(1));
+  for (TimePoint at = transfer.begins; at < end; at += kProgressInterval) {
+    const double share = static_cast<double>((at - transfer.begins).count()) /
+                         static_cast<double>(span.count());
+    const auto bytes =
+        static_cast<std::size_t>(share * static_cast<double>(transfer.bytes));
+    time_->At(at, [at, bytes, on_progress]() -> void {
+      on_progress(at, std::max<std::size_t>(1, bytes));
+    });
   }
-  return std::chrono::milliseconds(bytes * 1000 / found->second);
 }
 
 auto VirtualLog::ApplyHeldAppends() -> void {
@@ -195,12 +262,15 @@
 
 auto VirtualLog::Read(const std::string& client,
                       const ReadCall& call,
-                      TimePoint deadline,
+                      TimePoint waits_until,
                       const KeyedLogPort::OnRead& done) -> void {
   const Mode mode = ModeOf(client);
-  if (mode == Mode::kRejects || time_->now() >= deadline) {
+  if (mode == Mode::kRejects ||
+      time_->now() >= waits_until + call.limits.response) {
     time_->After(latency_, [this, done]() -> void {
-      done(time_->now(), {ReadOutcome::kFailed, {}, 0, "refused", false});
+      ReadResult refused;
+      refused.error = "refused";
+      done(time_->now(), refused);
     });
     return;
   }
@@ -208,11 +278,11 @@
   const bool compacted =
       call.topic == LogTopic::kJobs && call.from < first_kept_;
   const uint64_t end = EndForReads(call.topic);
-  const bool waits = call.from >= end && time_->now() + kReadSlack < deadline;
+  const bool waits = call.from >= end && time_->now() < waits_until;
   if (!AnswersReads(mode) || (waits && !compacted)) {
     time_->After(kReadRetryInterval,
-                 [this, client, call, deadline, done]() -> void {
-                   Read(client, call, deadline, done);
+                 [this, client, call, waits_until, done]() -> void {
+                   Read(client, call, waits_until, done);
                  });
     return;
   }
@@ -227,15 +297,19 @@
     }
     result.records.push_back(topic.records[at]);
   }
-  const auto delay = latency_ + TransferTime(client, result.records);
-  if (time_->now() + delay > deadline) {
-    time_->At(deadline, [this, done]() -> void {
-      done(time_->now(), {ReadOutcome::kFailed, {}, 0, "timeout", true});
+  const auto transfer = TransferOf(client, result.records, waits_until);
+  const auto fails_at = FailureTime(call.limits, transfer);
+  ReportProgress(transfer, fails_at.value_or(transfer.ends), call.on_progress);
+  if (fails_at) {
+    const bool begun = transfer.begins < *fails_at;
+    time_->At(*fails_at, [this, done, begun, bytes = transfer.bytes]() -> void {
+      done(time_->now(), TimedOutRead(begun ? bytes / 2 : 0));
     });
     return;
   }
-  time_->After(delay,
-               [this, done, result]() -> void { done(time_->now(), result); });
+  result.bytes = transfer.bytes;
+  time_->At(transfer.ends,
+            [this, done, result]() -> void { done(time_->now(), result); });
 }
 
 auto VirtualLog::Newest(const std::string& client,
@@ -245,13 +319,13 @@
   const Mode mode = ModeOf(client);
   if (mode == Mode::kRejects) {
     time_->After(latency_, [this, done]() -> void {
-      done(time_->now(), {false, {}, false, 0, "refused", false});
+      done(time_->now(), FailedNewest("refused", /*timed_out=*/false, 0));
     });
     return;
   }
   if (!AnswersReads(mode) || time_->now() >= deadline) {
     time_->At(deadline, [this, done]() -> void {
-      done(time_->now(), {false, {}, false, 0, "timeout", false});
+      done(time_->now(), FailedNewest("timeout", /*timed_out=*/true, 0));
     });
     return;
   }
@@ -274,16 +348,21 @@
     }
     result.records.push_back(item->second);
   }
-  const auto delay = latency_ + TransferTime(client, result.records);
-  if (time_->now() + delay > deadline) {
-    const bool begun = time_->now() + latency_ < deadline;
-    time_->At(deadline, [this, done, begun]() -> void {
-      done(time_->now(), {false, {}, false, 0, "timeout", begun});
+  const auto transfer =
+      TransferOf(client, result.records, deadline - call.limits.response);
+  const auto fails_at = FailureTime(call.limits, transfer);
+  ReportProgress(transfer, fails_at.value_or(transfer.ends), call.on_progress);
+  if (fails_at) {
+    const bool begun = transfer.begins < *fails_at;
+    time_->At(*fails_at, [this, done, begun, bytes = transfer.bytes]() -> void {
+      done(time_->now(),
+           FailedNewest("timeout", /*timed_out=*/true, begun ? bytes / 2 : 0));
     });
     return;
   }
-  time_->After(delay,
-               [this, done, result]() -> void { done(time_->now(), result); });
+  result.bytes = transfer.bytes;
+  time_->At(transfer.ends,
+            [this, done, result]() -> void { done(time_->now(), result); });
 }
 
 }  // namespace rhubarbhaven::jobs
--- a/Tests/Jobs/virtual_log.h
+++ b/Tests/Jobs/virtual_log.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -15,6 +16,20 @@
 
 namespace rhubarbhaven::jobs {
 
+// The transfer of a response in virtual time.
+struct VirtualTransfer {
+  // Until when the log may have waited for a record.
+  TimePoint waited_until;
+  // When the first byte arrives, and the last one.
+  TimePoint begins;
+  TimePoint ends;
+  std::size_t bytes = 0;
+};
+
+// When the transfer exceeds the limits; none if it does not.
+auto FailureTime(const TransferLimits& limits, const VirtualTransfer& transfer)
+    -> std::optional<TimePoint>;
+
 // Simulates the keyed log of the platform in virtual time: producers with
 // epochs and sequence numbers, newest records by key, history that may be
 // compacted, and the ways in which the log fails.
@@ -132,17 +147,21 @@
     const auto found = topics_.find(LogTopic::kJobs);
     return found == topics_.end() ? 0 : found->second.records.size();
   }
-  // Time that the transfer of the records to the client takes.
-  auto TransferTime(const std::string& client,
-                    const std::vector<KeyedRecord>& records) const
-      -> std::chrono::milliseconds;
+  // The transfer of the records to the client, if the log answers now.
+  auto TransferOf(const std::string& client,
+                  const std::vector<KeyedRecord>& records,
+                  TimePoint waited_until) const -> VirtualTransfer;
+  // Notifies `on_progress`, which may be null, until the transfer ends.
+  auto ReportProgress(const VirtualTransfer& transfer,
+                      TimePoint end,
+                      const OnTransferProgress& on_progress) -> void;
   auto Apply(const AppendCall& call) -> AppendResult;
   auto Append(const std::string& client,
               const AppendCall& call,
               const KeyedLogPort::OnAppend& done) -> void;
   auto Read(const std::string& client,
             const ReadCall& call,
-            TimePoint deadline,
+            TimePoint waits_until,
             const KeyedLogPort::OnRead& done) -> void;
   auto Newest(const std::string& client,
               const NewestCall& call,
--- a/Tests/StandIns/Platform/platform_stand_in.cc
+++ b/Tests/StandIns/Platform/platform_stand_in.cc
@@ -132,6 +132,19 @@
       200, {{"items", items}, {"More", result.more}, {"End", result.end}});
 }
 
+auto Route(const std::string& name,
+           const std::string& host,
+           const std::string& path_prefix) -> Json {
+  return {{"Name", name},
+          {"Host", host},
+          {"PathPrefix", path_prefix},
+          {"Service", "service"},
+          {"MaxAttempts", 4},
+          {"Stretch", 2.0},
+          {"Priority", 0},
+          {"TargetLatencyMs", 1000}};
+}
+
 auto OrderAnswer(WorkerCallOutcome outcome) -> HttpServerAnswer {
   const auto rejected = [](const char* reason) -> HttpServerAnswer {
     return JsonAnswer(409, {{"Reason", reason}});
@@ -244,14 +257,15 @@
   return absl::StrCat("127.0.0.1:", workers_.at(number).server->port());
 }
 
-auto PlatformStandIn::Configure(uint64_t version) -> void {
-  const Json route = {{"Name", "queue"},        {"Host", "queue.example"},
-                      {"PathPrefix", "/jobs/"}, {"Service", "service"},
-                      {"MaxAttempts", 4},       {"Stretch", 2.0},
-                      {"Priority", 0},          {"TargetLatencyMs", 1000}};
+auto PlatformStandIn::Configure(uint64_t version, int idle_queues) -> void {
+  Json routes = Json::array({Route("queue", "queue.example", "/jobs/")});
+  for (int number = 0; number < idle_queues; ++number) {
+    routes.push_back(Route(absl::StrCat("idle-", number), "idle.example",
+                           absl::StrCat("/idle", number, "/")));
+  }
   const Json body = {
       {"Version", version},
-      {"Routes", Json::array({route})},
+      {"Routes", std::move(routes)},
       {"Services",
        Json::array({{{"Name", "service"}, {"RejectsOverload", true}}})}};
   const std::lock_guard lock(mutex_);
--- a/Tests/StandIns/Platform/platform_stand_in.h
+++ b/Tests/StandIns/Platform/platform_stand_in.h
@@ -50,8 +50,9 @@
   auto log_address() const -> std::string;
   auto log_port() const -> int;
   auto worker_address(int number) const -> std::string;
-  // Publishes a configuration with one queue, /jobs/ at host "queue.example".
-  auto Configure(uint64_t version) -> void;
+  // Publishes a configuration with one queue, /jobs/ at host "queue.example",
+  // and with further ones that nobody uses.
+  auto Configure(uint64_t version, int idle_queues = 0) -> void;
   auto SetLogMode(jobs::VirtualLog::Mode mode) -> void;
   auto CompactLog() -> void;
   auto CrashWorker(int number) -> void;
--- a/Tests/Support/fault_proxy.cc
+++ b/Tests/Support/fault_proxy.cc
@@ -39,6 +39,10 @@
   return socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 }
 
+auto IsFull(const std::shared_ptr<SharedRate>& rate) -> bool {
+  return rate && rate->IsFull(std::chrono::steady_clock::now());
+}
+
 auto WriteAll(int socket, const char* data, ssize_t size) -> bool {
   while (size > 0) {
     const ssize_t written = send(socket, data, size, MSG_NOSIGNAL);
@@ -110,6 +114,11 @@
   request_rates_[source] = std::move(rate);
 }
 
+auto FaultProxy::SetAnswerRate(std::shared_ptr<SharedRate> rate) -> void {
+  const std::lock_guard lock(mutex_);
+  answer_rate_ = std::move(rate);
+}
+
 auto FaultProxy::ApplySource(Connection* connection) -> void {
   const auto cut_off = cut_offs_.find(connection->source);
   if (cut_off == cut_offs_.end()) {
@@ -195,6 +204,7 @@
   connection.client_socket = client_socket;
   connection.server_socket = server_socket;
   connection.request_rate = RateOf("");
+  connection.answer_rate = answer_rate_;
   connection.thread =
       std::thread([this, &connection]() -> void { Pump(&connection); });
 }
@@ -205,18 +215,19 @@
     const ProxyFault fault = FaultFor(*connection);
     auto& requests = connection->requests;
     auto& answers = connection->answers;
-    const bool waits_for_rate =
-        connection->request_rate &&
-        connection->request_rate->IsFull(std::chrono::steady_clock::now());
-    const bool has_queued =
-        !requests.chunks.empty() || !answers.chunks.empty() || waits_for_rate;
+    const bool requests_wait = IsFull(connection->request_rate);
+    const bool answers_wait = IsFull(connection->answer_rate);
+    const bool has_queued = !requests.chunks.empty() ||
+                            !answers.chunks.empty() || requests_wait ||
+                            answers_wait;
     std::array<pollfd, 2> polled = {
         pollfd{requests.end_of_stream || requests.size > kMaxQueuedBytes ||
-                       waits_for_rate
+                       requests_wait
                    ? -1
                    : connection->client_socket,
                POLLIN, 0},
-        pollfd{answers.end_of_stream || answers.size > kMaxQueuedBytes
+        pollfd{answers.end_of_stream || answers.size > kMaxQueuedBytes ||
+                       answers_wait
                    ? -1
                    : connection->server_socket,
                POLLIN, 0}};
@@ -252,7 +263,8 @@
   ByteQueue& queue = is_answer ? connection->answers : connection->requests;
   const int source =
       is_answer ? connection->server_socket : connection->client_socket;
-  const auto rate = is_answer ? nullptr : connection->request_rate;
+  const auto rate =
+      is_answer ? connection->answer_rate : connection->request_rate;
   const ssize_t size =
       read(source, buffer.data(), rate ? kRatedReadBytes : buffer.size());
   if (size <= 0) {
--- a/Tests/Support/fault_proxy.h
+++ b/Tests/Support/fault_proxy.h
@@ -63,6 +63,8 @@
   // connections that state none, to what the rate admits.
   auto SetRequestRate(const std::string& source,
                       std::shared_ptr<SharedRate> rate) -> void;
+  // Limits the answers of all connections together to what the rate admits.
+  auto SetAnswerRate(std::shared_ptr<SharedRate> rate) -> void;
   // Forwards the next request that begins with `prefix`. Instead of forwarding
   // its answer, resets all open connections and refuses new ones until
   // `ResumeListening` is called.
@@ -98,6 +100,7 @@
     // First bytes of the requests, until they have told the source.
     std::string greeting;
     std::shared_ptr<SharedRate> request_rate;
+    std::shared_ptr<SharedRate> answer_rate;
     ByteQueue requests;
     ByteQueue answers;
     std::thread thread;
@@ -146,6 +149,7 @@
   // By source.
   std::map<std::string, CutOff> cut_offs_;
   std::map<std::string, std::shared_ptr<SharedRate>> request_rates_;
+  std::shared_ptr<SharedRate> answer_rate_;
   std::thread thread_;
 };
 
