Jobs: Skip versions of the configuration that are no longer in force

After a storm of 25 changes of a large configuration, an entry on a thin link read each version in turn (25 times 327 kB are 33 s at 250,000 bytes a second) and answered 503 meanwhile; with a change in each second its copy never counted as read, so it could not become the owner.

Change: a reader of the operators' log requests the newest records where these are a smaller transfer than what is waiting, or than all that it has read without reaching the end. One page with all newest records proves the copy as of its request, as the read barrier does, so a log that changes during each transfer counts as read.

--- a/Source/Jobs/Log/keyed_log_follower.cc
+++ b/Source/Jobs/Log/keyed_log_follower.cc
@@ -9,6 +9,8 @@
 // After a successful read, the next one requests more bytes by one part in this
 // many.
 constexpr std::size_t kGrowthDivisor = 8;
+// Growth of a value in a page of newest records, which has it in base64.
+constexpr double kPageOverhead = 4.0 / 3.0;
 
 }  // namespace
 
@@ -21,13 +23,40 @@
       read_bytes_(options.max_bytes) {}
 
 auto KeyedLogFollower::Start(TimePoint now) -> void {
+  Restart(now);
+}
+
+auto KeyedLogFollower::Restart(TimePoint now) -> void {
+  skipping_ = false;
+  RequestNewest(now);
+}
+
+auto KeyedLogFollower::SkipToNewest(TimePoint now) -> void {
+  skipping_ = true;
   RequestNewest(now);
 }
 
+auto KeyedLogFollower::ShouldSkip(const ReadResult& result) -> bool {
+  std::size_t read = 0;
+  for (const auto& record : result.records) {
+    read += SizeInLog(record);
+  }
+  const double mean =
+      static_cast<double>(read) / static_cast<double>(result.records.size());
+  const double waiting = mean * static_cast<double>(result.end - next_);
+  const double newest = static_cast<double>(total_size_) * kPageOverhead;
+  const bool skips = newest < waiting + static_cast<double>(behind_bytes_);
+  behind_bytes_ += read;
+  return skips;
+}
+
 auto KeyedLogFollower::RequestNewest(TimePoint now) -> void {
   if (first_page_) {
-    current_ = false;
-    hooks_.on_restart();
+    single_page_ = true;
+    if (!skipping_) {
+      current_ = false;
+      hooks_.on_restart();
+    }
   }
   NewestCall call;
   call.topic = options_.topic;
@@ -76,7 +105,8 @@
   EndCall();
   AdjustTotal(result.timed_out, result.bytes);
   if (!result.answered) {
-    OnFailure(now, result.error, /*read_on=*/false);
+    // A copy that is in order is continued by reads as well.
+    OnFailure(now, result.error, /*read_on=*/skipping_ && first_page_);
     return;
   }
   OnSuccess();
@@ -91,25 +121,55 @@
     Deliver(now, record);
   }
   if (result.more && !result.records.empty()) {
+    single_page_ = false;
     RequestNewest(now);
     return;
   }
   after_.clear();
   first_page_ = true;
+  skipping_ = false;
   RemoveMissingKeys(now);
+  if (options_.newest_only && single_page_) {
+    OnNewestComplete(now);
+  }
   Read(now);
 }
 
+// Without this, a log that is changed during each transfer would never count as
+// read.
+auto KeyedLogFollower::OnNewestComplete(TimePoint now) -> void {
+  current_ = true;
+  behind_bytes_ = 0;
+  caught_up_at_ = now;
+  if (hooks_.on_newest_complete) {
+    hooks_.on_newest_complete(requested_at_);
+  }
+  hooks_.on_caught_up(now, requested_at_);
+}
+
 auto KeyedLogFollower::RemoveMissingKeys(TimePoint now) -> void {
   std::vector<std::string> missing;
-  std::set_difference(keys_.begin(), keys_.end(), keys_of_pages_.begin(),
-                      keys_of_pages_.end(), std::back_inserter(missing));
+  for (const auto& [key, size] : sizes_) {
+    if (!keys_of_pages_.contains(key)) {
+      missing.push_back(key);
+    }
+  }
   for (const auto& key : missing) {
-    keys_.erase(key);
+    SetSize(key, 0);
     hooks_.on_key_removed(now, key);
   }
 }
 
+auto KeyedLogFollower::SetSize(const std::string& key, std::size_t bytes)
+    -> void {
+  auto& size = sizes_[key];
+  total_size_ += bytes - size;
+  size = bytes;
+  if (bytes == 0) {
+    sizes_.erase(key);
+  }
+}
+
 auto KeyedLogFollower::Read(TimePoint now) -> void {
   // The first read after the newest records does not wait. Its response
   // confirms that they are current, and callers get no answers before that.
@@ -148,7 +208,7 @@
     case ReadOutcome::kGone:
       // Records that were not read have been deleted by compaction. The newest
       // record of each key is still available.
-      RequestNewest(now);
+      Restart(now);
       return;
     case ReadOutcome::kRecords:
       break;
@@ -156,7 +216,7 @@
   if (result.end < next_) {
     // The log was replaced or restored from a backup, so its history differs
     // from the one that was read.
-    RequestNewest(now);
+    Restart(now);
     return;
   }
   OnSuccess();
@@ -167,11 +227,15 @@
   }
   if (next_ >= result.end) {
     current_ = true;
+    behind_bytes_ = 0;
     caught_up_at_ = now;
     // A response without records was generated at the end of its wait.
     const auto waited =
         result.records.empty() ? requested_wait_ : std::chrono::milliseconds(0);
     hooks_.on_caught_up(now, std::min(now, requested_at_ + waited));
+  } else if (options_.newest_only && ShouldSkip(result)) {
+    SkipToNewest(now);
+    return;
   }
   PauseOrRead(now, next_ >= result.end && !result.records.empty());
 }
@@ -206,11 +270,7 @@
 
 auto KeyedLogFollower::Deliver(TimePoint now, const KeyedRecord& record)
     -> void {
-  if (record.value.empty()) {
-    keys_.erase(record.key);
-  } else {
-    keys_.insert(record.key);
-  }
+  SetSize(record.key, record.value.empty() ? 0 : SizeInLog(record));
   hooks_.on_record(now, record);
 }
 
--- a/Source/Jobs/Log/keyed_log_follower.h
+++ b/Source/Jobs/Log/keyed_log_follower.h
@@ -2,6 +2,7 @@
 #define RHUBARBHAVEN_JOBS_LOG_KEYED_LOG_FOLLOWER_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -16,6 +17,10 @@
   // How long one read waits for a record. Each response confirms that the local
   // copy is current.
   std::chrono::milliseconds read_wait{1000};
+  // Only the newest record of each key matters. If several records are waiting,
+  // the newest records are requested where they are the smaller transfer, and
+  // those between them are skipped.
+  bool newest_only = false;
   // Bounds of the number of bytes that one read requests. The number is halved
   // after each read that timed out, so that responses arrive in time over a
   // slow path, and grows slowly after each other read.
@@ -77,6 +82,10 @@
   // Everything up to the log's end was read. The copy reflects the log at
   // `as_of` or later, since a response may arrive long after it was generated.
   std::function<auto(TimePoint now, TimePoint as_of)->void> on_caught_up;
+  // All newest records of the log at `as_of` have been delivered. Unlike a
+  // read, this proves that the log had nothing newer, see `ReadBarrier`.
+  // Precedes `on_caught_up`; only with `newest_only`. May be null.
+  std::function<auto(TimePoint as_of)->void> on_newest_complete;
   // How long the next read waits for a record, given the wait from the options
   // as the maximum. If null, the maximum is used.
   std::function<auto(std::chrono::milliseconds)->std::chrono::milliseconds>
@@ -124,9 +133,23 @@
   }
 
  private:
+  // Re-reads the newest records, since the copy may lack deletions or be of
+  // another log.
+  auto Restart(TimePoint now) -> void;
+  // Requests the newest records in place of those that are waiting.
+  auto SkipToNewest(TimePoint now) -> void;
+  // Whether to request the newest records, after a response with a part of the
+  // records that are waiting: they are a smaller transfer than the rest, or
+  // than all that was read without reaching the end, as in a log that is
+  // changed during each read.
+  auto ShouldSkip(const ReadResult& result) -> bool;
   auto RequestNewest(TimePoint now) -> void;
   auto OnNewest(TimePoint now, const NewestResult& result) -> void;
+  // Everything up to the end of the newest records has been read.
+  auto OnNewestComplete(TimePoint now) -> void;
   auto RemoveMissingKeys(TimePoint now) -> void;
+  // Sets the size of the newest record of a key; zero if it has none.
+  auto SetSize(const std::string& key, std::size_t bytes) -> void;
   auto Read(TimePoint now) -> void;
   auto OnRead(TimePoint now, const ReadResult& result) -> void;
   auto GrowReadSize() -> void;
@@ -149,8 +172,17 @@
   KeyedLogFollowerHooks hooks_;
   std::string after_;
   bool first_page_ = true;
+  // The newest records are requested although the copy is in order.
+  bool skipping_ = false;
+  // All newest records were in one page.
+  bool single_page_ = false;
   uint64_t next_ = 0;
-  std::set<std::string> keys_;
+  // Size in the log of the newest record of each key, and of all of them.
+  std::map<std::string, std::size_t> sizes_;
+  std::size_t total_size_ = 0;
+  // Size of the records that reads which did not reach the end have returned
+  // since the end was last reached.
+  std::size_t behind_bytes_ = 0;
   std::set<std::string> keys_of_pages_;
   bool reachable_ = false;
   bool reachability_reported_ = false;
--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -49,6 +49,7 @@
     -> KeyedLogFollowerOptions {
   KeyedLogFollowerOptions options;
   options.topic = topic;
+  options.newest_only = topic == LogTopic::kOperators;
   if (limits.link_mbps > 0) {
     const std::size_t bytes = OrderWindowFor(limits.link_mbps).total_bytes;
     options.max_bytes = std::clamp(bytes, options.min_bytes, options.max_bytes);
@@ -208,6 +209,11 @@
     };
     hooks.pause = [this]() -> std::chrono::milliseconds { return ReadPause(); };
   }
+  if (!is_jobs) {
+    hooks.on_newest_complete = [this](TimePoint as_of) -> void {
+      configuration_as_of_ = std::max(configuration_as_of_, as_of);
+    };
+  }
   hooks.on_call = [this, topic](TimePoint now,
                                 const FollowerCall& call) -> void {
     LogFollowerCall(now, topic, call);
--- a/Tests/Jobs/keyed_log_follower_test.cc
+++ b/Tests/Jobs/keyed_log_follower_test.cc
@@ -181,6 +181,7 @@
   static auto Options() -> KeyedLogFollowerOptions {
     KeyedLogFollowerOptions options;
     options.topic = LogTopic::kOperators;
+    options.newest_only = true;
     // As an entry requests over such a link.
     options.max_bytes = kThinLink / 5;
     return options;
@@ -197,6 +198,9 @@
     hooks.on_key_removed = [](TimePoint, const std::string&) {};
     hooks.on_restart = [] {};
     hooks.on_caught_up = [](TimePoint, TimePoint) {};
+    hooks.on_call = [this](TimePoint, const FollowerCall& call) {
+      bytes_ += call.bytes;
+    };
     hooks.on_reachable = [](const std::string&) {};
     return hooks;
   }
@@ -219,10 +223,12 @@
   KeyedLogFollower follower_;
   int newest_ = 0;
   int version_ = 0;
+  std::size_t bytes_ = 0;
 };
 
 // Guards against a reader that requests a record from its first byte again and
-// again, since the record takes longer on the link than a read may.
+// again, since the record takes longer on the link than a read may, and against
+// one that reads each version of a series, although only the newest counts.
 TEST_P(ConfigurationReaderTest, ReadsTheNewestVersionSoonAfterChanges) {
   Change();
   follower_.Start(time_.now());
@@ -250,10 +256,72 @@
                                 milliseconds(0), milliseconds(3000)},
                     ChangesCase{"two", kLargeRecord, milliseconds(500), 2,
                                 milliseconds(1000), milliseconds(4500)},
+                    ChangesCase{"storm", kLargeRecord, milliseconds(500), 25,
+                                milliseconds(60), milliseconds(4500)},
+                    ChangesCase{"storm_later", kLargeRecord, milliseconds(8000),
+                                25, milliseconds(60), milliseconds(4500)},
                     ChangesCase{"larger_later", 4 * kLargeRecord,
                                 milliseconds(12000), 1, milliseconds(0),
                                 milliseconds(8000)}),
     [](const auto& info) { return info.param.name; });
 
+class ChangingLogTest : public ConfigurationReaderTest {};
+
+// Guards against a log that never counts as read, since it is changed during
+// each transfer.
+TEST_P(ChangingLogTest, CountsAsReadWhileItChanges) {
+  Change();
+  follower_.Start(time_.now());
+  for (int change = 0; change < GetParam().changes; ++change) {
+    RunFor(GetParam().interval);
+    Change();
+    if (change * GetParam().interval > GetParam().first) {
+      EXPECT_TRUE(
+          follower_.CaughtUpWithin(time_.now(), GetParam().catches_up_within));
+    }
+  }
+}
+
+// Four transfers of 1.3 s: two records of which each leaves others behind it,
+// all newest records, and the one that was under way.
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    ChangingLogTest,
+    testing::Values(ChangesCase{"each_second", kLargeRecord, seconds(4), 30,
+                                seconds(1), milliseconds(5300)},
+                    ChangesCase{"often", kLargeRecord, seconds(4), 200,
+                                milliseconds(100), milliseconds(5300)}),
+    [](const auto& info) { return info.param.name; });
+
+// Of the 25 versions of a series.
+constexpr std::size_t kMaxVersionsRead = 6;
+
+class StormTest : public ConfigurationReaderTest {};
+
+// Guards against a reader whose link is busy for half a minute after a series
+// of changes, with versions that are no longer in force.
+TEST_P(StormTest, SkipsVersionsThatAreNoLongerInForce) {
+  Change();
+  follower_.Start(time_.now());
+  RunFor(GetParam().first);
+  const std::size_t before = bytes_;
+  for (int change = 0; change < GetParam().changes; ++change) {
+    Change();
+    RunFor(GetParam().interval);
+  }
+  RunFor(seconds(60));
+  EXPECT_EQ(version_, newest_);
+  EXPECT_LE(bytes_ - before, kMaxVersionsRead * GetParam().record_bytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         StormTest,
+                         testing::Values(ChangesCase{"large", kLargeRecord,
+                                                     seconds(8), 25,
+                                                     milliseconds(60)},
+                                         ChangesCase{"small", 20000, seconds(8),
+                                                     25, milliseconds(1)}),
+                         [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
--- a/Tests/Process/thin_log_link_test.cc
+++ b/Tests/Process/thin_log_link_test.cc
@@ -137,7 +137,9 @@
                                          ChangesCase{"one", milliseconds(1000),
                                                      1},
                                          ChangesCase{"two", milliseconds(500),
-                                                     2, milliseconds(1000)}),
+                                                     2, milliseconds(1000)},
+                                         ChangesCase{"storm", milliseconds(500),
+                                                     25, milliseconds(60)}),
                          [](const auto& info) { return info.param.name; });
 
 }  // namespace
