Jobs: Appends that a thin link can carry, renewals before them

A job of 240,000 bytes, which the interface allows, was never accepted at an entry with a link of 2 Mbit/s: 503 or 504, also for others at that time, and at the owner's entry each try could cost the cell its owner.

Change: the time that a request takes on the link is added to its timeout, twice. A request has what the link carries in 250 ms, or one record. Renewals are sent before records that wait. A job that the link cannot carry within its caller's deadline, behind what waits, gets 503 at once, with the reason.

--- a/Source/Jobs/Log/append_batcher.cc
+++ b/Source/Jobs/Log/append_batcher.cc
@@ -11,6 +11,18 @@
 constexpr int kSmoothing = 4;
 constexpr int kTimeoutFactor = 4;
 constexpr int kMaxDoublings = 5;
+// Assumed of a link whose bandwidth is unknown, for the timeouts only.
+constexpr std::size_t kAssumedBytesPerSecond = 250000;
+// Other traffic may take as much of the link as the request.
+constexpr int kLinkShare = 2;
+
+auto SizeOf(const std::vector<KeyedRecord>& records) -> std::size_t {
+  std::size_t bytes = 0;
+  for (const auto& record : records) {
+    bytes += SizeInLog(record);
+  }
+  return bytes;
+}
 
 }  // namespace
 
@@ -21,9 +33,16 @@
 
 auto AppendBatcher::Enqueue(uint64_t ticket, std::vector<KeyedRecord> records)
     -> void {
+  pending_bytes_ += SizeOf(records);
   entries_.push_back({ticket, std::move(records), 0, {}});
 }
 
+auto AppendBatcher::EnqueueFirst(uint64_t ticket,
+                                 std::vector<KeyedRecord> records) -> void {
+  pending_bytes_ += SizeOf(records);
+  urgent_.push_back({ticket, std::move(records), 0, {}});
+}
+
 auto AppendBatcher::Next(TimePoint now) -> std::optional<AppendCall> {
   if (in_flight_ || fenced_ || now < not_before_) {
     return std::nullopt;
@@ -50,7 +69,9 @@
   in_flight_ = false;
   switch (result.outcome) {
     case AppendOutcome::kAppended:
-      smoothed_latency_ += (now - sent_at_ - smoothed_latency_) / kSmoothing;
+      smoothed_latency_ += (std::max(Duration(0), now - sent_at_ - LinkTime()) -
+                            smoothed_latency_) /
+                           kSmoothing;
       return OnStored();
     case AppendOutcome::kRejected:
       rejected_ = true;
@@ -92,6 +113,7 @@
 auto AppendBatcher::TakeWaiting() -> std::vector<SettledEntry> {
   std::vector<SettledEntry> taken;
   while (entries_.size() > batch_entries_) {
+    pending_bytes_ -= SizeOf(entries_.back().records);
     taken.push_back({entries_.back().ticket, EntryOutcome::kNotStored});
     entries_.pop_back();
   }
@@ -104,16 +126,31 @@
   return nothing_to_send ? TimePoint::max() : not_before_;
 }
 
+auto AppendBatcher::MaxBatchBytes() const -> std::size_t {
+  if (options_.link_bytes_per_second == 0) {
+    return options_.max_bytes;
+  }
+  const auto bytes =
+      static_cast<double>(options_.link_bytes_per_second) *
+      std::chrono::duration<double>(options_.max_link_time).count();
+  return std::min(options_.max_bytes, static_cast<std::size_t>(bytes));
+}
+
 auto AppendBatcher::FillBatch(TimePoint now) -> void {
-  std::size_t bytes = 0;
+  entries_.insert(entries_.begin(), std::make_move_iterator(urgent_.begin()),
+                  std::make_move_iterator(urgent_.end()));
+  urgent_.clear();
+  const std::size_t max_bytes = MaxBatchBytes();
+  batch_bytes_ = 0;
   bool full = false;
   for (const auto& entry : entries_) {
     for (std::size_t i = entry.settled; i < entry.records.size() && !full;
          ++i) {
-      bytes += SizeInLog(entry.records[i]);
+      const std::size_t bytes = SizeInLog(entry.records[i]);
       full = batch_records_ == max_records_ ||
-             (batch_records_ > 0 && bytes > options_.max_bytes);
+             (batch_records_ > 0 && batch_bytes_ + bytes > max_bytes);
       batch_records_ += full ? 0 : 1;
+      batch_bytes_ += full ? 0 : bytes;
     }
     if (full) {
       break;
@@ -181,6 +218,7 @@
     if (entry.settled < entry.records.size()) {
       break;
     }
+    pending_bytes_ -= SizeOf(entry.records);
     settled.push_back({entry.ticket,
                        entry.invalid_keys.empty() ? EntryOutcome::kStored
                                                   : EntryOutcome::kInvalid,
@@ -194,6 +232,7 @@
 auto AppendBatcher::SettleBatchAsNotStored() -> std::vector<SettledEntry> {
   std::vector<SettledEntry> settled;
   for (; batch_entries_ > 0; --batch_entries_) {
+    pending_bytes_ -= SizeOf(entries_.front().records);
     settled.push_back({entries_.front().ticket, EntryOutcome::kNotStored});
     entries_.pop_front();
   }
@@ -208,12 +247,21 @@
   not_before_ = now + std::min(pause, options_.max_backoff);
 }
 
+auto AppendBatcher::LinkTime() const -> Duration {
+  const std::size_t rate = options_.link_bytes_per_second > 0
+                               ? options_.link_bytes_per_second
+                               : kAssumedBytesPerSecond;
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      static_cast<double>(batch_bytes_) / static_cast<double>(rate)));
+}
+
 auto AppendBatcher::Timeout() const -> std::chrono::milliseconds {
   const int doublings = std::min(failures_, kMaxDoublings);
   const auto usual = std::max(std::chrono::ceil<std::chrono::milliseconds>(
                                   smoothed_latency_ * kTimeoutFactor),
                               options_.min_timeout);
-  return std::min(usual * (1 << doublings), options_.max_timeout);
+  return std::min(usual * (1 << doublings), options_.max_timeout) +
+         std::chrono::floor<std::chrono::milliseconds>(LinkTime() * kLinkShare);
 }
 
 }  // namespace rhubarbhaven::jobs
--- a/Source/Jobs/Log/append_batcher.h
+++ b/Source/Jobs/Log/append_batcher.h
@@ -70,10 +70,15 @@
   // number.
   std::size_t max_bytes = 1 << 20;
   std::size_t max_records = 512;
+  // Bandwidth of the link to the log; zero if it is unknown. A request has at
+  // most what the link carries in `max_link_time`, unless that is less than one
+  // record: other calls over the link wait behind it.
+  std::size_t link_bytes_per_second = 0;
+  std::chrono::milliseconds max_link_time{250};
   // The timeout of a request is four times the smoothed response time, within
   // these bounds, and doubles after each failure. A shorter timeout detects a
   // lost response sooner, but a log that is merely slow must not receive each
-  // request twice.
+  // request twice. The time that the request takes on the link is added.
   std::chrono::milliseconds min_timeout{150};
   std::chrono::milliseconds max_timeout{2000};
   // Pause after a rejection or a lost response. It doubles up to the maximum.
@@ -91,6 +96,9 @@
   explicit AppendBatcher(AppendBatcherOptions options);
 
   auto Enqueue(uint64_t ticket, std::vector<KeyedRecord> records) -> void;
+  // The same for an entry that is sent before all others that wait. It must not
+  // depend on them.
+  auto EnqueueFirst(uint64_t ticket, std::vector<KeyedRecord> records) -> void;
   // The batch to send now, if any. `OnResult` reports its outcome.
   auto Next(TimePoint now) -> std::optional<AppendCall>;
   auto OnResult(TimePoint now, const AppendResult& result)
@@ -99,7 +107,9 @@
   auto TakeWaiting() -> std::vector<SettledEntry>;
 
   auto next_wake() const -> TimePoint;
-  auto idle() const -> bool { return entries_.empty(); }
+  auto idle() const -> bool { return entries_.empty() && urgent_.empty(); }
+  // Size in the log of the records that are not settled.
+  auto pending_bytes() const -> std::size_t { return pending_bytes_; }
   // True while the log counts as unavailable: the latest attempt was rejected,
   // or several in a row got no response. A single lost response is no outage.
   auto failing() const -> bool {
@@ -136,14 +146,21 @@
   auto SettleBatchAsNotStored() -> std::vector<SettledEntry>;
   auto BackOff(TimePoint now) -> void;
   auto Timeout() const -> std::chrono::milliseconds;
+  auto MaxBatchBytes() const -> std::size_t;
+  // How long the current batch occupies the link.
+  auto LinkTime() const -> Duration;
 
   AppendBatcherOptions options_;
-  // Entries that are not settled, oldest first.
+  // Entries that are not settled, in the order in which they are sent.
   std::deque<Entry> entries_;
+  // Entries that precede them in the next batch.
+  std::deque<Entry> urgent_;
+  std::size_t pending_bytes_ = 0;
   // Number of records in the current batch; zero if there is none. They belong
   // to the first `batch_entries_` entries.
   std::size_t batch_records_ = 0;
   std::size_t batch_entries_ = 0;
+  std::size_t batch_bytes_ = 0;
   // Limit on the next batch, reduced while the log does not accept all records.
   std::size_t max_records_;
   uint64_t sequence_;
--- a/Source/Jobs/entry_callers.cc
+++ b/Source/Jobs/entry_callers.cc
@@ -208,11 +208,28 @@
            releasing_ ? "this entry is stopping" : "the log does not answer");
     return;
   }
+  const std::size_t bytes = caller_appends_.pending_bytes() + SizeInLog(record);
+  if (!LinkCarries(bytes, submission.expires_at - now)) {
+    // Sent all the same, it would be stored after the caller has given up, and
+    // delay what others submit.
+    Reject(submission,
+           absl::StrCat("the link of this entry does not carry the ", bytes,
+                        " bytes that wait within the deadline"));
+    return;
+  }
   const uint64_t ticket = next_ticket_++;
   submissions_[ticket] = std::move(submission);
   caller_appends_.Enqueue(ticket, {std::move(record)});
 }
 
+auto EntryDecisions::LinkCarries(std::size_t bytes, Duration span) const
+    -> bool {
+  const std::size_t rate = LinkBytesPerSecond(options_.limits.link_mbps);
+  const std::chrono::duration<double> seconds = span;
+  return rate == 0 || static_cast<double>(bytes) <=
+                          static_cast<double>(rate) * seconds.count();
+}
+
 auto EntryDecisions::Reject(const Submission& submission,
                             const std::string& why) -> void {
   metrics_->Add("rhubarbhaven_jobs_refused_total");
--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -26,6 +26,7 @@
   appends.settle_rejected = true;
   appends.max_bytes =
       std::min(appends.max_bytes, options.limits.log.call_bytes);
+  appends.link_bytes_per_second = LinkBytesPerSecond(options.limits.link_mbps);
   return appends;
 }
 
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -141,6 +141,8 @@
              TimePoint expires_at,
              const JobResponder& respond) -> void;
   auto Store(TimePoint now, Submission submission, KeyedRecord record) -> void;
+  // Whether the entry's link carries as much within that time.
+  auto LinkCarries(std::size_t bytes, Duration span) const -> bool;
   auto ExpireSubmissions(TimePoint now) -> void;
   auto Reject(const Submission& submission, const std::string& why) -> void;
 
--- a/Source/Jobs/entry_ownership.cc
+++ b/Source/Jobs/entry_ownership.cc
@@ -71,14 +71,17 @@
     options.max_timeout = kMaxOwnerTimeout;
     options.max_bytes = options_.limits.log.call_bytes;
     options.max_records = std::numeric_limits<std::size_t>::max();
+    options.link_bytes_per_second =
+        LinkBytesPerSecond(options_.limits.link_mbps);
     // Two claims with the same fence must not be treated as repeats of one
     // append.
     options.first_sequence =
         1 + StableHash(options_.name, options_.incarnation) % (1ULL << 40);
     owner_appends_ = std::make_unique<AppendBatcher>(options);
   }
-  owner_appends_->Enqueue(kClaimTicket,
-                          {MakeRecord(RecordKind::kClaim, "", *claim)});
+  // Records that wait would delay a renewal until others claim the cell.
+  owner_appends_->EnqueueFirst(kClaimTicket,
+                               {MakeRecord(RecordKind::kClaim, "", *claim)});
   job_follower_.ResumeReading(now);
 }
 
--- a/Source/Jobs/order_window.cc
+++ b/Source/Jobs/order_window.cc
@@ -18,9 +18,13 @@
 
 }  // namespace
 
+auto LinkBytesPerSecond(double link_mbps) -> std::size_t {
+  return static_cast<std::size_t>(std::max(0.0, link_mbps) * kBytesPerMegabit);
+}
+
 auto OrderWindowFor(double link_mbps) -> OrderWindowOptions {
   OrderWindowOptions options;
-  const double bytes = link_mbps * kBytesPerMegabit *
+  const double bytes = static_cast<double>(LinkBytesPerSecond(link_mbps)) *
                        std::chrono::duration<double>(kWindowTime).count();
   options.total_bytes =
       link_mbps > 0 ? std::max(kMinWindowBytes, static_cast<std::size_t>(bytes))
--- a/Source/Jobs/order_window.h
+++ b/Source/Jobs/order_window.h
@@ -19,6 +19,10 @@
   std::chrono::milliseconds unresponsive_after{1000};
 };
 
+// Bytes per second that a link of this bandwidth carries, in megabits per
+// second; zero if it is unknown.
+auto LinkBytesPerSecond(double link_mbps) -> std::size_t;
+
 // Returns the window for an owner whose link has this bandwidth, in megabits
 // per second; zero if it is unknown.
 auto OrderWindowFor(double link_mbps) -> OrderWindowOptions;
--- a/Tests/Jobs/append_batcher_test.cc
+++ b/Tests/Jobs/append_batcher_test.cc
@@ -317,5 +317,77 @@
   EXPECT_TRUE(batcher.accepts(kStart));
 }
 
+// Of a link of 2 Mbit/s.
+constexpr std::size_t kThinLink = 250000;
+
+struct LinkCase {
+  std::string name;
+  // Sizes of the records of each entry.
+  std::vector<std::size_t> records;
+  std::size_t link_bytes_per_second = 0;
+  // Number of records in each request.
+  std::vector<std::size_t> requests;
+};
+
+class ThinLinkBatchTest : public testing::TestWithParam<LinkCase> {};
+
+// Guards against a request that is given up before the link has carried it, and
+// then repeated unchanged, and against one that occupies the link for so long
+// that the owner's renewals behind it come too late.
+TEST_P(ThinLinkBatchTest, RequestsFitTheLink) {
+  AppendBatcherOptions options = Options(false);
+  options.link_bytes_per_second = GetParam().link_bytes_per_second;
+  AppendBatcher batcher(options);
+  for (std::size_t i = 0; i < GetParam().records.size(); ++i) {
+    batcher.Enqueue(i, {{"key", std::string(GetParam().records[i], 'x'), 0}});
+  }
+  TimePoint now = kStart;
+  for (const std::size_t records : GetParam().requests) {
+    const auto call = batcher.Next(now);
+    ASSERT_TRUE(call.has_value());
+    EXPECT_EQ(call->records.size(), records);
+    std::size_t bytes = 0;
+    for (const auto& record : call->records) {
+      bytes += SizeInLog(record);
+    }
+    const milliseconds link_time(bytes * 1000 / kThinLink);
+    EXPECT_GE(call->timeout, link_time + options.min_timeout);
+    EXPECT_LE(call->timeout, 2 * link_time + options.min_timeout);
+    now += link_time;
+    batcher.OnResult(now, {AppendOutcome::kAppended, 0});
+  }
+  EXPECT_TRUE(batcher.idle());
+  EXPECT_EQ(batcher.pending_bytes(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    ThinLinkBatchTest,
+    testing::Values(
+        LinkCase{"small", {10, 10, 10}, kThinLink, {3}},
+        LinkCase{"many", {30000, 30000, 30000, 30000}, kThinLink, {2, 2}},
+        LinkCase{"largest_record", {262000, 10}, kThinLink, {1, 1}},
+        LinkCase{"unknown_link", {30000, 30000, 30000}, 0, {3}}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against an owner that is replaced since its renewal waits behind
+// records that the link carries for seconds.
+TEST(AppendBatcherTest, RenewalPrecedesRecordsThatWait) {
+  AppendBatcherOptions options = Options(false);
+  options.link_bytes_per_second = kThinLink;
+  AppendBatcher batcher(options);
+  const KeyedRecord large{"large", std::string(60000, 'x'), 0};
+  batcher.Enqueue(1, {large, large, large});
+  ASSERT_TRUE(batcher.Next(kStart).has_value());
+  batcher.EnqueueFirst(2, {{"renewal", "value", 0}});
+  EXPECT_TRUE(batcher.OnResult(kStart, {AppendOutcome::kAppended, 0}).empty());
+  const auto call = batcher.Next(kStart);
+  ASSERT_TRUE(call.has_value());
+  EXPECT_EQ(call->records.front().key, "renewal");
+  const auto settled = batcher.OnResult(kStart, {AppendOutcome::kAppended, 0});
+  ASSERT_EQ(settled.size(), 1U);
+  EXPECT_EQ(settled.front().ticket, 2U);
+}
+
 }  // namespace
 }  // namespace rhubarbhaven::jobs
--- a/Tests/Process/thin_log_link_test.cc
+++ b/Tests/Process/thin_log_link_test.cc
@@ -7,6 +7,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -83,6 +84,12 @@
         folder_ + "/entry.log");
   }
 
+  // Whether the entry has logged the event.
+  auto Shows(const std::string& event) -> bool {
+    return entry_->Output().find("\"event\":\"" + event + "\"") !=
+           std::string::npos;
+  }
+
   // Waits until the entry accepts a job that it does not know.
   auto WaitServes(seconds limit) -> bool {
     return WaitFor(
@@ -142,5 +149,67 @@
                                                      25, milliseconds(60)}),
                          [](const auto& info) { return info.param.name; });
 
+// Submits a job at an entry and returns the status of the response.
+auto SubmitLargeJob(int callers_port, int number) -> uint32_t {
+  // Each step names its image; the whole has 240,000 bytes.
+  constexpr int kSteps = 240;
+  constexpr std::size_t kImageBytes = 940;
+  std::string steps;
+  for (int step = 0; step < kSteps; ++step) {
+    absl::StrAppend(&steps, step == 0 ? "" : ",",
+                    R"({"Count":1,"Cpu":10,"EstimatedMs":10,"Image":")",
+                    std::string(kImageBytes, 'x'), "\"}");
+  }
+  HttpClient client;
+  HttpClientRequest request;
+  request.method = "POST";
+  request.url = absl::StrCat("http://", LoopbackAddress(callers_port), "/jobs/",
+                             absl::Hex(0xa0000 + number, absl::kZeroPad16));
+  request.body = absl::StrCat(R"({"Spec":"text","Steps":[)", steps, "]}");
+  request.timeout = seconds(6);
+  for (const auto& [name, value] :
+       {std::pair("Host", "queue.example"), std::pair("Deadline-Ms", "3000")}) {
+    schema::HttpHeader header;
+    header.set_name(name);
+    header.set_value(value);
+    request.headers.push_back(header);
+  }
+  return client.Call(request).http.status();
+}
+
+class LargeJobsTest : public ThinLogLinkTest {};
+
+// Guards against large jobs that are never accepted at an entry with a thin
+// link, and that cost the cell its owner with each try: their append was given
+// up and repeated, and the owner's renewals waited behind it.
+TEST_P(LargeJobsTest, AreAcceptedOrRefusedAtOnceAndTheOwnerStays) {
+  ASSERT_TRUE(WaitServes(kStartLimit));
+  ASSERT_TRUE(
+      WaitFor([this]() -> bool { return Shows("owner_begin"); }, kStartLimit));
+  link_->SetRequestRate("", std::make_shared<SharedRate>(kLinkBytesPerSecond));
+  link_->ResetOpenConnections();
+  std::vector<std::future<uint32_t>> jobs;
+  for (int job = 0; job < GetParam().changes; ++job) {
+    jobs.push_back(
+        std::async(std::launch::async, SubmitLargeJob, callers_port_, job));
+  }
+  int accepted = 0;
+  for (auto& job : jobs) {
+    const uint32_t status = job.get();
+    EXPECT_TRUE(status == 200 || status == 503) << status;
+    accepted += status == 200 ? 1 : 0;
+  }
+  EXPECT_GE(accepted, 1);
+  EXPECT_TRUE(WaitServes(kReadyLimit));
+  EXPECT_FALSE(Shows("owner_end")) << entry_->Output();
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         LargeJobsTest,
+                         testing::Values(ChangesCase{"one", {}, 1},
+                                         ChangesCase{"three", {}, 3},
+                                         ChangesCase{"eight", {}, 8}),
+                         [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace rhubarbhaven::test
