Jobs: An owner stays while it fetches a large configuration

On links of 2 Mbit/s that all connections of an entry share, a change that makes the configuration 325 kB large cost the cell its owner, 2 s after its last stored renewal: renewals waited behind the record, each was given up after 150 to 800 ms and sent again on a new connection, and the owner stated that it reads nothing while a newer version was arriving.

Change: the receive window of an entry's connections to the log is what its link carries in 50 ms, at least 16 KiB, and the system's from 256 KiB on. Appends have 1,200 ms at least while a response of the log arrives. An entry counts as reading the operators' log for up to 7 s while a response arrives.

--- a/Source/Jobs/Log/append_batcher.cc
+++ b/Source/Jobs/Log/append_batcher.cc
@@ -43,7 +43,8 @@
   urgent_.push_back({ticket, std::move(records), 0, {}});
 }
 
-auto AppendBatcher::Next(TimePoint now) -> std::optional<AppendCall> {
+auto AppendBatcher::Next(TimePoint now, bool link_busy)
+    -> std::optional<AppendCall> {
   if (in_flight_ || fenced_ || now < not_before_) {
     return std::nullopt;
   }
@@ -57,7 +58,8 @@
   call.producer = options_.producer;
   call.epoch = options_.epoch;
   call.sequence = sequence_;
-  call.timeout = Timeout();
+  call.timeout =
+      link_busy ? std::max(Timeout(), options_.busy_timeout) : Timeout();
   call.records = RecordsOfBatch();
   in_flight_ = true;
   sent_at_ = now;
--- a/Source/Jobs/Log/append_batcher.h
+++ b/Source/Jobs/Log/append_batcher.h
@@ -81,6 +81,9 @@
   // request twice. The time that the request takes on the link is added.
   std::chrono::milliseconds min_timeout{150};
   std::chrono::milliseconds max_timeout{2000};
+  // Lower limit on the timeout while the link is busy. A repeated request opens
+  // a connection and so waits longer than the one that it replaces.
+  std::chrono::milliseconds busy_timeout{1200};
   // Pause after a rejection or a lost response. It doubles up to the maximum.
   std::chrono::milliseconds initial_backoff{20};
   std::chrono::milliseconds max_backoff{300};
@@ -99,8 +102,9 @@
   // The same for an entry that is sent before all others that wait. It must not
   // depend on them.
   auto EnqueueFirst(uint64_t ticket, std::vector<KeyedRecord> records) -> void;
-  // The batch to send now, if any. `OnResult` reports its outcome.
-  auto Next(TimePoint now) -> std::optional<AppendCall>;
+  // The batch to send now, if any. `OnResult` reports its outcome. `link_busy`:
+  // a large response of the log is arriving over the same link.
+  auto Next(TimePoint now, bool link_busy = false) -> std::optional<AppendCall>;
   auto OnResult(TimePoint now, const AppendResult& result)
       -> std::vector<SettledEntry>;
   // Removes the entries that are not in flight and returns them as not stored.
--- a/Source/Jobs/entry_decisions.cc
+++ b/Source/Jobs/entry_decisions.cc
@@ -339,11 +339,21 @@
       });
 }
 
+auto EntryDecisions::ReadsOperators(TimePoint now) const -> bool {
+  return operator_follower_.CaughtUpWithin(now, kCurrentReadAge) ||
+         (operator_follower_.transfer() &&
+          operator_follower_.CaughtUpWithin(now, kMaxTransferAge));
+}
+
 auto EntryDecisions::ConfigurationConfirmed(TimePoint now) const -> bool {
   return configuration_as_of_ != TimePoint() &&
          ConfigurationAge(now) < options_.configuration_bound;
 }
 
+auto EntryDecisions::ReceivesFromLog() const -> bool {
+  return job_follower_.transfer() || operator_follower_.transfer();
+}
+
 auto EntryDecisions::SendAppends(TimePoint now) -> void {
   SendCallerBatch(now);
   SendOwnerBatch(now);
@@ -351,7 +361,7 @@
 
 auto EntryDecisions::SendCallerBatch(TimePoint now) -> void {
   WriteResignation(now);
-  auto call = caller_appends_.Next(now);
+  auto call = caller_appends_.Next(now, ReceivesFromLog());
   if (!call) {
     return;
   }
--- a/Source/Jobs/entry_decisions.h
+++ b/Source/Jobs/entry_decisions.h
@@ -101,6 +101,10 @@
   // The local copy of the jobs' log counts as current for this long after a
   // read that reached the end.
   static constexpr std::chrono::milliseconds kCurrentReadAge{2000};
+  // The copy of the operators' log counts as current for this long while a
+  // newer version is arriving. Covers a read's wait and the transfer of 1 MB at
+  // 2 Mbit/s.
+  static constexpr std::chrono::milliseconds kMaxTransferAge{7000};
 
   enum class SubmissionKind {
     kSubmitJob,
@@ -159,10 +163,15 @@
   // Requests the end of the operators' log, to which the configuration must
   // have been read.
   auto ConfirmConfiguration(TimePoint now) -> void;
+  // Whether this entry reads the operators' log, so that it may decide for the
+  // cell.
+  auto ReadsOperators(TimePoint now) const -> bool;
   // Whether no version was acknowledged, more than the bound ago, that is newer
   // than the one in force here.
   auto ConfigurationConfirmed(TimePoint now) const -> bool;
 
+  // Whether a response of the log is arriving.
+  auto ReceivesFromLog() const -> bool;
   auto SendAppends(TimePoint now) -> void;
   auto SendCallerBatch(TimePoint now) -> void;
   auto OnCallerBatch(TimePoint now, const AppendResult& result) -> void;
--- a/Source/Jobs/entry_ownership.cc
+++ b/Source/Jobs/entry_ownership.cc
@@ -39,7 +39,7 @@
     WithdrawClaim("reads of the log no longer show a missing renewal");
   }
   const bool had_claim = election_.fence() != 0;
-  if (!had_claim && !operator_follower_.CaughtUpWithin(now, kCurrentReadAge)) {
+  if (!had_claim && !ReadsOperators(now)) {
     // Without a current copy of the operators' log, this entry could not begin,
     // or would decide by rules that are no longer in force, and would keep out
     // the entries that have one.
@@ -49,7 +49,7 @@
   if (!claim) {
     return;
   }
-  if (had_claim && !operator_follower_.CaughtUpWithin(now, kCurrentReadAge)) {
+  if (had_claim && !ReadsOperators(now)) {
     claim->set_reads_nothing(true);
   }
   NoteReadsLate(now, claim->reads_nothing());
@@ -148,7 +148,7 @@
     }
     owner_appends_->Enqueue(kBatchTicket, std::move(records));
   }
-  auto call = owner_appends_->Next(now);
+  auto call = owner_appends_->Next(now, ReceivesFromLog());
   if (!call) {
     return;
   }
--- a/Source/Jobs/jobs.h
+++ b/Source/Jobs/jobs.h
@@ -25,6 +25,7 @@
 #include "Jobs/lag_monitor.h"
 #include "Jobs/opportunistic_pacing.h"
 #include "Jobs/order_basis.h"
+#include "Jobs/order_window.h"
 #include "Jobs/owner_election.h"
 #include "Jobs/queue_directory.h"
 #include "Jobs/run_tracker.h"
--- a/Source/Jobs/order_window.cc
+++ b/Source/Jobs/order_window.cc
@@ -7,6 +7,10 @@
 
 // How long the owner's link may be busy with the window.
 constexpr std::chrono::milliseconds kWindowTime{200};
+// The same with one response of the log.
+constexpr std::chrono::milliseconds kReadWindowTime{50};
+// A window that is as large or larger is not limited.
+constexpr std::size_t kMaxReadWindowBytes = 256UL * 1024;
 constexpr std::size_t kUnknownLinkBytes = 256UL * 1024;
 constexpr std::size_t kMinWindowBytes = 16UL * 1024;
 // Agents that use the whole window together.
@@ -22,6 +26,14 @@
   return static_cast<std::size_t>(std::max(0.0, link_mbps) * kBytesPerMegabit);
 }
 
+auto ReadWindowFor(double link_mbps) -> std::size_t {
+  const auto bytes = static_cast<std::size_t>(
+      static_cast<double>(LinkBytesPerSecond(link_mbps)) *
+      std::chrono::duration<double>(kReadWindowTime).count());
+  const bool limits = bytes > 0 && bytes < kMaxReadWindowBytes;
+  return limits ? std::max(bytes, kMinWindowBytes) : 0;
+}
+
 auto OrderWindowFor(double link_mbps) -> OrderWindowOptions {
   OrderWindowOptions options;
   const double bytes = static_cast<double>(LinkBytesPerSecond(link_mbps)) *
--- a/Source/Jobs/order_window.h
+++ b/Source/Jobs/order_window.h
@@ -23,6 +23,11 @@
 // second; zero if it is unknown.
 auto LinkBytesPerSecond(double link_mbps) -> std::size_t;
 
+// Limit on the bytes of a response of the log that may be under way to an entry
+// whose link has this bandwidth; zero for none. The owner's renewals wait
+// behind them.
+auto ReadWindowFor(double link_mbps) -> std::size_t;
+
 // Returns the window for an owner whose link has this bandwidth, in megabits
 // per second; zero if it is unknown.
 auto OrderWindowFor(double link_mbps) -> OrderWindowOptions;
--- a/Source/Transport/http_client.cc
+++ b/Source/Transport/http_client.cc
@@ -6,9 +6,11 @@
 #include <absl/strings/string_view.h>
 #include <absl/strings/strip.h>
 #include <curl/curl.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <atomic>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -31,9 +33,11 @@
 // the response.
 class Transfer {
  public:
-  Transfer(CURL* handle, HttpClientRequest request)
+  // `receive_window`: in bytes; zero for the system's default.
+  Transfer(CURL* handle, HttpClientRequest request, int receive_window)
       : handle_(handle),
         request_(std::move(request)),
+        receive_window_(receive_window),
         progressed_at_(Clock::now()) {
     curl_easy_reset(handle_);
     SetOptions();
@@ -88,6 +92,10 @@
     curl_easy_setopt(handle_, CURLOPT_FRESH_CONNECT,
                      request_.fresh_connection ? 1L : 0L);
     curl_easy_setopt(handle_, CURLOPT_PRIVATE, this);
+    if (receive_window_ > 0) {
+      curl_easy_setopt(handle_, CURLOPT_SOCKOPTFUNCTION, &Transfer::OnSocket);
+      curl_easy_setopt(handle_, CURLOPT_SOCKOPTDATA, this);
+    }
     curl_easy_setopt(handle_, CURLOPT_WRITEFUNCTION, &Transfer::OnBody);
     curl_easy_setopt(handle_, CURLOPT_WRITEDATA, this);
     curl_easy_setopt(handle_, CURLOPT_HEADERFUNCTION, &Transfer::OnHeader);
@@ -185,6 +193,14 @@
     }
   }
 
+  // The buffer's size must be set before the connection is opened: the window
+  // of an open one does not shrink.
+  static auto OnSocket(void* cls, curl_socket_t socket, curlsocktype) -> int {
+    const int bytes = static_cast<Transfer*>(cls)->receive_window_;
+    setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    return CURL_SOCKOPT_OK;
+  }
+
   static auto OnBody(char* data, std::size_t, std::size_t size, void* cls)
       -> std::size_t {
     auto* self = static_cast<Transfer*>(cls);
@@ -225,6 +241,7 @@
 
   CURL* handle_;
   HttpClientRequest request_;
+  const int receive_window_;
   HttpClientAnswer answer_;
   curl_slist* headers_ = nullptr;
   bool length_known_ = false;
@@ -249,7 +266,7 @@
   ~Impl() { curl_easy_cleanup(handle_); }
 
   auto Call(const HttpClientRequest& request) -> HttpClientAnswer {
-    Transfer transfer(handle_, request);
+    Transfer transfer(handle_, request, /*receive_window=*/0);
     return transfer.Finish(curl_easy_perform(handle_));
   }
 
@@ -283,6 +300,11 @@
     curl_multi_cleanup(multi_);
   }
 
+  auto SetReceiveWindow(std::size_t bytes) -> void {
+    receive_window_ = static_cast<int>(
+        std::min<std::size_t>(bytes, std::numeric_limits<int>::max()));
+  }
+
   auto Start(HttpClientRequest request, Done done) -> bool {
     if (!ring_.Push({std::move(request), std::move(done)})) {
       return false;
@@ -318,9 +340,9 @@
     ring_.ClearWake();
     while (auto call = ring_.Pop()) {
       CURL* handle = TakeHandle();
-      active_[handle] = {
-          std::make_unique<Transfer>(handle, std::move(call->request)),
-          std::move(call->done)};
+      active_[handle] = {std::make_unique<Transfer>(
+                             handle, std::move(call->request), receive_window_),
+                         std::move(call->done)};
       if (active_[handle].transfer->has_progress_limits()) {
         limited_.insert(handle);
       }
@@ -392,6 +414,7 @@
   // The calls among them that have limits on progress.
   std::set<CURL*> limited_;
   std::vector<CURL*> idle_handles_;
+  std::atomic<int> receive_window_ = 0;
   std::atomic<bool> stop_ = false;
   std::thread thread_;
 };
@@ -399,6 +422,9 @@
 HttpCaller::HttpCaller(int connections)
     : impl_(std::make_unique<Impl>(connections)) {}
 HttpCaller::~HttpCaller() = default;
+auto HttpCaller::SetReceiveWindow(std::size_t bytes) -> void {
+  impl_->SetReceiveWindow(bytes);
+}
 auto HttpCaller::Start(HttpClientRequest request, Done done) -> bool {
   return impl_->Start(std::move(request), std::move(done));
 }
--- a/Source/Transport/http_client.h
+++ b/Source/Transport/http_client.h
@@ -81,6 +81,11 @@
   explicit HttpCaller(int connections);
   HttpCaller(const HttpCaller&) = delete;
   auto operator=(const HttpCaller&) -> HttpCaller& = delete;
+  // Limits the bytes of responses that may be under way on each connection
+  // opened from now on; zero for the system's default. Over a thin link, what
+  // is under way to one connection delays all others. To be called before
+  // `Start`.
+  auto SetReceiveWindow(std::size_t bytes) -> void;
   // Aborts the calls in progress. Their `done` is called with
   // ENDPOINT_CONNECTION_LOST.
   ~HttpCaller();
--- a/Tests/Jobs/append_batcher_test.cc
+++ b/Tests/Jobs/append_batcher_test.cc
@@ -370,6 +370,21 @@
         LinkCase{"unknown_link", {30000, 30000, 30000}, 0, {3}}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against an owner that is replaced while it receives a large response
+// of the log: each of its renewals was given up, and sent anew on a connection
+// of its own, before the busy link had carried it.
+TEST(AppendBatcherTest, RequestsHaveMoreTimeWhileTheLinkIsBusy) {
+  AppendBatcher batcher(Options(false));
+  batcher.Enqueue(1, {{"renewal", "value", 0}});
+  const auto call = batcher.Next(kStart, /*link_busy=*/true);
+  ASSERT_TRUE(call.has_value());
+  EXPECT_EQ(call->timeout, Options(false).busy_timeout);
+  batcher.OnResult(kStart, {AppendOutcome::kUnknown, 0});
+  const auto repeated = batcher.Next(kStart + seconds(1));
+  ASSERT_TRUE(repeated.has_value());
+  EXPECT_LT(repeated->timeout, Options(false).busy_timeout);
+}
+
 // Guards against an owner that is replaced since its renewal waits behind
 // records that the link carries for seconds.
 TEST(AppendBatcherTest, RenewalPrecedesRecordsThatWait) {
--- a/Tests/Jobs/order_window_test.cc
+++ b/Tests/Jobs/order_window_test.cc
@@ -52,6 +52,28 @@
                                          LinkCase{"wide", 200, 5000000, 65536}),
                          [](const auto& info) { return info.param.name; });
 
+struct ReadWindowCase {
+  std::string name;
+  double link_mbps = 0;
+  std::size_t bytes = 0;
+};
+
+class ReadWindowTest : public testing::TestWithParam<ReadWindowCase> {};
+
+// Guards against an owner that is replaced while it receives a large response
+// of the log, behind which its renewals wait.
+TEST_P(ReadWindowTest, FollowsAThinLink) {
+  EXPECT_EQ(ReadWindowFor(GetParam().link_mbps), GetParam().bytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         ReadWindowTest,
+                         testing::Values(ReadWindowCase{"unknown", 0, 0},
+                                         ReadWindowCase{"thin", 2, 16384},
+                                         ReadWindowCase{"some", 10, 62500},
+                                         ReadWindowCase{"wide", 200, 0}),
+                         [](const auto& info) { return info.param.name; });
+
 TEST_F(OrderWindowTest, BytesCountUntilTheAgentHasReceivedThem) {
   window_.OnSent(now_, kAgent, 1, 300);
   window_.OnSent(now_, kAgent, 2, 400);
--- a/Tests/Transport/http_test.cc
+++ b/Tests/Transport/http_test.cc
@@ -4,7 +4,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
+#include <future>
 #include <memory>
+#include <string>
 #include <thread>
 
 #include "Transport/transport.h"
@@ -244,6 +247,84 @@
   std::thread thread_;
 };
 
+// Sends a response of many bytes to one connection, as fast as it is received.
+class FloodingServer {
+ public:
+  FloodingServer() : listener_(ListenOnLoopback(&port_)) {
+    thread_ = std::thread([this]() -> void { Run(); });
+  }
+  FloodingServer(const FloodingServer&) = delete;
+  auto operator=(const FloodingServer&) -> FloodingServer& = delete;
+  ~FloodingServer() {
+    stop_ = true;
+    thread_.join();
+    close(listener_);
+  }
+  auto url() const -> std::string {
+    return "http://127.0.0.1:" + std::to_string(port_) + "/";
+  }
+  auto sent() const -> std::size_t { return sent_; }
+
+ private:
+  auto Run() -> void {
+    const int peer = accept(listener_, nullptr, nullptr);
+    // Of all that the server hands over, little remains on its own side.
+    const int send_buffer = 4096;
+    setsockopt(peer, SOL_SOCKET, SO_SNDBUF, &send_buffer, sizeof(send_buffer));
+    char buffer[4096];
+    static_cast<void>(!read(peer, buffer, sizeof(buffer)));
+    std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: 4000000\r\n\r\n";
+    bytes.resize(4000, 'x');
+    while (!stop_) {
+      const ssize_t sent =
+          send(peer, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (sent > 0) {
+        sent_ += static_cast<std::size_t>(sent);
+        bytes.assign(4000, 'x');
+      } else {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      }
+    }
+    close(peer);
+  }
+
+  int port_ = 0;
+  int listener_;
+  std::atomic<std::size_t> sent_ = 0;
+  std::atomic<bool> stop_ = false;
+  std::thread thread_;
+};
+
+// Bytes that are sent to a caller that receives none after the first.
+auto BytesUnderWay(std::size_t receive_window) -> std::size_t {
+  FloodingServer server;
+  std::promise<void> measured;
+  std::shared_future<void> is_measured(measured.get_future());
+  HttpCaller caller(1);
+  caller.SetReceiveWindow(receive_window);
+  HttpClientRequest request;
+  request.url = server.url();
+  request.on_progress = [is_measured](std::size_t) -> void {
+    is_measured.wait();
+  };
+  caller.Start(std::move(request), [](const HttpClientAnswer&) {});
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  const std::size_t bytes = server.sent();
+  measured.set_value();
+  return bytes;
+}
+
+// Guards against a large response that fills a thin link for seconds, so that
+// all other calls wait behind it.
+TEST(HttpCallerTest, ReceiveWindowLimitsWhatIsUnderWay) {
+  constexpr std::size_t kWindow = 16384;
+  const std::size_t limited = BytesUnderWay(kWindow);
+  EXPECT_GT(limited, 0U);
+  // The system doubles the window, and as much is with the two processes.
+  EXPECT_LE(limited, 4 * kWindow);
+  EXPECT_GT(BytesUnderWay(0), limited);
+}
+
 struct ResetCase {
   std::string name;
   bool closes_listener;
