--- a/Tests/Platform/wire_test.cc
+++ b/Tests/Platform/wire_test.cc
@@ -75,6 +75,29 @@
      }},
 };
 
+struct ValueCase {
+  std::string name;
+  std::string value;
+};
+
+class NewestValueTest : public testing::TestWithParam<ValueCase> {};
+
+// Guards against a configuration that counts as deleted, since its value
+// arrived cut off or garbled and was taken for an empty one.
+TEST_P(NewestValueTest, ValueThatIsNotInBase64IsAnError) {
+  const auto newest = DecodeNewest(R"({"items":[{"Key":"config","Value":")" +
+                                   GetParam().value + R"("}],"End":4})");
+  EXPECT_FALSE(newest.ok());
+  EXPECT_NE(std::string(newest.status().message()).find("config"),
+            std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         NewestValueTest,
+                         testing::Values(ValueCase{"cut_off", "dmFsd"},
+                                         ValueCase{"garbled", "dm!s"}),
+                         [](const auto& info) { return info.param.name; });
+
 class BodyTest : public testing::TestWithParam<BodyCase> {};
 
 TEST_P(BodyTest, CompleteBodyIsDecoded) {
