--- a/Tests/Platform/log_client_test.cc
+++ b/Tests/Platform/log_client_test.cc
@@ -53,7 +53,7 @@
 // Answers each request with the same body.
 class ThinServer {
  public:
-  ThinServer(std::string body, const Sending& sending)
+  ThinServer(const std::string& body, const Sending& sending)
       : sending_(sending),
         rate_(std::max<std::size_t>(1, sending.bytes_per_second)),
         listener_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
@@ -228,6 +228,7 @@
       link.sending);
   LogClient client(server.address());
   std::vector<std::future<Outcome>> calls;
+  calls.reserve(link.calls);
   for (int call = 0; call < link.calls; ++call) {
     calls.push_back(
         std::async(std::launch::async, [&client, newest = newest]() -> Outcome {
--- a/Tests/Process/thin_log_link_test.cc
+++ b/Tests/Process/thin_log_link_test.cc
@@ -189,6 +189,7 @@
   link_->SetRequestRate("", std::make_shared<SharedRate>(kLinkBytesPerSecond));
   link_->ResetOpenConnections();
   std::vector<std::future<uint32_t>> jobs;
+  jobs.reserve(GetParam().changes);
   for (int job = 0; job < GetParam().changes; ++job) {
     jobs.push_back(
         std::async(std::launch::async, SubmitLargeJob, callers_port_, job));
