--- a/Tests/Jobs/start_check_test.cc
+++ b/Tests/Jobs/start_check_test.cc
@@ -122,6 +122,19 @@
   EXPECT_EQ(Check(1), Verdict::kOver);
 }
 
+// Guards against a start of a cancelled job that stands because its log counts
+// as unreachable while a large response arrives over a thin link.
+TEST_F(StartCheckTest, LogWhoseResponseIsArrivingIsReachable) {
+  EXPECT_EQ(Check(50), Verdict::kPending);
+  for (std::size_t part = 1; part <= 10; ++part) {
+    now_ += StartCheckOptions().patience / 2;
+    calls_.back().on_progress(now_, part * 10000);
+    EXPECT_EQ(Check(50), Verdict::kPending) << "part " << part;
+  }
+  now_ += StartCheckOptions().patience;
+  EXPECT_EQ(Check(50), Verdict::kUnreachable) << "the response has stalled";
+}
+
 // Guards against a start of a cancelled job that stands because single calls
 // were refused, or connections broke.
 TEST_F(StartCheckTest, FailedReadsAreNoOutageIfOthersAreAnswered) {
