--- a/Tests/Process/thin_log_link_test.cc
+++ b/Tests/Process/thin_log_link_test.cc
@@ -46,9 +46,10 @@
   milliseconds interval{0};
 };
 
-class ThinLogLinkTest : public testing::TestWithParam<ChangesCase> {
+// One entry as a process, and a log that it reaches over a thin link.
+class ThinLogLink : public testing::Test {
  protected:
-  ThinLogLinkTest() {
+  ThinLogLink() {
     std::string pattern =
         (std::filesystem::temp_directory_path() / "rhubarbhaven-XXXXXX")
             .string();
@@ -61,7 +62,7 @@
     StartEntry();
   }
 
-  ~ThinLogLinkTest() override {
+  ~ThinLogLink() override {
     entry_.reset();
     link_.reset();
     platform_.reset();
@@ -123,6 +124,9 @@
   HttpClient client_;
 };
 
+class ThinLogLinkTest : public ThinLogLink,
+                        public testing::WithParamInterface<ChangesCase> {};
+
 // Guards against an entry that never serves again after a restart, since the
 // configuration changes while the entry fetches it, and the new record takes
 // longer on the link than a call to the log may.
@@ -177,7 +181,14 @@
   return client.Call(request).http.status();
 }
 
-class LargeJobsTest : public ThinLogLinkTest {};
+struct JobsCase {
+  std::string name;
+  // Submitted at the same time.
+  int jobs = 0;
+};
+
+class LargeJobsTest : public ThinLogLink,
+                      public testing::WithParamInterface<JobsCase> {};
 
 // Guards against large jobs that are never accepted at an entry with a thin
 // link, and that cost the cell its owner with each try: their append was given
@@ -189,8 +200,8 @@
   link_->SetRequestRate("", std::make_shared<SharedRate>(kLinkBytesPerSecond));
   link_->ResetOpenConnections();
   std::vector<std::future<uint32_t>> jobs;
-  jobs.reserve(GetParam().changes);
-  for (int job = 0; job < GetParam().changes; ++job) {
+  jobs.reserve(GetParam().jobs);
+  for (int job = 0; job < GetParam().jobs; ++job) {
     jobs.push_back(
         std::async(std::launch::async, SubmitLargeJob, callers_port_, job));
   }
@@ -207,9 +218,9 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          LargeJobsTest,
-                         testing::Values(ChangesCase{"one", {}, 1},
-                                         ChangesCase{"three", {}, 3},
-                                         ChangesCase{"eight", {}, 8}),
+                         testing::Values(JobsCase{"one", 1},
+                                         JobsCase{"three", 3},
+                                         JobsCase{"eight", 8}),
                          [](const auto& info) { return info.param.name; });
 
 }  // namespace
