Tests: The fault proxy forwards nothing of a connection that it resets

By reading: the bytes that tell the source and a message behind them may come in one read, and the proxy forwarded them before it reset the connection.

--- a/Tests/Support/fault_proxy.cc
+++ b/Tests/Support/fault_proxy.cc
@@ -237,6 +237,11 @@
         open = ReadAvailable(connection, /*is_answer=*/i == 1);
       }
     }
+    if (connection->reset) {
+      // What was read together with the bytes that tell the source must not be
+      // forwarded.
+      break;
+    }
     if (connection->blackholed) {
       // Neither side may see that the other has closed the connection.
       continue;
